--- /dev/null
+++ b/cmake/Filbertbeam.cmake
@@ -0,0 +1,32 @@
+# filbertbeam_library(NAME [DEPENDS libraries...])
+# Builds every source of the current folder into the static library
+# filbertbeam_NAME.
+function(filbertbeam_library aName)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp *.h)
+  add_library(filbertbeam_${aName} STATIC ${sources})
+  target_include_directories(filbertbeam_${aName}
+                             PUBLIC ${CMAKE_SOURCE_DIR}/src)
+  target_link_libraries(filbertbeam_${aName} PUBLIC ${ARG_DEPENDS})
+endfunction()
+
+# filbertbeam_test(NAME [TIMEOUT seconds] [DEPENDS libraries...])
+# Builds every source of the current folder's tests/ into one Boost.Test
+# program test_NAME and registers it with CTest.
+function(filbertbeam_test aName)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPENDS" ${ARGN})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 60)
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS tests/*.cpp tests/*.h)
+  add_executable(test_${aName} ${sources}
+                 ${CMAKE_SOURCE_DIR}/src/base/tests/support/TestMain.cpp)
+  target_compile_definitions(test_${aName} PRIVATE
+    BOOST_TEST_DYN_LINK FILBERTBEAM_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests")
+  target_include_directories(test_${aName} PRIVATE
+    ${CMAKE_SOURCE_DIR}/src/base/tests/support)
+  target_link_libraries(test_${aName} PRIVATE ${ARG_DEPENDS} Qt6::Core
+                        Boost::unit_test_framework)
+  add_test(NAME ${aName} COMMAND test_${aName} --log_level=test_suite)
+  set_tests_properties(${aName} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/src/base/ManualClock.cpp
@@ -0,0 +1,25 @@
+#include "base/ManualClock.h"
+
+namespace filbertbeam {
+
+Instant
+ManualClock::Now() const
+{
+  return Instant(
+    std::chrono::duration_cast<std::chrono::steady_clock::duration>(elapsed_));
+}
+
+WallTime
+ManualClock::WallNow() const
+{
+  return WallTime(
+    std::chrono::duration_cast<std::chrono::system_clock::duration>(elapsed_));
+}
+
+void
+ManualClock::Advance(Duration aBy)
+{
+  elapsed_ += aBy;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/base/SeededRandom.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/Random.h"
+
+#include <random>
+
+namespace filbertbeam {
+
+// A Mersenne Twister with a fixed seed, or with a seed from the system.
+class SeededRandom final : public Random
+{
+public:
+  explicit SeededRandom(std::uint64_t aSeed);
+  // Seeds from the operating system.
+  SeededRandom();
+
+  std::uint64_t Next() override;
+
+private:
+  std::mt19937_64 engine_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/base/SystemClock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/Clock.h"
+
+namespace filbertbeam {
+
+// The clock of the operating system.
+class SystemClock final : public Clock
+{
+public:
+  Instant Now() const override;
+  WallTime WallNow() const override;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/base/tests/TestBase.cpp
@@ -0,0 +1,78 @@
+#include "base/Digest.h"
+#include "base/Findings.h"
+#include "base/Log.h"
+#include "base/ManualClock.h"
+#include "base/SeededRandom.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+
+BOOST_AUTO_TEST_SUITE(Base)
+
+BOOST_AUTO_TEST_SUITE(LogLines)
+
+// Guards against a value that forges further pairs or further lines.
+BOOST_AUTO_TEST_CASE(ValuesCannotForgePairsOrLines)
+{
+  const std::string line = FormatLogLine(
+    LogLevel::Info, "request", { { "path", "/a b=\"c\"\nlevel=error" } });
+  BOOST_TEST(
+    line == "level=info event=request path=\"/a b=\\\"c\\\"\\x0alevel=error\"");
+}
+
+BOOST_AUTO_TEST_CASE(PlainValuesStandUnquoted)
+{
+  BOOST_TEST(FormatLogLine(LogLevel::Warning, "ejected", { { "score", 4 } }) ==
+             "level=warning event=ejected score=4");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against an operator who sees only the first of several faults.
+BOOST_AUTO_TEST_CASE(FindingsAreReportedTogetherWithTheirPlace)
+{
+  Findings findings;
+  findings.Add({ "contracts.json", 3, "contracts[0].customer", "is empty" });
+  findings.Add({ "--listen_caller", 0, "", "is not an address" });
+  BOOST_TEST(findings.Format() ==
+             "contracts.json:3: contracts[0].customer: is empty\n"
+             "--listen_caller: is not an address\n");
+}
+
+// Guards against a change of algorithm: hosts of two releases have to agree.
+BOOST_AUTO_TEST_CASE(DigestsMatchPublishedVectors)
+{
+  BOOST_TEST(
+    Sha256Hex("abc") ==
+    "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  BOOST_TEST(HmacSha256("key", "data").size() == 32U);
+  BOOST_TEST(StableHash("") == 0xef46db3751d8e999ULL);
+  BOOST_TEST(ConstantTimeEquals("same", "same"));
+  BOOST_TEST(!ConstantTimeEquals("same", "some"));
+  BOOST_TEST(!ConstantTimeEquals("same", "sam"));
+}
+
+// Guards against a failure that cannot be repeated from its seed.
+BOOST_AUTO_TEST_CASE(EqualSeedsGiveEqualNumbers)
+{
+  SeededRandom first(7);
+  SeededRandom second(7);
+  for (int i = 0; i < 100; ++i) {
+    const double value = first.Uniform();
+    BOOST_TEST(value == second.Uniform());
+    BOOST_TEST(value < 1.0);
+  }
+  BOOST_TEST(first.Below(0) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ManualClockMovesOnlyWhenTold)
+{
+  ManualClock clock;
+  const Instant start = clock.Now();
+  BOOST_TEST((clock.Now() == start));
+  clock.Advance(std::chrono::milliseconds(5));
+  BOOST_TEST((clock.Now() - start == std::chrono::milliseconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/configuration/Configuration.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertbeam {
+
+struct BackendServer
+{
+  std::string name;
+  // IP address in text form.
+  std::string address;
+  std::uint16_t port = 0;
+  std::string region;
+  std::string domain;
+  int slots = 1;
+  int connections = 400;
+  bool isLeaving = false;
+};
+
+// Which error of detection costs the operator more.
+enum class DetectionPreference
+{
+  // Detect quickly, at the price of more false ejections.
+  Detection,
+  // Avoid false ejections, at the price of slower detection.
+  Precision,
+};
+
+struct Service
+{
+  std::string name;
+  // Share of the configured backend servers that ejection has to leave.
+  double floor = 0.7;
+  DetectionPreference prefer = DetectionPreference::Detection;
+  // Status with which a backend server refuses a request before running it.
+  std::optional<int> shedStatus;
+  // Share of requests that have to succeed; base of the burn report.
+  double availabilityObjective = 0.999;
+  std::vector<BackendServer> backendServers;
+};
+
+struct Route
+{
+  // Host of the request without port; empty matches every host.
+  std::string host;
+  std::string pathPrefix;
+  std::string service;
+  // Methods besides POST and PATCH that must run at most once.
+  std::vector<std::string> nonIdempotentMethods;
+};
+
+struct Contract
+{
+  std::string customer;
+  // SHA-256 of each API key, 64 lower-case hexadecimal digits.
+  std::vector<std::string> keySha256;
+  std::vector<std::string> services;
+  // The promise, from which every limit is derived.
+  double requestsPerSecond = 0;
+};
+
+// Backend servers of one service in one failure domain, counted by one owner.
+struct Shard
+{
+  // "service/domain/index"; the same on every host.
+  std::string key;
+  std::string service;
+  std::string region;
+  std::string domain;
+  std::vector<const BackendServer*> backendServers;
+};
+
+inline constexpr std::size_t kMaxBackendServersPerShard = 32;
+
+// One accepted configuration. Immutable after Create, so threads share it.
+class Configuration
+{
+public:
+  // What an operator writes, already validated.
+  struct Content
+  {
+    std::vector<Service> services;
+    std::vector<Route> routes;
+    std::vector<Contract> contracts;
+  };
+
+  static std::shared_ptr<const Configuration> Create(std::uint64_t aRevision,
+                                                     Content aContent);
+
+  std::uint64_t Revision() const { return revision_; }
+  const Content& Data() const { return content_; }
+
+  const Contract* FindContractByKeySha256(std::string_view aKeySha256) const;
+  const Contract* FindContract(std::string_view aCustomer) const;
+  const Service* FindService(std::string_view aName) const;
+  // The longest path prefix wins; among equals, a route that names the host.
+  // A prefix matches at segment boundaries: "/a" matches "/a" and "/a/b", not
+  // "/ab". aPath is without query.
+  const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
+
+  std::span<const Shard> ShardsOf(std::string_view aService) const;
+  const Shard* FindShard(std::string_view aKey) const;
+
+private:
+  Configuration(std::uint64_t aRevision, Content aContent);
+
+  std::uint64_t revision_;
+  Content content_;
+  std::unordered_map<std::string_view, const Contract*> contractsByKey_;
+  std::unordered_map<std::string_view, const Contract*> contractsByCustomer_;
+  std::unordered_map<std::string_view, const Service*> servicesByName_;
+  // By host, longest prefix first.
+  std::unordered_map<std::string_view, std::vector<const Route*>> routesByHost_;
+  std::unordered_map<std::string_view, std::vector<Shard>> shardsByService_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/limits/RequestClass.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace filbertbeam {
+
+enum class RequestClass
+{
+  // Within the rate that the customer's contract promises.
+  InContract,
+  // Above the promise; served from spare capacity only.
+  Excess,
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/membership/ControlChannel.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "http/HttpMessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace filbertbeam {
+
+enum class ControlMessageType : std::uint8_t
+{
+  Heartbeat = 1,
+  DemandReport = 2,
+  ShareGrant = 3,
+};
+
+struct ControlSender
+{
+  std::string host;
+  std::uint64_t incarnation = 0;
+};
+
+// Authenticated, lossy datagrams between hosts, on the control thread. A
+// message is delivered at most once, or lost without notice.
+class ControlChannel
+{
+public:
+  // The payload is CBOR; it is valid only during the call.
+  using Receiver =
+    std::function<void(const ControlSender& aSender, ByteView aPayload)>;
+
+  virtual ~ControlChannel() = default;
+
+  virtual void Send(const Endpoint& aTo,
+                    ControlMessageType aType,
+                    ByteView aPayload) = 0;
+
+  // One receiver per type; a later call replaces it.
+  virtual void SetReceiver(ControlMessageType aType, Receiver aReceiver) = 0;
+};
+
+} // namespace filbertbeam
