--- /dev/null
+++ b/src/daemon/DaemonSettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/Findings.h"
+#include "base/Log.h"
+#include "http/HttpMessage.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// What a daemon learns at its start. Nothing here is a limit.
+struct DaemonSettings
+{
+  std::string host;
+  std::string region;
+  std::string domain;
+  Endpoint caller;
+  Endpoint relay;
+  Endpoint control;
+  Endpoint admin;
+  std::vector<Endpoint> platform;
+  std::string fleetSecret;
+  std::string operatorToken;
+  LogLevel logLevel = LogLevel::Info;
+
+  // Reads flags, and FILBERTBEAM_... environment variables for those that are
+  // not given. Removes the flags from the arguments. Returns nothing when
+  // aFindings names a fault.
+  static std::optional<DaemonSettings> Create(int* argc,
+                                              char*** argv,
+                                              Findings& aFindings);
+};
+
+// "address:port" with an IP address; brackets around an IPv6 address.
+std::optional<Endpoint>
+ParseEndpoint(std::string_view aText, std::string& aReason);
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/entry/EntryService.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/EventSink.h"
+#include "base/Random.h"
+#include "claims/ClaimRegistry.h"
+#include "configuration/Configuration.h"
+#include "entry/EntryMetrics.h"
+#include "entry/RelaySealer.h"
+#include "entry/ServiceLevelMeter.h"
+#include "entry/ShardSelector.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "limits/CustomerLimiter.h"
+#include "limits/RetryBudget.h"
+#include "membership/MembershipView.h"
+
+#include <memory>
+
+namespace filbertbeam {
+
+// What sessions of callers share. All references outlive the entry service.
+struct EntryContext
+{
+  HttpClient& client;
+  ClaimRegistry& claims;
+  CustomerLimiter& limiter;
+  RetryBudget& retryBudget;
+  RelaySealer& sealer;
+  ServiceLevelMeter& serviceLevel;
+  ShardSelector& selector;
+  EntryMetrics& metrics;
+  EventSink& events;
+  const Clock& clock;
+  Random& random;
+  std::shared_ptr<const Configuration> configuration = nullptr;
+  std::shared_ptr<const MembershipView> view = nullptr;
+};
+
+// The endpoint for callers. Works on the thread that creates it.
+class EntryService final : public HttpApplication
+{
+public:
+  explicit EntryService(EntryContext aContext);
+
+  void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
+  void SetView(std::shared_ptr<const MembershipView> aView);
+
+  std::shared_ptr<HttpRequestObserver> OnRequest(
+    std::shared_ptr<HttpServerExchange> aExchange) override;
+
+private:
+  EntryContext context_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/entry/EntrySession.cpp
@@ -0,0 +1,757 @@
+#include "entry/EntrySession.h"
+
+#include "base/Digest.h"
+#include "base/Log.h"
+#include "entry/RequestPath.h"
+#include "relay/RelayFields.h"
+#include "relay/RelayRequest.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDefaultTimeout{ 30'000 };
+constexpr milliseconds kMaxTimeout{ 300'000 };
+
+// Bodies up to this size are kept so that they can be sent again.
+constexpr std::size_t kKeptBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+constexpr std::size_t kMaxIdempotencyKeyLength = 255;
+
+constexpr int kMaxAttempts = 4;
+constexpr milliseconds kRetryDelay{ 50 };
+
+// The owner watches the deadline as well and knows whether it sent the
+// request; its answer gets this long to arrive.
+constexpr milliseconds kOwnerAnswerGrace{ 100 };
+
+// A claim that is not decided within this time is refused, so that a slow
+// store does not hold callers for their whole deadline.
+constexpr milliseconds kClaimTimeout{ 2'000 };
+
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+std::string
+NewRequestId(Random& aRandom)
+{
+  return fmt::format("{:016x}", aRandom.Next());
+}
+
+std::optional<std::string_view>
+ApiKeyOf(const HttpFields& aFields)
+{
+  if (const auto key = aFields.Find("X-Api-Key")) {
+    return key;
+  }
+  const auto authorization = aFields.Find("Authorization");
+  if (!authorization || !authorization->starts_with(kBearerPrefix)) {
+    return std::nullopt;
+  }
+  return authorization->substr(kBearerPrefix.size());
+}
+
+// Idempotent methods of RFC 9110, section 9.2.2.
+bool
+IsIdempotentMethod(std::string_view aMethod)
+{
+  constexpr std::array<std::string_view, 6> kMethods{ "GET",     "HEAD",
+                                                      "OPTIONS", "TRACE",
+                                                      "PUT",     "DELETE" };
+  return std::ranges::find(kMethods, aMethod) != kMethods.end();
+}
+
+bool
+IsRetryableStatus(int aStatus)
+{
+  return aStatus == 502 || aStatus == 503 || aStatus == 504;
+}
+
+// True for refusals that only say that this shard cannot take the request
+// now; another shard may.
+bool
+ConcernsShard(std::string_view aReason)
+{
+  return aReason == "queue-full" || aReason == "wait-exceeded" ||
+         aReason == "no-spare-slot" || aReason == "no-backend-server";
+}
+
+bool
+ConcernsOwner(std::string_view aReason)
+{
+  return aReason == "moved" || aReason == "unknown-shard" ||
+         aReason == "owner-unreachable" || aReason == "no-owner";
+}
+
+std::string_view
+DetailOf(std::string_view aReason)
+{
+  if (aReason == "queue-full") {
+    return "The customer has as many requests waiting as its contract allows.";
+  }
+  if (aReason == "no-spare-slot") {
+    return "The customer is above the rate that its contract promises, and no "
+           "spare capacity is free.";
+  }
+  if (aReason == "wait-exceeded" || aReason == "no-backend-server") {
+    return "No backend server of the service could take the request.";
+  }
+  if (aReason == "deadline-passed") {
+    return "The deadline of the request passed.";
+  }
+  if (ConcernsOwner(aReason)) {
+    return "The host that is responsible for the service's backend servers "
+           "cannot be reached.";
+  }
+  return {};
+}
+
+} // namespace
+
+EntrySession::EntrySession(std::shared_ptr<HttpServerExchange> aExchange,
+                           const EntryContext& aContext)
+  : context_(aContext)
+  , exchange_(std::move(aExchange))
+  , requestId_(NewRequestId(aContext.random))
+  , startedAt_(aContext.clock.Now())
+  , deadline_(startedAt_ + kDefaultTimeout)
+{
+  deadlineTimer_.setSingleShot(true);
+  deadlineTimer_.callOnTimeout([this] { OnDeadline(); });
+  retryTimer_.setSingleShot(true);
+  retryTimer_.callOnTimeout([this] { Relay(); });
+}
+
+void
+EntrySession::Start()
+{
+  ++context_.metrics.requests;
+  if (!CheckHead()) {
+    return;
+  }
+  deadlineTimer_.start(std::chrono::ceil<milliseconds>(Remaining()));
+}
+
+bool
+EntrySession::CheckHead()
+{
+  if (!context_.configuration || !context_.view) {
+    Answer({ 503, "not-ready", Outcome::NotRun });
+    return false;
+  }
+  const HttpRequestHead& head = exchange_->Request();
+  const std::optional<std::string_view> key = ApiKeyOf(head.fields);
+  if (key) {
+    contract_ =
+      context_.configuration->FindContractByKeySha256(Sha256Hex(*key));
+  }
+  if (!contract_) {
+    Answer({ 401, "unknown-customer", Outcome::NotRun });
+    return false;
+  }
+  const std::optional<std::string_view> path = RoutablePath(head.target);
+  if (!path) {
+    Answer({ 400, "malformed-target", Outcome::NotRun });
+    return false;
+  }
+  const Route* route = context_.configuration->FindRoute(
+    HostWithoutPort(head.fields.Find("Host").value_or("")), *path);
+  service_ =
+    route ? context_.configuration->FindService(route->service) : nullptr;
+  if (!service_) {
+    Answer({ 404, "unknown-route", Outcome::NotRun });
+    return false;
+  }
+  if (std::ranges::find(contract_->services, service_->name) ==
+      contract_->services.end()) {
+    Answer({ 403, "service-not-in-contract", Outcome::NotRun });
+    return false;
+  }
+  isIdempotent_ = IsIdempotentMethod(head.method) &&
+                  std::ranges::find(route->nonIdempotentMethods, head.method) ==
+                    route->nonIdempotentMethods.end();
+  return CheckTimeout() && CheckIdempotencyKey();
+}
+
+bool
+EntrySession::CheckTimeout()
+{
+  const auto field = exchange_->Request().fields.Find(kRequestTimeoutField);
+  if (!field) {
+    return true;
+  }
+  std::int64_t timeout = 0;
+  const char* end = field->data() + field->size();
+  const auto result = std::from_chars(field->data(), end, timeout);
+  if (result.ec != std::errc() || result.ptr != end || timeout <= 0) {
+    Answer({ 400, "malformed-timeout", Outcome::NotRun });
+    return false;
+  }
+  deadline_ = startedAt_ + std::min(milliseconds(timeout), kMaxTimeout);
+  return true;
+}
+
+bool
+EntrySession::CheckIdempotencyKey()
+{
+  const auto key = exchange_->Request().fields.Find("Idempotency-Key");
+  if (!key || isIdempotent_) {
+    return true;
+  }
+  if (key->empty() || key->size() > kMaxIdempotencyKeyLength) {
+    Answer({ 400, "malformed-idempotency-key", Outcome::NotRun });
+    return false;
+  }
+  idempotencyKey_ = *key;
+  return true;
+}
+
+void
+EntrySession::OnRequestBody(ByteView aBytes)
+{
+  switch (phase_) {
+    case Phase::Collecting:
+      body_.append(aBytes.data(), aBytes.size());
+      if (body_.size() > kKeptBodyBytes) {
+        exchange_->PauseRequestBody();
+        Admit();
+      }
+      return;
+    case Phase::Claiming:
+      // At most what was read before the pause took effect.
+      body_.append(aBytes.data(), aBytes.size());
+      return;
+    case Phase::Relaying:
+    case Phase::Responding:
+      if (!attempt_) {
+        return;
+      }
+      attempt_->Exchange().SendBody(aBytes);
+      if (attempt_->Exchange().UnsentBytes() > kMaxUnsentBytes) {
+        exchange_->PauseRequestBody();
+      }
+      return;
+    case Phase::Done:
+      return;
+  }
+}
+
+void
+EntrySession::OnRequestEnd()
+{
+  isBodyComplete_ = true;
+  if (phase_ == Phase::Collecting) {
+    Admit();
+  } else if (phase_ == Phase::Relaying && attempt_ && !isBodyKept_) {
+    attempt_->Exchange().FinishBody();
+  }
+}
+
+void
+EntrySession::Admit()
+{
+  requestClass_ = context_.limiter.Classify(*contract_, context_.clock.Now());
+  isClassified_ = true;
+  if (requestClass_ == RequestClass::Excess) {
+    ++context_.metrics.excessRequests;
+  }
+  context_.retryBudget.OnRequest(
+    service_->name, contract_->customer, context_.clock.Now());
+  if (idempotencyKey_.empty()) {
+    Relay();
+    return;
+  }
+  Claim();
+}
+
+void
+EntrySession::Claim()
+{
+  phase_ = Phase::Claiming;
+  const HttpRequestHead& head = exchange_->Request();
+  std::string content = body_;
+  if (!isBodyComplete_) {
+    content = head.framing == BodyFraming::Length
+                ? fmt::format("length {}", head.contentLength)
+                : "chunked";
+  }
+  ClaimRequest request;
+  request.customer = contract_->customer;
+  request.idempotencyKey = idempotencyKey_;
+  request.fingerprint = Sha256Hex(
+    fmt::format("{}\n{}\n{}", head.method, head.target, Sha256Hex(content)));
+  const Instant deadline =
+    std::min(deadline_, context_.clock.Now() + kClaimTimeout);
+  context_.claims.Claim(
+    request, deadline, [self = shared_from_this()](const ClaimResult& aResult) {
+      self->OnClaimResult(aResult);
+    });
+}
+
+void
+EntrySession::OnClaimResult(const ClaimResult& aResult)
+{
+  if (aResult.decision == ClaimDecision::Granted) {
+    claimId_ = aResult.claimId;
+  }
+  if (phase_ != Phase::Claiming) {
+    // The caller left or the deadline passed meanwhile; nothing was sent.
+    SettleClaim(Outcome::NotRun);
+    return;
+  }
+  switch (aResult.decision) {
+    case ClaimDecision::Granted:
+      responseCopy_.emplace();
+      Relay();
+      return;
+    case ClaimDecision::AlreadyRan:
+      Replay(aResult);
+      return;
+    case ClaimDecision::Undecided:
+      Answer({ 409, "earlier-try-undecided", Outcome::Unknown });
+      return;
+    case ClaimDecision::FingerprintMismatch:
+      Answer({ 422, "idempotency-key-reused", Outcome::NotRun });
+      return;
+    case ClaimDecision::StoreUnavailable:
+      Answer({ 503, "claim-store-unavailable", Outcome::NotRun });
+      return;
+  }
+}
+
+void
+EntrySession::Replay(const ClaimResult& aResult)
+{
+  if (!aResult.response) {
+    Answer({ 409, "already-ran", Outcome::Ran });
+    return;
+  }
+  ++context_.metrics.replayedResponses;
+  phase_ = Phase::Done;
+  deadlineTimer_.stop();
+  HttpResponseHead head;
+  head.status = aResult.response->status;
+  if (!aResult.response->contentType.empty()) {
+    head.fields.Set("Content-Type", aResult.response->contentType);
+  }
+  head.fields.Set("Idempotency-Replayed", "true");
+  head.fields.Set("X-Request-Id", requestId_);
+  SendWholeResponse(*exchange_, head, aResult.response->body);
+  CountOutcome(false);
+}
+
+Duration
+EntrySession::Remaining() const
+{
+  return deadline_ - context_.clock.Now();
+}
+
+HttpRequestHead
+EntrySession::RelayHead(const Shard& aShard) const
+{
+  HttpRequestHead head = exchange_->Request();
+  StripRelayFields(head.fields);
+  // The key is a secret between the caller and the fleet.
+  head.fields.Remove("X-Api-Key");
+  head.fields.Remove("Authorization");
+  head.fields.Remove("Expect");
+  RelayRequest request;
+  request.shard = aShard.key;
+  request.customer = contract_->customer;
+  request.promise = contract_->requestsPerSecond;
+  request.requestClass = requestClass_;
+  request.isIdempotent = isIdempotent_;
+  request.remaining = std::chrono::floor<milliseconds>(Remaining());
+  request.requestId = requestId_;
+  WriteRelayFields(request, head.fields);
+  return head;
+}
+
+void
+EntrySession::Relay()
+{
+  if (phase_ == Phase::Done) {
+    return;
+  }
+  phase_ = Phase::Relaying;
+  const Shard* shard =
+    context_.selector.Choose(context_.configuration->ShardsOf(service_->name),
+                             context_.view->Self(),
+                             excludedShards_);
+  const Member* owner =
+    shard
+      ? context_.view->OwnerOfShard(shard->key, shard->region, shard->domain)
+      : nullptr;
+  if (!shard || !owner) {
+    Answer({ 503, shard ? "no-owner" : "no-backend-server", Outcome::NotRun });
+    return;
+  }
+  if (Remaining() < milliseconds(1)) {
+    Answer({ 504, "deadline-passed", Outcome::NotRun });
+    return;
+  }
+  ++attempts_;
+  HttpRequestHead head = RelayHead(*shard);
+  context_.sealer.Seal(head, *owner);
+  attempt_ = std::make_shared<RelayAttempt>(shared_from_this(), shard->key);
+  context_.selector.OnRelayed(shard->key);
+  attempt_->Start(context_.client, owner->relay, head);
+  deadlineTimer_.start(
+    std::chrono::ceil<milliseconds>(Remaining() + kOwnerAnswerGrace));
+  SendKeptBody();
+}
+
+void
+EntrySession::SendKeptBody()
+{
+  if (!body_.empty()) {
+    attempt_->Exchange().SendBody(body_);
+  }
+  if (isBodyComplete_) {
+    attempt_->Exchange().FinishBody();
+    return;
+  }
+  // The rest of the body passes through and is not kept.
+  isBodyKept_ = false;
+  body_.clear();
+  body_.shrink_to_fit();
+  exchange_->ResumeRequestBody();
+}
+
+void
+EntrySession::OnAttemptWritable(const RelayAttempt&)
+{
+  exchange_->ResumeRequestBody();
+}
+
+void
+EntrySession::OnResponseWritable()
+{
+  if (attempt_) {
+    attempt_->Exchange().ResumeResponseBody();
+  }
+}
+
+void
+EntrySession::OnAttemptHead(const RelayAttempt& aAttempt,
+                            const HttpResponseHead& aHead)
+{
+  if (const auto field = aHead.fields.Find(kLoadField)) {
+    if (const auto load = ParseRelayLoad(*field)) {
+      context_.selector.OnLoad(aAttempt.Shard(), *load);
+    }
+  }
+  const auto outcomeField = aHead.fields.Find(kOutcomeField);
+  const std::optional<Outcome> outcome =
+    outcomeField ? ParseOutcome(*outcomeField) : std::nullopt;
+  if (const auto refusal = aHead.fields.Find(kRefusalField)) {
+    OnRejected({ aHead.status,
+                 std::string(*refusal),
+                 outcome.value_or(Outcome::Unknown) });
+    return;
+  }
+  if (IsRetryableStatus(aHead.status) &&
+      TryAgain({ aHead.status, "backend-error", Outcome::Unknown })) {
+    return;
+  }
+
+  phase_ = Phase::Responding;
+  responseStatus_ = aHead.status;
+  responseContentType_ = aHead.fields.Find("Content-Type").value_or("");
+  const Duration total = context_.clock.Now() - startedAt_;
+  std::int64_t backendMicroseconds = 0;
+  if (const auto field = aHead.fields.Find(kBackendTimeField)) {
+    std::from_chars(
+      field->data(), field->data() + field->size(), backendMicroseconds);
+  }
+  context_.metrics.addedLatency.Record(std::max(
+    total - std::chrono::microseconds(backendMicroseconds), Duration::zero()));
+  if (isCallerGone_) {
+    return;
+  }
+  HttpResponseHead head = aHead;
+  StripRelayFields(head.fields);
+  head.fields.Set("X-Request-Id", requestId_);
+  exchange_->SendHead(head);
+}
+
+void
+EntrySession::OnAttemptBody(const RelayAttempt&, ByteView aBytes)
+{
+  if (phase_ != Phase::Responding) {
+    return;
+  }
+  if (responseCopy_) {
+    responseCopy_->append(aBytes.data(), aBytes.size());
+    if (responseCopy_->size() > kMaxStoredResponseBytes) {
+      responseCopy_.reset();
+    }
+  }
+  if (isCallerGone_) {
+    return;
+  }
+  exchange_->SendBody(aBytes);
+  if (exchange_->UnsentBytes() > kMaxUnsentBytes) {
+    attempt_->Exchange().PauseResponseBody();
+  }
+}
+
+void
+EntrySession::OnAttemptEnd(const RelayAttempt&)
+{
+  if (phase_ != Phase::Responding) {
+    return;
+  }
+  if (!isCallerGone_) {
+    exchange_->Finish();
+  }
+  FinishResponse();
+}
+
+void
+EntrySession::FinishResponse()
+{
+  phase_ = Phase::Done;
+  deadlineTimer_.stop();
+  if (claimId_) {
+    std::optional<StoredResponse> stored;
+    if (responseCopy_) {
+      stored = StoredResponse{ responseStatus_,
+                               responseContentType_,
+                               std::move(*responseCopy_) };
+    }
+    context_.claims.Complete(
+      *std::exchange(claimId_, std::nullopt), responseStatus_, stored);
+  }
+  context_.metrics.totalLatency.Record(context_.clock.Now() - startedAt_);
+  constexpr int kFirstServerError = 500;
+  CountOutcome(responseStatus_ >= kFirstServerError);
+  ReleaseAttempt();
+}
+
+void
+EntrySession::OnAttemptFailed(const RelayAttempt& aAttempt,
+                              const HttpFailure& aFailure)
+{
+  if (phase_ == Phase::Responding) {
+    // A truncated response must not look complete to the caller.
+    ++context_.metrics.truncatedResponses;
+    responseCopy_.reset();
+    responseStatus_ = std::max(responseStatus_, 1);
+    if (!isCallerGone_) {
+      exchange_->Abort();
+    }
+    if (claimId_) {
+      context_.claims.Complete(
+        *std::exchange(claimId_, std::nullopt), responseStatus_, std::nullopt);
+    }
+    phase_ = Phase::Done;
+    deadlineTimer_.stop();
+    CountOutcome(true);
+    ReleaseAttempt();
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "relay_failed",
+           { { "request", requestId_ },
+             { "shard", aAttempt.Shard() },
+             { "sent", aFailure.anyByteSent },
+             { "reason", aFailure.reason } });
+  if (aFailure.anyByteSent) {
+    OnRejected({ 502, "owner-connection-lost", Outcome::Unknown });
+    return;
+  }
+  OnRejected({ 503, "owner-unreachable", Outcome::NotRun });
+}
+
+bool
+EntrySession::TryAgain(const Rejection& aRejection)
+{
+  const bool isSafe = isIdempotent_ || aRejection.outcome == Outcome::NotRun;
+  const bool isPossible = isBodyKept_ && isBodyComplete_ && !isCallerGone_ &&
+                          attempts_ < kMaxAttempts &&
+                          aRejection.reason != "deadline-passed" &&
+                          Remaining() > kRetryDelay * attempts_;
+  if (!isSafe || !isPossible) {
+    return false;
+  }
+  const bool concernsOwner = ConcernsOwner(aRejection.reason);
+  if (ConcernsShard(aRejection.reason) || concernsOwner) {
+    excludedShards_.insert(attempt_->Shard());
+  }
+  const std::size_t shards =
+    context_.configuration->ShardsOf(service_->name).size();
+  const bool isExhausted = excludedShards_.size() >= shards;
+  if (isExhausted && !concernsOwner) {
+    return false;
+  }
+  if (!context_.retryBudget.TryRetry(
+        service_->name, contract_->customer, context_.clock.Now())) {
+    return false;
+  }
+  ++context_.metrics.retries;
+  ReleaseAttempt();
+  if (isExhausted) {
+    // A new owner is known after some heartbeats at the latest.
+    excludedShards_.clear();
+    retryTimer_.start(kRetryDelay * attempts_);
+    return true;
+  }
+  Relay();
+  return true;
+}
+
+void
+EntrySession::OnRejected(const Rejection& aRejection)
+{
+  if (TryAgain(aRejection)) {
+    return;
+  }
+  Answer(aRejection);
+}
+
+void
+EntrySession::Answer(const Rejection& aRejection)
+{
+  phase_ = Phase::Done;
+  deadlineTimer_.stop();
+  retryTimer_.stop();
+  ReleaseAttempt();
+  SettleClaim(aRejection.outcome);
+  if (aRejection.outcome == Outcome::NotRun) {
+    ++context_.metrics.refusedNotRun;
+    if (isClassified_ && requestClass_ == RequestClass::InContract) {
+      context_.limiter.Refund(contract_->customer, context_.clock.Now());
+    }
+  } else if (aRejection.outcome == Outcome::Unknown) {
+    ++context_.metrics.unknownOutcomes;
+  }
+  constexpr int kTooManyRequests = 429;
+  constexpr int kFirstServerError = 500;
+  const bool isOverload =
+    aRejection.status == kTooManyRequests || aRejection.status == 503;
+  CountOutcome(aRejection.status >= kFirstServerError ||
+               (aRejection.status == kTooManyRequests &&
+                requestClass_ == RequestClass::InContract));
+
+  ProblemDetails problem;
+  problem.status = aRejection.status;
+  problem.title = aRejection.reason;
+  problem.detail = DetailOf(aRejection.reason);
+  problem.outcome = OutcomeName(aRejection.outcome);
+  problem.requestId = requestId_;
+  if (isOverload) {
+    problem.retryAfter = std::chrono::seconds(1);
+  }
+  const std::string text =
+    fmt::format("request {} refused: status {}, {}, outcome {}",
+                requestId_,
+                problem.status,
+                problem.title,
+                problem.outcome);
+  if (contract_) {
+    context_.events.Record(EventSubject::Customer, contract_->customer, text);
+  }
+  context_.events.Record(EventSubject::Request, requestId_, text);
+  LogEvent(LogLevel::Info,
+           "request_refused",
+           { { "request", requestId_ },
+             { "customer", contract_ ? contract_->customer : "" },
+             { "service", service_ ? service_->name : "" },
+             { "status", problem.status },
+             { "reason", problem.title },
+             { "outcome", problem.outcome } });
+  if (!isCallerGone_) {
+    SendProblem(problem);
+  }
+}
+
+void
+EntrySession::SendProblem(const ProblemDetails& aProblem)
+{
+  HttpResponseHead head = ProblemHead(aProblem);
+  head.fields.Set("X-Request-Id", requestId_);
+  SendWholeResponse(*exchange_, head, ProblemBody(aProblem));
+}
+
+void
+EntrySession::SettleClaim(Outcome aOutcome)
+{
+  if (!claimId_) {
+    return;
+  }
+  const std::uint64_t claim = *std::exchange(claimId_, std::nullopt);
+  if (aOutcome == Outcome::NotRun) {
+    context_.claims.Release(claim);
+  } else {
+    context_.claims.Abandon(claim);
+  }
+}
+
+void
+EntrySession::CountOutcome(bool aIsFailed)
+{
+  if (!contract_ || !service_) {
+    return;
+  }
+  context_.serviceLevel.Record(
+    service_->name, contract_->customer, aIsFailed, context_.clock.Now());
+}
+
+void
+EntrySession::ReleaseAttempt()
+{
+  if (!attempt_) {
+    return;
+  }
+  const std::shared_ptr<RelayAttempt> attempt =
+    std::exchange(attempt_, nullptr);
+  context_.selector.OnAnswered(attempt->Shard());
+  attempt->GiveUp();
+}
+
+void
+EntrySession::OnDeadline()
+{
+  const std::shared_ptr<EntrySession> self = shared_from_this();
+  if (phase_ == Phase::Responding) {
+    OnAttemptFailed(*attempt_,
+                    { HttpFailureKind::Cancelled, true, "deadline passed" });
+    return;
+  }
+  const bool anyByteSent = attempt_ && attempt_->AnyByteSent();
+  Answer({ 504,
+           "deadline-passed",
+           anyByteSent ? Outcome::Unknown : Outcome::NotRun });
+}
+
+void
+EntrySession::OnRequestClosed(bool aIsComplete)
+{
+  if (aIsComplete || phase_ == Phase::Done) {
+    return;
+  }
+  isCallerGone_ = true;
+  // A request with a key runs on without its caller, so that the next try
+  // with the key learns the outcome in place of "unknown".
+  if (claimId_ && attempt_ && isBodyComplete_) {
+    attempt_->Exchange().ResumeResponseBody();
+    return;
+  }
+  phase_ = Phase::Done;
+  deadlineTimer_.stop();
+  retryTimer_.stop();
+  const bool anyByteSent = attempt_ && attempt_->AnyByteSent();
+  ReleaseAttempt();
+  SettleClaim(anyByteSent ? Outcome::Unknown : Outcome::NotRun);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/entry/EntrySession.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "entry/EntryService.h"
+#include "entry/RelayAttempt.h"
+#include "http/ProblemDetails.h"
+#include "relay/Outcome.h"
+
+#include <QTimer>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace filbertbeam {
+
+// One request of a caller: admission, claim, relay with retries, response.
+// Kept alive by its exchange with the caller and by the running attempt.
+class EntrySession final
+  : public HttpRequestObserver
+  , public RelayAttemptObserver
+  , public std::enable_shared_from_this<EntrySession>
+{
+public:
+  // aContext is copied where it may change; its references outlive sessions.
+  EntrySession(std::shared_ptr<HttpServerExchange> aExchange,
+               const EntryContext& aContext);
+
+  // Checks the head; answers at once where it is refused.
+  void Start();
+
+  void OnRequestBody(ByteView aBytes) override;
+  void OnRequestEnd() override;
+  void OnResponseWritable() override;
+  void OnRequestClosed(bool aIsComplete) override;
+
+  void OnAttemptWritable(const RelayAttempt& aAttempt) override;
+  void OnAttemptHead(const RelayAttempt& aAttempt,
+                     const HttpResponseHead& aHead) override;
+  void OnAttemptBody(const RelayAttempt& aAttempt, ByteView aBytes) override;
+  void OnAttemptEnd(const RelayAttempt& aAttempt) override;
+  void OnAttemptFailed(const RelayAttempt& aAttempt,
+                       const HttpFailure& aFailure) override;
+
+private:
+  enum class Phase
+  {
+    // Collects the body, as far as it is kept for retries.
+    Collecting,
+    Claiming,
+    Relaying,
+    Responding,
+    Done,
+  };
+
+  // Why an attempt, or the request as a whole, got no response from a backend
+  // server.
+  struct Rejection
+  {
+    int status = 503;
+    std::string reason;
+    Outcome outcome = Outcome::NotRun;
+  };
+
+  // Fills the contract, service, deadline and idempotency; false when the
+  // request was answered with an error.
+  bool CheckHead();
+  bool CheckTimeout();
+  bool CheckIdempotencyKey();
+
+  // The body is complete, or more than what is kept for retries.
+  void Admit();
+  void Claim();
+  void OnClaimResult(const ClaimResult& aResult);
+  void Replay(const ClaimResult& aResult);
+
+  void Relay();
+  HttpRequestHead RelayHead(const Shard& aShard) const;
+  void SendKeptBody();
+  bool TryAgain(const Rejection& aRejection);
+  void OnRejected(const Rejection& aRejection);
+
+  // Sends a problem report and ends the session.
+  void Answer(const Rejection& aRejection);
+  void SendProblem(const ProblemDetails& aProblem);
+  // Tells the claim registry what became of the request.
+  void SettleClaim(Outcome aOutcome);
+  void FinishResponse();
+  void CountOutcome(bool aIsFailed);
+  void OnDeadline();
+  void ReleaseAttempt();
+
+  Duration Remaining() const;
+
+  const EntryContext context_;
+  std::shared_ptr<HttpServerExchange> exchange_;
+  const std::string requestId_;
+  const Instant startedAt_;
+  Instant deadline_;
+  Phase phase_ = Phase::Collecting;
+
+  const Contract* contract_ = nullptr;
+  const Service* service_ = nullptr;
+  bool isIdempotent_ = false;
+  std::string idempotencyKey_;
+  RequestClass requestClass_ = RequestClass::InContract;
+  bool isClassified_ = false;
+
+  std::string body_;
+  bool isBodyComplete_ = false;
+  // False as soon as a part of the body was sent that is not kept.
+  bool isBodyKept_ = true;
+  bool isCallerGone_ = false;
+
+  std::optional<std::uint64_t> claimId_;
+  int responseStatus_ = 0;
+  std::string responseContentType_;
+  // The response's body for later tries; nothing when it is too long.
+  std::optional<std::string> responseCopy_;
+
+  int attempts_ = 0;
+  std::set<std::string, std::less<>> excludedShards_;
+  std::shared_ptr<RelayAttempt> attempt_;
+  QTimer deadlineTimer_;
+  QTimer retryTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/entry/ShardSelector.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Random.h"
+#include "configuration/Configuration.h"
+#include "membership/MembershipView.h"
+#include "relay/RelayLoad.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+namespace filbertbeam {
+
+// Chooses the shard of a service that is likely to start a request first, by
+// distance and by the load that its owner last reported.
+class ShardSelector
+{
+public:
+  // Both have to outlive the selector.
+  ShardSelector(const Clock& aClock, Random& aRandom);
+
+  // Null when every shard is excluded.
+  const Shard* Choose(std::span<const Shard> aShards,
+                      const Member& aSelf,
+                      const std::set<std::string, std::less<>>& aExcluded);
+
+  // A request was relayed to the shard, and later answered or given up.
+  void OnRelayed(std::string_view aShard);
+  void OnAnswered(std::string_view aShard);
+
+  // What the owner reported with a response.
+  void OnLoad(std::string_view aShard, const RelayLoad& aLoad);
+
+private:
+  struct Knowledge
+  {
+    RelayLoad load;
+    Instant heardAt;
+    bool isHeard = false;
+    // Requests relayed since the report.
+    int relayedSince = 0;
+    int unanswered = 0;
+  };
+
+  // Expected time until a request starts.
+  Duration ExpectedDelay(const Shard& aShard, const Member& aSelf) const;
+
+  const Clock& clock_;
+  Random& random_;
+  std::map<std::string, Knowledge, std::less<>> knowledge_;
+};
+
+} // namespace filbertbeam
--- a/src/http/ProblemDetails.cpp
+++ b/src/http/ProblemDetails.cpp
@@ -15,8 +15,7 @@
   HttpResponseHead head;
   head.status = aProblem.status;
   head.reason = std::string(boost::beast::http::obsolete_reason(
-    boost::beast::http::int_to_status(
-      static_cast<unsigned>(aProblem.status))));
+    boost::beast::http::int_to_status(static_cast<unsigned>(aProblem.status))));
   head.fields.Set("Content-Type", "application/problem+json");
   if (aProblem.retryAfter) {
     head.fields.Set("Retry-After",
--- a/src/http/ProblemDetails.h
+++ b/src/http/ProblemDetails.h
@@ -23,8 +23,10 @@
 };
 
 // Status and fields, without framing.
-HttpResponseHead ProblemHead(const ProblemDetails& aProblem);
+HttpResponseHead
+ProblemHead(const ProblemDetails& aProblem);
 // JSON text.
-std::string ProblemBody(const ProblemDetails& aProblem);
+std::string
+ProblemBody(const ProblemDetails& aProblem);
 
 } // namespace filbertbeam
--- /dev/null
+++ b/src/owner/OwnerService.cpp
@@ -0,0 +1,214 @@
+#include "owner/OwnerService.h"
+
+#include "base/Log.h"
+#include "http/ProblemDetails.h"
+#include "owner/OwnerSession.h"
+#include "relay/RelayFields.h"
+
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// Views of two hosts differ for about the time that a member update needs to
+// spread. Within it, a request for a shard that has moved is still served;
+// at worst the two owners over-commit slots and the backend servers shed.
+constexpr std::chrono::seconds kOwnershipGrace{ 2 };
+
+// Takes the events of an exchange that is already answered.
+class AnsweredRequest final : public HttpRequestObserver
+{
+public:
+  void OnRequestBody(ByteView) override {}
+  void OnRequestEnd() override {}
+  void OnResponseWritable() override {}
+  void OnRequestClosed(bool) override {}
+};
+
+std::shared_ptr<HttpRequestObserver>
+Refuse(HttpServerExchange& aExchange,
+       int aStatus,
+       std::string_view aReason,
+       std::string_view aDetail = {})
+{
+  ProblemDetails problem;
+  problem.status = aStatus;
+  problem.title = std::string(aReason);
+  problem.detail = std::string(aDetail);
+  HttpResponseHead head = ProblemHead(problem);
+  head.fields.Set(kRefusalField, aReason);
+  head.fields.Set(kOutcomeField, "not-run");
+  SendWholeResponse(aExchange, head, ProblemBody(problem));
+  return std::make_shared<AnsweredRequest>();
+}
+
+} // namespace
+
+OwnerService::OwnerService(RelayGate& aGate,
+                           InternalResource& aResource,
+                           HttpClient& aClient,
+                           const Clock& aClock,
+                           Random& aRandom,
+                           EventSink& aEvents)
+  : gate_(aGate)
+  , resource_(aResource)
+  , client_(aClient)
+  , clock_(aClock)
+  , random_(aRandom)
+  , events_(aEvents)
+{
+}
+
+void
+OwnerService::SetConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
+{
+  configuration_ = std::move(aConfiguration);
+  RefreshShards();
+}
+
+void
+OwnerService::SetView(std::shared_ptr<const MembershipView> aView)
+{
+  view_ = std::move(aView);
+  const Instant now = clock_.Now();
+  for (auto& [key, entry] : shards_) {
+    const Shard* shard =
+      configuration_ ? configuration_->FindShard(key) : nullptr;
+    if (shard) {
+      Accepts(entry, *shard, now);
+    }
+  }
+}
+
+void
+OwnerService::SetLeavingAddresses(std::set<std::string> aAddresses)
+{
+  if (aAddresses == leavingAddresses_) {
+    return;
+  }
+  leavingAddresses_ = std::move(aAddresses);
+  RefreshShards();
+}
+
+void
+OwnerService::BeginLeaving()
+{
+  leavingSince_ = clock_.Now();
+}
+
+void
+OwnerService::RefreshShards()
+{
+  if (!configuration_) {
+    return;
+  }
+  for (auto& [key, entry] : shards_) {
+    const Shard* shard = configuration_->FindShard(key);
+    const Service* service =
+      shard ? configuration_->FindService(shard->service) : nullptr;
+    if (service) {
+      entry.shard->Configure(*service, *shard, leavingAddresses_);
+      continue;
+    }
+    // A shard that left the configuration keeps its running requests but gives
+    // out no more work.
+    Service none;
+    entry.shard->Configure(none, Shard{}, leavingAddresses_);
+  }
+}
+
+bool
+OwnerService::IsOwner(const Shard& aShard) const
+{
+  if (!view_ || view_->IsIsolated()) {
+    return false;
+  }
+  const Member* owner =
+    view_->OwnerOfShard(aShard.key, aShard.region, aShard.domain);
+  return owner == &view_->Self();
+}
+
+OwnerService::ShardEntry&
+OwnerService::EntryOf(const Service& aService, const Shard& aShard)
+{
+  ShardEntry& entry = shards_[aShard.key];
+  if (!entry.shard) {
+    entry.shard =
+      std::make_shared<OwnedShard>(aService, clock_, events_, random_.Next());
+    entry.shard->Configure(aService, aShard, leavingAddresses_);
+  }
+  return entry;
+}
+
+bool
+OwnerService::Accepts(ShardEntry& aEntry, const Shard& aShard, Instant aNow)
+{
+  if (leavingSince_) {
+    return aNow - *leavingSince_ < kOwnershipGrace;
+  }
+  if (IsOwner(aShard)) {
+    aEntry.unownedSince.reset();
+    return true;
+  }
+  if (!aEntry.unownedSince) {
+    aEntry.unownedSince = aNow;
+  }
+  return aNow - *aEntry.unownedSince < kOwnershipGrace;
+}
+
+std::shared_ptr<HttpRequestObserver>
+OwnerService::OnRequest(std::shared_ptr<HttpServerExchange> aExchange)
+{
+  const HttpRequestHead& head = aExchange->Request();
+  std::string reason;
+  if (!gate_.Admit(head, reason)) {
+    LogEvent(LogLevel::Warning,
+             "relay_refused",
+             { { "peer", aExchange->Peer().address }, { "reason", reason } });
+    return Refuse(*aExchange, 403, "not-authentic", reason);
+  }
+  if (head.target.starts_with(kInternalPrefix)) {
+    resource_.Answer(*aExchange);
+    return std::make_shared<AnsweredRequest>();
+  }
+  std::optional<RelayRequest> request = ReadRelayFields(head.fields, reason);
+  if (!request) {
+    return Refuse(*aExchange, 400, "malformed-relay", reason);
+  }
+  const Shard* shard =
+    configuration_ ? configuration_->FindShard(request->shard) : nullptr;
+  const Service* service =
+    shard ? configuration_->FindService(shard->service) : nullptr;
+  if (!service) {
+    return Refuse(*aExchange, 503, "unknown-shard");
+  }
+  ShardEntry& entry = EntryOf(*service, *shard);
+  if (!Accepts(entry, *shard, clock_.Now())) {
+    return Refuse(*aExchange, 503, "moved");
+  }
+  auto session = std::make_shared<OwnerSession>(std::move(aExchange),
+                                                entry.shard,
+                                                std::move(*request),
+                                                nextRequestId_++,
+                                                service->shedStatus,
+                                                clock_,
+                                                client_);
+  session->Start();
+  return session;
+}
+
+std::vector<ServerReport>
+OwnerService::Report() const
+{
+  std::vector<ServerReport> reports;
+  for (const auto& [key, entry] : shards_) {
+    for (ServerReport& report : entry.shard->Report()) {
+      reports.push_back(std::move(report));
+    }
+  }
+  return reports;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/owner/OwnerSession.cpp
@@ -0,0 +1,329 @@
+#include "owner/OwnerSession.h"
+
+#include "http/ProblemDetails.h"
+#include "relay/RelayFields.h"
+#include "relay/RelayLoad.h"
+
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// Above this, the sending side is paused until the receiver has caught up.
+constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+
+struct RefusalResponse
+{
+  int status;
+  std::string_view reason;
+};
+
+RefusalResponse
+ResponseTo(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::QueueFull:
+      return { 429, "queue-full" };
+    case RefusalReason::WaitExceeded:
+      return { 503, "wait-exceeded" };
+    case RefusalReason::NoSpareSlot:
+      return { 429, "no-spare-slot" };
+    case RefusalReason::DeadlinePassed:
+      return { 504, "deadline-passed" };
+    case RefusalReason::NoBackendServer:
+      return { 503, "no-backend-server" };
+  }
+  return { 503, "refused" };
+}
+
+} // namespace
+
+OwnerSession::OwnerSession(std::shared_ptr<HttpServerExchange> aExchange,
+                           std::shared_ptr<OwnedShard> aShard,
+                           RelayRequest aRequest,
+                           std::uint64_t aId,
+                           std::optional<int> aShedStatus,
+                           const Clock& aClock,
+                           HttpClient& aClient)
+  : exchange_(std::move(aExchange))
+  , shard_(std::move(aShard))
+  , request_(std::move(aRequest))
+  , id_(aId)
+  , shedStatus_(aShedStatus)
+  , clock_(aClock)
+  , client_(aClient)
+  , deadline_(aClock.Now() + request_.remaining)
+{
+  deadlineTimer_.setSingleShot(true);
+  deadlineTimer_.callOnTimeout([this] { OnDeadline(); });
+}
+
+void
+OwnerSession::Start()
+{
+  // The body stays with the entry host until a backend server can take it.
+  exchange_->PauseRequestBody();
+  ShardRequest request;
+  request.id = id_;
+  request.customer = request_.customer;
+  request.promise = request_.promise;
+  request.requestClass = request_.requestClass;
+  request.isIdempotent = request_.isIdempotent;
+  request.deadline = deadline_;
+  shard_->Submit(request, shared_from_this());
+}
+
+HttpRequestHead
+OwnerSession::BackendHead(std::chrono::milliseconds aRemaining) const
+{
+  HttpRequestHead head = exchange_->Request();
+  StripRelayFields(head.fields);
+  head.fields.Set(kCustomerField, request_.customer);
+  head.fields.Set("X-Request-Id", request_.requestId);
+  head.fields.Set(kRequestTimeoutField, fmt::format("{}", aRemaining.count()));
+  return head;
+}
+
+void
+OwnerSession::OnAssigned(const BackendServer& aBackendServer)
+{
+  holdsSlot_ = true;
+  if (state_ != State::Queued) {
+    Release(AttemptResult::Cancelled);
+    return;
+  }
+  // A process that was paused sends nothing whose deadline has passed.
+  assignedAt_ = clock_.Now();
+  const auto remaining =
+    std::chrono::floor<std::chrono::milliseconds>(deadline_ - assignedAt_);
+  if (remaining.count() <= 0) {
+    Release(AttemptResult::Cancelled);
+    Refuse(504, "deadline-passed", Outcome::NotRun);
+    return;
+  }
+  state_ = State::Running;
+  backendServer_ = aBackendServer.name;
+  deadlineTimer_.start(remaining);
+
+  HttpClientOptions options;
+  // A stale idle connection would leave the outcome of a non-idempotent
+  // request unknown.
+  options.freshConnection = !request_.isIdempotent;
+  backendExchange_ =
+    client_.Start({ aBackendServer.address, aBackendServer.port },
+                  BackendHead(remaining),
+                  options,
+                  shared_from_this());
+  if (exchange_->Request().framing == BodyFraming::None) {
+    backendExchange_->FinishBody();
+  }
+  exchange_->ResumeRequestBody();
+}
+
+void
+OwnerSession::OnRefused(RefusalReason aReason)
+{
+  if (state_ != State::Queued) {
+    return;
+  }
+  const RefusalResponse response = ResponseTo(aReason);
+  Refuse(response.status, response.reason, Outcome::NotRun);
+}
+
+void
+OwnerSession::Refuse(int aStatus, std::string_view aReason, Outcome aOutcome)
+{
+  state_ = State::Done;
+  ProblemDetails problem;
+  problem.status = aStatus;
+  problem.title = std::string(aReason);
+  problem.outcome = OutcomeName(aOutcome);
+  HttpResponseHead head = ProblemHead(problem);
+  head.fields.Set(kRefusalField, aReason);
+  head.fields.Set(kOutcomeField, OutcomeName(aOutcome));
+  const ShardLoad load = shard_->Load();
+  head.fields.Set(kLoadField,
+                  FormatRelayLoad({ load.slots, load.freeSlots, load.queued }));
+  if (!backendServer_.empty()) {
+    head.fields.Set(kBackendServerField, backendServer_);
+  }
+  SendWholeResponse(*exchange_, head, ProblemBody(problem));
+}
+
+void
+OwnerSession::Release(AttemptResult aResult)
+{
+  deadlineTimer_.stop();
+  if (!holdsSlot_) {
+    return;
+  }
+  holdsSlot_ = false;
+  shard_->Complete(id_, aResult);
+}
+
+void
+OwnerSession::OnRequestBody(ByteView aBytes)
+{
+  if (!backendExchange_ || state_ == State::Done) {
+    return;
+  }
+  backendExchange_->SendBody(aBytes);
+  if (backendExchange_->UnsentBytes() > kMaxUnsentBytes) {
+    exchange_->PauseRequestBody();
+  }
+}
+
+void
+OwnerSession::OnRequestEnd()
+{
+  isRequestComplete_ = true;
+  if (backendExchange_ && state_ != State::Done &&
+      exchange_->Request().framing != BodyFraming::None) {
+    backendExchange_->FinishBody();
+  }
+}
+
+void
+OwnerSession::OnRequestWritable()
+{
+  exchange_->ResumeRequestBody();
+}
+
+void
+OwnerSession::OnResponseWritable()
+{
+  if (backendExchange_) {
+    backendExchange_->ResumeResponseBody();
+  }
+}
+
+void
+OwnerSession::OnRequestClosed(bool aIsComplete)
+{
+  if (aIsComplete || state_ == State::Done) {
+    return;
+  }
+  const State before = std::exchange(state_, State::Done);
+  if (before == State::Queued) {
+    shard_->Cancel(id_);
+    return;
+  }
+  if (backendExchange_) {
+    backendExchange_->Cancel();
+  }
+  Release(AttemptResult::Cancelled);
+}
+
+void
+OwnerSession::OnRequestSent()
+{
+  if (holdsSlot_) {
+    shard_->OnRequestSent(id_);
+  }
+}
+
+void
+OwnerSession::OnResponseHead(const HttpResponseHead& aHead)
+{
+  if (state_ != State::Running) {
+    return;
+  }
+  shard_->OnResponseHead(id_);
+  if (shedStatus_ && aHead.status == *shedStatus_) {
+    Release(AttemptResult::Shed);
+    Refuse(503, "backend-shed", Outcome::NotRun);
+    backendExchange_->Cancel();
+    return;
+  }
+  state_ = State::Responding;
+  responseStatus_ = aHead.status;
+  HttpResponseHead head = aHead;
+  // The end of a response that ends with the connection cannot be told from a
+  // broken connection on the next link, so it is framed anew.
+  if (head.framing == BodyFraming::UntilClose) {
+    head.framing = BodyFraming::Chunked;
+  }
+  StripRelayFields(head.fields);
+  head.fields.Set(kOutcomeField, OutcomeName(Outcome::Ran));
+  head.fields.Set(kBackendServerField, backendServer_);
+  const ShardLoad load = shard_->Load();
+  head.fields.Set(kLoadField,
+                  FormatRelayLoad({ load.slots, load.freeSlots, load.queued }));
+  const auto backendTime =
+    std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() -
+                                                          assignedAt_);
+  head.fields.Set(kBackendTimeField, fmt::format("{}", backendTime.count()));
+  exchange_->SendHead(head);
+}
+
+void
+OwnerSession::OnResponseBody(ByteView aBytes)
+{
+  if (state_ != State::Responding) {
+    return;
+  }
+  exchange_->SendBody(aBytes);
+  if (exchange_->UnsentBytes() > kMaxUnsentBytes) {
+    backendExchange_->PauseResponseBody();
+  }
+}
+
+void
+OwnerSession::OnResponseEnd()
+{
+  if (state_ != State::Responding) {
+    return;
+  }
+  state_ = State::Done;
+  exchange_->Finish();
+  constexpr int kFirstServerError = 500;
+  Release(responseStatus_ >= kFirstServerError ? AttemptResult::Failure
+                                               : AttemptResult::Success);
+}
+
+void
+OwnerSession::OnExchangeFailed(const HttpFailure& aFailure)
+{
+  if (state_ == State::Done) {
+    Release(AttemptResult::Cancelled);
+    return;
+  }
+  const State before = state_;
+  Release(AttemptResult::Failure);
+  if (before == State::Responding) {
+    state_ = State::Done;
+    exchange_->Abort();
+    return;
+  }
+  if (aFailure.anyByteSent) {
+    Refuse(502, "backend-connection-lost", Outcome::Unknown);
+    return;
+  }
+  Refuse(503, "backend-unreachable", Outcome::NotRun);
+}
+
+void
+OwnerSession::OnDeadline()
+{
+  if (state_ == State::Done) {
+    return;
+  }
+  // A deadline is the caller's choice and says nothing about the backend
+  // server; its slowness is judged by the age of the unanswered request.
+  const State before = state_;
+  const bool anyByteSent = backendExchange_ && backendExchange_->AnyByteSent();
+  if (before == State::Responding) {
+    state_ = State::Done;
+    exchange_->Abort();
+  } else {
+    Refuse(
+      504, "deadline-passed", anyByteSent ? Outcome::Unknown : Outcome::NotRun);
+  }
+  if (backendExchange_) {
+    backendExchange_->Cancel();
+  }
+  Release(AttemptResult::Cancelled);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/owner/OwnerSession.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "http/HttpClient.h"
+#include "http/HttpServerExchange.h"
+#include "owner/OwnedShard.h"
+#include "relay/Outcome.h"
+#include "relay/RelayRequest.h"
+
+#include <QTimer>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertbeam {
+
+// One relayed request on the owner: waits for a slot, is sent once, and
+// streams its response back. Kept alive by its exchanges and by the queue.
+class OwnerSession final
+  : public HttpRequestObserver
+  , public HttpResponseObserver
+  , public ScheduledRequest
+  , public std::enable_shared_from_this<OwnerSession>
+{
+public:
+  // aClock and aClient have to outlive the session.
+  OwnerSession(std::shared_ptr<HttpServerExchange> aExchange,
+               std::shared_ptr<OwnedShard> aShard,
+               RelayRequest aRequest,
+               std::uint64_t aId,
+               std::optional<int> aShedStatus,
+               const Clock& aClock,
+               HttpClient& aClient);
+
+  // Queues the request.
+  void Start();
+
+  void OnRequestBody(ByteView aBytes) override;
+  void OnRequestEnd() override;
+  void OnResponseWritable() override;
+  void OnRequestClosed(bool aIsComplete) override;
+
+  void OnAssigned(const BackendServer& aBackendServer) override;
+  void OnRefused(RefusalReason aReason) override;
+
+  void OnRequestSent() override;
+  void OnRequestWritable() override;
+  void OnResponseHead(const HttpResponseHead& aHead) override;
+  void OnResponseBody(ByteView aBytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(const HttpFailure& aFailure) override;
+
+private:
+  enum class State
+  {
+    Queued,
+    Running,
+    Responding,
+    Done,
+  };
+
+  HttpRequestHead BackendHead(std::chrono::milliseconds aRemaining) const;
+  void Refuse(int aStatus, std::string_view aReason, Outcome aOutcome);
+  // Ends the attempt and gives the slot back.
+  void Release(AttemptResult aResult);
+  void OnDeadline();
+
+  std::shared_ptr<HttpServerExchange> exchange_;
+  std::shared_ptr<OwnedShard> shard_;
+  const RelayRequest request_;
+  const std::uint64_t id_;
+  const std::optional<int> shedStatus_;
+  const Clock& clock_;
+  HttpClient& client_;
+
+  State state_ = State::Queued;
+  Instant deadline_;
+  Instant assignedAt_;
+  bool holdsSlot_ = false;
+  bool isRequestComplete_ = false;
+  int responseStatus_ = 0;
+  std::string backendServer_;
+  std::shared_ptr<HttpClientExchange> backendExchange_;
+  QTimer deadlineTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/relay/RelayLoad.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace filbertbeam {
+
+// How busy a shard is, told to entry hosts with every relayed response.
+struct RelayLoad
+{
+  int slots = 0;
+  int freeSlots = 0;
+  int queued = 0;
+};
+
+// "slots/free/queued".
+std::string
+FormatRelayLoad(const RelayLoad& aLoad);
+std::optional<RelayLoad>
+ParseRelayLoad(std::string_view aText);
+
+} // namespace filbertbeam
