--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -36,7 +36,7 @@
 class MembershipView
 {
 public:
-  // aMembers includes the host itself, named by aSelf.
+  // aMembers includes the host itself, named by aSelf; null where it does not.
   static std::shared_ptr<const MembershipView> Create(
     std::string_view aSelf,
     std::vector<Member> aMembers,
@@ -64,6 +64,9 @@
                  std::size_t aSelfIndex,
                  bool aIsIsolated);
 
+  // A live host; an isolated host never counts itself.
+  bool CanOwn(const Member& aMember) const;
+
   // Sorted by host.
   std::vector<Member> members_;
   std::size_t selfIndex_;
