--- /dev/null
+++ b/src/slots/FairQueue.cpp
@@ -0,0 +1,121 @@
+#include "slots/FairQueue.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+// Weight of a customer that is promised (nearly) nothing; a weight of zero
+// would never be served.
+constexpr double kMinimumWeight = 0.01;
+
+// Idle flows that are kept before they are scanned for forgetting.
+constexpr std::size_t kIdleFlowAllowance = 64;
+
+} // namespace
+
+void
+FairQueue::Push(std::uint64_t aId,
+                std::string_view aCustomer,
+                double aWeight,
+                bool aIsIdempotent)
+{
+  Flow& flow = flows_[std::string(aCustomer)];
+  flow.weight = std::max(aWeight, kMinimumWeight);
+  if (flow.entries.empty()) {
+    // A customer that was idle starts now: it neither saves up credit nor
+    // escapes the charge for its last request.
+    flow.start = std::max(flow.start, virtualTime_);
+    flow.order = nextOrder_++;
+    ready_.insert({ flow.start, flow.order, &flow });
+  }
+  flow.entries.push_back({ aId, aIsIdempotent });
+  flowOfId_.emplace(aId, &flow);
+}
+
+std::optional<std::uint64_t>
+FairQueue::Pop()
+{
+  if (ready_.empty()) {
+    return std::nullopt;
+  }
+  return Serve(*ready_.begin());
+}
+
+std::optional<std::uint64_t>
+FairQueue::PopIdempotent()
+{
+  const auto found =
+    std::find_if(ready_.begin(), ready_.end(), [](const OrderKey& aKey) {
+      return aKey.flow->entries.front().isIdempotent;
+    });
+  if (found == ready_.end()) {
+    return std::nullopt;
+  }
+  return Serve(*found);
+}
+
+bool
+FairQueue::Remove(std::uint64_t aId)
+{
+  const auto found = flowOfId_.find(aId);
+  if (found == flowOfId_.end()) {
+    return false;
+  }
+  Flow* const flow = found->second;
+  flowOfId_.erase(found);
+  std::erase_if(flow->entries,
+                [aId](const Entry& aEntry) { return aEntry.id == aId; });
+  if (flow->entries.empty()) {
+    ready_.erase({ flow->start, flow->order, flow });
+    ForgetIdleFlows();
+  }
+  return true;
+}
+
+std::size_t
+FairQueue::SizeOf(std::string_view aCustomer) const
+{
+  const auto found = flows_.find(std::string(aCustomer));
+  return found == flows_.end() ? 0 : found->second.entries.size();
+}
+
+std::uint64_t
+FairQueue::Serve(const OrderKey& aKey)
+{
+  const OrderKey key = aKey;
+  ready_.erase(key);
+  Flow& flow = *key.flow;
+  const std::uint64_t id = flow.entries.front().id;
+  flow.entries.pop_front();
+  flowOfId_.erase(id);
+  // PopIdempotent can pass over earlier starts; virtual time never goes back.
+  virtualTime_ = std::max(virtualTime_, std::min(key.start, flow.start));
+  flow.start += 1 / flow.weight;
+  if (flow.entries.empty()) {
+    ForgetIdleFlows();
+  } else {
+    flow.order = nextOrder_++;
+    ready_.insert({ flow.start, flow.order, &flow });
+  }
+  return id;
+}
+
+void
+FairQueue::ForgetIdleFlows()
+{
+  if (ready_.empty()) {
+    // The busy period ended; nobody competes with the finish tags left over.
+    flows_.clear();
+    return;
+  }
+  if (flows_.size() <= 2 * ready_.size() + kIdleFlowAllowance) {
+    return;
+  }
+  std::erase_if(flows_, [this](const auto& aItem) {
+    return aItem.second.entries.empty() && aItem.second.start <= virtualTime_;
+  });
+}
+
+} // namespace filbertbeam
