--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -94,6 +94,10 @@
   static std::shared_ptr<const Configuration> Create(std::uint64_t aRevision,
                                                      Content aContent);
 
+  // The lookups point into the content, so a copy would refer to the original.
+  Configuration(const Configuration&) = delete;
+  Configuration& operator=(const Configuration&) = delete;
+
   std::uint64_t Revision() const { return revision_; }
   const Content& Data() const { return content_; }
 
@@ -119,6 +123,7 @@
   // By host, longest prefix first.
   std::unordered_map<std::string_view, std::vector<const Route*>> routesByHost_;
   std::unordered_map<std::string_view, std::vector<Shard>> shardsByService_;
+  std::unordered_map<std::string_view, const Shard*> shardsByKey_;
 };
 
 } // namespace filbertbeam
