--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -4,6 +4,8 @@
 #include "relay/RelayFields.h"
 #include "relay/RelayLoad.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace filbertbeam {
