--- /dev/null
+++ b/src/entry/tests/EntryFixture.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include "FakeHttp.h"
+
+#include "base/Digest.h"
+#include "base/ManualClock.h"
+#include "base/SeededRandom.h"
+#include "entry/EntryService.h"
+#include "relay/RelayFields.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertbeam::testing {
+
+class FakeClaimRegistry final : public ClaimRegistry
+{
+public:
+  void Claim(const ClaimRequest& aRequest, Instant, Callback aCallback) override
+  {
+    requests.push_back(aRequest);
+    callback = std::move(aCallback);
+    if (answer) {
+      callback(*answer);
+    }
+  }
+  void Complete(std::uint64_t,
+                int aStatus,
+                std::optional<StoredResponse> aResponse) override
+  {
+    completedStatus = aStatus;
+    completedResponse = std::move(aResponse);
+  }
+  void Release(std::uint64_t) override { ++released; }
+  void Abandon(std::uint64_t) override { ++abandoned; }
+  int PendingWrites() const override { return 0; }
+
+  // What every claim is answered with; without it the test answers.
+  std::optional<ClaimResult> answer = Granted();
+  std::vector<ClaimRequest> requests;
+  Callback callback;
+  std::optional<int> completedStatus;
+  std::optional<StoredResponse> completedResponse;
+  int released = 0;
+  int abandoned = 0;
+
+  static ClaimResult Granted()
+  {
+    ClaimResult result;
+    result.decision = ClaimDecision::Granted;
+    result.claimId = 1;
+    return result;
+  }
+};
+
+class NoSeal final : public RelaySealer
+{
+public:
+  void Seal(HttpRequestHead&, const Member&) override {}
+};
+
+class NoEvents final : public EventSink
+{
+public:
+  void Record(EventSubject, std::string_view, std::string_view) override {}
+};
+
+// The permit service of the Authority on a host in piarco, with one owner in
+// each of two domains.
+inline std::shared_ptr<const Configuration>
+PermitConfiguration()
+{
+  Configuration::Content content;
+  Service permits;
+  permits.name = "permits";
+  for (const char* domain : { "piarco", "chaguanas" }) {
+    BackendServer server;
+    server.name = std::string("permit-") + domain;
+    server.address = "127.0.0.1";
+    server.port = 9;
+    server.region = "tt-north";
+    server.domain = domain;
+    server.slots = 4;
+    permits.backendServers.push_back(server);
+  }
+  Service manuals = permits;
+  manuals.name = "manuals";
+  content.services = { permits, manuals };
+  content.routes = { { "", "/permits", "permits", {} },
+                     { "", "/once", "permits", { "GET" } },
+                     { "", "/manuals", "manuals", {} } };
+  content.contracts = {
+    { "inspector", { Sha256Hex("key-1") }, { "permits" }, 10 }
+  };
+  return Configuration::Create(1, content);
+}
+
+inline std::shared_ptr<const MembershipView>
+TwoHostView()
+{
+  std::vector<Member> members(2);
+  members[0].host = "entry-1";
+  members[0].domain = "piarco";
+  members[0].relay = { "127.0.0.1", 1001 };
+  members[1].host = "entry-2";
+  members[1].domain = "chaguanas";
+  members[1].relay = { "127.0.0.1", 1002 };
+  for (Member& member : members) {
+    member.region = "tt-north";
+    member.incarnation = 1;
+  }
+  return MembershipView::Create("entry-1", members, false);
+}
+
+// An entry service between a caller and owners that the test plays.
+struct EntryFixture
+{
+  EntryFixture()
+    : service(EntryContext{ client,
+                            claims,
+                            *limiter,
+                            *retryBudget,
+                            sealer,
+                            serviceLevel,
+                            selector,
+                            metrics,
+                            events,
+                            clock,
+                            random })
+  {
+    service.SetConfiguration(PermitConfiguration());
+    service.SetView(TwoHostView());
+  }
+
+  static HttpRequestHead Head(std::string_view aMethod,
+                              std::string_view aTarget)
+  {
+    HttpRequestHead head;
+    head.method = aMethod;
+    head.target = aTarget;
+    head.fields.Set("Host", "gateway");
+    head.fields.Set("X-Api-Key", "key-1");
+    return head;
+  }
+
+  // Sends a request of a caller, with its whole body.
+  std::shared_ptr<FakeServerExchange> Send(HttpRequestHead aHead,
+                                           std::string_view aBody = {})
+  {
+    if (!aBody.empty()) {
+      aHead.framing = BodyFraming::Length;
+      aHead.contentLength = aBody.size();
+    }
+    auto exchange = std::make_shared<FakeServerExchange>(std::move(aHead));
+    observer = service.OnRequest(exchange);
+    if (!exchange->isFinished) {
+      if (!aBody.empty()) {
+        observer->OnRequestBody(aBody);
+      }
+      observer->OnRequestEnd();
+    }
+    return exchange;
+  }
+
+  static HttpResponseHead Refusal(int aStatus,
+                                  std::string_view aReason,
+                                  std::string_view aOutcome)
+  {
+    HttpResponseHead head;
+    head.status = aStatus;
+    head.fields.Set(kRefusalField, aReason);
+    head.fields.Set(kOutcomeField, aOutcome);
+    return head;
+  }
+
+  static HttpResponseHead Ok(std::uint64_t aLength)
+  {
+    HttpResponseHead head;
+    head.status = 200;
+    head.framing = BodyFraming::Length;
+    head.contentLength = aLength;
+    head.fields.Set(kOutcomeField, "ran");
+    return head;
+  }
+
+  static bool Says(const FakeServerExchange& aExchange,
+                   int aStatus,
+                   std::string_view aOutcome)
+  {
+    return aExchange.response.status == aStatus &&
+           aExchange.body.find("\"outcome\":\"" + std::string(aOutcome) +
+                               "\"") != std::string::npos;
+  }
+
+  ManualClock clock;
+  SeededRandom random{ 1 };
+  FakeHttpClient client;
+  FakeClaimRegistry claims;
+  std::unique_ptr<CustomerLimiter> limiter = CustomerLimiter::Create();
+  std::unique_ptr<RetryBudget> retryBudget = RetryBudget::Create();
+  NoSeal sealer;
+  NoEvents events;
+  ServiceLevelMeter serviceLevel;
+  ShardSelector selector{ clock, random };
+  EntryMetrics metrics;
+  EntryService service;
+  std::shared_ptr<HttpRequestObserver> observer;
+};
+
+} // namespace filbertbeam::testing
--- /dev/null
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -0,0 +1,407 @@
+#include "EntryFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+BOOST_FIXTURE_TEST_SUITE(ACallersRequest, EntryFixture)
+
+BOOST_AUTO_TEST_SUITE(IsChecked)
+
+struct BadRequest
+{
+  const char* method;
+  const char* target;
+  const char* field;
+  const char* value;
+  int status;
+  const char* reason;
+};
+
+const BadRequest kBadRequests[] = {
+  { "GET", "/permits", "X-Api-Key", "wrong", 401, "unknown-customer" },
+  { "GET", "/nowhere", "X-Api-Key", "key-1", 404, "unknown-route" },
+  { "GET", "/permitsx", "X-Api-Key", "key-1", 404, "unknown-route" },
+  { "GET", "/manuals", "X-Api-Key", "key-1", 403, "service-not-in-contract" },
+  { "GET",
+    "/permits/../manuals",
+    "X-Api-Key",
+    "key-1",
+    400,
+    "malformed-target" },
+  { "GET", "/permits/%2E%2e/x", "X-Api-Key", "key-1", 400, "malformed-target" },
+  { "GET", "/permits", "Request-Timeout-Ms", "soon", 400, "malformed-timeout" },
+  { "GET", "/permits", "Request-Timeout-Ms", "0", 400, "malformed-timeout" },
+  { "POST",
+    "/permits",
+    "Idempotency-Key",
+    "",
+    400,
+    "malformed-idempotency-key" },
+};
+
+// Guards against bad input that reaches an owner, or that gets no clear error.
+BOOST_AUTO_TEST_CASE(AndRefusedWithAClearErrorWhenItIsBad)
+{
+  for (const BadRequest& bad : kBadRequests) {
+    BOOST_TEST_CONTEXT(bad.method << " " << bad.target << " " << bad.field)
+    {
+      HttpRequestHead head = Head(bad.method, bad.target);
+      head.fields.Set(bad.field, bad.value);
+      const auto exchange = Send(head);
+      BOOST_TEST(Says(*exchange, bad.status, "not-run"));
+      BOOST_TEST(exchange->body.find(bad.reason) != std::string::npos);
+      BOOST_TEST(client.exchanges.empty());
+    }
+  }
+}
+
+// Guards against a refusal before admission that hands out a token.
+BOOST_AUTO_TEST_CASE(AndARefusalBeforeAdmissionLeavesTheContractUntouched)
+{
+  const Contract& contract = PermitConfiguration()->Data().contracts[0];
+  while (limiter->Classify(contract, clock.Now()) == RequestClass::InContract) {
+  }
+  Send(Head("GET", "/nowhere"));
+  BOOST_TEST(
+    (limiter->Classify(contract, clock.Now()) == RequestClass::Excess));
+}
+
+// Guards against the caller's key and forged relay fields reaching others.
+BOOST_AUTO_TEST_CASE(AndSecretsAndForgedFieldsStayBehind)
+{
+  HttpRequestHead head = Head("GET", "/permits/7");
+  head.fields.Set("Filbertbeam-Customer", "somebody-else");
+  Send(head);
+  const HttpFields& fields = client.Last().head.fields;
+  BOOST_TEST(!fields.Find("X-Api-Key").has_value());
+  BOOST_TEST(fields.Find(kCustomerField).value() == "inspector");
+}
+
+// Guards against serving before the host knows its configuration.
+BOOST_AUTO_TEST_CASE(AndRefusedWhileTheHostHasNoConfiguration)
+{
+  EntryService fresh(EntryContext{ client,
+                                   claims,
+                                   *limiter,
+                                   *retryBudget,
+                                   sealer,
+                                   serviceLevel,
+                                   selector,
+                                   metrics,
+                                   events,
+                                   clock,
+                                   random });
+  auto exchange = std::make_shared<FakeServerExchange>(Head("GET", "/permits"));
+  const auto session = fresh.OnRequest(exchange);
+  BOOST_TEST(Says(*exchange, 503, "not-run"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(IsRelayed)
+
+// Guards against an answer that is altered or mixed on its way.
+BOOST_AUTO_TEST_CASE(AndItsAnswerArrivesWhole)
+{
+  const auto exchange = Send(Head("GET", "/permits/7"));
+  client.Last().Respond(Ok(5), "whole");
+  BOOST_TEST(exchange->response.status == 200);
+  BOOST_TEST(exchange->body == "whole");
+  BOOST_TEST(exchange->isFinished);
+  BOOST_TEST(!exchange->response.fields.Find(kOutcomeField).has_value());
+}
+
+// Guards against a truncated answer that ends as if it were complete.
+BOOST_AUTO_TEST_CASE(AndATruncatedAnswerIsAborted)
+{
+  const auto exchange = Send(Head("GET", "/permits/7"));
+  auto& relay = client.Last();
+  relay.anyByteSent = true;
+  relay.observer->OnResponseHead(Ok(10));
+  relay.observer->OnResponseBody(std::string_view("half"));
+  relay.Fail(HttpFailureKind::Closed);
+  BOOST_TEST(exchange->isAborted);
+  BOOST_TEST(!exchange->isFinished);
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
+// Guards against an attempt that was given up and answers late: its bytes
+// must not mix with the answer to the second attempt.
+BOOST_AUTO_TEST_CASE(AndALateAnswerOfAnEarlierAttemptIsDropped)
+{
+  const auto exchange = Send(Head("GET", "/permits/7"));
+  const auto first = client.exchanges[0];
+  first->anyByteSent = true;
+  first->observer->OnResponseHead(Refusal(503, "wait-exceeded", "not-run"));
+  BOOST_REQUIRE(client.exchanges.size() == 2U);
+  BOOST_TEST(first->isCancelled);
+  first->observer->OnResponseHead(Ok(4));
+  first->observer->OnResponseBody(std::string_view("late"));
+  first->observer->OnResponseEnd();
+  client.Last().Respond(Ok(5), "right");
+  BOOST_TEST(exchange->body == "right");
+  BOOST_TEST(exchange->heads == 1);
+}
+
+// Guards against a slow caller that makes the host hold the whole answer.
+BOOST_AUTO_TEST_CASE(AndASlowReaderPausesTheOwner)
+{
+  const auto exchange = Send(Head("GET", "/permits/7"));
+  auto& relay = client.Last();
+  relay.observer->OnResponseHead(Ok(1'000'000));
+  exchange->unsentBytes = 300 * 1024;
+  relay.observer->OnResponseBody(std::string_view("block"));
+  BOOST_TEST(relay.isPaused);
+  observer->OnResponseWritable();
+  BOOST_TEST(!relay.isPaused);
+}
+
+// Guards against a large upload that is held in memory or sent twice.
+BOOST_AUTO_TEST_CASE(AndALargeBodyPassesThroughAndIsNotSentAgain)
+{
+  HttpRequestHead head = Head("PUT", "/permits/7");
+  const std::string block(100 * 1024, 'x');
+  head.framing = BodyFraming::Length;
+  head.contentLength = 2 * block.size();
+  auto exchange = std::make_shared<FakeServerExchange>(head);
+  observer = service.OnRequest(exchange);
+  observer->OnRequestBody(block);
+  BOOST_REQUIRE(client.exchanges.size() == 1U);
+  observer->OnRequestBody(block);
+  observer->OnRequestEnd();
+  BOOST_TEST(client.Last().body.size() == 2 * block.size());
+  BOOST_TEST(client.Last().isBodyFinished);
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(client.exchanges.size() == 1U);
+  BOOST_TEST(Says(*exchange, 502, "unknown"));
+}
+
+// Guards against work that goes on for a caller that left.
+BOOST_AUTO_TEST_CASE(AndCancelledWhenTheCallerLeaves)
+{
+  Send(Head("GET", "/permits/7"));
+  observer->OnRequestClosed(false);
+  BOOST_TEST(client.Last().isCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(IsRetried)
+
+struct RetryCase
+{
+  const char* method;
+  bool anyByteSent;
+  bool isRetried;
+  const char* outcome;
+};
+
+const RetryCase kConnectionLost[] = {
+  { "GET", true, true, "" },           { "GET", false, true, "" },
+  { "POST", false, true, "" },         { "POST", true, false, "unknown" },
+  { "PATCH", true, false, "unknown" }, { "UNKNOWN", true, false, "unknown" },
+};
+
+// Guards against a non-idempotent request that is sent a second time after
+// a byte of it may have reached an owner, and against "not-run" for it.
+BOOST_AUTO_TEST_CASE(OnlyWhenARunTwiceIsImpossibleOrHarmless)
+{
+  for (const RetryCase& row : kConnectionLost) {
+    BOOST_TEST_CONTEXT(row.method << " sent=" << row.anyByteSent)
+    {
+      client.exchanges.clear();
+      clock.Advance(std::chrono::minutes(1));
+      const auto exchange = Send(Head(row.method, "/permits/7"));
+      client.Last().anyByteSent = row.anyByteSent;
+      client.Last().Fail(row.anyByteSent ? HttpFailureKind::Closed
+                                         : HttpFailureKind::Connect);
+      BOOST_TEST((client.exchanges.size() == 2U) == row.isRetried);
+      if (!row.isRetried) {
+        BOOST_TEST(Says(*exchange, 502, row.outcome));
+      }
+    }
+  }
+}
+
+// Guards against a route whose GET must run once being treated by its method.
+BOOST_AUTO_TEST_CASE(NotForAMethodThatTheRouteDeclaresNonIdempotent)
+{
+  const auto exchange = Send(Head("GET", "/once/7"));
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(client.exchanges.size() == 1U);
+  BOOST_TEST(Says(*exchange, 502, "unknown"));
+}
+
+// Guards against "not-run" that rests on anything but the owner's word.
+BOOST_AUTO_TEST_CASE(AndTheOwnersOutcomeReachesTheCaller)
+{
+  const auto exchange = Send(Head("POST", "/permits"), "{}");
+  client.Last().Respond(Refusal(502, "backend-connection-lost", "unknown"));
+  BOOST_TEST(Says(*exchange, 502, "unknown"));
+
+  clock.Advance(std::chrono::minutes(1));
+  const auto second = Send(Head("POST", "/permits"), "{}");
+  const std::size_t before = client.exchanges.size();
+  client.Last().Respond(Refusal(504, "deadline-passed", "not-run"));
+  BOOST_TEST(client.exchanges.size() == before);
+  BOOST_TEST(Says(*second, 504, "not-run"));
+}
+
+// Guards against a refusal without an outcome being read as "not-run".
+BOOST_AUTO_TEST_CASE(AndARefusalWithoutAnOutcomeIsUnknown)
+{
+  const auto exchange = Send(Head("POST", "/permits"), "{}");
+  HttpResponseHead head = Refusal(503, "moved", "");
+  head.fields.Remove(kOutcomeField);
+  client.Last().Respond(head);
+  BOOST_TEST(client.exchanges.size() == 1U);
+  BOOST_TEST(Says(*exchange, 503, "unknown"));
+}
+
+// Guards against retries that multiply the load of an outage.
+BOOST_AUTO_TEST_CASE(WithinABudget)
+{
+  for (int i = 0; i < 200; ++i) {
+    Send(Head("GET", "/permits/7"));
+    while (!client.Last().isCancelled) {
+      auto& relay = client.Last();
+      const std::size_t before = client.exchanges.size();
+      relay.anyByteSent = true;
+      relay.Fail(HttpFailureKind::Closed);
+      if (client.exchanges.size() == before) {
+        break;
+      }
+    }
+  }
+  // 10% of 200 requests, and 1 per second over the window of 10 s.
+  BOOST_TEST(client.exchanges.size() <= 200U + 20U + 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithAnIdempotencyKey)
+
+HttpRequestHead
+KeyedHead()
+{
+  HttpRequestHead head = EntryFixture::Head("POST", "/permits");
+  head.fields.Set("Idempotency-Key", "permit-42");
+  return head;
+}
+
+// Guards against a request that is sent before its claim is granted.
+BOOST_AUTO_TEST_CASE(IsSentOnlyAfterItsClaim)
+{
+  claims.answer.reset();
+  Send(KeyedHead(), "{}");
+  BOOST_TEST(client.exchanges.empty());
+  claims.callback(FakeClaimRegistry::Granted());
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
+struct ClaimCase
+{
+  ClaimDecision decision;
+  int status;
+  const char* outcome;
+};
+
+const ClaimCase kClaimCases[] = {
+  { ClaimDecision::Undecided, 409, "unknown" },
+  { ClaimDecision::AlreadyRan, 409, "ran" },
+  { ClaimDecision::FingerprintMismatch, 422, "not-run" },
+  { ClaimDecision::StoreUnavailable, 503, "not-run" },
+};
+
+// Guards against a second run of a request whose key is taken or unchecked.
+BOOST_AUTO_TEST_CASE(IsNotSentWithoutItsClaim)
+{
+  for (const ClaimCase& row : kClaimCases) {
+    ClaimResult result;
+    result.decision = row.decision;
+    claims.answer = result;
+    const auto exchange = Send(KeyedHead(), "{}");
+    BOOST_TEST(Says(*exchange, row.status, row.outcome));
+    BOOST_TEST(client.exchanges.empty());
+  }
+}
+
+// Guards against a later try that gets another answer than the first.
+BOOST_AUTO_TEST_CASE(IsAnsweredAgainFromTheClaim)
+{
+  Send(KeyedHead(), "{}");
+  HttpResponseHead head = Ok(4);
+  head.status = 201;
+  head.fields.Set("Content-Type", "text/plain");
+  client.Last().Respond(head, "paid");
+  BOOST_TEST(claims.completedStatus.value() == 201);
+  BOOST_REQUIRE(claims.completedResponse.has_value());
+
+  ClaimResult ran;
+  ran.decision = ClaimDecision::AlreadyRan;
+  ran.response = claims.completedResponse;
+  claims.answer = ran;
+  const auto again = Send(KeyedHead(), "{}");
+  BOOST_TEST(again->response.status == 201);
+  BOOST_TEST(again->body == "paid");
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
+// Guards against a claim that is released although the request may have run.
+BOOST_AUTO_TEST_CASE(StaysUndecidedWhenTheOutcomeIsUnknown)
+{
+  Send(KeyedHead(), "{}");
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(claims.abandoned == 1);
+  BOOST_TEST(claims.released == 0);
+}
+
+// Guards against a key that stays taken although nothing ran.
+BOOST_AUTO_TEST_CASE(IsReleasedWhenTheRequestDidNotRun)
+{
+  Send(KeyedHead(), "{}");
+  client.Last().Respond(Refusal(504, "deadline-passed", "not-run"));
+  BOOST_TEST(claims.released == 1);
+  BOOST_TEST(claims.abandoned == 0);
+}
+
+// Guards against a lost line that leaves a caller with "unknown" for ever.
+BOOST_AUTO_TEST_CASE(RunsOnWhenItsCallerLeaves)
+{
+  Send(KeyedHead(), "{}");
+  observer->OnRequestClosed(false);
+  BOOST_TEST(!client.Last().isCancelled);
+  client.Last().Respond(Ok(4), "paid");
+  BOOST_TEST(claims.completedStatus.value() == 200);
+}
+
+// Guards against a claim granted after its caller left that is never settled.
+BOOST_AUTO_TEST_CASE(IsReleasedWhenTheCallerLeftBeforeTheClaim)
+{
+  claims.answer.reset();
+  Send(KeyedHead(), "{}");
+  observer->OnRequestClosed(false);
+  claims.callback(FakeClaimRegistry::Granted());
+  BOOST_TEST(client.exchanges.empty());
+  BOOST_TEST(claims.released == 1);
+}
+
+// Guards against one customer's key that blocks or reads another's request,
+// and against a key that is reused for another body.
+BOOST_AUTO_TEST_CASE(IsBoundToItsCustomerAndContent)
+{
+  Send(KeyedHead(), "{}");
+  Send(KeyedHead(), "{\"amount\":2}");
+  BOOST_REQUIRE(claims.requests.size() == 2U);
+  BOOST_TEST(claims.requests[0].customer == "inspector");
+  BOOST_TEST(claims.requests[0].fingerprint != claims.requests[1].fingerprint);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/limits/ShareMessages.h
+++ b/src/limits/ShareMessages.h
@@ -12,12 +12,14 @@
 // CBOR payloads of demand reports and share grants: an array of
 // [customer, requests per second] pairs. Decoding accepts any bytes and
 // returns nothing for those that are no such message.
-std::string EncodeDemands(std::span<const CustomerDemand> aDemands);
-std::optional<std::vector<CustomerDemand>> DecodeDemands(
-  std::span<const char> aPayload);
+std::string
+EncodeDemands(std::span<const CustomerDemand> aDemands);
+std::optional<std::vector<CustomerDemand>>
+DecodeDemands(std::span<const char> aPayload);
 
-std::string EncodeShares(std::span<const ShareGrant> aShares);
-std::optional<std::vector<ShareGrant>> DecodeShares(
-  std::span<const char> aPayload);
+std::string
+EncodeShares(std::span<const ShareGrant> aShares);
+std::optional<std::vector<ShareGrant>>
+DecodeShares(std::span<const char> aPayload);
 
 } // namespace filbertbeam
--- /dev/null
+++ b/src/owner/tests/TestOwnerService.cpp
@@ -0,0 +1,338 @@
+#include "FakeHttp.h"
+
+#include "base/ManualClock.h"
+#include "base/SeededRandom.h"
+#include "owner/OwnerService.h"
+#include "relay/RelayFields.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+class OpenGate final : public RelayGate
+{
+public:
+  bool Admit(const HttpRequestHead&, std::string& aReason) override
+  {
+    aReason = isOpen ? "" : "the signature does not match";
+    return isOpen;
+  }
+
+  bool isOpen = true;
+};
+
+class NoResource final : public InternalResource
+{
+public:
+  void Answer(HttpServerExchange&) override {}
+};
+
+class NoEvents final : public EventSink
+{
+public:
+  void Record(EventSubject, std::string_view, std::string_view) override {}
+};
+
+// Lets the decisions that are queued on the event loop happen.
+void
+RunEventLoop()
+{
+  QElapsedTimer timer;
+  timer.start();
+  constexpr qint64 kLongEnoughMs = 20;
+  while (timer.elapsed() < kLongEnoughMs) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+}
+
+// The owner of one shard with one backend server of two slots.
+struct OwnerFixture
+{
+  OwnerFixture()
+    : service(gate, resource, client, clock, random, events)
+  {
+    Configure(false);
+    SetOwner(true);
+  }
+
+  void Configure(bool aIsLeaving, std::optional<int> aShedStatus = 503)
+  {
+    Service wholesale;
+    wholesale.name = "wholesale";
+    wholesale.shedStatus = aShedStatus;
+    BackendServer server;
+    server.name = "wholesale-1";
+    server.address = "127.0.0.9";
+    server.port = 9;
+    server.region = "th-north";
+    server.domain = "th-north-a";
+    server.slots = 2;
+    server.isLeaving = aIsLeaving;
+    wholesale.backendServers = { server };
+    Configuration::Content content;
+    content.services = { wholesale };
+    service.SetConfiguration(Configuration::Create(++revision, content));
+  }
+
+  void SetOwner(bool aIsOwner)
+  {
+    std::vector<Member> members(2);
+    members[0].host = "self";
+    members[1].host = "other";
+    for (Member& member : members) {
+      member.region = "th-north";
+      member.domain = "th-north-a";
+      member.incarnation = 1;
+    }
+    members[aIsOwner ? 1 : 0].state = HostState::Unreachable;
+    service.SetView(MembershipView::Create("self", members, false));
+  }
+
+  std::shared_ptr<FakeServerExchange> Send(std::string_view aMethod,
+                                           std::string_view aRemaining = "1000")
+  {
+    HttpRequestHead head;
+    head.method = aMethod;
+    head.target = "/photos/1";
+    head.fields.Set(kShardField, "wholesale/th-north-a/0");
+    head.fields.Set(kCustomerField, "partner");
+    head.fields.Set(kPromiseField, "10");
+    head.fields.Set(kClassField, "in-contract");
+    head.fields.Set(kIdempotentField, aMethod == "GET" ? "1" : "0");
+    head.fields.Set(kRemainingField, aRemaining);
+    head.fields.Set(kRequestIdField, "r1");
+    auto exchange = std::make_shared<FakeServerExchange>(head);
+    observer = service.OnRequest(exchange);
+    RunEventLoop();
+    return exchange;
+  }
+
+  static bool Says(const FakeServerExchange& aExchange,
+                   std::string_view aReason,
+                   std::string_view aOutcome)
+  {
+    const HttpFields& fields = aExchange.response.fields;
+    return fields.Find(kRefusalField) == aReason &&
+           fields.Find(kOutcomeField) == aOutcome;
+  }
+
+  OpenGate gate;
+  NoResource resource;
+  NoEvents events;
+  FakeHttpClient client;
+  ManualClock clock;
+  SeededRandom random{ 1 };
+  OwnerService service;
+  std::uint64_t revision = 0;
+  std::shared_ptr<HttpRequestObserver> observer;
+};
+
+HttpResponseHead
+Response(int aStatus)
+{
+  HttpResponseHead head;
+  head.status = aStatus;
+  head.framing = BodyFraming::Length;
+  return head;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TheOwner, OwnerFixture)
+
+// Guards against requests from outside the fleet.
+BOOST_AUTO_TEST_CASE(RefusesAForgedRequest)
+{
+  gate.isOpen = false;
+  const auto exchange = Send("GET");
+  BOOST_TEST(exchange->response.status == 403);
+  BOOST_TEST(client.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_SUITE(Outcomes)
+
+// Guards against "not-run" after a byte of the request went out, and against
+// "unknown" where nothing did.
+BOOST_AUTO_TEST_CASE(FollowWhetherAByteWasSent)
+{
+  const auto refused = Send("POST");
+  client.Last().Fail(HttpFailureKind::Connect);
+  BOOST_TEST(Says(*refused, "backend-unreachable", "not-run"));
+
+  const auto lost = Send("POST");
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(Says(*lost, "backend-connection-lost", "unknown"));
+}
+
+// Guards against a shed that is reported as an error of the request.
+BOOST_AUTO_TEST_CASE(OfAShedRequestIsNotRun)
+{
+  const auto exchange = Send("POST");
+  client.Last().Respond(Response(503));
+  BOOST_TEST(Says(*exchange, "backend-shed", "not-run"));
+}
+
+// Guards against any 503 being taken for a shed where none is declared.
+BOOST_AUTO_TEST_CASE(OfAnUndeclaredShedStatusIsRan)
+{
+  Configure(false, std::nullopt);
+  const auto exchange = Send("POST");
+  client.Last().Respond(Response(503));
+  BOOST_TEST(exchange->response.status == 503);
+  BOOST_TEST(!exchange->response.fields.Find(kRefusalField).has_value());
+  BOOST_TEST(exchange->response.fields.Find(kOutcomeField).value() == "ran");
+}
+
+// Guards against a backend server that forges what only an owner may say.
+BOOST_AUTO_TEST_CASE(CannotBeForgedByABackendServer)
+{
+  const auto exchange = Send("POST");
+  HttpResponseHead head = Response(200);
+  head.fields.Set(kRefusalField, "moved");
+  head.fields.Set(kOutcomeField, "not-run");
+  client.Last().Respond(head);
+  BOOST_TEST(!exchange->response.fields.Find(kRefusalField).has_value());
+  BOOST_TEST(exchange->response.fields.Find(kOutcomeField).value() == "ran");
+}
+
+// Guards against a process that was paused and sends what it gave up.
+BOOST_AUTO_TEST_CASE(OfARequestWhoseDeadlinePassedInTheQueueIsNotRun)
+{
+  Send("GET");
+  Send("GET");
+  const auto queued = Send("POST", "100");
+  BOOST_TEST(client.exchanges.size() == 2U);
+  clock.Advance(std::chrono::seconds(5));
+  client.exchanges[0]->Respond(Response(200));
+  RunEventLoop();
+  BOOST_TEST(client.exchanges.size() == 2U);
+  BOOST_TEST(queued->response.fields.Find(kOutcomeField).value_or("") ==
+             "not-run");
+}
+
+// Guards against a truncated answer that ends as if it were complete.
+BOOST_AUTO_TEST_CASE(OfATruncatedResponseIsAnAbort)
+{
+  const auto exchange = Send("GET");
+  client.Last().anyByteSent = true;
+  client.Last().observer->OnResponseHead(Response(200));
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(exchange->isAborted);
+  BOOST_TEST(!exchange->isFinished);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Sending)
+
+// Guards against a stale idle connection for a request that must run once.
+BOOST_AUTO_TEST_CASE(ANonIdempotentRequestTakesAFreshConnection)
+{
+  Send("POST");
+  BOOST_TEST(client.Last().options.freshConnection);
+  Send("GET");
+  BOOST_TEST(!client.Last().options.freshConnection);
+}
+
+// Guards against more requests at a backend server than it has slots.
+BOOST_AUTO_TEST_CASE(KeepsToTheSlots)
+{
+  for (int i = 0; i < 5; ++i) {
+    Send("GET");
+  }
+  BOOST_TEST(client.exchanges.size() == 2U);
+  client.exchanges[0]->Respond(Response(200));
+  RunEventLoop();
+  BOOST_TEST(client.exchanges.size() == 3U);
+}
+
+// Guards against a caller that left and whose request is sent all the same.
+BOOST_AUTO_TEST_CASE(DropsAQueuedRequestWhoseCallerLeft)
+{
+  Send("GET");
+  Send("GET");
+  Send("POST");
+  observer->OnRequestClosed(false);
+  client.exchanges[0]->Respond(Response(200));
+  RunEventLoop();
+  BOOST_TEST(client.exchanges.size() == 2U);
+}
+
+// Guards against a slot that is lost with a caller that left.
+BOOST_AUTO_TEST_CASE(CancelsARunningRequestAndFreesItsSlot)
+{
+  Send("GET");
+  Send("GET");
+  observer->OnRequestClosed(false);
+  BOOST_TEST(client.Last().isCancelled);
+  Send("GET");
+  BOOST_TEST(client.exchanges.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Leaving)
+
+// Guards against new work for a backend server that leaves.
+BOOST_AUTO_TEST_CASE(ABackendServerMarkedByOperatorsGetsNoNewWork)
+{
+  Send("GET");
+  Configure(true);
+  const auto exchange = Send("GET");
+  BOOST_TEST(client.exchanges.size() == 1U);
+  clock.Advance(std::chrono::seconds(2));
+  RunEventLoop();
+  BOOST_TEST(!exchange->response.fields.Find(kBackendServerField).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ABackendServerMarkedByTheHostListGetsNoNewWork)
+{
+  service.SetLeavingAddresses({ "127.0.0.9" });
+  Send("GET");
+  BOOST_TEST(client.exchanges.empty());
+  service.SetLeavingAddresses({});
+  RunEventLoop();
+  Send("GET");
+  BOOST_TEST(!client.exchanges.empty());
+}
+
+// Guards against requests that a leaving host takes for ever, and against
+// requests that it refuses while entry hosts cannot know yet.
+BOOST_AUTO_TEST_CASE(AHostServesThroughTheGraceAndRefusesAfterIt)
+{
+  service.BeginLeaving();
+  Send("GET");
+  BOOST_TEST(client.exchanges.size() == 1U);
+  clock.Advance(std::chrono::seconds(3));
+  const auto exchange = Send("GET");
+  BOOST_TEST(Says(*exchange, "moved", "not-run"));
+  client.exchanges[0]->Respond(Response(200));
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
+// Guards against two owners for longer than views can differ.
+BOOST_AUTO_TEST_CASE(AShardThatMovedIsRefusedAfterTheGrace)
+{
+  Send("GET");
+  SetOwner(false);
+  Send("GET");
+  BOOST_TEST(client.exchanges.size() == 2U);
+  clock.Advance(std::chrono::seconds(3));
+  const auto exchange = Send("GET");
+  BOOST_TEST(Says(*exchange, "moved", "not-run"));
+  SetOwner(true);
+  client.exchanges[0]->Respond(Response(200));
+  Send("GET");
+  BOOST_TEST(client.exchanges.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
