Slots: Detect and eject gray backend servers within the floor

EjectionPolicy keeps the floor in servers and in slots after every call, readmits the least unhealthy server when a departure would break it, and runs back-off, trials and cold start.

Assignment gains isTrial, so that the owner can bound a trial more tightly.

--- /dev/null
+++ b/src/slots/EjectionPolicy.cpp
@@ -0,0 +1,295 @@
+#include "slots/EjectionPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A cold server gets one request at a time for this long.
+constexpr Duration kSingleRequestPeriod = 1s;
+
+constexpr Duration kFirstBackOff = 5s;
+constexpr Duration kLongestBackOff = 5min;
+// Ejections count for the back-off for this long. It has to be well above the
+// longest back-off; otherwise a server that flaps for hours would fall back
+// to short back-offs.
+constexpr Duration kRecentEjectionPeriod = 1h;
+// The back-off is at its maximum after six; more need not be remembered.
+constexpr std::size_t kMaxRememberedEjections = 8;
+
+constexpr int kGoodTrialsToReadmit = 5;
+// Mean excess over the good trials, in spreads, above which the server is
+// still too slow. The mean of five samples of a healthy server is above it in
+// 5% of cases, that of a server of half the speed in four of five.
+constexpr double kMaxMeanTrialExcess = 0.75;
+// Weight of the latest trial in the severity of an ejected server.
+constexpr double kTrialSeverityWeight = 0.2;
+constexpr double kBadTrialSeverity = 3;
+
+// Swapping an ejected server for a worse one has to gain something: both are
+// estimates from a few samples.
+constexpr double kSwapSeverityFactor = 2;
+
+// Keeps ceil() from rounding up the error of a product such as 0.55 x 20.
+constexpr double kRoundingSlack = 1e-9;
+
+} // namespace
+
+EjectionPolicy::EjectionPolicy(double aFloor)
+  : floor_(std::clamp(aFloor, 0.0, 1.0))
+{
+}
+
+void
+EjectionPolicy::SetMembers(double aFloor,
+                           std::span<const Member> aMembers,
+                           Instant aNow)
+{
+  floor_ = std::clamp(aFloor, 0.0, 1.0);
+  std::map<ServerId, Record> previous = std::exchange(records_, {});
+  for (const Member& member : aMembers) {
+    const auto found = previous.find(member.id);
+    const bool isKnown = found != previous.end();
+    Record record = isKnown ? found->second : Record{};
+    record.slots = member.slots;
+    if (member.isLeaving) {
+      record.state = ServerState::Leaving;
+    } else if (!isKnown || record.state == ServerState::Leaving) {
+      // A server that comes back from leaving has probably been restarted.
+      // An owner that has just started cannot tell who is cold; limiting every
+      // server to one request would cut the shard's capacity at each change
+      // of owner.
+      record.state = hasMembers_ ? ServerState::Cold : ServerState::Healthy;
+      record.enteredAt = aNow;
+    }
+    records_.emplace(member.id, std::move(record));
+  }
+  hasMembers_ = true;
+  EnforceFloor();
+}
+
+bool
+EjectionPolicy::TryEject(ServerId aServer, double aSeverity, Instant aNow)
+{
+  const auto found = records_.find(aServer);
+  if (found == records_.end() || found->second.state != ServerState::Healthy) {
+    return false;
+  }
+  Record& record = found->second;
+  Capacity without = Healthy();
+  without.servers -= 1;
+  without.slots -= record.slots;
+  if (!IsAboveFloor(without)) {
+    Record* const least = LeastUnhealthyEjected();
+    if (least == nullptr || aSeverity < kSwapSeverityFactor * least->severity) {
+      return false;
+    }
+    without.servers += 1;
+    without.slots += least->slots;
+    if (!IsAboveFloor(without)) {
+      return false;
+    }
+    least->state = ServerState::Healthy;
+  }
+  record.severity = aSeverity;
+  Eject(record, aNow);
+  return true;
+}
+
+void
+EjectionPolicy::OnTrial(ServerId aServer,
+                        bool aIsGood,
+                        double aExcess,
+                        Instant aNow)
+{
+  const auto found = records_.find(aServer);
+  if (found == records_.end() || found->second.state != ServerState::Trial) {
+    return;
+  }
+  Record& record = found->second;
+  record.severity +=
+    kTrialSeverityWeight *
+    ((aIsGood ? std::max(aExcess, 0.0) : kBadTrialSeverity) - record.severity);
+  if (!aIsGood) {
+    Eject(record, aNow);
+    return;
+  }
+  record.goodTrials += 1;
+  record.trialExcess += aExcess;
+  if (record.goodTrials < kGoodTrialsToReadmit) {
+    return;
+  }
+  if (record.trialExcess > kMaxMeanTrialExcess * record.goodTrials) {
+    Eject(record, aNow);
+    return;
+  }
+  record.state = ServerState::Healthy;
+}
+
+void
+EjectionPolicy::Advance(Instant aNow)
+{
+  for (auto& [id, record] : records_) {
+    if (record.state == ServerState::Cold &&
+        aNow >= record.enteredAt + kColdPeriod) {
+      record.state = ServerState::Healthy;
+    } else if (record.state == ServerState::Ejected && aNow >= record.trialAt) {
+      record.state = ServerState::Trial;
+      record.goodTrials = 0;
+      record.trialExcess = 0;
+    }
+  }
+}
+
+std::optional<Instant>
+EjectionPolicy::NextEvent(Instant aNow) const
+{
+  std::optional<Instant> next;
+  const auto consider = [&next](Instant aInstant) {
+    next = next ? std::min(*next, aInstant) : aInstant;
+  };
+  for (const auto& [id, record] : records_) {
+    if (record.state == ServerState::Cold) {
+      const Instant unlimitedAt = record.enteredAt + kSingleRequestPeriod;
+      consider(aNow < unlimitedAt ? unlimitedAt
+                                  : record.enteredAt + kColdPeriod);
+    } else if (record.state == ServerState::Ejected) {
+      consider(record.trialAt);
+    }
+  }
+  return next;
+}
+
+ServerState
+EjectionPolicy::State(ServerId aServer) const
+{
+  const auto found = records_.find(aServer);
+  return found == records_.end() ? ServerState::Leaving : found->second.state;
+}
+
+int
+EjectionPolicy::ConcurrencyLimit(ServerId aServer, Instant aNow) const
+{
+  const auto found = records_.find(aServer);
+  if (found == records_.end()) {
+    return 0;
+  }
+  switch (found->second.state) {
+    case ServerState::Healthy:
+      return std::numeric_limits<int>::max();
+    case ServerState::Cold:
+      return aNow < found->second.enteredAt + kSingleRequestPeriod
+               ? 1
+               : std::numeric_limits<int>::max();
+    case ServerState::Trial:
+      return 1;
+    case ServerState::Ejected:
+    case ServerState::Leaving:
+      return 0;
+  }
+  return 0;
+}
+
+int
+EjectionPolicy::RecentEjections(ServerId aServer, Instant aNow) const
+{
+  const auto found = records_.find(aServer);
+  if (found == records_.end()) {
+    return 0;
+  }
+  const std::deque<Instant>& ejections = found->second.ejections;
+  return static_cast<int>(
+    std::count_if(ejections.begin(), ejections.end(), [aNow](Instant aAt) {
+      return aAt + kRecentEjectionPeriod > aNow;
+    }));
+}
+
+bool
+EjectionPolicy::IsEjected(const Record& aRecord)
+{
+  return aRecord.state == ServerState::Ejected ||
+         aRecord.state == ServerState::Trial;
+}
+
+EjectionPolicy::Capacity
+EjectionPolicy::Healthy() const
+{
+  Capacity capacity;
+  for (const auto& [id, record] : records_) {
+    if (record.state == ServerState::Healthy) {
+      capacity.servers += 1;
+      capacity.slots += record.slots;
+    }
+  }
+  return capacity;
+}
+
+bool
+EjectionPolicy::IsAboveFloor(const Capacity& aHealthy) const
+{
+  int slots = 0;
+  for (const auto& [id, record] : records_) {
+    slots += record.slots;
+  }
+  const auto needed = [this](double aConfigured) {
+    return std::ceil(floor_ * aConfigured - kRoundingSlack);
+  };
+  // Slots count beside servers: where servers differ in size, the count alone
+  // would let the large ones be ejected.
+  return aHealthy.servers >= needed(static_cast<double>(records_.size())) &&
+         aHealthy.slots >= floor_ * slots - kRoundingSlack;
+}
+
+EjectionPolicy::Record*
+EjectionPolicy::LeastUnhealthyEjected()
+{
+  Record* least = nullptr;
+  for (auto& [id, record] : records_) {
+    if (IsEjected(record) &&
+        (least == nullptr || record.severity < least->severity)) {
+      least = &record;
+    }
+  }
+  return least;
+}
+
+void
+EjectionPolicy::EnforceFloor()
+{
+  while (!IsAboveFloor(Healthy())) {
+    Record* const least = LeastUnhealthyEjected();
+    if (least == nullptr) {
+      return;
+    }
+    least->state = ServerState::Healthy;
+  }
+}
+
+void
+EjectionPolicy::Eject(Record& aRecord, Instant aNow)
+{
+  while (!aRecord.ejections.empty() &&
+         aRecord.ejections.front() + kRecentEjectionPeriod <= aNow) {
+    aRecord.ejections.pop_front();
+  }
+  Duration backOff = kFirstBackOff;
+  for (std::size_t i = 0; i < aRecord.ejections.size(); ++i) {
+    backOff = std::min(2 * backOff, kLongestBackOff);
+  }
+  aRecord.state = ServerState::Ejected;
+  aRecord.trialAt = aNow + backOff;
+  // A failed trial counts as an ejection; otherwise a server that stays broken
+  // would cost a request every few seconds for good.
+  aRecord.ejections.push_back(aNow);
+  if (aRecord.ejections.size() > kMaxRememberedEjections) {
+    aRecord.ejections.pop_front();
+  }
+}
+
+} // namespace filbertbeam
--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -17,6 +17,13 @@
 constexpr double kQueuePlacesSeconds = 1;
 constexpr std::size_t kMinimumQueuePlaces = 4;
 
+// A response whose body is still arriving this long after its head counts as
+// answered. Bodies of sheds are small, so the response is none; a caller that
+// reads slowly must not keep the sample back for longer.
+constexpr Duration kStreamingGrace = 1s;
+// Interval of looking again while the peers' tail is not known yet.
+constexpr Duration kUnknownTailInterval = 1s;
+
 // One slot in this many is kept free of excess requests.
 constexpr int kSlotsPerReservedSlot = 8;
 
@@ -30,29 +37,40 @@
 
 } // namespace
 
-FairShardScheduler::FairShardScheduler(const Service& /*aService*/,
+FairShardScheduler::FairShardScheduler(const Service& aService,
                                        std::uint64_t aSeed)
   : random_(aSeed)
+  , detector_(aService.prefer)
+  , policy_(aService.floor)
 {
 }
 
 void
 FairShardScheduler::SetBackendServers(
-  const Service& /*aService*/,
+  const Service& aService,
   std::span<const BackendServer* const> aBackendServers,
-  Instant /*aNow*/)
+  Instant aNow)
 {
   for (auto& [name, server] : servers_) {
     server.isRemoved = true;
   }
+  std::vector<EjectionPolicy::Member> members;
   for (const BackendServer* configured : aBackendServers) {
-    Server& server = servers_[configured->name];
-    server.name = configured->name;
+    const auto [found, isNew] = servers_.try_emplace(configured->name);
+    Server& server = found->second;
+    if (isNew) {
+      server.id = nextServerId_++;
+      server.name = configured->name;
+      server.state = ServerState::Leaving;
+    }
     server.slots.SetSlots(configured->slots);
-    server.state =
-      configured->isLeaving ? ServerState::Leaving : ServerState::Healthy;
     server.isRemoved = false;
+    members.push_back(
+      { server.id, server.slots.Slots(), configured->isLeaving });
   }
+  detector_.SetPreference(aService.prefer);
+  policy_.SetMembers(aService.floor, members, aNow);
+  UpdateStates("readmitted to keep the floor");
   std::erase_if(servers_, [](const auto& aItem) {
     return aItem.second.isRemoved && aItem.second.slots.Used() == 0;
   });
@@ -111,28 +129,36 @@
 {
   // A request past its expiry is never sent, even when Expire is called late.
   RefuseExpired(aNow);
+  policy_.Advance(aNow);
+  UpdateStates("");
   std::vector<Assignment> assignments;
-  const auto assign = [&](FairQueue& aQueue) {
-    Server* const server = PickServer();
-    const std::optional<std::uint64_t> id =
-      server == nullptr ? std::nullopt : aQueue.Pop();
+  // Trials come first: while healthy servers have free slots, no request
+  // would be left over for them.
+  while (Server* const server = PickTrialServer()) {
+    std::optional<std::uint64_t> id = inContract_.PopIdempotent();
     if (!id) {
-      return false;
+      id = excess_.PopIdempotent();
     }
-    Forget(*id);
-    server->slots.TryTake();
-    running_[*id].server = server;
-    assignments.push_back({ *id, server->name });
-    return true;
-  };
-  while (!inContract_.IsEmpty() && assign(inContract_)) {
+    if (!id) {
+      break;
+    }
+    Assign(*id, *server, true, assignments);
   }
-  while (inContract_.IsEmpty() && !excess_.IsEmpty()) {
+  while (!inContract_.IsEmpty()) {
+    Server* const server = PickServer(aNow);
+    if (server == nullptr) {
+      return assignments;
+    }
+    Assign(*inContract_.Pop(), *server, false, assignments);
+  }
+  while (!excess_.IsEmpty()) {
     const ShardLoad load = Load();
+    Server* const server = PickServer(aNow);
     if (load.freeSlots <= load.slots / kSlotsPerReservedSlot ||
-        !assign(excess_)) {
+        server == nullptr) {
       break;
     }
+    Assign(*excess_.Pop(), *server, false, assignments);
   }
   return assignments;
 }
@@ -140,6 +166,9 @@
 std::vector<Refusal>
 FairShardScheduler::Expire(Instant aNow)
 {
+  policy_.Advance(aNow);
+  UpdateStates("");
+  RunChecks(aNow);
   RefuseExpired(aNow);
   if (!HasBackendServer()) {
     while (!queued_.empty()) {
@@ -158,38 +187,85 @@
   if (!refused_.empty() || (!queued_.empty() && !HasBackendServer())) {
     return aNow;
   }
-  if (expiries_.empty()) {
-    return std::nullopt;
+  std::optional<Instant> next = policy_.NextEvent(aNow);
+  const auto consider = [&next](Instant aInstant) {
+    next = next ? std::min(*next, aInstant) : aInstant;
+  };
+  if (!expiries_.empty()) {
+    consider(expiries_.begin()->first);
+  }
+  if (!checks_.empty()) {
+    consider(checks_.begin()->first);
   }
-  return expiries_.begin()->first;
+  return next;
 }
 
 void
-FairShardScheduler::OnRequestSent(std::uint64_t /*aRequestId*/,
-                                  Instant /*aNow*/)
+FairShardScheduler::OnRequestSent(std::uint64_t aRequestId, Instant aNow)
 {
+  const auto found = running_.find(aRequestId);
+  if (found == running_.end() || found->second.sentAt) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  attempt.sentAt = aNow;
+  if (!IsCurrent(attempt)) {
+    return;
+  }
+  const std::optional<Duration> tail = detector_.Tail(attempt.server->id, aNow);
+  ScheduleCheck(
+    aRequestId, attempt, aNow + tail.value_or(kUnknownTailInterval));
 }
 
 void
-FairShardScheduler::OnResponseHead(std::uint64_t /*aRequestId*/,
-                                   Instant /*aNow*/)
+FairShardScheduler::OnResponseHead(std::uint64_t aRequestId, Instant aNow)
 {
+  const auto found = running_.find(aRequestId);
+  if (found == running_.end() || found->second.headAt) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  attempt.headAt = aNow;
+  if (attempt.sentAt && IsCurrent(attempt) && !attempt.isTrial) {
+    ScheduleCheck(aRequestId, attempt, aNow + kStreamingGrace);
+  } else {
+    ScheduleCheck(aRequestId, attempt, std::nullopt);
+  }
 }
 
 void
 FairShardScheduler::Complete(std::uint64_t aRequestId,
-                             AttemptResult /*aResult*/,
-                             Instant /*aNow*/)
+                             AttemptResult aResult,
+                             Instant aNow)
 {
   const auto found = running_.find(aRequestId);
   if (found == running_.end()) {
     return;
   }
-  Server* const server = found->second.server;
+  Attempt attempt = found->second;
+  ScheduleCheck(aRequestId, attempt, std::nullopt);
   running_.erase(found);
-  server->slots.Release();
-  if (server->isRemoved && server->slots.Used() == 0) {
-    servers_.erase(std::string(server->name));
+  Server& server = *attempt.server;
+  server.slots.Release();
+  if (attempt.isTrial) {
+    server.trialsRunning -= 1;
+  }
+  if (IsCurrent(attempt)) {
+    if (attempt.isTrial) {
+      CountTrial(attempt, aResult, aNow);
+    } else if (aResult == AttemptResult::Success ||
+               aResult == AttemptResult::Failure) {
+      // Failures give no latency sample: a server that fails fast would make
+      // its peers look slow.
+      if (aResult == AttemptResult::Success) {
+        CountLatency(attempt, aNow);
+      }
+      detector_.OnOutcome(server.id, aResult == AttemptResult::Failure, aNow);
+      JudgeServer(server, aNow);
+    }
+  }
+  if (server.isRemoved && server.slots.Used() == 0) {
+    servers_.erase(std::string(server.name));
   }
 }
 
@@ -208,7 +284,7 @@
 }
 
 std::vector<ServerReport>
-FairShardScheduler::Report(Instant /*aNow*/) const
+FairShardScheduler::Report(Instant aNow) const
 {
   std::vector<ServerReport> reports;
   for (const auto& [name, server] : servers_) {
@@ -217,6 +293,12 @@
     report.state = server.isRemoved ? ServerState::Leaving : server.state;
     report.slots = server.slots.Slots();
     report.usedSlots = server.slots.Used();
+    const OutlierDetector::Scores scores = detector_.ScoresOf(server.id);
+    report.latencyScore = scores.latency;
+    report.failureScore = scores.failure;
+    report.bound = detector_.Bound();
+    report.recentEjections = policy_.RecentEjections(server.id, aNow);
+    report.lastReason = server.lastReason;
     reports.push_back(std::move(report));
   }
   return reports;
@@ -225,7 +307,8 @@
 bool
 FairShardScheduler::AcceptsWork(const Server& aServer) const
 {
-  return !aServer.isRemoved && aServer.state == ServerState::Healthy;
+  return !aServer.isRemoved && (aServer.state == ServerState::Healthy ||
+                                aServer.state == ServerState::Cold);
 }
 
 bool
@@ -245,7 +328,7 @@
 }
 
 FairShardScheduler::Server*
-FairShardScheduler::PickServer()
+FairShardScheduler::PickServer(Instant aNow)
 {
   // The server with the smallest share of its slots in use; ties at random,
   // so that no server gets all requests of a quiet shard.
@@ -253,7 +336,8 @@
   double bestShare = 1;
   std::uint64_t ties = 0;
   for (auto& [name, server] : servers_) {
-    if (!AcceptsWork(server) || server.slots.Free() == 0) {
+    if (!AcceptsWork(server) ||
+        server.slots.Free(policy_.ConcurrencyLimit(server.id, aNow)) == 0) {
       continue;
     }
     const double share =
@@ -269,6 +353,36 @@
   return best;
 }
 
+FairShardScheduler::Server*
+FairShardScheduler::PickTrialServer()
+{
+  for (auto& [name, server] : servers_) {
+    if (!server.isRemoved && server.state == ServerState::Trial &&
+        server.trialsRunning == 0 && server.slots.Free() > 0) {
+      return &server;
+    }
+  }
+  return nullptr;
+}
+
+void
+FairShardScheduler::Assign(std::uint64_t aRequestId,
+                           Server& aServer,
+                           bool aIsTrial,
+                           std::vector<Assignment>& aAssignments)
+{
+  Forget(aRequestId);
+  aServer.slots.TryTake();
+  if (aIsTrial) {
+    aServer.trialsRunning += 1;
+  }
+  Attempt& attempt = running_[aRequestId];
+  attempt.server = &aServer;
+  attempt.epoch = aServer.epoch;
+  attempt.isTrial = aIsTrial;
+  aAssignments.push_back({ aRequestId, aServer.name, aIsTrial });
+}
+
 void
 FairShardScheduler::RefuseExpired(Instant aNow)
 {
@@ -289,4 +403,149 @@
   queued_.erase(found);
 }
 
+void
+FairShardScheduler::UpdateStates(std::string_view aReason)
+{
+  for (auto& [name, server] : servers_) {
+    const ServerState state = policy_.State(server.id);
+    if (state == server.state) {
+      continue;
+    }
+    const bool wasEjected = server.state == ServerState::Ejected ||
+                            server.state == ServerState::Trial;
+    if (server.state == ServerState::Healthy) {
+      detector_.Remove(server.id);
+    }
+    if (state == ServerState::Healthy) {
+      detector_.Add(server.id);
+      if (wasEjected && !aReason.empty()) {
+        server.lastReason = aReason;
+      }
+    }
+    server.state = state;
+    server.epoch += 1;
+  }
+}
+
+void
+FairShardScheduler::JudgeServer(Server& aServer, Instant aNow)
+{
+  const std::optional<OutlierDetector::Verdict> verdict =
+    detector_.Judge(aServer.id, aNow);
+  if (verdict && policy_.TryEject(aServer.id, verdict->severity, aNow)) {
+    aServer.lastReason = verdict->reason;
+    UpdateStates("readmitted in favour of a worse backend server");
+  }
+}
+
+bool
+FairShardScheduler::IsCurrent(const Attempt& aAttempt) const
+{
+  const Server& server = *aAttempt.server;
+  if (server.isRemoved || aAttempt.epoch != server.epoch) {
+    return false;
+  }
+  return server.state == ServerState::Healthy ||
+         (aAttempt.isTrial && server.state == ServerState::Trial);
+}
+
+void
+FairShardScheduler::ScheduleCheck(std::uint64_t aRequestId,
+                                  Attempt& aAttempt,
+                                  std::optional<Instant> aAt)
+{
+  if (aAttempt.nextCheck) {
+    checks_.erase({ *aAttempt.nextCheck, aRequestId });
+  }
+  aAttempt.nextCheck = aAt;
+  if (aAt) {
+    checks_.emplace(*aAt, aRequestId);
+  }
+}
+
+void
+FairShardScheduler::RunCheck(std::uint64_t aRequestId, Instant aNow)
+{
+  Attempt& attempt = running_.at(aRequestId);
+  ScheduleCheck(aRequestId, attempt, std::nullopt);
+  if (!IsCurrent(attempt)) {
+    return;
+  }
+  Server& server = *attempt.server;
+  if (attempt.headAt) {
+    CountLatency(attempt, aNow);
+    JudgeServer(server, aNow);
+    return;
+  }
+  const std::optional<Duration> tail = detector_.Tail(server.id, aNow);
+  if (!tail) {
+    ScheduleCheck(aRequestId, attempt, aNow + kUnknownTailInterval);
+    return;
+  }
+  // An unanswered request counts again each time that its age doubles, since
+  // a server whose slots all hang gives no other samples.
+  const Instant due =
+    *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.unansweredSamples);
+  if (aNow < due) {
+    ScheduleCheck(aRequestId, attempt, due);
+    return;
+  }
+  if (attempt.isTrial) {
+    CountTrial(attempt, AttemptResult::Failure, aNow);
+    return;
+  }
+  detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
+  attempt.isSampled = true;
+  attempt.unansweredSamples += 1;
+  if (attempt.unansweredSamples < detector_.MaxUnansweredSamples()) {
+    ScheduleCheck(aRequestId,
+                  attempt,
+                  *attempt.sentAt +
+                    *tail * (std::int64_t{ 1 } << attempt.unansweredSamples));
+  }
+  JudgeServer(server, aNow);
+}
+
+void
+FairShardScheduler::RunChecks(Instant aNow)
+{
+  while (!checks_.empty() && checks_.begin()->first <= aNow) {
+    RunCheck(checks_.begin()->second, aNow);
+  }
+}
+
+void
+FairShardScheduler::CountLatency(Attempt& aAttempt, Instant aNow)
+{
+  if (aAttempt.isSampled || !aAttempt.sentAt || !aAttempt.headAt) {
+    return;
+  }
+  aAttempt.isSampled = true;
+  detector_.OnLatency(
+    aAttempt.server->id, *aAttempt.headAt - *aAttempt.sentAt, aNow);
+}
+
+void
+FairShardScheduler::CountTrial(Attempt& aAttempt,
+                               AttemptResult aResult,
+                               Instant aNow)
+{
+  if (aAttempt.isSampled || aResult == AttemptResult::Shed ||
+      aResult == AttemptResult::Cancelled) {
+    return;
+  }
+  aAttempt.isSampled = true;
+  const Server& server = *aAttempt.server;
+  double excess = 0;
+  bool isGood = aResult == AttemptResult::Success;
+  if (isGood && aAttempt.sentAt && aAttempt.headAt) {
+    const Duration latency = *aAttempt.headAt - *aAttempt.sentAt;
+    const std::optional<Duration> tail = detector_.Tail(server.id, aNow);
+    excess = detector_.Excess(server.id, latency, aNow);
+    isGood = !tail || latency <= *tail;
+  }
+  policy_.OnTrial(server.id, isGood, excess, aNow);
+  UpdateStates("readmitted after good trials");
+}
+
 } // namespace filbertbeam
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/SeededRandom.h"
+#include "slots/EjectionPolicy.h"
 #include "slots/FairQueue.h"
+#include "slots/OutlierDetector.h"
 #include "slots/ServerSlots.h"
 #include "slots/ShardScheduler.h"
 
@@ -13,7 +15,7 @@
 namespace filbertbeam {
 
 // The scheduler of a shard: a fair queue per request class in front of exact
-// slot counts.
+// slot counts, with detection and ejection of backend servers.
 class FairShardScheduler final : public ShardScheduler
 {
 public:
@@ -39,9 +41,15 @@
 private:
   struct Server
   {
+    ServerId id = 0;
     std::string name;
     ServerSlots slots;
     ServerState state = ServerState::Healthy;
+    // Counts changes of state. Samples of requests that began in an earlier
+    // state say nothing about the present one.
+    std::uint64_t epoch = 0;
+    int trialsRunning = 0;
+    std::string lastReason;
     // No longer configured; kept until its last request finished.
     bool isRemoved = false;
   };
@@ -54,20 +62,50 @@
     RefusalReason reason = RefusalReason::WaitExceeded;
   };
 
+  // A request that holds a slot.
   struct Attempt
   {
     Server* server = nullptr;
+    std::uint64_t epoch = 0;
+    bool isTrial = false;
+    std::optional<Instant> sentAt;
+    std::optional<Instant> headAt;
+    // The latency counted, or the trial is decided.
+    bool isSampled = false;
+    int unansweredSamples = 0;
+    std::optional<Instant> nextCheck;
   };
 
   bool AcceptsWork(const Server& aServer) const;
   bool HasBackendServer() const;
   FairQueue& QueueOf(RequestClass aClass);
-  Server* PickServer();
+  Server* PickServer(Instant aNow);
+  Server* PickTrialServer();
+  void Assign(std::uint64_t aRequestId,
+              Server& aServer,
+              bool aIsTrial,
+              std::vector<Assignment>& aAssignments);
   void RefuseExpired(Instant aNow);
   void Forget(std::uint64_t aRequestId);
 
+  // Takes over the states that the policy decided.
+  void UpdateStates(std::string_view aReason);
+  // Ejects the server if the detector finds it an outlier and the floor allows.
+  void JudgeServer(Server& aServer, Instant aNow);
+  bool IsCurrent(const Attempt& aAttempt) const;
+  void ScheduleCheck(std::uint64_t aRequestId,
+                     Attempt& aAttempt,
+                     std::optional<Instant> aAt);
+  void RunCheck(std::uint64_t aRequestId, Instant aNow);
+  void RunChecks(Instant aNow);
+  void CountLatency(Attempt& aAttempt, Instant aNow);
+  void CountTrial(Attempt& aAttempt, AttemptResult aResult, Instant aNow);
+
   SeededRandom random_;
+  OutlierDetector detector_;
+  EjectionPolicy policy_;
   std::map<std::string, Server> servers_;
+  ServerId nextServerId_ = 0;
   FairQueue inContract_;
   FairQueue excess_;
   std::unordered_map<std::uint64_t, Queued> queued_;
@@ -75,6 +113,7 @@
   // Refused, not yet returned by Expire.
   std::vector<Refusal> refused_;
   std::unordered_map<std::uint64_t, Attempt> running_;
+  std::set<std::pair<Instant, std::uint64_t>> checks_;
 };
 
 } // namespace filbertbeam
--- a/src/slots/ShardScheduler.h
+++ b/src/slots/ShardScheduler.h
@@ -50,6 +50,8 @@
 {
   std::uint64_t requestId = 0;
   std::string backendServer;
+  // A trial of an ejected backend server.
+  bool isTrial = false;
 };
 
 // How one attempt on a backend server ended.
