Store: Add object store in memory with fault switches

Tests of every duty need a store that fails on demand. MemoryObjectStore keeps its objects in a StoredObjects that several stores can share, each with faults of its own: away, slow, answer lost after the effect, write that lands late. It counts its calls.

ObjectStore.h gains the limits of keys and values and StoreResult::isUnsent, which tells a refused connection from a write that may have taken effect.

The contract suite is a template over fixtures, so that the HTTP client can be added to it.

--- /dev/null
+++ b/src/store/MemoryObjectStore.cpp
@@ -0,0 +1,226 @@
+#include "store/MemoryObjectStore.h"
+
+#include <QTimer>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+template<typename Value>
+StoreResult<Value>
+Away(const StoreFaults& aFaults)
+{
+  return {
+    {}, StoreError::Unavailable, "store is away", aFaults.isConnectionRefused
+  };
+}
+
+} // namespace
+
+MemoryObjectStore::MemoryObjectStore(std::shared_ptr<StoredObjects> aObjects)
+  : objects_(std::move(aObjects))
+{
+  listener_ = objects_->AddListener(
+    [this](const StoredObject& aObject) { OnChanged(aObject); });
+}
+
+MemoryObjectStore::~MemoryObjectStore()
+{
+  objects_->RemoveListener(listener_);
+}
+
+void
+MemoryObjectStore::Get(std::string_view aKey, ObjectCallback aCallback)
+{
+  ++counts_.gets;
+  Read<StoredObject>(
+    [this, key = std::string(aKey)] { return objects_->Get(key); },
+    std::move(aCallback));
+}
+
+void
+MemoryObjectStore::Create(std::string_view aKey,
+                          std::string_view aValue,
+                          VersionCallback aCallback)
+{
+  ++counts_.creates;
+  Write([this,
+         key = std::string(aKey),
+         value = std::string(aValue)] { return objects_->Create(key, value); },
+        std::move(aCallback));
+}
+
+void
+MemoryObjectStore::Update(std::string_view aKey,
+                          std::string_view aValue,
+                          std::uint64_t aExpectedVersion,
+                          VersionCallback aCallback)
+{
+  ++counts_.updates;
+  Write(
+    [this,
+     key = std::string(aKey),
+     value = std::string(aValue),
+     aExpectedVersion] {
+      return objects_->Update(key, value, aExpectedVersion);
+    },
+    std::move(aCallback));
+}
+
+void
+MemoryObjectStore::Watch(std::string_view aKey,
+                         std::uint64_t aAfterVersion,
+                         std::chrono::milliseconds aTimeout,
+                         ObjectCallback aCallback)
+{
+  ++counts_.watches;
+  auto watcher = std::make_shared<Watcher>();
+  watcher->key = aKey;
+  watcher->afterVersion = aAfterVersion;
+  watcher->callback = std::move(aCallback);
+  watchers_.push_back(watcher);
+  const StoreResult<StoredObject> current = objects_->Get(aKey);
+  if (faults_.isAway || current.error == StoreError::Invalid ||
+      (current.value && current.value->version > aAfterVersion)) {
+    Answer(watcher);
+    return;
+  }
+  Schedule(std::max(aTimeout, std::chrono::milliseconds(0)),
+           [this, watcher] { Answer(watcher); });
+}
+
+void
+MemoryObjectStore::List(std::string_view aPrefix, ListCallback aCallback)
+{
+  ++counts_.lists;
+  Read<std::vector<std::string>>(
+    [this, prefix = std::string(aPrefix)] { return objects_->List(prefix); },
+    std::move(aCallback));
+}
+
+void
+MemoryObjectStore::SetFaults(const StoreFaults& aFaults)
+{
+  faults_ = aFaults;
+  if (!faults_.isAway) {
+    return;
+  }
+  const auto watchers = watchers_;
+  for (const std::shared_ptr<Watcher>& watcher : watchers) {
+    Answer(watcher);
+  }
+}
+
+int
+MemoryObjectStore::LandLateWrites()
+{
+  const std::vector<WriteEffect> writes = std::exchange(lateWrites_, {});
+  return static_cast<int>(
+    std::count_if(writes.begin(), writes.end(), [](const WriteEffect& aEffect) {
+      return aEffect().error == StoreError::None;
+    }));
+}
+
+template<typename Value>
+void
+MemoryObjectStore::Read(
+  std::function<StoreResult<Value>()> aRead,
+  std::function<void(const StoreResult<Value>&)> aCallback)
+{
+  if (faults_.isAway) {
+    Schedule(faults_.delay,
+             [result = Away<Value>(faults_), callback = std::move(aCallback)] {
+               callback(result);
+             });
+    return;
+  }
+  Schedule(faults_.delay,
+           [this,
+            read = std::move(aRead),
+            callback = std::move(aCallback),
+            answerDelay = faults_.answerDelay] {
+             if (answerDelay.count() == 0) {
+               callback(read());
+               return;
+             }
+             Schedule(answerDelay,
+                      [result = read(), callback] { callback(result); });
+           });
+}
+
+void
+MemoryObjectStore::Write(WriteEffect aEffect, VersionCallback aCallback)
+{
+  if (faults_.isAway) {
+    Schedule(faults_.delay,
+             [result = Away<std::uint64_t>(faults_),
+              callback = std::move(aCallback)] { callback(result); });
+    return;
+  }
+  const StoreResult<std::uint64_t> lost{ {},
+                                         StoreError::Unavailable,
+                                         "answer lost" };
+  if (faults_.lateWrites > 0) {
+    --faults_.lateWrites;
+    lateWrites_.push_back(std::move(aEffect));
+    Schedule(faults_.delay,
+             [lost, callback = std::move(aCallback)] { callback(lost); });
+    return;
+  }
+  bool isLost = false;
+  if (faults_.loseWriteAnswers > 0) {
+    --faults_.loseWriteAnswers;
+    isLost = true;
+  }
+  Schedule(faults_.delay,
+           [this,
+            isLost,
+            lost,
+            effect = std::move(aEffect),
+            callback = std::move(aCallback),
+            answerDelay = faults_.answerDelay] {
+             const StoreResult<std::uint64_t> result = effect();
+             const StoreResult<std::uint64_t>& answer = isLost ? lost : result;
+             if (answerDelay.count() == 0) {
+               callback(answer);
+               return;
+             }
+             Schedule(answerDelay, [answer, callback] { callback(answer); });
+           });
+}
+
+void
+MemoryObjectStore::Schedule(std::chrono::milliseconds aDelay,
+                            std::function<void()> aAction)
+{
+  QTimer::singleShot(aDelay, Qt::PreciseTimer, &context_, std::move(aAction));
+}
+
+void
+MemoryObjectStore::Answer(const std::shared_ptr<Watcher>& aWatcher)
+{
+  if (aWatcher->isAnswered) {
+    return;
+  }
+  aWatcher->isAnswered = true;
+  watchers_.remove(aWatcher);
+  Read<StoredObject>([this, aWatcher] { return objects_->Get(aWatcher->key); },
+                     aWatcher->callback);
+}
+
+void
+MemoryObjectStore::OnChanged(const StoredObject& aObject)
+{
+  const auto watchers = watchers_;
+  for (const std::shared_ptr<Watcher>& watcher : watchers) {
+    if (watcher->key == aObject.key &&
+        aObject.version > watcher->afterVersion) {
+      Answer(watcher);
+    }
+  }
+}
+
+} // namespace filbertbeam
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -37,8 +38,25 @@
   StoreError error = StoreError::None;
   // The last reason, for logs and operators.
   std::string reason;
+  // With Unavailable: no byte of the request left this process, so a write has
+  // certainly not taken effect.
+  bool isUnsent = false;
 };
 
+// Values above this size are refused as Invalid.
+inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
+// Keys above this length are refused as Invalid.
+inline constexpr std::size_t kMaxObjectKeyBytes = 512;
+
+// True for a key that every store accepts: 1 to kMaxObjectKeyBytes of letters,
+// digits and "-._~:@=+/".
+bool
+IsValidObjectKey(std::string_view aKey);
+
+// The same for the prefix of a listing, which may be empty.
+bool
+IsValidObjectPrefix(std::string_view aPrefix);
+
 // The platform's object store. Calls never block; callbacks come from the
 // event loop of the calling thread, never during the call, and exactly once
 // unless the store object is destroyed before.
@@ -60,7 +78,8 @@
                       std::string_view aValue,
                       VersionCallback aCallback) = 0;
 
-  // Replaces an object that must have the given version.
+  // Replaces an object that must have the given version; Conflict also when
+  // the object does not exist.
   virtual void Update(std::string_view aKey,
                       std::string_view aValue,
                       std::uint64_t aExpectedVersion,
--- /dev/null
+++ b/src/store/StoredObjects.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "store/ObjectStore.h"
+
+#include <map>
+
+namespace filbertbeam {
+
+// The objects behind one or more MemoryObjectStore. Applies conditional writes
+// at once and tells its listeners about every change.
+class StoredObjects
+{
+public:
+  using Listener = std::function<void(const StoredObject&)>;
+
+  StoreResult<StoredObject> Get(std::string_view aKey) const;
+  StoreResult<std::uint64_t> Create(std::string_view aKey,
+                                    std::string_view aValue);
+  StoreResult<std::uint64_t> Update(std::string_view aKey,
+                                    std::string_view aValue,
+                                    std::uint64_t aExpectedVersion);
+  StoreResult<std::vector<std::string>> List(std::string_view aPrefix) const;
+
+  // Returns a number for RemoveListener. A listener must not add or remove
+  // listeners.
+  int AddListener(Listener aListener);
+  void RemoveListener(int aListener);
+
+private:
+  StoreResult<std::uint64_t> Write(std::string_view aKey,
+                                   std::string_view aValue,
+                                   std::uint64_t aExpectedVersion);
+
+  std::map<std::string, StoredObject, std::less<>> objects_;
+  std::map<int, Listener> listeners_;
+  int nextListener_ = 1;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/store/tests/TestMemoryObjectStore.cpp
@@ -0,0 +1,67 @@
+#include "store/MemoryObjectStore.h"
+#include "store/tests/support/StoreCalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(MemoryStore)
+
+// Guards against a fault switch that applies a late write too early, or that
+// lets it overwrite a newer object.
+BOOST_AUTO_TEST_CASE(ALateWriteLandsOnlyWhenToldAndIfItsConditionHolds)
+{
+  MemoryObjectStore store;
+  StoreFaults faults;
+  faults.lateWrites = 2;
+  store.SetFaults(faults);
+  BOOST_TEST(AwaitCreate(store, "a", "late").error == StoreError::Unavailable);
+  BOOST_TEST(AwaitCreate(store, "b", "late").error == StoreError::Unavailable);
+  BOOST_TEST(AwaitGet(store, "a").error == StoreError::NotFound);
+  BOOST_TEST(AwaitCreate(store, "b", "newer").error == StoreError::None);
+  BOOST_TEST(store.LandLateWrites() == 1);
+  BOOST_TEST(AwaitGet(store, "a").value->value == "late");
+  BOOST_TEST(AwaitGet(store, "b").value->value == "newer");
+  BOOST_TEST(store.LandLateWrites() == 0);
+}
+
+// Guards against hosts in a test that do not see each other's writes, or that
+// share their faults.
+BOOST_AUTO_TEST_CASE(SharedObjectsHaveSeparateFaults)
+{
+  const auto objects = std::make_shared<StoredObjects>();
+  MemoryObjectStore near(objects);
+  MemoryObjectStore far(objects);
+  StoreFaults faults;
+  faults.isAway = true;
+  faults.isConnectionRefused = true;
+  far.SetFaults(faults);
+  std::optional<StoreResult<StoredObject>> seen;
+  near.Watch("key", 0, std::chrono::hours(1), [&](const auto& aResult) {
+    seen = aResult;
+  });
+  const auto refused = AwaitCreate(far, "key", "far");
+  BOOST_TEST(refused.error == StoreError::Unavailable);
+  BOOST_TEST(refused.isUnsent);
+  far.SetFaults({});
+  BOOST_TEST(AwaitCreate(far, "key", "far").error == StoreError::None);
+  BOOST_REQUIRE(RunUntil([&] { return seen.has_value(); }));
+  BOOST_TEST(seen->value->value == "far");
+}
+
+// Guards against a callback into a caller after its store was destroyed.
+BOOST_AUTO_TEST_CASE(ADestroyedStoreAnswersNothing)
+{
+  bool isAnswered = false;
+  {
+    MemoryObjectStore store;
+    store.Get("key", [&](const auto&) { isAnswered = true; });
+    store.Watch(
+      "key", 0, milliseconds(5), [&](const auto&) { isAnswered = true; });
+  }
+  RunFor(milliseconds(30));
+  BOOST_TEST(!isAnswered);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/store/tests/TestObjectStoreContract.cpp
@@ -0,0 +1,282 @@
+#include "store/tests/support/MemoryStoreFixture.h"
+#include "store/tests/support/StoreCalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <tuple>
+
+using namespace filbertbeam;
+using std::chrono::milliseconds;
+
+// What every duty relies on, checked against each implementation.
+BOOST_AUTO_TEST_SUITE(ObjectStoreContract)
+
+using Stores = std::tuple<MemoryStoreFixture>;
+
+BOOST_AUTO_TEST_SUITE(Objects)
+
+// Guards against a value that is changed or cut on its way.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AValueReadsBackAsWritten, Fixture, Stores)
+{
+  Fixture fixture;
+  const std::string values[] = { "",
+                                 "plain",
+                                 std::string("\0\r\n\r\n\xff", 6),
+                                 std::string(kMaxObjectBytes, 'x') };
+  int number = 0;
+  for (const std::string& value : values) {
+    const std::string key = "values/" + std::to_string(number++);
+    const auto created = AwaitCreate(fixture.Store(), key, value);
+    BOOST_REQUIRE(created.value);
+    BOOST_TEST(*created.value == 1U);
+    const auto read = AwaitGet(fixture.Store(), key);
+    BOOST_REQUIRE(read.value);
+    BOOST_TEST(read.value->key == key);
+    BOOST_TEST((read.value->value == value));
+    BOOST_TEST(read.value->version == 1U);
+  }
+}
+
+// Guards against an absent object that is taken for an outage, or the reverse.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnAbsentObjectIsNotFound, Fixture, Stores)
+{
+  Fixture fixture;
+  const auto read = AwaitGet(fixture.Store(), "absent");
+  BOOST_TEST(read.error == StoreError::NotFound);
+  BOOST_TEST(!read.value);
+}
+
+// Guards against two creators that both believe the object is theirs.
+BOOST_AUTO_TEST_CASE_TEMPLATE(ASecondCreateConflicts, Fixture, Stores)
+{
+  Fixture fixture;
+  BOOST_TEST(AwaitCreate(fixture.Store(), "key", "first").error ==
+             StoreError::None);
+  BOOST_TEST(AwaitCreate(fixture.Store(), "key", "second").error ==
+             StoreError::Conflict);
+  BOOST_TEST(AwaitGet(fixture.Store(), "key").value->value == "first");
+}
+
+// Guards against a lost update.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnUpdateNeedsTheCurrentVersion, Fixture, Stores)
+{
+  Fixture fixture;
+  AwaitCreate(fixture.Store(), "key", "first");
+  const auto updated = AwaitUpdate(fixture.Store(), "key", "second", 1);
+  BOOST_REQUIRE(updated.value);
+  BOOST_TEST(*updated.value == 2U);
+  BOOST_TEST(AwaitUpdate(fixture.Store(), "key", "third", 1).error ==
+             StoreError::Conflict);
+  BOOST_TEST(AwaitUpdate(fixture.Store(), "key", "third", 3).error ==
+             StoreError::Conflict);
+  BOOST_TEST(AwaitGet(fixture.Store(), "key").value->value == "second");
+}
+
+// Guards against an update that creates an object.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnUpdateOfAnAbsentObjectConflicts,
+                              Fixture,
+                              Stores)
+{
+  Fixture fixture;
+  BOOST_TEST(AwaitUpdate(fixture.Store(), "key", "value", 1).error ==
+             StoreError::Conflict);
+  BOOST_TEST(AwaitUpdate(fixture.Store(), "key", "value", 0).error ==
+             StoreError::Invalid);
+  BOOST_TEST(AwaitGet(fixture.Store(), "key").error == StoreError::NotFound);
+}
+
+// Guards against a faulty request that is retried for ever as an outage.
+BOOST_AUTO_TEST_CASE_TEMPLATE(FaultyRequestsAreInvalid, Fixture, Stores)
+{
+  Fixture fixture;
+  const std::string tooLarge(kMaxObjectBytes + 1, 'x');
+  BOOST_TEST(AwaitCreate(fixture.Store(), "key", tooLarge).error ==
+             StoreError::Invalid);
+  for (const std::string& key : { std::string(),
+                                  std::string("a b"),
+                                  std::string("a?watch=1"),
+                                  std::string("a\r\nX: y"),
+                                  std::string(kMaxObjectKeyBytes + 1, 'k') }) {
+    BOOST_TEST(AwaitGet(fixture.Store(), key).error == StoreError::Invalid);
+    BOOST_TEST(AwaitCreate(fixture.Store(), key, "").error ==
+               StoreError::Invalid);
+    BOOST_TEST(AwaitWatch(fixture.Store(), key, 0, milliseconds(5)).error ==
+               StoreError::Invalid);
+  }
+  BOOST_TEST(AwaitList(fixture.Store(), "a b").error == StoreError::Invalid);
+}
+
+// Guards against a listing that leaves keys out or adds neighbours.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AListingHoldsThePrefixInOrder, Fixture, Stores)
+{
+  Fixture fixture;
+  for (const char* key : { "b/2", "a/1", "b/1", "b0", "c/1" }) {
+    AwaitCreate(fixture.Store(), key, "value");
+  }
+  const auto listed = AwaitList(fixture.Store(), "b/");
+  BOOST_REQUIRE(listed.value);
+  BOOST_TEST((*listed.value == std::vector<std::string>{ "b/1", "b/2" }));
+  BOOST_TEST(AwaitList(fixture.Store(), "").value->size() == 5U);
+  BOOST_TEST(AwaitList(fixture.Store(), "d").value->empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Watches)
+
+// Guards against a change that happened between a read and the watch.
+BOOST_AUTO_TEST_CASE_TEMPLATE(ANewerVersionAnswersAtOnce, Fixture, Stores)
+{
+  Fixture fixture;
+  AwaitCreate(fixture.Store(), "key", "first");
+  const auto seen =
+    AwaitWatch(fixture.Store(), "key", 0, std::chrono::hours(1));
+  BOOST_REQUIRE(seen.value);
+  BOOST_TEST(seen.value->version == 1U);
+}
+
+// Guards against a watch that sleeps through a write.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AWriteEndsTheWait, Fixture, Stores)
+{
+  Fixture fixture;
+  ObjectStore& store = fixture.Store();
+  AwaitCreate(store, "key", "first");
+  std::optional<StoreResult<StoredObject>> changed;
+  std::optional<StoreResult<StoredObject>> created;
+  store.Watch("key", 1, std::chrono::hours(1), [&](const auto& aResult) {
+    changed = aResult;
+  });
+  store.Watch("new", 0, std::chrono::hours(1), [&](const auto& aResult) {
+    created = aResult;
+  });
+  RunFor(milliseconds(30));
+  BOOST_TEST(!changed);
+  BOOST_TEST(!created);
+  AwaitUpdate(store, "key", "second", 1);
+  AwaitCreate(store, "new", "value");
+  BOOST_REQUIRE(RunUntil([&] { return changed && created; }));
+  BOOST_TEST(changed->value->value == "second");
+  BOOST_TEST(created->value->value == "value");
+}
+
+// Guards against a watch that answers for its write and again for its timeout.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AWatchAnswersOnce, Fixture, Stores)
+{
+  Fixture fixture;
+  int answers = 0;
+  fixture.Store().Watch(
+    "key", 0, milliseconds(50), [&](const auto&) { ++answers; });
+  RunFor(milliseconds(20));
+  AwaitCreate(fixture.Store(), "key", "value");
+  AwaitUpdate(fixture.Store(), "key", "value", 1);
+  RunFor(milliseconds(100));
+  BOOST_TEST(answers == 1);
+}
+
+// Guards against a watch without an end.
+BOOST_AUTO_TEST_CASE_TEMPLATE(TheTimeoutAnswersAsARead, Fixture, Stores)
+{
+  Fixture fixture;
+  AwaitCreate(fixture.Store(), "key", "first");
+  const auto same = AwaitWatch(fixture.Store(), "key", 1, milliseconds(20));
+  BOOST_REQUIRE(same.value);
+  BOOST_TEST(same.value->version == 1U);
+  BOOST_TEST(AwaitWatch(fixture.Store(), "absent", 0, milliseconds(20)).error ==
+             StoreError::NotFound);
+}
+
+// Guards against a watch that waits on a store that is gone.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnOutageEndsTheWait, Fixture, Stores)
+{
+  Fixture fixture;
+  std::optional<StoreResult<StoredObject>> seen;
+  fixture.Store().Watch("key",
+                        0,
+                        std::chrono::hours(1),
+                        [&](const auto& aResult) { seen = aResult; });
+  RunFor(milliseconds(30));
+  StoreFaults faults;
+  faults.isAway = true;
+  fixture.SetFaults(faults);
+  BOOST_REQUIRE(RunUntil([&] { return seen.has_value(); }));
+  BOOST_TEST(seen->error == StoreError::Unavailable);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Faults)
+
+// Guards against an outage that is taken for a missing object or a conflict.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnAwayStoreIsUnavailable, Fixture, Stores)
+{
+  Fixture fixture;
+  ObjectStore& store = fixture.Store();
+  StoreFaults faults;
+  faults.isAway = true;
+  fixture.SetFaults(faults);
+  BOOST_TEST(AwaitGet(store, "key").error == StoreError::Unavailable);
+  BOOST_TEST(AwaitCreate(store, "key", "").error == StoreError::Unavailable);
+  BOOST_TEST(AwaitUpdate(store, "key", "", 1).error == StoreError::Unavailable);
+  BOOST_TEST(AwaitList(store, "").error == StoreError::Unavailable);
+  BOOST_TEST(AwaitWatch(store, "key", 0, milliseconds(5)).error ==
+             StoreError::Unavailable);
+  fixture.SetFaults({});
+  BOOST_TEST(AwaitGet(store, "key").error == StoreError::NotFound);
+}
+
+// Guards against a client that takes a lost answer for a write without effect,
+// or that sends the write again by itself.
+BOOST_AUTO_TEST_CASE_TEMPLATE(ALostAnswerLeavesTheWriteInEffect,
+                              Fixture,
+                              Stores)
+{
+  Fixture fixture;
+  ObjectStore& store = fixture.Store();
+  StoreFaults faults;
+  faults.loseWriteAnswers = 2;
+  fixture.SetFaults(faults);
+  const auto created = AwaitCreate(store, "key", "first");
+  BOOST_TEST(created.error == StoreError::Unavailable);
+  BOOST_TEST(!created.isUnsent);
+  BOOST_TEST(AwaitUpdate(store, "key", "second", 1).error ==
+             StoreError::Unavailable);
+  BOOST_TEST(AwaitGet(store, "key").value->version == 2U);
+  BOOST_TEST(AwaitUpdate(store, "key", "third", 2).error == StoreError::None);
+  BOOST_TEST(fixture.Counts().Writes() == 3U);
+}
+
+// Guards against a slow store that blocks its caller or answers twice.
+BOOST_AUTO_TEST_CASE_TEMPLATE(ASlowStoreAnswersLater, Fixture, Stores)
+{
+  Fixture fixture;
+  StoreFaults faults;
+  faults.delay = milliseconds(60);
+  fixture.SetFaults(faults);
+  QElapsedTimer elapsed;
+  elapsed.start();
+  BOOST_TEST(AwaitCreate(fixture.Store(), "key", "").error == StoreError::None);
+  BOOST_TEST(elapsed.elapsed() >= 60);
+}
+
+// Guards against figures of store load that miss or double calls.
+BOOST_AUTO_TEST_CASE_TEMPLATE(CallsAreCountedByKind, Fixture, Stores)
+{
+  Fixture fixture;
+  ObjectStore& store = fixture.Store();
+  AwaitCreate(store, "key", "");
+  AwaitUpdate(store, "key", "", 1);
+  AwaitUpdate(store, "key", "", 1);
+  AwaitGet(store, "key");
+  AwaitWatch(store, "key", 2, milliseconds(30));
+  AwaitList(store, "");
+  const StoreCallCounts counts = fixture.Counts();
+  BOOST_TEST(counts.creates == 1U);
+  BOOST_TEST(counts.updates == 2U);
+  BOOST_TEST(counts.gets == 1U);
+  BOOST_TEST(counts.watches == 1U);
+  BOOST_TEST(counts.lists == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/store/tests/support/StoreCalls.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "store/ObjectStore.h"
+#include "store/tests/support/EventLoop.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertbeam {
+
+// Waits for the answer of one call: Await<StoredObject>([&](auto aCallback) {
+// store.Get("key", aCallback); }).
+template<typename Value, typename Call>
+StoreResult<Value>
+Await(const Call& aCall)
+{
+  // Shared, so that an answer after the timeout has somewhere to go.
+  auto answer = std::make_shared<std::optional<StoreResult<Value>>>();
+  aCall([answer](const StoreResult<Value>& aResult) {
+    BOOST_TEST(!answer->has_value(), "the callback came twice");
+    *answer = aResult;
+  });
+  BOOST_TEST(!answer->has_value(), "the callback came during the call");
+  BOOST_REQUIRE(RunUntil([&] { return answer->has_value(); }));
+  return **answer;
+}
+
+inline StoreResult<StoredObject>
+AwaitGet(ObjectStore& aStore, std::string_view aKey)
+{
+  return Await<StoredObject>([&](ObjectStore::ObjectCallback aCallback) {
+    aStore.Get(aKey, std::move(aCallback));
+  });
+}
+
+inline StoreResult<std::uint64_t>
+AwaitCreate(ObjectStore& aStore, std::string_view aKey, std::string_view aValue)
+{
+  return Await<std::uint64_t>([&](ObjectStore::VersionCallback aCallback) {
+    aStore.Create(aKey, aValue, std::move(aCallback));
+  });
+}
+
+inline StoreResult<std::uint64_t>
+AwaitUpdate(ObjectStore& aStore,
+            std::string_view aKey,
+            std::string_view aValue,
+            std::uint64_t aExpectedVersion)
+{
+  return Await<std::uint64_t>([&](ObjectStore::VersionCallback aCallback) {
+    aStore.Update(aKey, aValue, aExpectedVersion, std::move(aCallback));
+  });
+}
+
+inline StoreResult<StoredObject>
+AwaitWatch(ObjectStore& aStore,
+           std::string_view aKey,
+           std::uint64_t aAfterVersion,
+           std::chrono::milliseconds aTimeout)
+{
+  return Await<StoredObject>([&](ObjectStore::ObjectCallback aCallback) {
+    aStore.Watch(aKey, aAfterVersion, aTimeout, std::move(aCallback));
+  });
+}
+
+inline StoreResult<std::vector<std::string>>
+AwaitList(ObjectStore& aStore, std::string_view aPrefix)
+{
+  return Await<std::vector<std::string>>(
+    [&](ObjectStore::ListCallback aCallback) {
+      aStore.List(aPrefix, std::move(aCallback));
+    });
+}
+
+} // namespace filbertbeam
+
+// Lets Boost.Test print the outcome of a call.
+namespace filbertbeam {
+
+inline std::ostream&
+operator<<(std::ostream& aStream, StoreError aError)
+{
+  static const char* const kNames[] = {
+    "None", "NotFound", "Conflict", "Unavailable", "Invalid"
+  };
+  return aStream << kNames[static_cast<int>(aError)];
+}
+
+} // namespace filbertbeam
