Http: Add server and client on Qt sockets with Beast's parser

The interfaces in src/http had no implementation. Requests and responses are parsed by Beast's basic_parser after a scan of the head that refuses what two parsers could read differently; heads are written by Beast's serializer. Input is read in pieces of 16 KiB behind a socket read buffer of 64 KiB, so a paused reader stops the sender.

--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,13 @@
+#include "http/HttpClient.h"
+
+#include "http/TcpHttpClient.h"
+
+namespace filbertbeam {
+
+std::unique_ptr<HttpClient>
+HttpClient::Create(const HttpClientLimits& aLimits)
+{
+  return std::make_unique<TcpHttpClient>(aLimits);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/HttpClientConnection.cpp
@@ -0,0 +1,431 @@
+#include "http/HttpClientConnection.h"
+
+#include "http/HttpHeadWriter.h"
+#include "http/SocketProbe.h"
+#include "http/TcpClientExchange.h"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+
+namespace filbertbeam {
+
+namespace {
+
+constexpr qint64 kReadBufferBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+} // namespace
+
+HttpClientConnection::HttpClientConnection(const Endpoint& aServer,
+                                           const HttpClientLimits& aLimits,
+                                           QObject& aContext,
+                                           Handlers aHandlers)
+  : server_(aServer)
+  , limits_(aLimits)
+  , context_(aContext)
+  , handlers_(std::move(aHandlers))
+  , socket_(new QTcpSocket)
+  , parser_(aLimits.headBytes)
+{
+  timer_.setSingleShot(true);
+}
+
+HttpClientConnection::~HttpClientConnection()
+{
+  // The destructor may run within a signal of the socket.
+  socket_->disconnect(&receiver_);
+  socket_->abort();
+  socket_->deleteLater();
+}
+
+void
+HttpClientConnection::Connect(std::chrono::milliseconds aTimeout)
+{
+  socket_->setProxy(QNetworkProxy::NoProxy);
+  socket_->setReadBufferSize(kReadBufferBytes);
+  QObject::connect(
+    socket_, &QTcpSocket::connected, &receiver_, [this] { OnConnected(); });
+  QObject::connect(
+    socket_, &QTcpSocket::readyRead, &receiver_, [this] { OnReadyRead(); });
+  QObject::connect(socket_,
+                   &QTcpSocket::bytesWritten,
+                   &receiver_,
+                   [this](qint64 aBytes) { OnBytesWritten(aBytes); });
+  QObject::connect(
+    socket_, &QTcpSocket::disconnected, &receiver_, [this] { OnEnded(); });
+  QObject::connect(
+    socket_, &QTcpSocket::errorOccurred, &receiver_, [this] { OnError(); });
+  QObject::connect(
+    &timer_, &QTimer::timeout, &receiver_, [this] { OnTimeout(); });
+  timer_.start(aTimeout);
+  const QHostAddress address(QString::fromStdString(server_.address));
+  if (address.isNull()) {
+    Fail(HttpFailureKind::Connect, "not an IP address: " + server_.address);
+    return;
+  }
+  socket_->connectToHost(address, server_.port);
+}
+
+bool
+HttpClientConnection::IsUsable() const
+{
+  return state_ == State::Connected && exchange_ == nullptr &&
+         Input().empty() && ProbeSocket(*socket_) == SocketCondition::Quiet;
+}
+
+std::shared_ptr<TcpClientExchange>
+HttpClientConnection::Begin(const HttpRequestHead& aHead,
+                            std::string_view aHeadBytes,
+                            std::shared_ptr<HttpResponseObserver> aObserver)
+{
+  if (state_ == State::Connected) {
+    timer_.stop();
+  }
+  exchange_ = std::make_shared<TcpClientExchange>(weak_from_this());
+  observer_ = std::move(aObserver);
+  queuedBytes_ = 0;
+  sentBytes_ = 0;
+  framing_ = aHead.framing;
+  bodyBytesLeft_ = framing_ == BodyFraming::Length ? aHead.contentLength : 0;
+  isRequestComplete_ = framing_ != BodyFraming::Chunked && bodyBytesLeft_ == 0;
+  isRequestSent_ = false;
+  isAboveHigh_ = false;
+  isPaused_ = false;
+  parser_.Reset(aHead.method);
+  Write(aHeadBytes);
+  return exchange_;
+}
+
+void
+HttpClientConnection::Discard()
+{
+  if (exchange_ != nullptr) {
+    exchange_->Detach(AnyByteSent());
+    exchange_.reset();
+  }
+  observer_.reset();
+  Close();
+}
+
+void
+HttpClientConnection::SendBody(ByteView aBytes)
+{
+  if (exchange_ == nullptr || aBytes.empty()) {
+    return;
+  }
+  const std::string_view bytes(aBytes.data(), aBytes.size());
+  if (framing_ == BodyFraming::Chunked && !isRequestComplete_) {
+    Write(WriteChunkBegin(bytes.size()));
+    Write(bytes);
+    Write(kChunkEnd);
+    return;
+  }
+  if (bytes.size() > bodyBytesLeft_) {
+    Fail(HttpFailureKind::Cancelled,
+         "the request body is longer than announced");
+    return;
+  }
+  bodyBytesLeft_ -= bytes.size();
+  isRequestComplete_ = bodyBytesLeft_ == 0;
+  Write(bytes);
+}
+
+void
+HttpClientConnection::FinishBody()
+{
+  if (exchange_ == nullptr || isRequestComplete_) {
+    return;
+  }
+  if (framing_ != BodyFraming::Chunked) {
+    Fail(HttpFailureKind::Cancelled,
+         "the request body is shorter than announced");
+    return;
+  }
+  isRequestComplete_ = true;
+  Write(kLastChunk);
+}
+
+void
+HttpClientConnection::PauseResponseBody()
+{
+  isPaused_ = true;
+}
+
+void
+HttpClientConnection::ResumeResponseBody()
+{
+  if (!isPaused_) {
+    return;
+  }
+  isPaused_ = false;
+  QMetaObject::invokeMethod(
+    &receiver_, [this] { Process(); }, Qt::QueuedConnection);
+}
+
+void
+HttpClientConnection::Cancel()
+{
+  Fail(HttpFailureKind::Cancelled, "cancelled");
+}
+
+bool
+HttpClientConnection::AnyByteSent() const
+{
+  return sentBytes_ > 0;
+}
+
+std::size_t
+HttpClientConnection::UnsentBytes() const
+{
+  return static_cast<std::size_t>(queuedBytes_ - sentBytes_);
+}
+
+void
+HttpClientConnection::OnConnected()
+{
+  if (state_ != State::Connecting) {
+    return;
+  }
+  timer_.stop();
+  state_ = State::Connected;
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket_->write(waiting_.data(), static_cast<qint64>(waiting_.size()));
+  waiting_.clear();
+  waiting_.shrink_to_fit();
+}
+
+void
+HttpClientConnection::OnBytesWritten(qint64 aBytes)
+{
+  const auto self = shared_from_this();
+  sentBytes_ += static_cast<std::uint64_t>(aBytes);
+  if (exchange_ == nullptr) {
+    return;
+  }
+  const auto observer = observer_;
+  if (isRequestComplete_ && !isRequestSent_ && sentBytes_ == queuedBytes_) {
+    isRequestSent_ = true;
+    observer->OnRequestSent();
+    return;
+  }
+  if (isAboveHigh_ && UnsentBytes() <= limits_.lowWatermark) {
+    isAboveHigh_ = false;
+    observer->OnRequestWritable();
+  }
+}
+
+void
+HttpClientConnection::OnReadyRead()
+{
+  const auto self = shared_from_this();
+  if (exchange_ == nullptr) {
+    // No response is due; bytes now would be taken for the next one.
+    Close();
+    return;
+  }
+  Process();
+}
+
+void
+HttpClientConnection::OnError()
+{
+  const auto self = shared_from_this();
+  if (state_ == State::Connecting) {
+    Fail(HttpFailureKind::Connect, socket_->errorString().toStdString());
+    return;
+  }
+  OnEnded();
+}
+
+void
+HttpClientConnection::OnEnded()
+{
+  if (state_ != State::Connected) {
+    return;
+  }
+  const auto self = shared_from_this();
+  isOrderlyEnd_ = socket_->error() == QAbstractSocket::RemoteHostClosedError;
+  endReason_ = socket_->errorString().toStdString();
+  // What arrived before the end is kept; it is at most one read buffer.
+  const QByteArray rest = socket_->readAll();
+  input_.erase(0, inputBegin_);
+  inputBegin_ = 0;
+  input_.append(rest.constData(), static_cast<std::size_t>(rest.size()));
+  state_ = State::Ended;
+  // Nothing more may be sent: the count of bytes sent is final from here on.
+  socket_->disconnect(&receiver_);
+  socket_->abort();
+  if (exchange_ == nullptr) {
+    Close();
+    return;
+  }
+  Process();
+}
+
+void
+HttpClientConnection::OnTimeout()
+{
+  const auto self = shared_from_this();
+  if (state_ == State::Connecting) {
+    Fail(HttpFailureKind::Connect, "connecting timed out");
+    return;
+  }
+  if (exchange_ == nullptr) {
+    Close();
+  }
+}
+
+void
+HttpClientConnection::Process()
+{
+  if (isProcessing_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  isProcessing_ = true;
+  while (Step()) {
+  }
+  isProcessing_ = false;
+}
+
+bool
+HttpClientConnection::Step()
+{
+  if (exchange_ == nullptr || isPaused_ || state_ == State::Closed) {
+    return false;
+  }
+  std::size_t consumed = 0;
+  HttpParseStep step = parser_.Parse(Input(), consumed);
+  if (step == HttpParseStep::NeedMore) {
+    inputBegin_ += consumed;
+    if (ReadMore()) {
+      return true;
+    }
+    if (state_ != State::Ended) {
+      return false;
+    }
+    if (!isOrderlyEnd_) {
+      Fail(HttpFailureKind::Closed, endReason_);
+      return false;
+    }
+    step = parser_.ParseEnd();
+    if (step == HttpParseStep::Failed) {
+      Fail(HttpFailureKind::Closed, parser_.LastReason());
+      return false;
+    }
+    CompleteExchange();
+    return false;
+  }
+  const auto observer = observer_;
+  switch (step) {
+    case HttpParseStep::Head:
+      inputBegin_ += consumed;
+      if (sentBytes_ == 0) {
+        Fail(HttpFailureKind::Malformed,
+             "a response arrived before the request was sent");
+        return false;
+      }
+      observer->OnResponseHead(parser_.Head());
+      return true;
+    case HttpParseStep::Body:
+      observer->OnResponseBody(parser_.Body());
+      inputBegin_ += consumed;
+      return true;
+    case HttpParseStep::End:
+      inputBegin_ += consumed;
+      CompleteExchange();
+      return false;
+    case HttpParseStep::Failed:
+      Fail(HttpFailureKind::Malformed, parser_.LastReason());
+      return false;
+    case HttpParseStep::NeedMore:
+      break;
+  }
+  return false;
+}
+
+bool
+HttpClientConnection::ReadMore()
+{
+  if (state_ != State::Connected || socket_->bytesAvailable() == 0) {
+    return false;
+  }
+  input_.erase(0, inputBegin_);
+  inputBegin_ = 0;
+  const std::size_t size = input_.size();
+  input_.resize(size + kReadBytes);
+  const qint64 count = socket_->read(input_.data() + size, kReadBytes);
+  input_.resize(size + (count > 0 ? static_cast<std::size_t>(count) : 0));
+  return count > 0;
+}
+
+ByteView
+HttpClientConnection::Input() const
+{
+  return ByteView(input_).subspan(inputBegin_);
+}
+
+void
+HttpClientConnection::Write(std::string_view aBytes)
+{
+  queuedBytes_ += aBytes.size();
+  if (state_ == State::Connecting) {
+    waiting_ += aBytes;
+  } else if (state_ == State::Connected) {
+    socket_->write(aBytes.data(), static_cast<qint64>(aBytes.size()));
+  }
+  isAboveHigh_ = isAboveHigh_ || UnsentBytes() >= limits_.highWatermark;
+}
+
+void
+HttpClientConnection::CompleteExchange()
+{
+  const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
+                          sentBytes_ == queuedBytes_ && parser_.KeepAlive();
+  exchange_->Detach(AnyByteSent());
+  exchange_.reset();
+  const auto observer = std::exchange(observer_, nullptr);
+  if (isReusable && IsUsable() && handlers_.onIdle(*this)) {
+    timer_.start(limits_.idleTimeout);
+  } else {
+    Close();
+  }
+  observer->OnResponseEnd();
+}
+
+void
+HttpClientConnection::Fail(HttpFailureKind aKind, std::string aReason)
+{
+  if (exchange_ == nullptr) {
+    Close();
+    return;
+  }
+  // The socket is closed first: the count of bytes sent is final after it.
+  const auto self = shared_from_this();
+  const auto exchange = std::exchange(exchange_, nullptr);
+  const auto observer = std::exchange(observer_, nullptr);
+  Close();
+  exchange->Detach(AnyByteSent());
+  HttpFailure failure{ aKind, AnyByteSent(), std::move(aReason) };
+  QMetaObject::invokeMethod(
+    &context_,
+    [observer, failure] { observer->OnExchangeFailed(failure); },
+    Qt::QueuedConnection);
+}
+
+void
+HttpClientConnection::Close()
+{
+  if (state_ == State::Closed) {
+    return;
+  }
+  state_ = State::Closed;
+  timer_.stop();
+  socket_->disconnect(&receiver_);
+  socket_->abort();
+  if (const auto onClosed = std::exchange(handlers_.onClosed, nullptr)) {
+    onClosed(*this);
+  }
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/HttpFields.cpp
@@ -0,0 +1,42 @@
+#include "http/HttpFields.h"
+
+#include "http/ConnectionFields.h"
+
+namespace filbertbeam {
+
+void
+HttpFields::Add(std::string_view aName, std::string_view aValue)
+{
+  fields_.push_back({ std::string(aName), std::string(aValue) });
+}
+
+void
+HttpFields::Set(std::string_view aName, std::string_view aValue)
+{
+  // The arguments may point into the fields that are removed here.
+  HttpField field{ std::string(aName), std::string(aValue) };
+  Remove(field.name);
+  fields_.push_back(std::move(field));
+}
+
+void
+HttpFields::Remove(std::string_view aName)
+{
+  const std::string name(aName);
+  std::erase_if(fields_, [&name](const HttpField& aField) {
+    return EqualsIgnoringCase(aField.name, name);
+  });
+}
+
+std::optional<std::string_view>
+HttpFields::Find(std::string_view aName) const
+{
+  for (const HttpField& field : fields_) {
+    if (EqualsIgnoringCase(field.name, aName)) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/HttpResponseParser.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "http/HttpHeadScanner.h"
+#include "http/HttpParseStep.h"
+
+#include <memory>
+
+namespace filbertbeam {
+
+template<bool isRequest>
+class BeastParser;
+
+// Parses and checks one response after another; passes over interim (1xx)
+// responses.
+class HttpResponseParser
+{
+public:
+  explicit HttpResponseParser(std::size_t aHeadLimit);
+  ~HttpResponseParser();
+  HttpResponseParser(const HttpResponseParser&) = delete;
+  HttpResponseParser& operator=(const HttpResponseParser&) = delete;
+
+  // Prepares for the response to a request with method aMethod.
+  void Reset(std::string_view aMethod);
+
+  HttpParseStep Parse(ByteView aInput, std::size_t& aConsumed);
+  // The connection ended in order. Returns End where that ends the body,
+  // otherwise Failed: the response is truncated.
+  HttpParseStep ParseEnd();
+
+  const HttpResponseHead& Head() const { return head_; }
+  bool KeepAlive() const { return keepAlive_; }
+  ByteView Body() const { return body_; }
+  const std::string& LastReason() const { return lastReason_; }
+
+private:
+  HttpParseStep ParseHead(ByteView aInput, std::size_t& aConsumed);
+  HttpParseStep ParseBody(ByteView aInput, std::size_t& aConsumed);
+  HttpParseStep Fail(std::string_view aReason);
+  bool CheckHead();
+  void StartMessage();
+
+  std::size_t headLimit_;
+  HttpHeadScanner scanner_;
+  std::unique_ptr<BeastParser<false>> parser_;
+  HttpResponseHead head_;
+  bool isHeadRequest_ = false;
+  bool isHeadDone_ = false;
+  bool isFailed_ = false;
+  bool keepAlive_ = false;
+  int interimResponses_ = 0;
+  ByteView body_;
+  std::string lastReason_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,21 @@
+#include "http/HttpServer.h"
+
+#include "http/TcpHttpServer.h"
+
+namespace filbertbeam {
+
+std::unique_ptr<HttpServer>
+HttpServer::Create(const Endpoint& aEndpoint,
+                   const HttpServerLimits& aLimits,
+                   HttpApplication& aApplication,
+                   std::string& aReason)
+{
+  auto server = std::make_unique<TcpHttpServer>(aLimits, aApplication);
+  if (!server->Listen(aEndpoint)) {
+    aReason = server->LastReason();
+    return nullptr;
+  }
+  return server;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/SocketProbe.cpp
@@ -0,0 +1,34 @@
+#include "http/SocketProbe.h"
+
+#include <QTcpSocket>
+
+#include <cerrno>
+
+#include <sys/socket.h>
+
+namespace filbertbeam {
+
+SocketCondition
+ProbeSocket(const QTcpSocket& aSocket)
+{
+  if (aSocket.bytesAvailable() > 0) {
+    return SocketCondition::HasInput;
+  }
+  if (aSocket.state() != QAbstractSocket::ConnectedState) {
+    return SocketCondition::Ended;
+  }
+  char byte = 0;
+  const auto count = ::recv(static_cast<int>(aSocket.socketDescriptor()),
+                            &byte,
+                            sizeof byte,
+                            MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    return SocketCondition::HasInput;
+  }
+  if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    return SocketCondition::Quiet;
+  }
+  return SocketCondition::Ended;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/SocketProbe.h
@@ -0,0 +1,21 @@
+#pragma once
+
+class QTcpSocket;
+
+namespace filbertbeam {
+
+enum class SocketCondition
+{
+  // Open, and nothing to read.
+  Quiet,
+  HasInput,
+  // The peer closed or reset the connection.
+  Ended,
+};
+
+// Asks the operating system, so that input and a close that the event loop has
+// not handled yet are seen.
+SocketCondition
+ProbeSocket(const QTcpSocket& aSocket);
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/TcpHttpClient.cpp
@@ -0,0 +1,151 @@
+#include "http/TcpHttpClient.h"
+
+#include "http/HttpClientConnection.h"
+#include "http/HttpHeadWriter.h"
+#include "http/TcpClientExchange.h"
+
+#include <fmt/format.h>
+
+namespace filbertbeam {
+
+namespace {
+
+std::string
+HostField(const Endpoint& aServer)
+{
+  return aServer.address.find(':') == std::string::npos
+           ? fmt::format("{}:{}", aServer.address, aServer.port)
+           : fmt::format("[{}]:{}", aServer.address, aServer.port);
+}
+
+} // namespace
+
+std::size_t
+TcpHttpClient::EndpointHash::operator()(const Endpoint& aEndpoint) const
+{
+  return std::hash<std::string>()(aEndpoint.address) * 31 + aEndpoint.port;
+}
+
+TcpHttpClient::TcpHttpClient(const HttpClientLimits& aLimits)
+  : limits_(aLimits)
+{
+}
+
+TcpHttpClient::~TcpHttpClient()
+{
+  std::vector<std::shared_ptr<HttpClientConnection>> connections;
+  for (const auto& [server, pool] : pools_) {
+    for (const auto& [key, connection] : pool.open) {
+      connections.push_back(connection);
+    }
+  }
+  for (const auto& connection : connections) {
+    connection->Discard();
+  }
+}
+
+std::shared_ptr<HttpClientExchange>
+TcpHttpClient::Start(const Endpoint& aServer,
+                     const HttpRequestHead& aHead,
+                     const HttpClientOptions& aOptions,
+                     std::shared_ptr<HttpResponseObserver> aObserver)
+{
+  HttpRequestHead head = aHead;
+  if (!head.fields.Find("Host")) {
+    head.fields.Set("Host", HostField(aServer));
+  }
+  if (head.framing == BodyFraming::UntilClose) {
+    head.framing = BodyFraming::Chunked;
+  }
+  std::string reason;
+  const auto bytes = WriteRequestHead(head, reason);
+  if (!bytes) {
+    QMetaObject::invokeMethod(
+      &context_,
+      [observer = std::move(aObserver), reason] {
+        observer->OnExchangeFailed(
+          { HttpFailureKind::Cancelled, false, reason });
+      },
+      Qt::QueuedConnection);
+    return std::make_shared<TcpClientExchange>(
+      std::weak_ptr<HttpClientConnection>());
+  }
+  std::shared_ptr<HttpClientConnection> connection;
+  if (!aOptions.freshConnection) {
+    connection = TakeIdle(aServer);
+  }
+  if (connection != nullptr) {
+    return connection->Begin(head, *bytes, std::move(aObserver));
+  }
+  connection = Open(aServer);
+  auto exchange = connection->Begin(head, *bytes, std::move(aObserver));
+  connection->Connect(aOptions.connectTimeout);
+  return exchange;
+}
+
+int
+TcpHttpClient::OpenConnections(const Endpoint& aServer) const
+{
+  const auto pool = pools_.find(aServer);
+  return pool == pools_.end() ? 0 : static_cast<int>(pool->second.open.size());
+}
+
+std::shared_ptr<HttpClientConnection>
+TcpHttpClient::TakeIdle(const Endpoint& aServer)
+{
+  while (true) {
+    const auto pool = pools_.find(aServer);
+    if (pool == pools_.end() || pool->second.idle.empty()) {
+      return nullptr;
+    }
+    auto connection = std::move(pool->second.idle.back());
+    pool->second.idle.pop_back();
+    if (connection->IsUsable()) {
+      return connection;
+    }
+    connection->Discard();
+  }
+}
+
+std::shared_ptr<HttpClientConnection>
+TcpHttpClient::Open(const Endpoint& aServer)
+{
+  auto connection = std::make_shared<HttpClientConnection>(
+    aServer,
+    limits_,
+    context_,
+    HttpClientConnection::Handlers{
+      [this](HttpClientConnection& aConnection) { return Keep(aConnection); },
+      [this](HttpClientConnection& aConnection) { Forget(aConnection); } });
+  pools_[aServer].open.emplace(connection.get(), connection);
+  return connection;
+}
+
+bool
+TcpHttpClient::Keep(HttpClientConnection& aConnection)
+{
+  Pool& pool = pools_[aConnection.Server()];
+  if (static_cast<int>(pool.idle.size()) >= limits_.idleConnections) {
+    return false;
+  }
+  pool.idle.push_back(aConnection.shared_from_this());
+  return true;
+}
+
+void
+TcpHttpClient::Forget(HttpClientConnection& aConnection)
+{
+  const auto pool = pools_.find(aConnection.Server());
+  if (pool == pools_.end()) {
+    return;
+  }
+  std::erase_if(pool->second.idle, [&aConnection](const auto& aIdle) {
+    return aIdle.get() == &aConnection;
+  });
+  pool->second.open.erase(&aConnection);
+  if (pool->second.open.empty()) {
+    pools_.erase(pool);
+  }
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/TcpHttpClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "http/HttpClient.h"
+
+#include <QObject>
+
+#include <unordered_map>
+#include <vector>
+
+namespace filbertbeam {
+
+class HttpClientConnection;
+
+// HttpClient on QTcpSocket.
+class TcpHttpClient final : public HttpClient
+{
+public:
+  explicit TcpHttpClient(const HttpClientLimits& aLimits);
+  ~TcpHttpClient() override;
+  TcpHttpClient(const TcpHttpClient&) = delete;
+  TcpHttpClient& operator=(const TcpHttpClient&) = delete;
+
+  std::shared_ptr<HttpClientExchange> Start(
+    const Endpoint& aServer,
+    const HttpRequestHead& aHead,
+    const HttpClientOptions& aOptions,
+    std::shared_ptr<HttpResponseObserver> aObserver) override;
+
+  int OpenConnections(const Endpoint& aServer) const override;
+
+private:
+  struct EndpointHash
+  {
+    std::size_t operator()(const Endpoint& aEndpoint) const;
+  };
+  struct Pool
+  {
+    std::vector<std::shared_ptr<HttpClientConnection>> idle;
+    std::unordered_map<HttpClientConnection*,
+                       std::shared_ptr<HttpClientConnection>>
+      open;
+  };
+
+  std::shared_ptr<HttpClientConnection> TakeIdle(const Endpoint& aServer);
+  std::shared_ptr<HttpClientConnection> Open(const Endpoint& aServer);
+  bool Keep(HttpClientConnection& aConnection);
+  void Forget(HttpClientConnection& aConnection);
+
+  HttpClientLimits limits_;
+  // Context of the events; those that are pending are dropped with the client.
+  QObject context_;
+  std::unordered_map<Endpoint, Pool, EndpointHash> pools_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/TcpHttpServer.cpp
@@ -0,0 +1,157 @@
+#include "http/TcpHttpServer.h"
+
+#include "http/HttpHeadWriter.h"
+#include "http/HttpServerConnection.h"
+#include "http/ProblemDetails.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+// Time limits are checked this often; a limit may be exceeded by as much.
+constexpr std::chrono::milliseconds kMinCheckInterval{ 5 };
+constexpr std::chrono::milliseconds kMaxCheckInterval{ 200 };
+
+std::string
+OverloadResponse()
+{
+  ProblemDetails problem;
+  problem.status = 503;
+  problem.detail = "the host has too many connections";
+  problem.retryAfter = std::chrono::seconds(1);
+  HttpResponseHead head = ProblemHead(problem);
+  problem.title = head.reason;
+  const std::string body = ProblemBody(problem);
+  head.framing = BodyFraming::Length;
+  head.contentLength = body.size();
+  std::string reason;
+  return WriteResponseHead(head, { false, false }, reason).value_or("") + body;
+}
+
+} // namespace
+
+TcpHttpServer::TcpHttpServer(const HttpServerLimits& aLimits,
+                             HttpApplication& aApplication)
+  : limits_(aLimits)
+  , application_(aApplication)
+{
+  server_.setListenBacklogSize(kListenBacklog);
+  server_.setMaxPendingConnections(kListenBacklog);
+  QObject::connect(
+    &server_, &QTcpServer::newConnection, &server_, [this] { Accept(); });
+  const auto shortest =
+    std::min({ limits_.headTimeout, limits_.bodyGrace, limits_.idleTimeout });
+  timer_.setInterval(
+    std::clamp(shortest / 8, kMinCheckInterval, kMaxCheckInterval));
+  QObject::connect(
+    &timer_, &QTimer::timeout, &server_, [this] { CheckTime(); });
+  timer_.start();
+}
+
+TcpHttpServer::~TcpHttpServer()
+{
+  server_.close();
+  for (const auto& connection : Connections()) {
+    connection->Shutdown();
+  }
+}
+
+bool
+TcpHttpServer::Listen(const Endpoint& aEndpoint)
+{
+  const QHostAddress address(QString::fromStdString(aEndpoint.address));
+  if (address.isNull()) {
+    lastReason_ = "not an IP address: " + aEndpoint.address;
+    return false;
+  }
+  if (!server_.listen(address, aEndpoint.port)) {
+    lastReason_ = server_.errorString().toStdString();
+    return false;
+  }
+  return true;
+}
+
+std::uint16_t
+TcpHttpServer::Port() const
+{
+  return server_.serverPort();
+}
+
+void
+TcpHttpServer::StopAccepting()
+{
+  // Connections that the kernel has accepted already are served.
+  Accept();
+  server_.close();
+  for (const auto& connection : Connections()) {
+    connection->StopAfterExchange();
+  }
+}
+
+int
+TcpHttpServer::RunningExchanges() const
+{
+  return static_cast<int>(std::count_if(
+    connections_.begin(), connections_.end(), [](const auto& aItem) {
+      return aItem.second->HasExchange();
+    }));
+}
+
+int
+TcpHttpServer::OpenConnections() const
+{
+  return static_cast<int>(connections_.size());
+}
+
+void
+TcpHttpServer::Accept()
+{
+  while (QTcpSocket* const socket = server_.nextPendingConnection()) {
+    // The server object would delete it otherwise, before its connection ends.
+    socket->setParent(nullptr);
+    if (OpenConnections() >= limits_.connections) {
+      const std::string response = OverloadResponse();
+      QObject::connect(
+        socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+      socket->write(response.data(), static_cast<qint64>(response.size()));
+      socket->disconnectFromHost();
+      continue;
+    }
+    auto connection = std::make_shared<HttpServerConnection>(
+      socket,
+      limits_,
+      application_,
+      context_,
+      [this](HttpServerConnection& aClosed) { connections_.erase(&aClosed); });
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
+  }
+}
+
+void
+TcpHttpServer::CheckTime()
+{
+  const Instant now = std::chrono::steady_clock::now();
+  for (const auto& connection : Connections()) {
+    connection->CheckTime(now);
+  }
+}
+
+std::vector<std::shared_ptr<HttpServerConnection>>
+TcpHttpServer::Connections() const
+{
+  std::vector<std::shared_ptr<HttpServerConnection>> connections;
+  connections.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  return connections;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/TcpHttpServer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "http/HttpServer.h"
+
+#include <QTcpServer>
+#include <QTimer>
+
+#include <unordered_map>
+
+namespace filbertbeam {
+
+class HttpServerConnection;
+
+// HttpServer on QTcpServer.
+class TcpHttpServer final : public HttpServer
+{
+public:
+  TcpHttpServer(const HttpServerLimits& aLimits, HttpApplication& aApplication);
+  ~TcpHttpServer() override;
+  TcpHttpServer(const TcpHttpServer&) = delete;
+  TcpHttpServer& operator=(const TcpHttpServer&) = delete;
+
+  bool Listen(const Endpoint& aEndpoint);
+  const std::string& LastReason() const { return lastReason_; }
+
+  std::uint16_t Port() const override;
+  void StopAccepting() override;
+  int RunningExchanges() const override;
+  int OpenConnections() const override;
+
+private:
+  void Accept();
+  void CheckTime();
+  std::vector<std::shared_ptr<HttpServerConnection>> Connections() const;
+
+  HttpServerLimits limits_;
+  HttpApplication& application_;
+  // Context of the queued calls of the connections.
+  QObject context_;
+  QTcpServer server_;
+  QTimer timer_;
+  std::unordered_map<HttpServerConnection*,
+                     std::shared_ptr<HttpServerConnection>>
+    connections_;
+  std::string lastReason_;
+};
+
+} // namespace filbertbeam
