--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -22,6 +22,8 @@
   int slots = 1;
   int connections = 400;
   bool isLeaving = false;
+
+  bool operator==(const BackendServer&) const = default;
 };
 
 // Which error of detection costs the operator more.
@@ -44,6 +46,8 @@
   // Share of requests that have to succeed; base of the burn report.
   double availabilityObjective = 0.999;
   std::vector<BackendServer> backendServers;
+
+  bool operator==(const Service&) const = default;
 };
 
 struct Route
@@ -54,6 +58,8 @@
   std::string service;
   // Methods besides POST and PATCH that must run at most once.
   std::vector<std::string> nonIdempotentMethods;
+
+  bool operator==(const Route&) const = default;
 };
 
 struct Contract
@@ -64,6 +70,8 @@
   std::vector<std::string> services;
   // The promise, from which every limit is derived.
   double requestsPerSecond = 0;
+
+  bool operator==(const Contract&) const = default;
 };
 
 // Backend servers of one service in one failure domain, counted by one owner.
@@ -89,6 +97,8 @@
     std::vector<Service> services;
     std::vector<Route> routes;
     std::vector<Contract> contracts;
+
+    bool operator==(const Content&) const = default;
   };
 
   static std::shared_ptr<const Configuration> Create(std::uint64_t aRevision,
--- /dev/null
+++ b/src/configuration/ConfigurationReader.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/Findings.h"
+#include "configuration/Configuration.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertbeam {
+
+// Reads the operators' JSON into Configuration::Content. Call Add for each
+// file, then Finish once. Any bytes are acceptable as input: what is wrong with
+// them becomes findings.
+class ConfigurationReader
+{
+public:
+  // Upper limits of what a file may state.
+  static constexpr std::size_t kMaxFileBytes = 64ULL * 1024 * 1024;
+  static constexpr std::size_t kMaxNameLength = 128;
+  static constexpr std::size_t kMaxPathPrefixLength = 1024;
+  static constexpr double kMinFloor = 0.5;
+  // Ten times the target peak of the whole fleet: no fleet can keep a greater
+  // promise to one customer.
+  static constexpr double kMaxRequestsPerSecond = 1'000'000;
+  static constexpr int kMaxSlots = 10'000;
+  static constexpr int kMaxConnections = 65'535;
+
+  // aSource names the text in findings.
+  void Add(std::string_view aSource, std::string_view aText);
+
+  // Checks what spans files. Empty when there is any finding.
+  std::optional<Configuration::Content> Finish();
+
+  // All findings so far: per file in the order of the text, then references to
+  // unknown services.
+  const Findings& Faults() const { return findings_; }
+
+private:
+  class Scope;
+
+  struct Place
+  {
+    int source = 0;
+    int line = 0;
+  };
+  // A mention of a service, checked when all files are read.
+  struct Reference
+  {
+    Place place;
+    // Index within the list of the file, and within the list of content_.
+    int indexInFile = 0;
+    int index = 0;
+    // Index within the contract's services; -1 for a route.
+    int serviceIndex = -1;
+  };
+  using Places = std::unordered_map<std::string, Place>;
+
+  void ReadService(const Scope& aScope);
+  void ReadBackendServer(const Scope& aScope, Service& aService);
+  void ReadRoute(const Scope& aScope);
+  void ReadContract(const Scope& aScope);
+  void ReadKeys(const Scope& aScope, Contract& aContract);
+  void CheckUnique(const Scope& aScope,
+                   Places& aPlaces,
+                   const std::string& aKey,
+                   std::string_view aWhat);
+  void CheckReferences();
+  std::string FormatPlace(const Place& aPlace) const;
+
+  Findings findings_;
+  Configuration::Content content_;
+  std::vector<std::string> sources_;
+  std::vector<Reference> references_;
+  Places services_;
+  Places routes_;
+  Places customers_;
+  Places keys_;
+  // Region of each domain, to find a domain that is said to be in two.
+  std::unordered_map<std::string, std::string> regionOfDomain_;
+};
+
+} // namespace filbertbeam
