--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,519 @@
+#include "daemon/Daemon.h"
+
+#include "base/Log.h"
+#include "daemon/PeerConfigurationSource.h"
+#include "daemon/RelayAuthentication.h"
+#include "membership/NngControlChannel.h"
+#include "store/HttpHostList.h"
+#include "store/HttpObjectStore.h"
+
+#include <QDateTime>
+#include <QJsonArray>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kFollowerInterval{ 100 };
+constexpr milliseconds kStopCheckInterval{ 100 };
+
+// A stopping host goes on taking new requests for this long, while balancer
+// and other hosts learn that it leaves.
+constexpr seconds kLeavingAnnouncement{ 3 };
+
+// Claims that the store has not taken when nothing else is left to do stay
+// undecided: later tries are told "unknown", which is safe.
+constexpr seconds kMaxWaitForClaims{ 30 };
+
+// Watchers of the store per failure domain.
+constexpr int kWatchersPerDomain = 2;
+
+std::uint64_t
+NewIncarnation(Random& aRandom)
+{
+  std::uint64_t incarnation = 0;
+  while (incarnation == 0) {
+    incarnation = aRandom.Next();
+  }
+  return incarnation;
+}
+
+Member
+SelfOf(const DaemonSettings& aSettings, std::uint64_t aIncarnation)
+{
+  Member self;
+  self.host = aSettings.host;
+  self.region = aSettings.region;
+  self.domain = aSettings.domain;
+  self.incarnation = aIncarnation;
+  self.relay = aSettings.relay;
+  self.control = aSettings.control;
+  return self;
+}
+
+QString
+Text(std::string_view aText)
+{
+  return QString::fromUtf8(aText.data(), static_cast<qsizetype>(aText.size()));
+}
+
+QString
+TimeText(std::chrono::system_clock::time_point aTime)
+{
+  const auto sinceEpoch =
+    std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch());
+  return QDateTime::fromMSecsSinceEpoch(sinceEpoch.count(), Qt::UTC)
+    .toString(Qt::ISODateWithMs);
+}
+
+const char*
+StateName(HostState aState)
+{
+  switch (aState) {
+    case HostState::Live:
+      return "live";
+    case HostState::Leaving:
+      return "leaving";
+    case HostState::Unreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
+const char*
+StateName(ServerState aState)
+{
+  switch (aState) {
+    case ServerState::Healthy:
+      return "healthy";
+    case ServerState::Cold:
+      return "cold";
+    case ServerState::Ejected:
+      return "ejected";
+    case ServerState::Trial:
+      return "trial";
+    case ServerState::Leaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+std::optional<EventSubject>
+ParseSubject(std::string_view aKind)
+{
+  if (aKind == "customer") {
+    return EventSubject::Customer;
+  }
+  if (aKind == "backend-server") {
+    return EventSubject::BackendServer;
+  }
+  if (aKind == "request") {
+    return EventSubject::Request;
+  }
+  if (aKind == "host") {
+    return EventSubject::Host;
+  }
+  return std::nullopt;
+}
+
+QJsonObject
+EventObject(const QString& aTime, const QString& aText)
+{
+  QJsonObject event;
+  event["time"] = aTime;
+  event["text"] = aText;
+  return event;
+}
+
+} // namespace
+
+Daemon::Daemon(const DaemonSettings& aSettings)
+  : settings_(aSettings)
+  , incarnation_(NewIncarnation(random_))
+{
+}
+
+Daemon::~Daemon()
+{
+  admin_.reset();
+  entryThread_.Run([this] { entry_.reset(); });
+  ownerThread_.Run([this] { owner_.reset(); });
+}
+
+std::unique_ptr<Daemon>
+Daemon::Create(const DaemonSettings& aSettings, std::string& aReason)
+{
+  std::unique_ptr<Daemon> daemon(new Daemon(aSettings));
+  if (!daemon->Start(aReason)) {
+    return nullptr;
+  }
+  return daemon;
+}
+
+bool
+Daemon::Start(std::string& aReason)
+{
+  client_ = HttpClient::Create(HttpClientLimits{});
+  store_ = HttpObjectStore::Create(*client_, settings_.platform);
+  hostList_ = HttpHostList::Create(*client_, settings_.platform);
+  sealer_ = CreateRelaySealer(settings_, incarnation_, clock_);
+  channel_ = NngControlChannel::Create(settings_.control,
+                                       settings_.host,
+                                       incarnation_,
+                                       settings_.fleetSecret,
+                                       clock_,
+                                       aReason);
+  if (!channel_) {
+    return false;
+  }
+  ownerThread_.Run([&] {
+    owner_ = OwnerRuntime::Create(
+      settings_, incarnation_, clock_, journal_, resource_, aReason);
+  });
+  if (!owner_) {
+    return false;
+  }
+  entryThread_.Run([&] {
+    entry_ = EntryRuntime::Create(
+      settings_, incarnation_, clock_, journal_, metrics_, aReason);
+  });
+  if (!entry_) {
+    return false;
+  }
+  admin_ = AdminServer::Create(
+    settings_.admin, settings_.operatorToken, *this, aReason);
+  if (!admin_) {
+    return false;
+  }
+  follower_ = std::make_unique<ConfigurationFollower>(
+    *store_,
+    clock_,
+    random_,
+    [this](const ConfigurationFollower::InForce& aInForce) {
+      OnConfiguration(aInForce);
+    });
+  controlPlane_ =
+    std::make_unique<ControlPlane>(SelfOf(settings_, incarnation_),
+                                   *hostList_,
+                                   *channel_,
+                                   clock_,
+                                   random_,
+                                   journal_,
+                                   *this);
+  controlPlane_->Start();
+  followerTimer_.callOnTimeout([this] { follower_->Tick(); });
+  followerTimer_.start(kFollowerInterval);
+  stopTimer_.callOnTimeout([this] { CheckStopped(); });
+  LogEvent(LogLevel::Info,
+           "started",
+           { { "host", settings_.host },
+             { "region", settings_.region },
+             { "domain", settings_.domain },
+             { "incarnation", incarnation_ } });
+  return true;
+}
+
+void
+Daemon::OnConfiguration(const ConfigurationFollower::InForce& aInForce)
+{
+  configuration_ = aInForce.configuration;
+  auto documents = std::make_shared<ConfigurationResource::Documents>();
+  documents->head = follower_->HeadText();
+  std::string reason;
+  if (const auto head = ConfigurationHead::Parse(*documents->head, reason)) {
+    for (const ConfigurationPartReference& part : head->parts) {
+      documents->parts[part.sha256] = follower_->FindPart(part.sha256);
+    }
+  }
+  entryThread_.Post([this, configuration = configuration_] {
+    entry_->Service().SetConfiguration(configuration);
+  });
+  ownerThread_.Post([this, configuration = configuration_, documents] {
+    resource_.SetDocuments(documents);
+    owner_->Service().SetConfiguration(configuration);
+  });
+  controlPlane_->SetConfiguration(configuration_);
+  LogEvent(
+    LogLevel::Info,
+    "configuration_in_force",
+    { { "revision", configuration_->Revision() },
+      { "source", aInForce.source },
+      { "author", aInForce.acceptance.author },
+      { "since_acceptance_ms",
+        std::chrono::duration_cast<milliseconds>(aInForce.sinceAcceptance)
+          .count() } });
+  journal_.Record(EventSubject::Host,
+                  settings_.host,
+                  fmt::format("configuration revision {} in force",
+                              configuration_->Revision()));
+}
+
+void
+Daemon::OnView(std::shared_ptr<const MembershipView> aView)
+{
+  UpdateWatcher(*aView);
+  entryThread_.Post([this, aView] { entry_->Service().SetView(aView); });
+  ownerThread_.Post([this, aView] { owner_->Service().SetView(aView); });
+}
+
+void
+Daemon::UpdateWatcher(const MembershipView& aView)
+{
+  bool isWatcher = false;
+  for (int i = 0; i < kWatchersPerDomain; ++i) {
+    const Member* watcher =
+      aView.OwnerOfShard(fmt::format("configuration-watcher/{}", i),
+                         settings_.region,
+                         settings_.domain);
+    isWatcher = isWatcher || watcher == &aView.Self();
+  }
+  follower_->SetWatcher(isWatcher);
+}
+
+void
+Daemon::OnLeavingAddresses(const std::set<std::string>& aAddresses)
+{
+  ownerThread_.Post(
+    [this, aAddresses] { owner_->Service().SetLeavingAddresses(aAddresses); });
+}
+
+void
+Daemon::OnRevisionHeard(std::uint64_t aRevision, const Member& aSource)
+{
+  if (aRevision <= follower_->Revision()) {
+    return;
+  }
+  follower_->OnRevisionHeard(
+    aRevision,
+    std::make_shared<PeerConfigurationSource>(aSource, *client_, *sealer_));
+}
+
+void
+Daemon::OnShares(std::vector<ShareGrant> aShares)
+{
+  entryThread_.Post([this, shares = std::move(aShares)] {
+    entry_->Limiter().ApplyShares(shares, clock_.Now());
+  });
+}
+
+void
+Daemon::OnDemandsWanted()
+{
+  entryThread_.Post([this] {
+    std::vector<CustomerDemand> demands =
+      entry_->Limiter().TakeDemands(clock_.Now());
+    if (demands.empty()) {
+      return;
+    }
+    QMetaObject::invokeMethod(
+      &followerTimer_,
+      [this, demands = std::move(demands)] {
+        controlPlane_->SendDemands(demands);
+      },
+      Qt::QueuedConnection);
+  });
+}
+
+void
+Daemon::Stop(std::function<void()> aStopped)
+{
+  if (stopped_) {
+    return;
+  }
+  stopped_ = std::move(aStopped);
+  stoppingSince_ = clock_.Now();
+  LogEvent(LogLevel::Info, "stopping", { { "host", settings_.host } });
+  controlPlane_->StartLeaving();
+  ownerThread_.Post([this] { owner_->Service().BeginLeaving(); });
+  stopTimer_.start(kStopCheckInterval);
+}
+
+void
+Daemon::CheckStopped()
+{
+  const Duration elapsed = clock_.Now() - stoppingSince_;
+  if (elapsed < kLeavingAnnouncement) {
+    return;
+  }
+  int running = 0;
+  int pendingClaims = 0;
+  entryThread_.Run([&] {
+    entry_->StopAccepting();
+    running += entry_->RunningExchanges();
+    pendingClaims = entry_->PendingClaims();
+  });
+  ownerThread_.Run([&] { running += owner_->RunningExchanges(); });
+  if (running > 0) {
+    return;
+  }
+  if (pendingClaims > 0 && elapsed < kMaxWaitForClaims) {
+    return;
+  }
+  stopTimer_.stop();
+  LogEvent(
+    LogLevel::Info,
+    "stopped",
+    { { "host", settings_.host },
+      { "pending_claims", pendingClaims },
+      { "ms", std::chrono::duration_cast<milliseconds>(elapsed).count() } });
+  stopped_();
+}
+
+bool
+Daemon::IsReady()
+{
+  return configuration_ && !stopped_;
+}
+
+std::string
+Daemon::Metrics()
+{
+  std::string text = metrics_.Format();
+  text += fmt::format("# TYPE filbertbeam_configuration_revision gauge\n"
+                      "filbertbeam_configuration_revision {}\n",
+                      configuration_ ? configuration_->Revision() : 0);
+  text += fmt::format("# TYPE filbertbeam_live_hosts gauge\n"
+                      "filbertbeam_live_hosts {}\n",
+                      controlPlane_->View()->LiveCount());
+  return text;
+}
+
+QJsonObject
+Daemon::Status()
+{
+  QJsonObject status;
+  status["host"] = Text(settings_.host);
+  status["ready"] = IsReady();
+  status["revision"] =
+    configuration_ ? static_cast<qint64>(configuration_->Revision()) : 0;
+  QJsonArray hosts;
+  const std::shared_ptr<const MembershipView> view = controlPlane_->View();
+  for (const Member& member : view->Members()) {
+    QJsonObject host;
+    host["host"] = Text(member.host);
+    host["region"] = Text(member.region);
+    host["domain"] = Text(member.domain);
+    host["state"] = StateName(member.state);
+    host["revision"] =
+      &member == &view->Self()
+        ? status["revision"]
+        : QJsonValue(static_cast<qint64>(member.configurationRevision));
+    hosts.append(host);
+  }
+  status["hosts"] = hosts;
+  QJsonArray servers;
+  std::vector<ServerReport> reports;
+  ownerThread_.Run([&] { reports = owner_->Service().Report(); });
+  for (const ServerReport& report : reports) {
+    QJsonObject server;
+    server["backend_server"] = Text(report.backendServer);
+    server["state"] = StateName(report.state);
+    server["slots"] = report.slots;
+    server["used_slots"] = report.usedSlots;
+    server["latency_score"] = report.latencyScore;
+    server["failure_score"] = report.failureScore;
+    server["bound"] = report.bound;
+    server["recent_ejections"] = report.recentEjections;
+    server["last_reason"] = Text(report.lastReason);
+    servers.append(server);
+  }
+  status["backend_servers"] = servers;
+  return status;
+}
+
+QJsonObject
+Daemon::Explain(std::string_view aKind, std::string_view aName)
+{
+  QJsonArray events;
+  const std::optional<EventSubject> subject = ParseSubject(aKind);
+  if (subject) {
+    for (const JournalEvent& event : journal_.Find(*subject, aName)) {
+      events.append(EventObject(TimeText(event.time), Text(event.text)));
+    }
+  }
+  const QString now = TimeText(clock_.WallNow());
+  const Contract* contract = subject == EventSubject::Customer && configuration_
+                               ? configuration_->FindContract(aName)
+                               : nullptr;
+  if (contract) {
+    events.append(EventObject(
+      now,
+      Text(fmt::format(
+        "the contract promises {} requests per second; above it, requests are "
+        "served from spare capacity only",
+        contract->requestsPerSecond))));
+  }
+  if (subject == EventSubject::BackendServer) {
+    std::vector<ServerReport> reports;
+    ownerThread_.Run([&] { reports = owner_->Service().Report(); });
+    for (const ServerReport& report : reports) {
+      if (report.backendServer != aName) {
+        continue;
+      }
+      events.append(EventObject(
+        now,
+        Text(fmt::format("{} now: latency score {:.2f}, failure score {:.2f}, "
+                         "ejected at {:.2f}; {}",
+                         StateName(report.state),
+                         report.latencyScore,
+                         report.failureScore,
+                         report.bound,
+                         report.lastReason.empty() ? "no ejection recorded"
+                                                   : report.lastReason))));
+    }
+  }
+  QJsonObject object;
+  object["host"] = Text(settings_.host);
+  object["kind"] = Text(aKind);
+  object["name"] = Text(aName);
+  object["events"] = events;
+  return object;
+}
+
+QJsonObject
+Daemon::Burn()
+{
+  std::vector<BurnRow> rows;
+  entryThread_.Run([&] { rows = entry_->ServiceLevel().Report(clock_.Now()); });
+  QJsonArray services;
+  for (const BurnRow& row : rows) {
+    const Service* service =
+      configuration_ ? configuration_->FindService(row.service) : nullptr;
+    if (!service) {
+      continue;
+    }
+    const double budget = 1.0 - service->availabilityObjective;
+    QJsonArray windows;
+    for (const BurnWindow& window : row.windows) {
+      const double failedShare = window.requests == 0
+                                   ? 0.0
+                                   : static_cast<double>(window.failed) /
+                                       static_cast<double>(window.requests);
+      QJsonObject object;
+      object["window_s"] = static_cast<qint64>(window.length.count());
+      object["requests"] = static_cast<qint64>(window.requests);
+      object["failed"] = static_cast<qint64>(window.failed);
+      object["burn_rate"] = budget > 0 ? failedShare / budget : 0.0;
+      windows.append(object);
+    }
+    QJsonObject object;
+    object["service"] = Text(row.service);
+    object["customer"] = Text(row.customer);
+    object["objective"] = service->availabilityObjective;
+    object["windows"] = windows;
+    services.append(object);
+  }
+  QJsonObject burn;
+  burn["host"] = Text(settings_.host);
+  burn["services"] = services;
+  return burn;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/daemon/Daemon.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/SeededRandom.h"
+#include "base/SystemClock.h"
+#include "base/WorkerThread.h"
+#include "configuration/ConfigurationFollower.h"
+#include "daemon/AdminServer.h"
+#include "daemon/ConfigurationResource.h"
+#include "daemon/ControlPlane.h"
+#include "daemon/DaemonSettings.h"
+#include "daemon/EntryRuntime.h"
+#include "daemon/EventJournal.h"
+#include "daemon/OwnerRuntime.h"
+
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace filbertbeam {
+
+// All duties of one host. Lives on the control thread, which is the main
+// thread; callers and backend servers are served on threads of their own.
+class Daemon final
+  : public ControlPlaneObserver
+  , public AdminModel
+{
+public:
+  // Returns null and fills aReason when an address cannot be bound.
+  static std::unique_ptr<Daemon> Create(const DaemonSettings& aSettings,
+                                        std::string& aReason);
+  ~Daemon() override;
+
+  // Graceful stop: readiness turns false, running requests finish, and then
+  // aStopped is called. A second call changes nothing.
+  void Stop(std::function<void()> aStopped);
+
+  void OnView(std::shared_ptr<const MembershipView> aView) override;
+  void OnLeavingAddresses(const std::set<std::string>& aAddresses) override;
+  void OnRevisionHeard(std::uint64_t aRevision, const Member& aSource) override;
+  void OnShares(std::vector<ShareGrant> aShares) override;
+  void OnDemandsWanted() override;
+
+  bool IsReady() override;
+  std::string Metrics() override;
+  QJsonObject Status() override;
+  QJsonObject Explain(std::string_view aKind, std::string_view aName) override;
+  QJsonObject Burn() override;
+
+private:
+  explicit Daemon(const DaemonSettings& aSettings);
+  bool Start(std::string& aReason);
+  void OnConfiguration(const ConfigurationFollower::InForce& aInForce);
+  void UpdateWatcher(const MembershipView& aView);
+  void CheckStopped();
+
+  const DaemonSettings settings_;
+  SystemClock clock_;
+  SeededRandom random_;
+  const std::uint64_t incarnation_;
+  EventJournal journal_;
+  EntryMetrics metrics_;
+
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<ObjectStore> store_;
+  std::unique_ptr<HostList> hostList_;
+  std::unique_ptr<RelaySealer> sealer_;
+  std::unique_ptr<ControlChannel> channel_;
+  std::unique_ptr<ConfigurationFollower> follower_;
+  std::unique_ptr<ControlPlane> controlPlane_;
+  std::shared_ptr<const Configuration> configuration_;
+  QTimer followerTimer_;
+
+  ConfigurationResource resource_;
+  WorkerThread entryThread_{ "entry" };
+  WorkerThread ownerThread_{ "owner" };
+  // Used on their own threads only.
+  std::unique_ptr<EntryRuntime> entry_;
+  std::unique_ptr<OwnerRuntime> owner_;
+
+  std::unique_ptr<AdminServer> admin_;
+  std::function<void()> stopped_;
+  Instant stoppingSince_;
+  QTimer stopTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/daemon/EntryRuntime.cpp
@@ -0,0 +1,53 @@
+#include "daemon/EntryRuntime.h"
+
+#include "daemon/RelayAuthentication.h"
+#include "store/HttpObjectStore.h"
+
+namespace filbertbeam {
+
+EntryRuntime::EntryRuntime(const DaemonSettings& aSettings,
+                           std::uint64_t aIncarnation,
+                           const Clock& aClock,
+                           EventSink& aEvents,
+                           EntryMetrics& aMetrics)
+  : client_(HttpClient::Create(HttpClientLimits{}))
+  , store_(HttpObjectStore::Create(*client_, aSettings.platform))
+  , claims_(ClaimRegistry::Create(*store_,
+                                  aClock,
+                                  random_,
+                                  aSettings.host,
+                                  aIncarnation))
+  , limiter_(CustomerLimiter::Create())
+  , retryBudget_(RetryBudget::Create())
+  , sealer_(CreateRelaySealer(aSettings, aIncarnation, aClock))
+  , selector_(aClock, random_)
+  , service_(std::make_unique<EntryService>(EntryContext{ *client_,
+                                                          *claims_,
+                                                          *limiter_,
+                                                          *retryBudget_,
+                                                          *sealer_,
+                                                          serviceLevel_,
+                                                          selector_,
+                                                          aMetrics,
+                                                          aEvents,
+                                                          aClock,
+                                                          random_ }))
+{
+}
+
+std::unique_ptr<EntryRuntime>
+EntryRuntime::Create(const DaemonSettings& aSettings,
+                     std::uint64_t aIncarnation,
+                     const Clock& aClock,
+                     EventSink& aEvents,
+                     EntryMetrics& aMetrics,
+                     std::string& aReason)
+{
+  std::unique_ptr<EntryRuntime> runtime(
+    new EntryRuntime(aSettings, aIncarnation, aClock, aEvents, aMetrics));
+  runtime->server_ = HttpServer::Create(
+    aSettings.caller, HttpServerLimits{}, *runtime->service_, aReason);
+  return runtime->server_ ? std::move(runtime) : nullptr;
+}
+
+} // namespace filbertbeam
--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -34,8 +34,9 @@
   const ServiceLevelMeter& ServiceLevel() const { return serviceLevel_; }
 
   void StopAccepting() { server_->StopAccepting(); }
-  // Nothing of a caller is in flight and no claim waits to be written.
-  bool IsIdle() const;
+  int RunningExchanges() const { return server_->RunningExchanges(); }
+  // Outcomes of claims that the store has not taken yet.
+  int PendingClaims() const { return claims_->PendingWrites(); }
 
 private:
   EntryRuntime(const DaemonSettings& aSettings,
--- /dev/null
+++ b/src/daemon/OwnerRuntime.cpp
@@ -0,0 +1,41 @@
+#include "daemon/OwnerRuntime.h"
+
+#include "daemon/RelayAuthentication.h"
+
+namespace filbertbeam {
+
+OwnerRuntime::OwnerRuntime(const DaemonSettings& aSettings,
+                           std::uint64_t aIncarnation,
+                           const Clock& aClock,
+                           EventSink& aEvents,
+                           InternalResource& aResource)
+  : client_(HttpClient::Create(HttpClientLimits{}))
+  , gate_(CreateRelayGate(aSettings, aIncarnation, aClock))
+  , service_(std::make_unique<OwnerService>(*gate_,
+                                            aResource,
+                                            *client_,
+                                            aClock,
+                                            random_,
+                                            aEvents))
+{
+}
+
+std::unique_ptr<OwnerRuntime>
+OwnerRuntime::Create(const DaemonSettings& aSettings,
+                     std::uint64_t aIncarnation,
+                     const Clock& aClock,
+                     EventSink& aEvents,
+                     InternalResource& aResource,
+                     std::string& aReason)
+{
+  std::unique_ptr<OwnerRuntime> runtime(
+    new OwnerRuntime(aSettings, aIncarnation, aClock, aEvents, aResource));
+  // Relayed heads carry the fields of the fleet besides those of the caller.
+  HttpServerLimits limits;
+  limits.headBytes *= 2;
+  runtime->server_ =
+    HttpServer::Create(aSettings.relay, limits, *runtime->service_, aReason);
+  return runtime->server_ ? std::move(runtime) : nullptr;
+}
+
+} // namespace filbertbeam
--- a/src/daemon/OwnerRuntime.h
+++ b/src/daemon/OwnerRuntime.h
@@ -29,7 +29,7 @@
 
   OwnerService& Service() { return *service_; }
 
-  bool IsIdle() const { return server_->RunningExchanges() == 0; }
+  int RunningExchanges() const { return server_->RunningExchanges(); }
 
 private:
   OwnerRuntime(const DaemonSettings& aSettings,
--- /dev/null
+++ b/src/daemon/PeerConfigurationSource.cpp
@@ -0,0 +1,105 @@
+#include "daemon/PeerConfigurationSource.h"
+
+#include "daemon/ConfigurationResource.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// Parts are at most 1 MB.
+constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+
+class Fetching final : public HttpResponseObserver
+{
+public:
+  Fetching(std::weak_ptr<int> aAlive, ConfigurationSource::Callback aCallback)
+    : alive_(std::move(aAlive))
+    , callback_(std::move(aCallback))
+  {
+  }
+
+  void OnRequestSent() override {}
+  void OnRequestWritable() override {}
+  void OnResponseHead(const HttpResponseHead& aHead) override
+  {
+    status_ = aHead.status;
+  }
+  void OnResponseBody(ByteView aBytes) override
+  {
+    // What exceeds the bound is dropped; the answer then fails verification.
+    if (text_.size() + aBytes.size() <= kMaxAnswerBytes) {
+      text_.append(aBytes.data(), aBytes.size());
+    }
+  }
+  void OnResponseEnd() override
+  {
+    constexpr int kOk = 200;
+    if (status_ != kOk) {
+      Answer({ std::nullopt, fmt::format("status {}", status_) });
+      return;
+    }
+    Answer({ std::move(text_), {} });
+  }
+  void OnExchangeFailed(const HttpFailure& aFailure) override
+  {
+    Answer({ std::nullopt, aFailure.reason });
+  }
+
+private:
+  void Answer(const ConfigurationSource::Answer& aAnswer)
+  {
+    if (!alive_.expired()) {
+      callback_(aAnswer);
+    }
+  }
+
+  std::weak_ptr<int> alive_;
+  ConfigurationSource::Callback callback_;
+  int status_ = 0;
+  std::string text_;
+};
+
+} // namespace
+
+PeerConfigurationSource::PeerConfigurationSource(const Member& aPeer,
+                                                 HttpClient& aClient,
+                                                 RelaySealer& aSealer)
+  : peer_(aPeer)
+  , client_(aClient)
+  , sealer_(aSealer)
+{
+}
+
+void
+PeerConfigurationSource::FetchHead(Callback aCallback)
+{
+  Fetch(std::string(kConfigurationHeadTarget), std::move(aCallback));
+}
+
+void
+PeerConfigurationSource::FetchPart(std::string_view aSha256, Callback aCallback)
+{
+  Fetch(std::string(kConfigurationPartPrefix) + std::string(aSha256),
+        std::move(aCallback));
+}
+
+void
+PeerConfigurationSource::Fetch(std::string aTarget, Callback aCallback)
+{
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = std::move(aTarget);
+  sealer_.Seal(head, peer_);
+  const auto exchange =
+    client_.Start(peer_.relay,
+                  head,
+                  HttpClientOptions{},
+                  std::make_shared<Fetching>(alive_, std::move(aCallback)));
+  exchange->FinishBody();
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/daemon/RelayAuthentication.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "daemon/DaemonSettings.h"
+#include "entry/RelaySealer.h"
+#include "owner/OwnerService.h"
+
+#include <memory>
+
+namespace filbertbeam {
+
+// Both ends of the authentication between hosts, with the fleet's secret.
+// aClock has to outlive the results.
+std::unique_ptr<RelaySealer>
+CreateRelaySealer(const DaemonSettings& aSettings,
+                  std::uint64_t aIncarnation,
+                  const Clock& aClock);
+std::unique_ptr<RelayGate>
+CreateRelayGate(const DaemonSettings& aSettings,
+                std::uint64_t aIncarnation,
+                const Clock& aClock);
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/daemon/SignalWatcher.cpp
@@ -0,0 +1,79 @@
+#include "daemon/SignalWatcher.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+volatile std::sig_atomic_t signalSocket = -1;
+
+// Only calls that are safe in a signal handler are allowed here.
+void
+HandleSignal(int)
+{
+  const char byte = 1;
+  [[maybe_unused]] const ssize_t written =
+    ::write(static_cast<int>(signalSocket), &byte, 1);
+}
+
+} // namespace
+
+SignalWatcher::SignalWatcher(std::array<int, 2> aSockets)
+  : sockets_(aSockets)
+  , notifier_(aSockets[1], QSocketNotifier::Read)
+{
+  QObject::connect(&notifier_, &QSocketNotifier::activated, &notifier_, [this] {
+    OnReadable();
+  });
+}
+
+std::unique_ptr<SignalWatcher>
+SignalWatcher::Create(std::string& aReason)
+{
+  std::array<int, 2> sockets{};
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, sockets.data()) !=
+      0) {
+    aReason = std::string("cannot create a socket pair: ") +
+              std::strerror(errno); // NOLINT(concurrency-mt-unsafe)
+    return nullptr;
+  }
+  std::unique_ptr<SignalWatcher> watcher(new SignalWatcher(sockets));
+  signalSocket = sockets[0];
+  std::signal(SIGTERM, HandleSignal);
+  std::signal(SIGINT, HandleSignal);
+  // A peer that goes away shows up as an error of the write.
+  std::signal(SIGPIPE, SIG_IGN);
+  return watcher;
+}
+
+SignalWatcher::~SignalWatcher()
+{
+  std::signal(SIGTERM, SIG_DFL);
+  std::signal(SIGINT, SIG_DFL);
+  notifier_.setEnabled(false);
+  ::close(sockets_[0]);
+  ::close(sockets_[1]);
+}
+
+void
+SignalWatcher::SetHandler(std::function<void()> aHandler)
+{
+  handler_ = std::move(aHandler);
+}
+
+void
+SignalWatcher::OnReadable()
+{
+  char byte = 0;
+  if (::read(sockets_[1], &byte, 1) == 1 && handler_) {
+    handler_();
+  }
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/tests/fleet/HttpCall.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "http/HttpClient.h"
+
+#include <QElapsedTimer>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertbeam::testing {
+
+// One request of a test to a process, and what became of it.
+class HttpCall final : public HttpResponseObserver
+{
+public:
+  // Starts the call; HttpClient::Create(...) has to outlive it.
+  static std::shared_ptr<HttpCall> Start(HttpClient& aClient,
+                                         const Endpoint& aServer,
+                                         HttpRequestHead aHead,
+                                         std::string_view aBody = {});
+
+  bool IsDone() const { return isComplete_ || failure_.has_value(); }
+  // The whole response arrived.
+  bool IsComplete() const { return isComplete_; }
+  // 0 when no response arrived.
+  int Status() const { return head_ ? head_->status : 0; }
+  const std::string& Body() const { return body_; }
+  // Value of a field of the response, or empty.
+  std::string Field(std::string_view aName) const;
+  // Member "outcome" of a problem report, or empty.
+  std::string Outcome() const;
+  std::string Title() const;
+  // Milliseconds from the start to the end.
+  double Milliseconds() const { return milliseconds_; }
+  std::string FailureReason() const
+  {
+    return failure_ ? failure_->reason : std::string();
+  }
+  void Cancel();
+
+  void OnRequestSent() override {}
+  void OnRequestWritable() override {}
+  void OnResponseHead(const HttpResponseHead& aHead) override;
+  void OnResponseBody(ByteView aBytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(const HttpFailure& aFailure) override;
+
+private:
+  void Stop();
+
+  std::shared_ptr<HttpClientExchange> exchange_;
+  std::optional<HttpResponseHead> head_;
+  std::optional<HttpFailure> failure_;
+  std::string body_;
+  bool isComplete_ = false;
+  QElapsedTimer timer_;
+  double milliseconds_ = 0;
+};
+
+using Calls = std::vector<std::shared_ptr<HttpCall>>;
+
+// Runs the event loop until every call is done; false after the timeout.
+bool
+WaitForAll(const Calls& aCalls, std::chrono::milliseconds aTimeout);
+
+// Runs the event loop for some time.
+void
+RunFor(std::chrono::milliseconds aTime);
+
+} // namespace filbertbeam::testing
