Standins: Add simulated backend server

Tests of the owner, the entry host and detection need a backend server that sheds, starts cold, honours deadlines and cancellation, and fails in ways that its health endpoint hides. It counts runs by X-Request-Id and Idempotency-Key, so a test can prove that a request ran at most once.

--- /dev/null
+++ b/standins/backend/GrayMode.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace filbertbeam {
+
+enum class GrayModeKind
+{
+  Healthy,
+  // Service takes `factor` times as long; half-speed is a factor of 2.
+  Slow,
+  // Requests fail with 500 at `rate`.
+  Errors,
+  // Every request of `customer` fails with 500.
+  CustomerErrors,
+  // Reads requests and never answers.
+  BlackHole,
+  // Closes after reading a request.
+  Close,
+  // Sends half of the response and closes.
+  Truncate,
+  // Alternates between healthy and failing with 500, each for `period`.
+  Flapping,
+};
+
+// A way to serve badly, switched at run time.
+struct GrayMode
+{
+  // Parses "mode=errors&rate=0.5" and the like: healthy, slow (factor),
+  // half-speed, errors (rate), customer-errors (customer), black-hole, close,
+  // truncate, flapping (period_ms). Returns nothing and fills aReason when
+  // the mode is unknown or a number is out of range.
+  static std::optional<GrayMode> Parse(std::string_view aQuery,
+                                       std::string& aReason);
+
+  GrayModeKind kind = GrayModeKind::Healthy;
+  double factor = 1;
+  double rate = 1;
+  std::string customer;
+  std::chrono::milliseconds period{ 1'000 };
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/standins/backend/RunLog.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace filbertbeam {
+
+class HttpFields;
+
+// Counts how often each request ran, so that a test can prove at-most-once
+// delivery. A request that was received whole counts as run, whatever the
+// server did with it; one that was shed does not.
+class RunLog
+{
+public:
+  void AddRun(const HttpFields& aFields);
+  void AddShed() { ++sheds_; }
+  void AddCancellation() { ++cancellations_; }
+
+  // {"runs", "sheds", "cancellations", "requests": {id: runs},
+  // "keys": {key: runs}}
+  std::string ToJson() const;
+
+private:
+  std::int64_t runs_ = 0;
+  std::int64_t sheds_ = 0;
+  std::int64_t cancellations_ = 0;
+  std::map<std::string, int> requests_;
+  std::map<std::string, int> keys_;
+};
+
+} // namespace filbertbeam
