--- /dev/null
+++ b/src/relay/ReplayWindow.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <bitset>
+#include <cstdint>
+
+namespace filbertbeam {
+
+// Remembers which of the newest numbers of one sender were seen.
+class ReplayWindow
+{
+public:
+  static constexpr std::uint64_t kSize = 4096;
+
+  // Returns false for a number that was seen or is too old to tell.
+  bool Insert(std::uint64_t aNumber);
+
+private:
+  bool isEmpty_ = true;
+  std::uint64_t highest_ = 0;
+  std::bitset<kSize> seen_;
+};
+
+} // namespace filbertbeam
