Claims: Add registry of idempotency keys in the object store

A claim is one object, created conditionally with a nonce and read back after a lost answer. An undecided claim is never taken over.

- A create that lands after its caller was refused would leave the key undecided for ever.
The background release therefore creates the object in the state released when it is absent, so that the late create conflicts.
For a late update of a released object it writes that object first.
- A write that is still open at the deadline is waited for in the background, since its answer names the version and spares a read.
- A failure before any byte was sent leaves nothing to release.

Open claims are bounded before anything is written, so that no background write is ever dropped. All background writes share one back-off of up to 30 s and one test call while the store is away.

--- a/src/claims/ClaimRegistry.h
+++ b/src/claims/ClaimRegistry.h
@@ -4,6 +4,8 @@
 #include "base/Random.h"
 #include "store/ObjectStore.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -57,6 +59,24 @@
 // Responses larger than this are not kept with their claim.
 inline constexpr std::size_t kMaxStoredResponseBytes = 16 * 1024;
 
+struct ClaimLimits
+{
+  // Claims being made, held or written in the background, together. Further
+  // ones are refused as StoreUnavailable before anything is written.
+  std::size_t openClaims = 4096;
+  // Response bytes waiting for the store. Above it, completions keep the
+  // status only.
+  std::size_t pendingResponseBytes = 4 * 1024 * 1024;
+  // Background calls to the store at one time.
+  int backgroundCalls = 8;
+  // Pauses after a failed call, doubled with every failure in a row: while a
+  // caller waits, and in the background.
+  std::chrono::milliseconds firstClaimRetry{ 20 };
+  std::chrono::milliseconds longestClaimRetry{ 500 };
+  std::chrono::milliseconds firstBackgroundRetry{ 100 };
+  std::chrono::milliseconds longestBackgroundRetry{ 30'000 };
+};
+
 // Claims of idempotency keys in the object store. Not thread-safe; uses the
 // event loop of the calling thread.
 class ClaimRegistry
@@ -71,7 +91,8 @@
                                                const Clock& aClock,
                                                Random& aRandom,
                                                std::string_view aHost,
-                                               std::uint64_t aIncarnation);
+                                               std::uint64_t aIncarnation,
+                                               const ClaimLimits& aLimits = {});
 
   // Answers no later than aDeadline.
   virtual void Claim(const ClaimRequest& aRequest,
@@ -90,7 +111,8 @@
   // The outcome is not known; the claim stays undecided for ever.
   virtual void Abandon(std::uint64_t aClaimId) = 0;
 
-  // Writes that the store has not taken yet; 0 lets a graceful stop proceed.
+  // Claims being made and writes that the store has not taken yet; 0 lets a
+  // graceful stop proceed.
   virtual int PendingWrites() const = 0;
 };
 
--- /dev/null
+++ b/src/claims/StoreClaimRegistry.cpp
@@ -0,0 +1,578 @@
+#include "claims/StoreClaimRegistry.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// A content type beyond this is not kept; the limit on the body alone would
+// not bound the object.
+constexpr std::size_t kMaxContentTypeBytes = 1024;
+
+ClaimResult
+Unavailable(std::string_view aReason)
+{
+  ClaimResult result;
+  result.decision = ClaimDecision::StoreUnavailable;
+  result.reason = aReason;
+  return result;
+}
+
+} // namespace
+
+StoreClaimRegistry::StoreClaimRegistry(ObjectStore& aStore,
+                                       const Clock& aClock,
+                                       Random& aRandom,
+                                       std::string_view aHost,
+                                       std::uint64_t aIncarnation,
+                                       const ClaimLimits& aLimits)
+  : store_(aStore)
+  , clock_(aClock)
+  , random_(aRandom)
+  , host_(aHost)
+  , incarnation_(aIncarnation)
+  , limits_(aLimits)
+  , backgroundBackoff_(aLimits.firstBackgroundRetry,
+                       aLimits.longestBackgroundRetry)
+{
+}
+
+void
+StoreClaimRegistry::Claim(const ClaimRequest& aRequest,
+                          Instant aDeadline,
+                          Callback aCallback)
+{
+  const Duration remaining = aDeadline - clock_.Now();
+  if (remaining <= Duration::zero()) {
+    RefuseAtOnce(std::move(aCallback), "the deadline has passed");
+    return;
+  }
+  // Every open claim may need a background write later. Refusing here, before
+  // anything is written, bounds them without ever dropping one.
+  if (claims_.size() >= limits_.openClaims) {
+    RefuseAtOnce(std::move(aCallback), "too many open claims");
+    return;
+  }
+  const std::uint64_t id = nextId_++;
+  OpenClaim& claim =
+    claims_
+      .emplace(id,
+               OpenClaim{
+                 .id = id,
+                 .objectKey =
+                   ClaimObjectKey(aRequest.customer, aRequest.idempotencyKey),
+                 .record = {},
+                 .callback = std::move(aCallback),
+                 .deadline = aDeadline,
+                 .deadlineTimer = {},
+                 .backoff = RetryBackoff(limits_.firstClaimRetry,
+                                         limits_.longestClaimRetry),
+                 .lastReason = "the store did not answer in time",
+                 .condition = 0,
+                 .doubtfulCondition = {},
+               })
+      .first->second;
+  claim.record.fingerprint = aRequest.fingerprint;
+  claim.record.host = host_;
+  claim.record.incarnation = incarnation_;
+  claim.record.nonce =
+    fmt::format("{:016x}{:016x}", random_.Next(), random_.Next());
+  claim.record.time = clock_.WallNow();
+  StartDeadline(claim, remaining);
+  TryClaim(claim);
+}
+
+void
+StoreClaimRegistry::Complete(std::uint64_t aClaimId,
+                             int aStatus,
+                             std::optional<StoredResponse> aResponse)
+{
+  OpenClaim* const claim = FindHeld(aClaimId, "complete");
+  if (claim == nullptr) {
+    return;
+  }
+  claim->record.status = aStatus;
+  if (aResponse && aResponse->body.size() <= kMaxStoredResponseBytes &&
+      aResponse->contentType.size() <= kMaxContentTypeBytes &&
+      pendingResponseBytes_ + aResponse->body.size() <=
+        limits_.pendingResponseBytes) {
+    pendingResponseBytes_ += aResponse->body.size();
+    claim->record.response = std::move(aResponse);
+  }
+  Settle(*claim, ClaimState::Ran);
+}
+
+void
+StoreClaimRegistry::Release(std::uint64_t aClaimId)
+{
+  OpenClaim* const claim = FindHeld(aClaimId, "release");
+  if (claim != nullptr) {
+    Settle(*claim, ClaimState::Released);
+  }
+}
+
+void
+StoreClaimRegistry::Abandon(std::uint64_t aClaimId)
+{
+  if (FindHeld(aClaimId, "abandon") != nullptr) {
+    --held_;
+    claims_.erase(aClaimId);
+  }
+}
+
+int
+StoreClaimRegistry::PendingWrites() const
+{
+  return static_cast<int>(claims_.size()) - held_;
+}
+
+StoreClaimRegistry::OpenClaim*
+StoreClaimRegistry::Find(std::uint64_t aClaimId)
+{
+  const auto found = claims_.find(aClaimId);
+  return found == claims_.end() ? nullptr : &found->second;
+}
+
+StoreClaimRegistry::OpenClaim*
+StoreClaimRegistry::FindHeld(std::uint64_t aClaimId, std::string_view aAction)
+{
+  OpenClaim* const claim = Find(aClaimId);
+  if (claim == nullptr || claim->phase != Phase::Held) {
+    // A second decision about a claim must not overwrite the first one.
+    LogEvent(LogLevel::Error,
+             "claim_not_held",
+             { { "claim_id", aClaimId }, { "action", aAction } });
+    return nullptr;
+  }
+  return claim;
+}
+
+void
+StoreClaimRegistry::RefuseAtOnce(Callback aCallback, std::string_view aReason)
+{
+  Schedule(std::chrono::milliseconds(0),
+           [result = Unavailable(aReason), callback = std::move(aCallback)] {
+             callback(result);
+           });
+}
+
+void
+StoreClaimRegistry::Write(OpenClaim& aClaim, WriteHandler aHandler)
+{
+  aClaim.isWriteOpen = true;
+  auto callback = [this,
+                   alive = std::weak_ptr(alive_),
+                   id = aClaim.id,
+                   call = ++aClaim.call,
+                   aHandler](const StoreResult<std::uint64_t>& aResult) {
+    if (alive.expired()) {
+      return;
+    }
+    OpenClaim* const claim = Find(id);
+    if (claim == nullptr || claim->call != call) {
+      return;
+    }
+    claim->isWriteOpen = false;
+    // A write that outlives its caller's deadline is answered elsewhere.
+    if (claim->phase == Phase::Expired) {
+      OnExpiredWritten(*claim, aResult);
+      return;
+    }
+    (this->*aHandler)(*claim, aResult);
+  };
+  const std::string value = aClaim.record.Encode();
+  if (*aClaim.condition == 0) {
+    store_.Create(aClaim.objectKey, value, std::move(callback));
+  } else {
+    store_.Update(
+      aClaim.objectKey, value, *aClaim.condition, std::move(callback));
+  }
+}
+
+void
+StoreClaimRegistry::Read(OpenClaim& aClaim, ReadHandler aHandler)
+{
+  store_.Get(aClaim.objectKey,
+             [this,
+              alive = std::weak_ptr(alive_),
+              id = aClaim.id,
+              call = ++aClaim.call,
+              aHandler](const StoreResult<StoredObject>& aResult) {
+               if (alive.expired()) {
+                 return;
+               }
+               OpenClaim* const claim = Find(id);
+               if (claim != nullptr && claim->call == call) {
+                 (this->*aHandler)(*claim, aResult);
+               }
+             });
+}
+
+void
+StoreClaimRegistry::Schedule(std::chrono::milliseconds aDelay,
+                             std::function<void()> aAction)
+{
+  QTimer::singleShot(aDelay, Qt::PreciseTimer, &context_, std::move(aAction));
+}
+
+void
+StoreClaimRegistry::StartDeadline(OpenClaim& aClaim, Duration aRemaining)
+{
+  aClaim.deadlineTimer.reset(new QTimer(&context_));
+  QTimer& timer = *aClaim.deadlineTimer;
+  timer.setSingleShot(true);
+  timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&timer, &QTimer::timeout, &context_, [this, id = aClaim.id] {
+    OpenClaim* const claim = Find(id);
+    if (claim != nullptr && claim->phase == Phase::Claiming) {
+      Finish(*claim, Unavailable(claim->lastReason));
+    }
+  });
+  // Rounded down, since the answer is due no later than the deadline.
+  timer.start(std::chrono::floor<std::chrono::milliseconds>(aRemaining));
+}
+
+void
+StoreClaimRegistry::TryClaim(OpenClaim& aClaim)
+{
+  if (aClaim.condition) {
+    Write(aClaim, &StoreClaimRegistry::OnClaimWritten);
+  } else {
+    Read(aClaim, &StoreClaimRegistry::OnClaimRead);
+  }
+}
+
+void
+StoreClaimRegistry::OnClaimWritten(OpenClaim& aClaim,
+                                   const StoreResult<std::uint64_t>& aResult)
+{
+  switch (aResult.error) {
+    case StoreError::None:
+      Grant(aClaim, *aResult.value);
+      return;
+    case StoreError::Conflict:
+    case StoreError::NotFound:
+      // Either another attempt was first, or an earlier write of this one took
+      // effect although its answer was lost: the object tells.
+      aClaim.condition.reset();
+      TryClaim(aClaim);
+      return;
+    case StoreError::Invalid:
+      Finish(aClaim, Unavailable(aResult.reason));
+      return;
+    case StoreError::Unavailable:
+      break;
+  }
+  if (!aResult.isUnsent) {
+    aClaim.doubtfulCondition = aClaim.condition;
+    aClaim.condition.reset();
+  }
+  RetryClaim(aClaim, aResult.reason);
+}
+
+void
+StoreClaimRegistry::OnClaimRead(OpenClaim& aClaim,
+                                const StoreResult<StoredObject>& aResult)
+{
+  switch (aResult.error) {
+    case StoreError::None:
+      break;
+    case StoreError::NotFound:
+      // Created again with the same nonce: whichever of the two writes takes
+      // effect, the object names this attempt.
+      aClaim.condition = 0;
+      TryClaim(aClaim);
+      return;
+    case StoreError::Invalid:
+      Finish(aClaim, Unavailable(aResult.reason));
+      return;
+    case StoreError::Conflict:
+    case StoreError::Unavailable:
+      RetryClaim(aClaim, aResult.reason);
+      return;
+  }
+  const StoredObject& object = *aResult.value;
+  const auto record = ClaimRecord::Decode(object.value);
+  if (record && record->IsSameAttempt(aClaim.record)) {
+    Grant(aClaim, object.version);
+    return;
+  }
+  // From here on the object is another attempt's and has a newer version than
+  // any doubtful write of this attempt expects, or is released at just that
+  // version and claimed again below.
+  const auto refusal = EvaluateExistingClaim(record, aClaim.record.fingerprint);
+  if (refusal) {
+    Finish(aClaim, *refusal);
+    return;
+  }
+  aClaim.condition = object.version;
+  TryClaim(aClaim);
+}
+
+void
+StoreClaimRegistry::RetryClaim(OpenClaim& aClaim, const std::string& aReason)
+{
+  aClaim.lastReason = aReason;
+  Schedule(aClaim.backoff.Next(random_),
+           [this, id = aClaim.id, call = aClaim.call] {
+             OpenClaim* const claim = Find(id);
+             if (claim != nullptr && claim->phase == Phase::Claiming &&
+                 claim->call == call) {
+               TryClaim(*claim);
+             }
+           });
+}
+
+void
+StoreClaimRegistry::Grant(OpenClaim& aClaim, std::uint64_t aVersion)
+{
+  aClaim.doubtfulCondition.reset();
+  aClaim.condition = aVersion;
+  const Callback callback = std::exchange(aClaim.callback, {});
+  if (clock_.Now() >= aClaim.deadline) {
+    // The process was paused or the timer is late; the request must not be
+    // sent any more.
+    Settle(aClaim, ClaimState::Released);
+    callback(Unavailable("the claim was granted after the deadline"));
+    return;
+  }
+  aClaim.phase = Phase::Held;
+  aClaim.deadlineTimer.reset();
+  ++held_;
+  ClaimResult result;
+  result.decision = ClaimDecision::Granted;
+  result.claimId = aClaim.id;
+  callback(result);
+}
+
+void
+StoreClaimRegistry::Finish(OpenClaim& aClaim, const ClaimResult& aResult)
+{
+  const Callback callback = std::exchange(aClaim.callback, {});
+  // Any other decision was read from an object that no earlier write of this
+  // attempt can change any more.
+  const bool mayHaveWritten =
+    aResult.decision == ClaimDecision::StoreUnavailable;
+  if (mayHaveWritten && aClaim.isWriteOpen) {
+    aClaim.phase = Phase::Expired;
+  } else if (mayHaveWritten && aClaim.doubtfulCondition) {
+    Settle(aClaim, ClaimState::Released);
+  } else {
+    claims_.erase(aClaim.id);
+  }
+  callback(aResult);
+}
+
+void
+StoreClaimRegistry::OnExpiredWritten(OpenClaim& aClaim,
+                                     const StoreResult<std::uint64_t>& aResult)
+{
+  switch (aResult.error) {
+    case StoreError::None:
+      aClaim.doubtfulCondition.reset();
+      aClaim.condition = aResult.value;
+      break;
+    case StoreError::Unavailable:
+      if (!aResult.isUnsent) {
+        aClaim.doubtfulCondition = aClaim.condition;
+      }
+      aClaim.condition.reset();
+      break;
+    case StoreError::NotFound:
+    case StoreError::Conflict:
+    case StoreError::Invalid:
+      // This write has no effect, but an earlier one may still have.
+      aClaim.condition.reset();
+      break;
+  }
+  if (aClaim.condition || aClaim.doubtfulCondition) {
+    Settle(aClaim, ClaimState::Released);
+  } else {
+    claims_.erase(aClaim.id);
+  }
+}
+
+void
+StoreClaimRegistry::Settle(OpenClaim& aClaim, ClaimState aState)
+{
+  if (aClaim.phase == Phase::Held) {
+    --held_;
+  }
+  aClaim.phase = Phase::Settling;
+  aClaim.record.state = aState;
+  aClaim.record.time = clock_.WallNow();
+  // A read of the foreground may be open; its answer no longer counts.
+  ++aClaim.call;
+  background_.push_back(aClaim.id);
+  RunBackground();
+}
+
+void
+StoreClaimRegistry::RunBackground()
+{
+  const int calls = isStoreFailing_ ? 1 : limits_.backgroundCalls;
+  while (!isBackgroundPaused_ && !background_.empty() &&
+         backgroundCalls_ < calls) {
+    OpenClaim& claim = claims_.at(background_.front());
+    background_.pop_front();
+    ++backgroundCalls_;
+    SettleNext(claim);
+  }
+}
+
+void
+StoreClaimRegistry::SettleNext(OpenClaim& aClaim)
+{
+  if (aClaim.condition) {
+    Write(aClaim, &StoreClaimRegistry::OnSettleWritten);
+  } else {
+    Read(aClaim, &StoreClaimRegistry::OnSettleRead);
+  }
+}
+
+void
+StoreClaimRegistry::OnSettleWritten(OpenClaim& aClaim,
+                                    const StoreResult<std::uint64_t>& aResult)
+{
+  switch (aResult.error) {
+    case StoreError::None:
+      OnBackgroundAnswer();
+      EndSettling(aClaim);
+      return;
+    case StoreError::Conflict:
+    case StoreError::NotFound:
+      // Most often this very write took effect before and its answer was lost.
+      OnBackgroundAnswer();
+      aClaim.condition.reset();
+      SettleNext(aClaim);
+      return;
+    case StoreError::Unavailable:
+      // Written again under the same condition: if the lost write took effect,
+      // the second one conflicts.
+      OnBackgroundFailure(aClaim, aResult.reason);
+      return;
+    case StoreError::Invalid:
+      break;
+  }
+  OnBackgroundAnswer();
+  if (aClaim.record.response) {
+    DropResponse(aClaim);
+    SettleNext(aClaim);
+    return;
+  }
+  LogEvent(LogLevel::Error,
+           "claim_write_refused",
+           { { "object", aClaim.objectKey }, { "reason", aResult.reason } });
+  EndSettling(aClaim);
+}
+
+void
+StoreClaimRegistry::OnSettleRead(OpenClaim& aClaim,
+                                 const StoreResult<StoredObject>& aResult)
+{
+  switch (aResult.error) {
+    case StoreError::None:
+      break;
+    case StoreError::NotFound:
+      // A claim write that is still on its way would create the object later
+      // and leave it undecided for ever. Creating it first prevents that.
+      OnBackgroundAnswer();
+      aClaim.condition = 0;
+      SettleNext(aClaim);
+      return;
+    case StoreError::Conflict:
+    case StoreError::Unavailable:
+      OnBackgroundFailure(aClaim, aResult.reason);
+      return;
+    case StoreError::Invalid:
+      LogEvent(
+        LogLevel::Error,
+        "claim_read_refused",
+        { { "object", aClaim.objectKey }, { "reason", aResult.reason } });
+      EndSettling(aClaim);
+      return;
+  }
+  OnBackgroundAnswer();
+  const StoredObject& object = *aResult.value;
+  const auto record = ClaimRecord::Decode(object.value);
+  if (record && record->IsSameAttempt(aClaim.record)) {
+    if (record->state == ClaimState::Undecided) {
+      aClaim.condition = object.version;
+      SettleNext(aClaim);
+    } else {
+      EndSettling(aClaim);
+    }
+    return;
+  }
+  if (aClaim.doubtfulCondition == object.version) {
+    // The claim write would still take effect over this released object.
+    // Writing the released state first prevents that.
+    aClaim.condition = object.version;
+    SettleNext(aClaim);
+    return;
+  }
+  if (aClaim.record.state == ClaimState::Ran) {
+    // Nobody takes over an undecided claim, so another program changed it.
+    LogEvent(
+      LogLevel::Error, "claim_overwritten", { { "object", aClaim.objectKey } });
+  }
+  EndSettling(aClaim);
+}
+
+void
+StoreClaimRegistry::OnBackgroundFailure(OpenClaim& aClaim,
+                                        const std::string& aReason)
+{
+  --backgroundCalls_;
+  background_.push_back(aClaim.id);
+  if (!isStoreFailing_) {
+    isStoreFailing_ = true;
+    LogEvent(LogLevel::Warning,
+             "claim_writes_delayed",
+             { { "pending", PendingWrites() }, { "reason", aReason } });
+  }
+  if (isBackgroundPaused_) {
+    return;
+  }
+  isBackgroundPaused_ = true;
+  Schedule(backgroundBackoff_.Next(random_), [this] {
+    isBackgroundPaused_ = false;
+    RunBackground();
+  });
+}
+
+void
+StoreClaimRegistry::OnBackgroundAnswer()
+{
+  backgroundBackoff_.Reset();
+  if (isStoreFailing_) {
+    isStoreFailing_ = false;
+    LogEvent(LogLevel::Info,
+             "claim_writes_resumed",
+             { { "pending", PendingWrites() } });
+  }
+}
+
+void
+StoreClaimRegistry::EndSettling(OpenClaim& aClaim)
+{
+  --backgroundCalls_;
+  DropResponse(aClaim);
+  claims_.erase(aClaim.id);
+  RunBackground();
+}
+
+void
+StoreClaimRegistry::DropResponse(OpenClaim& aClaim)
+{
+  if (aClaim.record.response) {
+    pendingResponseBytes_ -= aClaim.record.response->body.size();
+    aClaim.record.response.reset();
+  }
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/claims/StoreClaimRegistry.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "claims/ClaimRecord.h"
+#include "claims/ClaimRegistry.h"
+#include "claims/RetryBackoff.h"
+
+#include <QObject>
+#include <QTimer>
+
+#include <deque>
+#include <unordered_map>
+
+namespace filbertbeam {
+
+// One object per claim, written conditionally: two writes per request.
+class StoreClaimRegistry final : public ClaimRegistry
+{
+public:
+  StoreClaimRegistry(ObjectStore& aStore,
+                     const Clock& aClock,
+                     Random& aRandom,
+                     std::string_view aHost,
+                     std::uint64_t aIncarnation,
+                     const ClaimLimits& aLimits);
+
+  void Claim(const ClaimRequest& aRequest,
+             Instant aDeadline,
+             Callback aCallback) override;
+  void Complete(std::uint64_t aClaimId,
+                int aStatus,
+                std::optional<StoredResponse> aResponse) override;
+  void Release(std::uint64_t aClaimId) override;
+  void Abandon(std::uint64_t aClaimId) override;
+  int PendingWrites() const override;
+
+private:
+  enum class Phase
+  {
+    // The caller waits for the decision.
+    Claiming,
+    // Granted; the request is running.
+    Held,
+    // The deadline passed during a write; its answer is awaited.
+    Expired,
+    // The decided state is being written in the background.
+    Settling,
+  };
+
+  // A timer must not be deleted by the function that it calls.
+  struct DeleteLater
+  {
+    void operator()(QTimer* aTimer) const { aTimer->deleteLater(); }
+  };
+
+  struct OpenClaim
+  {
+    std::uint64_t id = 0;
+    std::string objectKey;
+    // What this attempt wrote or has to write.
+    ClaimRecord record;
+    Phase phase = Phase::Claiming;
+    Callback callback;
+    Instant deadline;
+    // Runs while the caller waits.
+    std::unique_ptr<QTimer, DeleteLater> deadlineTimer;
+    RetryBackoff backoff;
+    std::string lastReason;
+    // Numbers the calls to the store; the answer to any but the last one is
+    // ignored.
+    std::uint64_t call = 0;
+    bool isWriteOpen = false;
+    // Version the object must have for the next or the open write; 0 for an
+    // object that must not exist. Null when it has to be read first.
+    std::optional<std::uint64_t> condition;
+    // Condition of a claim write that may still take effect.
+    std::optional<std::uint64_t> doubtfulCondition;
+  };
+
+  using WriteHandler =
+    void (StoreClaimRegistry::*)(OpenClaim&, const StoreResult<std::uint64_t>&);
+  using ReadHandler =
+    void (StoreClaimRegistry::*)(OpenClaim&, const StoreResult<StoredObject>&);
+
+  OpenClaim* Find(std::uint64_t aClaimId);
+  OpenClaim* FindHeld(std::uint64_t aClaimId, std::string_view aAction);
+  void RefuseAtOnce(Callback aCallback, std::string_view aReason);
+
+  void Write(OpenClaim& aClaim, WriteHandler aHandler);
+  void Read(OpenClaim& aClaim, ReadHandler aHandler);
+  void Schedule(std::chrono::milliseconds aDelay,
+                std::function<void()> aAction);
+
+  void StartDeadline(OpenClaim& aClaim, Duration aRemaining);
+  void TryClaim(OpenClaim& aClaim);
+  void OnClaimWritten(OpenClaim& aClaim,
+                      const StoreResult<std::uint64_t>& aResult);
+  void OnClaimRead(OpenClaim& aClaim, const StoreResult<StoredObject>& aResult);
+  void RetryClaim(OpenClaim& aClaim, const std::string& aReason);
+  void Grant(OpenClaim& aClaim, std::uint64_t aVersion);
+  // Answers the caller without a grant and cleans up what was written.
+  void Finish(OpenClaim& aClaim, const ClaimResult& aResult);
+  void OnExpiredWritten(OpenClaim& aClaim,
+                        const StoreResult<std::uint64_t>& aResult);
+
+  void Settle(OpenClaim& aClaim, ClaimState aState);
+  void RunBackground();
+  void SettleNext(OpenClaim& aClaim);
+  void OnSettleWritten(OpenClaim& aClaim,
+                       const StoreResult<std::uint64_t>& aResult);
+  void OnSettleRead(OpenClaim& aClaim,
+                    const StoreResult<StoredObject>& aResult);
+  void OnBackgroundFailure(OpenClaim& aClaim, const std::string& aReason);
+  void OnBackgroundAnswer();
+  void EndSettling(OpenClaim& aClaim);
+  void DropResponse(OpenClaim& aClaim);
+
+  ObjectStore& store_;
+  const Clock& clock_;
+  Random& random_;
+  std::string host_;
+  std::uint64_t incarnation_;
+  ClaimLimits limits_;
+
+  // Parent of the timers, so declared before the claims.
+  QObject context_;
+  std::unordered_map<std::uint64_t, OpenClaim> claims_;
+  std::uint64_t nextId_ = 1;
+  int held_ = 0;
+  std::size_t pendingResponseBytes_ = 0;
+
+  // Claims to settle that have no call open.
+  std::deque<std::uint64_t> background_;
+  int backgroundCalls_ = 0;
+  // Shared by all background work: while the store is away, one call at a
+  // time tests it.
+  RetryBackoff backgroundBackoff_;
+  bool isStoreFailing_ = false;
+  bool isBackgroundPaused_ = false;
+
+  // Guards the callbacks of calls that outlive the registry.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace filbertbeam
