--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -163,8 +163,8 @@
   client_ = HttpClient::Create(HttpClientLimits{});
   store_ = HttpObjectStore::Create(
     settings_.platform, PlatformClientLimits{}, aReason);
-  hostList_ = HttpHostList::Create(
-    settings_.platform, PlatformClientLimits{}, aReason);
+  hostList_ =
+    HttpHostList::Create(settings_.platform, PlatformClientLimits{}, aReason);
   if (!store_ || !hostList_) {
     return false;
   }
@@ -187,7 +187,7 @@
   }
   entryThread_.Run([&] {
     entry_ = EntryRuntime::Create(
-      settings_, incarnation_, clock_, journal_, metrics_, aReason);
+      settings_, incarnation_, clock_, journal_, metrics_, *sealer_, aReason);
   });
   if (!entry_) {
     return false;
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -71,6 +71,24 @@
   }
 }
 
+// Names are part of signatures and of keys of shards, which use other
+// characters as separators.
+void
+CheckName(Findings& aFindings, const char* aFlag, const std::string& aValue)
+{
+  const bool isValid = std::ranges::all_of(aValue, [](unsigned char aLetter) {
+    return std::isalnum(aLetter) || aLetter == '-' || aLetter == '.' ||
+           aLetter == '_';
+  });
+  if (!isValid) {
+    aFindings.Add({ std::string("--") + aFlag,
+                    0,
+                    "",
+                    "has a character other than letters, digits, '-', '.' "
+                    "and '_'" });
+  }
+}
+
 Endpoint
 ReadEndpoint(Findings& aFindings, const char* aFlag, const std::string& aText)
 {
@@ -196,6 +214,9 @@
   Require(aFindings, "host", FLAGS_host);
   Require(aFindings, "region", FLAGS_region);
   Require(aFindings, "domain", FLAGS_domain);
+  CheckName(aFindings, "host", FLAGS_host);
+  CheckName(aFindings, "region", FLAGS_region);
+  CheckName(aFindings, "domain", FLAGS_domain);
   settings.caller =
     ReadEndpoint(aFindings, "caller_address", FLAGS_caller_address);
   settings.relay =
--- a/src/daemon/EntryRuntime.cpp
+++ b/src/daemon/EntryRuntime.cpp
@@ -1,6 +1,5 @@
 #include "daemon/EntryRuntime.h"
 
-#include "daemon/RelayAuthentication.h"
 #include "store/HttpObjectStore.h"
 
 #include <utility>
@@ -12,6 +11,7 @@
                            const Clock& aClock,
                            EventSink& aEvents,
                            EntryMetrics& aMetrics,
+                           RelaySealer& aSealer,
                            std::unique_ptr<ObjectStore> aStore)
   : client_(HttpClient::Create(HttpClientLimits{}))
   , store_(std::move(aStore))
@@ -22,13 +22,12 @@
                                   aIncarnation))
   , limiter_(CustomerLimiter::Create())
   , retryBudget_(RetryBudget::Create())
-  , sealer_(CreateRelaySealer(aSettings, aIncarnation, aClock))
   , selector_(aClock, random_)
   , service_(std::make_unique<EntryService>(EntryContext{ *client_,
                                                           *claims_,
                                                           *limiter_,
                                                           *retryBudget_,
-                                                          *sealer_,
+                                                          aSealer,
                                                           serviceLevel_,
                                                           selector_,
                                                           aMetrics,
@@ -44,6 +43,7 @@
                      const Clock& aClock,
                      EventSink& aEvents,
                      EntryMetrics& aMetrics,
+                     RelaySealer& aSealer,
                      std::string& aReason)
 {
   std::unique_ptr<ObjectStore> store = HttpObjectStore::Create(
@@ -56,6 +56,7 @@
                                                          aClock,
                                                          aEvents,
                                                          aMetrics,
+                                                         aSealer,
                                                          std::move(store)));
   runtime->server_ = HttpServer::Create(
     aSettings.caller, HttpServerLimits{}, *runtime->service_, aReason);
--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -27,6 +27,7 @@
                                               const Clock& aClock,
                                               EventSink& aEvents,
                                               EntryMetrics& aMetrics,
+                                              RelaySealer& aSealer,
                                               std::string& aReason);
 
   EntryService& Service() { return *service_; }
@@ -44,6 +45,7 @@
                const Clock& aClock,
                EventSink& aEvents,
                EntryMetrics& aMetrics,
+               RelaySealer& aSealer,
                std::unique_ptr<ObjectStore> aStore);
 
   SeededRandom random_;
@@ -52,7 +54,6 @@
   std::unique_ptr<ClaimRegistry> claims_;
   std::unique_ptr<CustomerLimiter> limiter_;
   std::unique_ptr<RetryBudget> retryBudget_;
-  std::unique_ptr<RelaySealer> sealer_;
   ServiceLevelMeter serviceLevel_;
   ShardSelector selector_;
   std::unique_ptr<EntryService> service_;
--- a/src/daemon/RelayAuthentication.h
+++ b/src/daemon/RelayAuthentication.h
@@ -10,7 +10,8 @@
 namespace filbertbeam {
 
 // Both ends of the authentication between hosts, with the fleet's secret.
-// aClock has to outlive the results.
+// aClock has to outlive the results. A process uses one sealer, from any of
+// its threads, since a second one would repeat request numbers.
 std::unique_ptr<RelaySealer>
 CreateRelaySealer(const DaemonSettings& aSettings,
                   std::uint64_t aIncarnation,
--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -38,6 +38,10 @@
 // store does not hold callers for their whole deadline.
 constexpr milliseconds kClaimTimeout{ 2'000 };
 
+// The owner refused the signature, most likely since it was restarted and its
+// new incarnation is not known here yet.
+constexpr std::string_view kNotAuthentic = "not-authentic";
+
 constexpr std::string_view kBearerPrefix = "Bearer ";
 
 std::string
@@ -88,7 +92,8 @@
 ConcernsOwner(std::string_view aReason)
 {
   return aReason == "moved" || aReason == "unknown-shard" ||
-         aReason == "owner-unreachable" || aReason == "no-owner";
+         aReason == "owner-unreachable" || aReason == "no-owner" ||
+         aReason == kNotAuthentic;
 }
 
 std::string_view
@@ -453,9 +458,10 @@
   const std::optional<Outcome> outcome =
     outcomeField ? ParseOutcome(*outcomeField) : std::nullopt;
   if (const auto refusal = aHead.fields.Find(kRefusalField)) {
-    OnRejected({ aHead.status,
-                 std::string(*refusal),
-                 outcome.value_or(Outcome::Unknown) });
+    // What is wrong between hosts is no fault of the caller.
+    const int status = refusal == kNotAuthentic ? 503 : aHead.status;
+    OnRejected(
+      { status, std::string(*refusal), outcome.value_or(Outcome::Unknown) });
     return;
   }
   if (IsRetryableStatus(aHead.status) &&
