--- /dev/null
+++ b/src/daemon/RelayAuthentication.cpp
@@ -0,0 +1,70 @@
+#include "daemon/RelayAuthentication.h"
+
+#include "relay/RelaySigner.h"
+#include "relay/RelayVerifier.h"
+
+namespace filbertbeam {
+
+namespace {
+
+class SigningSealer final : public RelaySealer
+{
+public:
+  SigningSealer(const DaemonSettings& aSettings,
+                std::uint64_t aIncarnation,
+                const Clock& aClock)
+    : signer_(aSettings.fleetSecret, { aSettings.host, aIncarnation }, aClock)
+  {
+  }
+
+  void Seal(HttpRequestHead& aHead, const Member& aOwner) override
+  {
+    signer_.Sign(aHead, { aOwner.host, aOwner.incarnation });
+  }
+
+private:
+  RelaySigner signer_;
+};
+
+class VerifyingGate final : public RelayGate
+{
+public:
+  VerifyingGate(const DaemonSettings& aSettings,
+                std::uint64_t aIncarnation,
+                const Clock& aClock)
+    : verifier_(aSettings.fleetSecret, { aSettings.host, aIncarnation }, aClock)
+  {
+  }
+
+  bool Admit(const HttpRequestHead& aHead, std::string& aReason) override
+  {
+    if (verifier_.Verify(aHead)) {
+      return true;
+    }
+    aReason = verifier_.LastReason();
+    return false;
+  }
+
+private:
+  RelayVerifier verifier_;
+};
+
+} // namespace
+
+std::unique_ptr<RelaySealer>
+CreateRelaySealer(const DaemonSettings& aSettings,
+                  std::uint64_t aIncarnation,
+                  const Clock& aClock)
+{
+  return std::make_unique<SigningSealer>(aSettings, aIncarnation, aClock);
+}
+
+std::unique_ptr<RelayGate>
+CreateRelayGate(const DaemonSettings& aSettings,
+                std::uint64_t aIncarnation,
+                const Clock& aClock)
+{
+  return std::make_unique<VerifyingGate>(aSettings, aIncarnation, aClock);
+}
+
+} // namespace filbertbeam
--- a/tests/fleet/HttpCall.cpp
+++ b/tests/fleet/HttpCall.cpp
@@ -14,7 +14,8 @@
 HttpCall::Start(HttpClient& aClient,
                 const Endpoint& aServer,
                 HttpRequestHead aHead,
-                std::string_view aBody)
+                std::string_view aBody,
+                bool aIsConnectionReused)
 {
   auto call = std::make_shared<HttpCall>();
   if (!aBody.empty()) {
@@ -22,7 +23,7 @@
     aHead.contentLength = aBody.size();
   }
   HttpClientOptions options;
-  options.freshConnection = true;
+  options.freshConnection = !aIsConnectionReused;
   call->timer_.start();
   call->exchange_ = aClient.Start(aServer, aHead, options, call);
   if (!aBody.empty()) {
--- a/tests/fleet/HttpCall.h
+++ b/tests/fleet/HttpCall.h
@@ -17,11 +17,13 @@
 class HttpCall final : public HttpResponseObserver
 {
 public:
-  // Starts the call; HttpClient::Create(...) has to outlive it.
+  // Starts the call on a new connection, or on an idle one when there is one.
+  // aClient has to outlive the call.
   static std::shared_ptr<HttpCall> Start(HttpClient& aClient,
                                          const Endpoint& aServer,
                                          HttpRequestHead aHead,
-                                         std::string_view aBody = {});
+                                         std::string_view aBody = {},
+                                         bool aIsConnectionReused = false);
 
   bool IsDone() const { return isComplete_ || failure_.has_value(); }
   // The whole response arrived.
