--- /dev/null
+++ b/src/configuration/ConfigurationFetch.cpp
@@ -0,0 +1,163 @@
+#include "configuration/ConfigurationFetch.h"
+
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// Hides the round trip between domains without flooding a busy peer.
+constexpr int kMaxOpenRequests = 8;
+
+} // namespace
+
+std::shared_ptr<ConfigurationFetch>
+ConfigurationFetch::Create(const Clock& aClock,
+                           std::shared_ptr<ConfigurationSource> aSource,
+                           std::uint64_t aAboveRevision,
+                           std::shared_ptr<Parts> aParts)
+{
+  return std::shared_ptr<ConfigurationFetch>(new ConfigurationFetch(
+    aClock, std::move(aSource), aAboveRevision, std::move(aParts)));
+}
+
+ConfigurationFetch::ConfigurationFetch(
+  const Clock& aClock,
+  std::shared_ptr<ConfigurationSource> aSource,
+  std::uint64_t aAboveRevision,
+  std::shared_ptr<Parts> aParts)
+  : clock_(aClock)
+  , source_(std::move(aSource))
+  , aboveRevision_(aAboveRevision)
+  , parts_(std::move(aParts))
+  , startedAt_(aClock.Now())
+  , lastProgressAt_(startedAt_)
+{
+}
+
+void
+ConfigurationFetch::Start(std::optional<std::string> aHeadText,
+                          Callback aCallback)
+{
+  callback_ = std::move(aCallback);
+  if (aHeadText) {
+    OnHead(*aHeadText);
+    return;
+  }
+  source_->FetchHead(
+    [weak = weak_from_this()](const ConfigurationSource::Answer& aAnswer) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      self->lastProgressAt_ = self->clock_.Now();
+      if (aAnswer.text) {
+        self->OnHead(*aAnswer.text);
+      } else {
+        self->Fail(aAnswer.reason);
+      }
+    });
+}
+
+void
+ConfigurationFetch::OnHead(const std::string& aText)
+{
+  std::string reason;
+  std::optional<ConfigurationHead> head =
+    ConfigurationHead::Parse(aText, reason);
+  if (!head) {
+    Fail(std::move(reason));
+    return;
+  }
+  if (head->Revision() <= aboveRevision_) {
+    Fail("has no greater revision", true);
+    return;
+  }
+  head_ = std::move(*head);
+  headText_ = aText;
+  RequestParts();
+}
+
+void
+ConfigurationFetch::RequestParts()
+{
+  // A source may answer during the call; the loop then goes on here instead
+  // of nesting one call per part.
+  if (isRequesting_) {
+    return;
+  }
+  isRequesting_ = true;
+  while (callback_ && nextPart_ < head_.parts.size() &&
+         openRequests_ < kMaxOpenRequests) {
+    const ConfigurationPartReference& reference = head_.parts[nextPart_++];
+    if (parts_->contains(reference.sha256)) {
+      continue;
+    }
+    ++openRequests_;
+    source_->FetchPart(reference.sha256,
+                       [weak = weak_from_this(),
+                        reference](const ConfigurationSource::Answer& aAnswer) {
+                         if (const auto self = weak.lock()) {
+                           self->OnPart(reference, aAnswer);
+                         }
+                       });
+  }
+  isRequesting_ = false;
+  if (!callback_ || openRequests_ > 0) {
+    return;
+  }
+  Result result;
+  result.content = ConfigurationParts::Join(
+    head_,
+    [this](std::string_view aSha256) -> std::shared_ptr<const std::string> {
+      const auto found = parts_->find(aSha256);
+      return found == parts_->end() ? nullptr : found->second;
+    },
+    result.reason);
+  result.head = std::move(head_);
+  result.headText = std::move(headText_);
+  Finish(std::move(result));
+}
+
+void
+ConfigurationFetch::OnPart(const ConfigurationPartReference& aReference,
+                           const ConfigurationSource::Answer& aAnswer)
+{
+  if (!callback_) {
+    return;
+  }
+  --openRequests_;
+  lastProgressAt_ = clock_.Now();
+  if (!aAnswer.text) {
+    Fail(aAnswer.reason);
+    return;
+  }
+  std::string reason;
+  if (!ConfigurationParts::Verify(aReference, *aAnswer.text, reason)) {
+    Fail(std::move(reason));
+    return;
+  }
+  parts_->emplace(aReference.sha256,
+                  std::make_shared<const std::string>(*aAnswer.text));
+  ++fetchedParts_;
+  RequestParts();
+}
+
+void
+ConfigurationFetch::Finish(Result aResult)
+{
+  if (const Callback callback = std::exchange(callback_, nullptr)) {
+    callback(std::move(aResult));
+  }
+}
+
+void
+ConfigurationFetch::Fail(std::string aReason, bool aIsStale)
+{
+  Result result;
+  result.reason = std::move(aReason);
+  result.isStale = aIsStale;
+  Finish(std::move(result));
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/configuration/ConfigurationFetch.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "configuration/Configuration.h"
+#include "configuration/ConfigurationHead.h"
+#include "configuration/ConfigurationParts.h"
+#include "configuration/ConfigurationSource.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertbeam {
+
+// One attempt to fetch a whole configuration from one source. Verified parts
+// outlive a failed attempt, so that the next one continues where it stopped.
+class ConfigurationFetch
+  : public std::enable_shared_from_this<ConfigurationFetch>
+{
+public:
+  using Parts =
+    std::map<std::string, std::shared_ptr<const std::string>, std::less<>>;
+
+  struct Result
+  {
+    // Set on success only.
+    std::optional<Configuration::Content> content;
+    ConfigurationHead head;
+    std::string headText;
+    // Why there is no content.
+    std::string reason;
+    // The source answered well, but has nothing above the revision asked for.
+    bool isStale = false;
+  };
+  using Callback = std::function<void(Result)>;
+
+  // aParts are parts that need not be fetched; it receives every verified
+  // part. aClock has to outlive the object.
+  static std::shared_ptr<ConfigurationFetch> Create(
+    const Clock& aClock,
+    std::shared_ptr<ConfigurationSource> aSource,
+    std::uint64_t aAboveRevision,
+    std::shared_ptr<Parts> aParts);
+
+  // Calls aCallback once, possibly during this call, unless the object is
+  // destroyed before. Without aHeadText the head is fetched first.
+  void Start(std::optional<std::string> aHeadText, Callback aCallback);
+
+  const ConfigurationSource& Source() const { return *source_; }
+  Instant StartedAt() const { return startedAt_; }
+  // When the source answered last.
+  Instant LastProgressAt() const { return lastProgressAt_; }
+  // Parts that this attempt has fetched and verified.
+  int FetchedParts() const { return fetchedParts_; }
+
+private:
+  ConfigurationFetch(const Clock& aClock,
+                     std::shared_ptr<ConfigurationSource> aSource,
+                     std::uint64_t aAboveRevision,
+                     std::shared_ptr<Parts> aParts);
+
+  void OnHead(const std::string& aText);
+  void RequestParts();
+  void OnPart(const ConfigurationPartReference& aReference,
+              const ConfigurationSource::Answer& aAnswer);
+  void Finish(Result aResult);
+  void Fail(std::string aReason, bool aIsStale = false);
+
+  const Clock& clock_;
+  std::shared_ptr<ConfigurationSource> source_;
+  std::uint64_t aboveRevision_;
+  std::shared_ptr<Parts> parts_;
+  Callback callback_;
+  ConfigurationHead head_;
+  std::string headText_;
+  std::size_t nextPart_ = 0;
+  int openRequests_ = 0;
+  int fetchedParts_ = 0;
+  bool isRequesting_ = false;
+  Instant startedAt_;
+  Instant lastProgressAt_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/configuration/ConfigurationFollower.cpp
@@ -0,0 +1,329 @@
+#include "configuration/ConfigurationFollower.h"
+
+#include "base/Log.h"
+#include "configuration/RetryDelay.h"
+#include "configuration/StoreConfigurationSource.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertbeam {
+
+namespace {
+
+// Name under which failures of the watch are counted, apart from those of
+// fetching parts from the store.
+constexpr std::string_view kWatchName = "watch";
+
+// A watch that did not answer this long after its timeout is stale.
+constexpr Duration kWatchGrace = std::chrono::seconds(5);
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(ObjectStore& aStore,
+                                             const Clock& aClock,
+                                             Random& aRandom,
+                                             Callback aCallback)
+  : store_(aStore)
+  , clock_(aClock)
+  , random_(aRandom)
+  , callback_(std::move(aCallback))
+  , storeSource_(std::make_shared<StoreConfigurationSource>(aStore))
+  , storeNotBefore_(
+      aClock.Now() + kPeerHeadStart +
+      Duration(static_cast<Duration::rep>(
+        aRandom.Uniform() * static_cast<double>(kPeerHeadStart.count()))))
+  , parts_(std::make_shared<ConfigurationFetch::Parts>())
+{
+}
+
+void
+ConfigurationFollower::SetWatcher(bool aIsWatcher)
+{
+  if (isWatcher_ == aIsWatcher) {
+    return;
+  }
+  isWatcher_ = aIsWatcher;
+  if (!isWatcher_) {
+    watch_.reset();
+    return;
+  }
+  WatchIfDue();
+}
+
+void
+ConfigurationFollower::OnRevisionHeard(
+  std::uint64_t aRevision,
+  std::shared_ptr<ConfigurationSource> aSource)
+{
+  if (aRevision <= revision_ || !aSource) {
+    return;
+  }
+  std::string name(aSource->Name());
+  candidates_[std::move(name)] = { std::move(aSource),
+                                   aRevision,
+                                   clock_.Now() };
+  StartFetchIfDue();
+}
+
+void
+ConfigurationFollower::Tick()
+{
+  DropOldCandidates();
+  GiveUpSlowFetch();
+  StartFetchIfDue();
+  WatchIfDue();
+}
+
+std::shared_ptr<const std::string>
+ConfigurationFollower::FindPart(std::string_view aSha256) const
+{
+  const auto found = parts_->find(aSha256);
+  return found == parts_->end() ? nullptr : found->second;
+}
+
+bool
+ConfigurationFollower::IsDue(std::string_view aSource) const
+{
+  const auto found = retries_.find(aSource);
+  return found == retries_.end() || found->second.notBefore <= clock_.Now();
+}
+
+void
+ConfigurationFollower::NoteFailure(std::string_view aSource,
+                                   std::string aReason)
+{
+  RetryState& state = retries_[std::string(aSource)];
+  ++state.failures;
+  state.notBefore = clock_.Now() + RetryDelayAfter(state.failures, random_);
+  lastReason_ = std::string(aSource) + ": " + std::move(aReason);
+  LogEvent(LogLevel::Warning,
+           "configuration-fetch-failed",
+           { { "reason", lastReason_ }, { "failures", state.failures } });
+}
+
+void
+ConfigurationFollower::DropOldCandidates()
+{
+  const Instant now = clock_.Now();
+  std::erase_if(candidates_, [&](const auto& aEntry) {
+    return aEntry.second.revision <= revision_ ||
+           now - aEntry.second.heardAt > kCandidateLifetime;
+  });
+  // Hosts come and go, so the failures of those long gone must not pile up.
+  std::erase_if(retries_, [&](const auto& aEntry) {
+    return now - aEntry.second.notBefore > 2 * kMaxRetryDelay;
+  });
+}
+
+void
+ConfigurationFollower::GiveUpSlowFetch()
+{
+  if (!fetch_) {
+    return;
+  }
+  const Instant now = clock_.Now();
+  const bool isSilent = now - fetch_->LastProgressAt() >= kAnswerTimeout;
+  const bool isSlow = now - fetch_->StartedAt() >= kAttemptTimeout;
+  if (!isSilent && !isSlow) {
+    return;
+  }
+  const std::string source(fetch_->Source().Name());
+  // An attempt that brought parts is no failure of a dead source: the next
+  // attempt needs fewer parts, so the delay stays short.
+  if (fetch_->FetchedParts() > 0) {
+    retries_.erase(source);
+  }
+  fetch_.reset();
+  NoteFailure(source, isSilent ? "does not answer" : "is slow");
+}
+
+std::shared_ptr<ConfigurationSource>
+ConfigurationFollower::PickPeer()
+{
+  std::uint64_t greatest = 0;
+  std::vector<std::shared_ptr<ConfigurationSource>> best;
+  for (const auto& [name, candidate] : candidates_) {
+    if (candidate.revision <= revision_ || !IsDue(name) ||
+        candidate.revision < greatest) {
+      continue;
+    }
+    if (candidate.revision > greatest) {
+      greatest = candidate.revision;
+      best.clear();
+    }
+    best.push_back(candidate.source);
+  }
+  // At random, so that the hosts next to the first one that has a revision do
+  // not all ask that one.
+  return best.empty() ? nullptr : best[random_.Below(best.size())];
+}
+
+// The store serves everyone, so hosts ask it only where they have to.
+bool
+ConfigurationFollower::NeedsStore() const
+{
+  if (!IsDue(storeSource_->Name())) {
+    return false;
+  }
+  if (revision_ == 0) {
+    return clock_.Now() >= storeNotBefore_;
+  }
+  return std::any_of(
+    candidates_.begin(), candidates_.end(), [&](const auto& aEntry) {
+      return aEntry.second.revision > revision_;
+    });
+}
+
+void
+ConfigurationFollower::StartFetchIfDue()
+{
+  if (fetch_) {
+    return;
+  }
+  if (watchedHead_ && watchedRevision_ <= revision_) {
+    watchedHead_.reset();
+  }
+  if (watchedHead_ && IsDue(storeSource_->Name())) {
+    StartFetch(storeSource_, watchedHead_);
+    return;
+  }
+  if (auto peer = PickPeer()) {
+    StartFetch(std::move(peer), std::nullopt);
+    return;
+  }
+  if (NeedsStore()) {
+    StartFetch(storeSource_, std::nullopt);
+  }
+}
+
+void
+ConfigurationFollower::StartFetch(std::shared_ptr<ConfigurationSource> aSource,
+                                  std::optional<std::string> aHeadText)
+{
+  // Kept here as well, since the fetch may end during Start.
+  const auto fetch =
+    ConfigurationFetch::Create(clock_, std::move(aSource), revision_, parts_);
+  fetch_ = fetch;
+  fetch->Start(std::move(aHeadText),
+               [this](ConfigurationFetch::Result aResult) {
+                 OnFetched(std::move(aResult));
+               });
+}
+
+void
+ConfigurationFollower::OnFetched(ConfigurationFetch::Result aResult)
+{
+  const std::string source(fetch_->Source().Name());
+  fetch_.reset();
+  if (aResult.content) {
+    retries_.erase(source);
+    PutInForce(std::move(aResult), source);
+    return;
+  }
+  if (aResult.isStale) {
+    candidates_.erase(source);
+  }
+  NoteFailure(source, std::move(aResult.reason));
+}
+
+void
+ConfigurationFollower::PutInForce(ConfigurationFetch::Result aResult,
+                                  std::string aSource)
+{
+  // The fetch was started above the revision in force, but only this check
+  // stands right before the change.
+  if (aResult.head.Revision() <= revision_) {
+    return;
+  }
+  revision_ = aResult.head.Revision();
+  headText_ = std::make_shared<const std::string>(std::move(aResult.headText));
+  // Parts that the head does not name are of no use any more. A new map, since
+  // a fetch that was given up may still hold the old one.
+  auto parts = std::make_shared<ConfigurationFetch::Parts>();
+  for (const ConfigurationPartReference& reference : aResult.head.parts) {
+    parts->emplace(reference.sha256, parts_->at(reference.sha256));
+  }
+  parts_ = std::move(parts);
+  lastReason_.clear();
+
+  InForce inForce;
+  inForce.configuration =
+    Configuration::Create(revision_, std::move(*aResult.content));
+  inForce.acceptance = aResult.head.acceptance;
+  inForce.sinceAcceptance =
+    std::max(Duration::zero(),
+             std::chrono::duration_cast<Duration>(
+               clock_.WallNow() - aResult.head.acceptance.acceptedAt));
+  inForce.source = std::move(aSource);
+  callback_(inForce);
+}
+
+void
+ConfigurationFollower::WatchIfDue()
+{
+  if (!isWatcher_) {
+    return;
+  }
+  const Instant now = clock_.Now();
+  if (watch_ && now - watchStartedAt_ >= kWatchTimeout + kWatchGrace) {
+    watch_.reset();
+    NoteFailure(kWatchName, "does not answer");
+  }
+  if (watch_ || !IsDue(kWatchName)) {
+    return;
+  }
+  watch_ = std::make_shared<int>();
+  watchStartedAt_ = now;
+  store_.Watch(kConfigurationHeadKey,
+               watchedVersion_,
+               kWatchTimeout,
+               [this, watch = std::weak_ptr<int>(watch_)](
+                 const StoreResult<StoredObject>& aResult) {
+                 if (!watch.expired()) {
+                   OnWatched(aResult);
+                 }
+               });
+}
+
+void
+ConfigurationFollower::OnWatched(const StoreResult<StoredObject>& aResult)
+{
+  watch_.reset();
+  if (!aResult.value && aResult.error != StoreError::NotFound) {
+    NoteFailure(kWatchName, aResult.reason);
+    return;
+  }
+  if (!aResult.value) {
+    // No configuration was accepted yet. A store that answers at once instead
+    // of waiting must not be asked in a tight loop.
+    watchedVersion_ = 0;
+    NoteFailure(kWatchName, aResult.reason);
+    return;
+  }
+  std::string reason;
+  const auto head = ConfigurationHead::Parse(aResult.value->value, reason);
+  const bool isNewVersion = aResult.value->version > watchedVersion_;
+  // Taken back as well where the store was restored from an earlier state;
+  // otherwise the watch would wait for a version that does not come.
+  watchedVersion_ = aResult.value->version;
+  if (!head) {
+    NoteFailure(kWatchName, std::move(reason));
+    return;
+  }
+  const bool waited =
+    clock_.Now() - watchStartedAt_ >= kWatchTimeout - kWatchGrace;
+  if (!isNewVersion && !waited) {
+    NoteFailure(kWatchName, "answers before its timeout without a change");
+    return;
+  }
+  retries_.erase(std::string(kWatchName));
+  if (head->Revision() > revision_ && head->Revision() > watchedRevision_) {
+    watchedHead_ = aResult.value->value;
+    watchedRevision_ = head->Revision();
+  }
+  StartFetchIfDue();
+  WatchIfDue();
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/configuration/tests/TestConfigurationFollower.cpp
@@ -0,0 +1,586 @@
+#include "base/Log.h"
+#include "base/ManualClock.h"
+#include "base/SeededRandom.h"
+#include "configuration/ConfigurationFollower.h"
+#include "configuration/ConfigurationPublisher.h"
+#include "configuration/ConfigurationWriter.h"
+#include "store/MemoryObjectStore.h"
+#include "support/PeerSource.h"
+#include "support/SampleContent.h"
+#include "support/SettleEvents.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace filbertbeam;
+
+namespace {
+
+int
+VariantOf(const Configuration& aConfiguration)
+{
+  return static_cast<int>(
+           aConfiguration.FindContract("customer-000000")->requestsPerSecond) -
+         1;
+}
+
+// One host: a follower with its own path to the store. Checks at every change
+// that the revision grows.
+struct Host
+{
+  Host(const std::shared_ptr<StoredObjects>& aObjects,
+       const Clock& aClock,
+       Random& aRandom,
+       int aIndex)
+    : clock(aClock)
+    , random(aRandom)
+    , store(aObjects)
+    , source(std::make_shared<PeerSource>(fmt::format("host-{}", aIndex), self))
+  {
+    Start();
+  }
+
+  void Start()
+  {
+    configuration.reset();
+    follower = std::make_unique<ConfigurationFollower>(
+      store,
+      clock,
+      random,
+      [this](const ConfigurationFollower::InForce& aInForce) {
+        const std::uint64_t before =
+          configuration ? configuration->Revision() : 0;
+        BOOST_TEST_REQUIRE(aInForce.configuration->Revision() > before);
+        BOOST_TEST(aInForce.configuration->Revision() == follower->Revision());
+        configuration = aInForce.configuration;
+        last = aInForce;
+        variants[configuration->Revision()] = VariantOf(*configuration);
+      });
+    *self = follower.get();
+    follower->SetWatcher(isWatcher);
+  }
+
+  void Stop()
+  {
+    *self = nullptr;
+    follower.reset();
+  }
+
+  const Clock& clock;
+  Random& random;
+  MemoryObjectStore store;
+  std::shared_ptr<ConfigurationFollower*> self =
+    std::make_shared<ConfigurationFollower*>(nullptr);
+  std::shared_ptr<PeerSource> source;
+  bool isWatcher = false;
+  std::unique_ptr<ConfigurationFollower> follower;
+  std::shared_ptr<const Configuration> configuration;
+  ConfigurationFollower::InForce last;
+  // What this host had in force, over all its restarts.
+  std::map<std::uint64_t, int> variants;
+};
+
+struct Fleet
+{
+  Fleet() { SetLogLevel(LogLevel::Error); }
+  ~Fleet() { SetLogLevel(LogLevel::Info); }
+
+  Host& AddHost(bool aIsWatcher = false)
+  {
+    hosts.push_back(std::make_unique<Host>(
+      objects, clock, random, static_cast<int>(hosts.size())));
+    hosts.back()->isWatcher = aIsWatcher;
+    hosts.back()->follower->SetWatcher(aIsWatcher);
+    return *hosts.back();
+  }
+
+  ConfigurationPublisher::Base Base() const
+  {
+    const auto stored = objects->Get(kConfigurationHeadKey);
+    if (!stored.value) {
+      return {};
+    }
+    std::string reason;
+    return { ConfigurationHead::Parse(stored.value->value, reason),
+             stored.value->version };
+  }
+
+  void Publish(int aVariant, int aContracts = 500)
+  {
+    MemoryObjectStore store(objects);
+    ConfigurationPublisher publisher(store, clock, random);
+    bool isAccepted = false;
+    publisher.Publish(MakeSampleContent(aContracts, aVariant),
+                      Base(),
+                      "operator",
+                      [&](const ConfigurationPublisher::Outcome& aOutcome) {
+                        isAccepted =
+                          aOutcome.kind ==
+                          ConfigurationPublisher::OutcomeKind::Accepted;
+                      });
+    SettleEvents();
+    BOOST_TEST_REQUIRE(isAccepted);
+  }
+
+  void Step()
+  {
+    SettleEvents();
+    clock.Advance(std::chrono::milliseconds(100));
+    for (const auto& host : hosts) {
+      if (host->follower) {
+        host->follower->Tick();
+      }
+    }
+    SettleEvents();
+  }
+
+  void Run(Duration aTime)
+  {
+    const Instant end = clock.Now() + aTime;
+    while (clock.Now() < end) {
+      Step();
+    }
+  }
+
+  // aHost hears aFrom's revision for some time.
+  void Hear(Host& aHost, Host& aFrom, Duration aTime)
+  {
+    const Instant end = clock.Now() + aTime;
+    while (clock.Now() < end) {
+      if (aFrom.follower) {
+        aHost.follower->OnRevisionHeard(aFrom.follower->Revision(),
+                                        aFrom.source);
+      }
+      Step();
+    }
+  }
+
+  std::shared_ptr<StoredObjects> objects = std::make_shared<StoredObjects>();
+  ManualClock clock;
+  SeededRandom random{ 17 };
+  std::vector<std::unique_ptr<Host>> hosts;
+};
+
+StoreFaults
+Away()
+{
+  StoreFaults faults;
+  faults.isAway = true;
+  return faults;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationFollowing, Fleet)
+
+BOOST_AUTO_TEST_SUITE(FromTheStore)
+
+BOOST_AUTO_TEST_CASE(AWatcherPutsEachRevisionInForceAndTellsItsAge)
+{
+  Host& watcher = AddHost(true);
+  Publish(0);
+  Run(std::chrono::seconds(1));
+  BOOST_TEST(watcher.follower->Revision() == 1U);
+  BOOST_TEST(watcher.last.acceptance.author == "operator");
+  BOOST_TEST(watcher.last.source == "store");
+
+  watcher.store.SetFaults(Away());
+  Publish(1);
+  Run(std::chrono::seconds(3));
+  BOOST_TEST(watcher.follower->Revision() == 1U);
+  BOOST_TEST(watcher.follower->LastReason() == "watch: store is away");
+  watcher.store.SetFaults({});
+  Run(std::chrono::seconds(6));
+  BOOST_TEST(watcher.follower->Revision() == 2U);
+  BOOST_TEST((watcher.last.sinceAcceptance >= std::chrono::seconds(3)));
+  BOOST_TEST((watcher.last.sinceAcceptance <= std::chrono::seconds(9)));
+  BOOST_TEST(watcher.follower->LastReason().empty());
+}
+
+// Guards against a fleet that loads the store: only watchers wait there.
+BOOST_AUTO_TEST_CASE(AHostThatIsNoWatcherLeavesTheStoreAlone)
+{
+  Publish(0);
+  Host& host = AddHost();
+  Run(std::chrono::seconds(3));
+  BOOST_TEST(host.follower->Revision() == 1U);
+  host.store.ResetCounts();
+  Publish(1);
+  Run(std::chrono::seconds(120));
+  BOOST_TEST(host.follower->Revision() == 1U);
+  BOOST_TEST(host.store.Counts().Reads() == 0U);
+}
+
+// Guards against an outage in which hosts wear the store out with retries.
+BOOST_AUTO_TEST_CASE(RetriesBackOffToACappedDelay)
+{
+  Host& watcher = AddHost(true);
+  watcher.store.SetFaults(Away());
+  Run(std::chrono::seconds(30));
+  watcher.store.ResetCounts();
+  Run(std::chrono::seconds(60));
+  // One watch and one read of the head per 2.5 to 5 s.
+  BOOST_TEST(watcher.store.Counts().Reads() <= 50U);
+  BOOST_TEST(watcher.store.Counts().Reads() >= 24U);
+}
+
+// Guards against a store whose watch never answers.
+BOOST_AUTO_TEST_CASE(AStaleWatchIsStartedAgain)
+{
+  Host& watcher = AddHost(true);
+  Publish(0);
+  Run(std::chrono::seconds(1));
+  StoreFaults slow;
+  slow.delay = std::chrono::hours(1);
+  watcher.store.SetFaults(slow);
+  Publish(1);
+  Run(std::chrono::seconds(20));
+  BOOST_TEST(watcher.follower->Revision() == 1U);
+  watcher.store.SetFaults({});
+  Run(ConfigurationFollower::kWatchTimeout + std::chrono::seconds(10));
+  BOOST_TEST(watcher.follower->Revision() == 2U);
+}
+
+// Guards against a watch that spins on a store without waiting, and against
+// taking back a revision when the store was restored from an earlier state.
+BOOST_AUTO_TEST_CASE(AnEarlierStateOfTheStoreIsNotTaken)
+{
+  Publish(0);
+  const std::string earlier = objects->Get(kConfigurationHeadKey).value->value;
+  Publish(1);
+  Host& watcher = AddHost(true);
+  Run(std::chrono::seconds(1));
+  BOOST_TEST(watcher.follower->Revision() == 2U);
+  const auto stored = objects->Get(kConfigurationHeadKey);
+  objects->Update(kConfigurationHeadKey, earlier, stored.value->version);
+  Run(std::chrono::seconds(100));
+  BOOST_TEST(watcher.follower->Revision() == 2U);
+  BOOST_TEST(watcher.store.Counts().watches < 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FromOtherHosts)
+
+BOOST_AUTO_TEST_CASE(AStartingHostNeedsNoStore)
+{
+  Host& first = AddHost(true);
+  Publish(0);
+  Run(std::chrono::seconds(1));
+  Host& second = AddHost();
+  second.store.SetFaults(Away());
+  Hear(second, first, std::chrono::seconds(1));
+  BOOST_TEST(second.follower->Revision() == 1U);
+  BOOST_TEST(second.last.source == "host-0");
+  BOOST_TEST((second.configuration->Data() == first.configuration->Data()));
+}
+
+// Guards against a host that fetches 16 MB for one changed contract.
+BOOST_AUTO_TEST_CASE(OnlyChangedPartsAreFetched)
+{
+  Host& first = AddHost(true);
+  Host& second = AddHost();
+  Publish(0, 3'000);
+  Run(std::chrono::seconds(1));
+  Hear(second, first, std::chrono::seconds(1));
+  first.source->partRequests = 0;
+  Publish(1, 3'000);
+  Run(std::chrono::seconds(1));
+  Hear(second, first, std::chrono::seconds(1));
+  BOOST_TEST(second.follower->Revision() == 2U);
+  BOOST_TEST(first.source->partRequests == 1);
+}
+
+// Guards against a faulty host that keeps others from a configuration, and
+// against one that is put in force incomplete.
+BOOST_AUTO_TEST_CASE(AFaultySourceIsLeftForTheNextOne)
+{
+  for (const PeerFault fault : { PeerFault::Silent,
+                                 PeerFault::Away,
+                                 PeerFault::TruncatedPart,
+                                 PeerFault::WrongPart,
+                                 PeerFault::MissingPart,
+                                 PeerFault::TruncatedHead,
+                                 PeerFault::OldHead }) {
+    BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault))
+    {
+      Fleet fleet;
+      Host& faulty = fleet.AddHost(true);
+      Host& whole = fleet.AddHost(true);
+      Host& host = fleet.AddHost();
+      fleet.Publish(0);
+      fleet.Run(std::chrono::seconds(1));
+      faulty.source->oldHead = *faulty.follower->HeadText();
+      fleet.Hear(host, whole, std::chrono::seconds(1));
+      BOOST_TEST(host.follower->Revision() == 1U);
+      host.store.SetFaults(Away());
+      fleet.Publish(1);
+      fleet.Run(std::chrono::seconds(1));
+
+      faulty.source->fault = fault;
+      fleet.Hear(host, faulty, std::chrono::seconds(5));
+      BOOST_TEST(host.follower->Revision() == 1U);
+      BOOST_TEST(!host.follower->LastReason().empty());
+      BOOST_TEST(faulty.source->headRequests <= 20);
+      host.follower->OnRevisionHeard(2, whole.source);
+      fleet.Hear(host, faulty, std::chrono::seconds(5));
+      BOOST_TEST(host.follower->Revision() == 2U);
+      BOOST_TEST(host.last.source == "host-1");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheStoreIsAskedWhenNoHostAnswers)
+{
+  Host& first = AddHost(true);
+  Host& second = AddHost();
+  Publish(0);
+  Run(std::chrono::seconds(1));
+  first.source->fault = PeerFault::Silent;
+  Hear(second, first, std::chrono::seconds(5));
+  BOOST_TEST(second.follower->Revision() == 1U);
+  BOOST_TEST(second.last.source == "store");
+}
+
+// Guards against an attempt that starts from nothing after each failure: a
+// slow source then never gets a whole configuration across.
+BOOST_AUTO_TEST_CASE(VerifiedPartsOutliveAFailedAttempt)
+{
+  Host& first = AddHost(true);
+  Host& second = AddHost();
+  second.store.SetFaults(Away());
+  Publish(0, 3'000);
+  Run(std::chrono::seconds(1));
+  const int all = static_cast<int>(Base().head->parts.size());
+  BOOST_TEST_REQUIRE(all > 6);
+  first.source->partsUntilSilent = all / 2;
+  second.follower->OnRevisionHeard(1, first.source);
+  Run(std::chrono::seconds(5));
+  BOOST_TEST(second.follower->Revision() == 0U);
+  first.source->partsUntilSilent = -1;
+  first.source->partRequests = 0;
+  Hear(second, first, std::chrono::seconds(6));
+  BOOST_TEST(second.follower->Revision() == 1U);
+  BOOST_TEST(first.source->partRequests == all - all / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RandomHistories)
+
+// Publishers race with stale bases, answers get lost or writes land late, the
+// store goes away, hosts restart, and hosts hand out old heads.
+struct History
+{
+  explicit History(std::uint64_t aSeed)
+    : random(aSeed)
+  {
+    objects->AddListener([this](const StoredObject& aObject) {
+      if (aObject.key != kConfigurationHeadKey) {
+        return;
+      }
+      std::string reason;
+      const auto head = ConfigurationHead::Parse(aObject.value, reason);
+      BOOST_TEST_REQUIRE(head.has_value(), reason);
+      // Every accepted head follows the one before it.
+      BOOST_TEST_REQUIRE(head->Revision() == heads.size() + 1);
+      heads.push_back(aObject.value);
+    });
+    for (int i = 0; i < 5; ++i) {
+      fleet.AddHost(i < 2);
+    }
+    for (int i = 0; i < 3; ++i) {
+      operators.push_back(std::make_unique<Operator>(fleet, objects));
+    }
+  }
+
+  struct Operator
+  {
+    Operator(Fleet& aFleet, const std::shared_ptr<StoredObjects>& aObjects)
+      : store(aObjects)
+      , publisher(store, aFleet.clock, aFleet.random)
+    {
+    }
+
+    MemoryObjectStore store;
+    ConfigurationPublisher publisher;
+    ConfigurationPublisher::Base base;
+    bool isBusy = false;
+  };
+
+  void StartPublish(Operator& aOperator)
+  {
+    if (aOperator.isBusy) {
+      return;
+    }
+    // Sometimes from a base that is no longer the latest.
+    if (random.Below(3) > 0) {
+      aOperator.base = fleet.Base();
+    }
+    const int variant = ++variants;
+    aOperator.isBusy = true;
+    aOperator.publisher.Publish(
+      MakeSampleContent(2, variant),
+      aOperator.base,
+      "operator",
+      [this, &aOperator, variant](
+        const ConfigurationPublisher::Outcome& aOutcome) {
+        using Kind = ConfigurationPublisher::OutcomeKind;
+        aOperator.isBusy = false;
+        if (aOutcome.kind == Kind::Accepted) {
+          const bool isFirst =
+            accepted.emplace(aOutcome.revision, variant).second;
+          BOOST_TEST_REQUIRE(isFirst);
+        } else if (aOutcome.kind != Kind::Unknown) {
+          rejected.insert(variant);
+        } else {
+          ++unknown;
+        }
+      });
+  }
+
+  void Act()
+  {
+    Host& host = *fleet.hosts[random.Below(fleet.hosts.size())];
+    Host& other = *fleet.hosts[random.Below(fleet.hosts.size())];
+    Operator& anOperator = *operators[random.Below(operators.size())];
+    switch (random.Below(9)) {
+      case 0:
+      case 1:
+        StartPublish(anOperator);
+        break;
+      case 2: {
+        StoreFaults faults;
+        faults.isAway = random.Below(3) == 0;
+        faults.loseWriteAnswers = static_cast<int>(random.Below(3));
+        faults.lateWrites = static_cast<int>(random.Below(2));
+        anOperator.store.SetFaults(faults);
+        break;
+      }
+      case 3:
+        anOperator.store.LandLateWrites();
+        break;
+      case 4: {
+        StoreFaults faults;
+        faults.isAway = random.Below(2) == 0;
+        host.store.SetFaults(faults);
+        break;
+      }
+      case 5:
+        if (random.Below(4) == 0) {
+          host.Stop();
+          host.Start();
+          ++restarts;
+        }
+        break;
+      case 6:
+        host.source->fault = static_cast<PeerFault>(random.Below(8));
+        if (!heads.empty()) {
+          host.source->oldHead = heads[random.Below(heads.size())];
+        }
+        break;
+      default:
+        // Claims may be false; the head decides.
+        host.follower->OnRevisionHeard(
+          other.follower->Revision() + random.Below(2), other.source);
+    }
+    fleet.clock.Advance(std::chrono::milliseconds(random.Below(800)));
+    if (random.Below(2) == 0) {
+      SettleEvents();
+    }
+    for (const auto& each : operators) {
+      each->publisher.Tick();
+    }
+    for (const auto& each : fleet.hosts) {
+      each->follower->Tick();
+    }
+  }
+
+  void Heal()
+  {
+    for (const auto& each : operators) {
+      each->store.LandLateWrites();
+      each->store.SetFaults({});
+    }
+    for (const auto& each : fleet.hosts) {
+      each->store.SetFaults({});
+      each->source->fault = PeerFault::None;
+    }
+    for (int i = 0; i < 500; ++i) {
+      for (const auto& each : operators) {
+        each->publisher.Tick();
+      }
+      for (const auto& host : fleet.hosts) {
+        for (const auto& other : fleet.hosts) {
+          host->follower->OnRevisionHeard(other->follower->Revision(),
+                                          other->source);
+        }
+      }
+      fleet.Step();
+    }
+  }
+
+  void Check()
+  {
+    std::map<std::uint64_t, int> inForce;
+    for (const auto& host : fleet.hosts) {
+      BOOST_TEST_REQUIRE(host->follower->Revision() == heads.size());
+      for (const auto& [revision, variant] : host->variants) {
+        const int expected = inForce.emplace(revision, variant).first->second;
+        BOOST_TEST_REQUIRE(variant == expected);
+        BOOST_TEST_REQUIRE(!rejected.contains(variant));
+      }
+    }
+    for (const auto& [revision, variant] : accepted) {
+      const auto found = inForce.find(revision);
+      if (found != inForce.end()) {
+        BOOST_TEST_REQUIRE(found->second == variant);
+      }
+    }
+  }
+
+  SeededRandom random;
+  Fleet fleet;
+  std::shared_ptr<StoredObjects> objects = fleet.objects;
+  std::vector<std::string> heads;
+  std::vector<std::unique_ptr<Operator>> operators;
+  std::map<std::uint64_t, int> accepted;
+  std::set<int> rejected;
+  int variants = 0;
+  int unknown = 0;
+  int restarts = 0;
+};
+
+// Guards against a host that goes back to an earlier revision, two hosts that
+// differ about one revision, and an outcome that is not true.
+BOOST_AUTO_TEST_CASE(NeverRevertAndEndAtTheLatestRevision)
+{
+  std::size_t accepted = 0;
+  std::size_t rejected = 0;
+  int restarts = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      History history(seed);
+      for (int i = 0; i < 400; ++i) {
+        history.Act();
+      }
+      history.Heal();
+      history.Check();
+      accepted += history.accepted.size();
+      rejected += history.rejected.size();
+      restarts += history.restarts;
+    }
+  }
+  // The histories have to reach what they are meant to exercise.
+  BOOST_TEST_MESSAGE("accepted " << accepted << " rejected " << rejected
+                                 << " restarts " << restarts);
+  BOOST_TEST(accepted > 100U);
+  BOOST_TEST(rejected > 100U);
+  BOOST_TEST(restarts > 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
