--- /dev/null
+++ b/src/membership/CborInput.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "http/HttpMessage.h"
+
+#include <QByteArray>
+#include <QCborStreamReader>
+
+#include <cstdint>
+#include <string>
+
+namespace filbertbeam {
+
+// Bounded reads of CBOR from an untrusted source. After the first read that
+// fails, every later one fails too, so a caller may check once at the end.
+// Strings and arrays of indefinite length are refused: their size is not known
+// before they are read.
+class CborInput
+{
+public:
+  // Refers to aBytes, which have to outlive the object.
+  explicit CborInput(ByteView aBytes);
+
+  bool HasFailed() const { return hasFailed_; }
+  // True when everything was read without failure and nothing follows.
+  bool IsComplete();
+
+  // Returns the number of elements, at most aMaxElements, or 0 on failure.
+  std::size_t EnterArray(std::size_t aMaxElements);
+  void LeaveArray();
+
+  std::uint64_t ReadUnsigned(std::uint64_t aMax);
+  bool ReadBool();
+  double ReadDouble();
+  // UTF-8 text of at most aMaxBytes.
+  std::string ReadText(std::size_t aMaxBytes);
+  std::string ReadBytes(std::size_t aMaxBytes);
+
+private:
+  void Fail() { hasFailed_ = true; }
+  void CheckError();
+
+  QByteArray data_;
+  QCborStreamReader reader_;
+  bool hasFailed_ = false;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/membership/HeartbeatProtocol.cpp
@@ -0,0 +1,877 @@
+#include "membership/HeartbeatProtocol.h"
+
+#include "membership/ReachabilityJudge.h"
+#include "membership/SealedMessage.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+// A link that is new to one end may be unknown to the other until both have
+// the same members; the first heartbeats also need two intervals to be
+// confirmed.
+constexpr std::chrono::milliseconds kLinkGrace{ 2'000 };
+
+// Without a Tick for this time the process was paused: what it last heard says
+// nothing about its partners now.
+constexpr std::chrono::milliseconds kPauseThreshold{ 1'500 };
+
+// Hosts that send heartbeats without being partners here, because their host
+// list is older or newer, are answered, so that their links work.
+constexpr std::size_t kMaxGuests = 4;
+
+// Each change is sent once on each link, unless the peer has it: the other
+// links and the refresh make up for a lost message. Twice would double the time
+// that the reports of a lost domain take.
+constexpr int kSendsPerUpdate = 1;
+
+// Records passed on in each heartbeat though nothing changed, so that members
+// that missed a change converge: 40 s on average at 1,300 members.
+constexpr std::size_t kRefreshedRecords = 2;
+
+// Above this size, a change of nothing but the revision waits for the refresh:
+// 1,700 changes a day of 1,300 hosts, each sent 14 times, would take 15 KB/s.
+constexpr std::size_t kMaxMembersForwardingRevisions = 256;
+
+// Time to receive the records of all members at 8 partners x 2/s x about 9
+// records, with some margin.
+constexpr std::chrono::milliseconds kRecordExchangeBase{ 2'000 };
+constexpr std::chrono::milliseconds kRecordExchangePerMember{ 10 };
+
+// A link that does not work is dialled anew this often. TCP doubles its pauses
+// during a partition, and would need minutes to notice that it is over.
+constexpr std::chrono::seconds kRedialInterval{ 3 };
+
+// A host that was unheard for this time stays so until it speaks again, even if
+// its partners stop reporting it, as they do once they forget it. Shorter
+// verdicts come from reports that arrive out of order and just end.
+constexpr std::chrono::seconds kUnheardSettleTime{ 10 };
+
+// Largest heartbeat with its sealed header; it holds 20 updates.
+constexpr std::size_t kMaxHeartbeatBytes = 1'200;
+
+// A host that is neither listed nor reachable is forgotten after this time. It
+// exceeds the time by which host lists and views of two hosts differ.
+constexpr std::chrono::seconds kForgetTime{ 60 };
+constexpr std::chrono::minutes kTombstoneLifetime{ 10 };
+
+// Heartbeats go early only while this much of the allowance is left, so that
+// the regular ones are never short of it.
+constexpr std::size_t kUrgentReserve = HeartbeatProtocol::kByteBurst / 2;
+// Early heartbeats of one link are this far apart: when many reports arrive
+// within a short time, each takes one update of many heartbeats otherwise.
+constexpr std::chrono::milliseconds kUrgentGap{ 200 };
+// One heartbeat takes at most this part of the allowance.
+constexpr std::size_t kAllowanceDivisor = 4;
+
+} // namespace
+
+HeartbeatProtocol::HeartbeatProtocol(const Member& aSelf,
+                                     const Clock& aClock,
+                                     Random& aRandom)
+  : clock_(aClock)
+  , random_(aRandom)
+  , selfId_(HostId(aSelf.host))
+{
+  Entry& self = AddEntry(
+    { aSelf.host, aSelf.region, aSelf.domain, aSelf.relay, aSelf.control });
+  self.record.incarnation = aSelf.incarnation;
+  while (self.record.incarnation == 0) {
+    self.record.incarnation = random_.Next();
+  }
+  // Wall time lets the versions of a restarted host continue above those of
+  // its last process. Where it does not, because the clock went back or the
+  // version rose faster, MergeRecordOfSelf corrects it. In units of half a
+  // second a version takes 4 bytes less than in milliseconds.
+  constexpr std::int64_t kVersionsPerSecond = 2;
+  const auto sinceEpoch = std::chrono::duration_cast<std::chrono::seconds>(
+    clock_.WallNow().time_since_epoch());
+  self.record.version = static_cast<std::uint64_t>(
+    std::max<std::int64_t>(sinceEpoch.count() * kVersionsPerSecond, 1));
+  self.record.configurationRevision = aSelf.configurationRevision;
+  self.state = HostState::Live;
+}
+
+std::uint64_t
+HeartbeatProtocol::Incarnation() const
+{
+  return FindEntry(selfId_)->record.incarnation;
+}
+
+HeartbeatProtocol::Entry*
+HeartbeatProtocol::FindEntry(std::uint64_t aId)
+{
+  const auto found = indexes_.find(aId);
+  return found == indexes_.end() ? nullptr : &entries_[found->second];
+}
+
+const HeartbeatProtocol::Entry*
+HeartbeatProtocol::FindEntry(std::uint64_t aId) const
+{
+  const auto found = indexes_.find(aId);
+  return found == indexes_.end() ? nullptr : &entries_[found->second];
+}
+
+HeartbeatProtocol::Entry&
+HeartbeatProtocol::AddEntry(HostDetails aDetails)
+{
+  Entry entry;
+  entry.id = HostId(aDetails.host);
+  entry.details = std::move(aDetails);
+  entry.record.id = entry.id;
+  entry.unlistedSince = clock_.Now();
+  entry.unreachableSince = clock_.Now();
+  indexes_[entry.id] = static_cast<std::uint32_t>(entries_.size());
+  entries_.push_back(std::move(entry));
+  isRingStale_ = true;
+  isVerdictStale_ = true;
+  isViewStale_ = true;
+  return entries_.back();
+}
+
+void
+HeartbeatProtocol::RemoveEntries(const std::vector<std::uint64_t>& aIds)
+{
+  if (aIds.empty()) {
+    return;
+  }
+  std::erase_if(entries_, [&](const Entry& aEntry) {
+    return std::find(aIds.begin(), aIds.end(), aEntry.id) != aIds.end();
+  });
+  for (const std::uint64_t id : aIds) {
+    links_.erase(id);
+  }
+  indexes_.clear();
+  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+    indexes_[entries_[i].id] = i;
+  }
+  isRingStale_ = true;
+  isVerdictStale_ = true;
+  isViewStale_ = true;
+}
+
+void
+HeartbeatProtocol::SetListedHosts(std::span<const ListedHost> aHosts)
+{
+  const Instant now = clock_.Now();
+  std::unordered_map<std::uint64_t, const ListedHost*> listed;
+  for (const ListedHost& host : aHosts) {
+    if (host.controlPort != 0 && !host.host.empty() &&
+        host.host.size() <= HeartbeatCodec::kMaxNameBytes) {
+      listed.emplace(HostId(host.host), &host);
+    }
+  }
+  for (const auto& [id, host] : listed) {
+    HostDetails details{ host->host,
+                         host->region,
+                         host->domain,
+                         { host->address, host->relayPort },
+                         { host->address, host->controlPort } };
+    tombstones_.erase(id);
+    Entry* entry = FindEntry(id);
+    if (entry == nullptr) {
+      entry = &AddEntry(details);
+    } else if (entry->record.version == 0 && entry->details != details) {
+      // What a host says about itself is newer than the list.
+      entry->details = details;
+      isRingStale_ = true;
+      isViewStale_ = true;
+    }
+    entry->isListed = true;
+    entry->isListedAsKnown = entry->details == details;
+    if (entry->isListedLeaving != host->isLeaving) {
+      entry->isListedLeaving = host->isLeaving;
+      isVerdictStale_ = true;
+    }
+  }
+
+  std::vector<std::uint64_t> removed;
+  for (Entry& entry : entries_) {
+    if (!entry.isListed || listed.contains(entry.id)) {
+      continue;
+    }
+    entry.isListed = false;
+    entry.isListedAsKnown = false;
+    entry.isListedLeaving = false;
+    entry.unlistedSince = now;
+    isVerdictStale_ = true;
+    if (entry.record.version == 0) {
+      removed.push_back(entry.id);
+    }
+  }
+  RemoveEntries(removed);
+
+  if (!hasList_ && entries_.size() > 1) {
+    hasList_ = true;
+    isPresuming_ = true;
+    presumeUntil_ = now + RecordExchangeTime();
+  }
+  UpdateOwnLeaving();
+}
+
+void
+HeartbeatProtocol::SetConfigurationRevision(std::uint64_t aRevision)
+{
+  Entry& self = *FindEntry(selfId_);
+  if (self.record.configurationRevision != aRevision) {
+    self.record.configurationRevision = aRevision;
+    BumpOwnVersion(false);
+  }
+}
+
+void
+HeartbeatProtocol::StartLeaving()
+{
+  isLeaving_ = true;
+  UpdateOwnLeaving();
+}
+
+void
+HeartbeatProtocol::UpdateOwnLeaving()
+{
+  Entry& self = *FindEntry(selfId_);
+  const bool isLeaving = isLeaving_ || self.isListedLeaving;
+  if (self.record.isLeaving != isLeaving) {
+    self.record.isLeaving = isLeaving;
+    isVerdictStale_ = true;
+    BumpOwnVersion(true);
+  }
+}
+
+void
+HeartbeatProtocol::BumpOwnVersion(bool aIsUrgent)
+{
+  for (auto& [id, link] : links_) {
+    link.isUrgent = link.isUrgent || aIsUrgent;
+  }
+  MemberRecord& record = FindEntry(selfId_)->record;
+  record.version = std::min(record.version + 1, HeartbeatCodec::kMaxVersion);
+  isViewStale_ = true;
+}
+
+Duration
+HeartbeatProtocol::RecordExchangeTime() const
+{
+  return kRecordExchangeBase +
+         kRecordExchangePerMember * static_cast<std::int64_t>(entries_.size());
+}
+
+void
+HeartbeatProtocol::UpdateRing()
+{
+  if (!isRingStale_) {
+    return;
+  }
+  isRingStale_ = false;
+  isVerdictStale_ = true;
+  std::vector<PartnerRing::Place> places;
+  places.reserve(entries_.size());
+  for (const Entry& entry : entries_) {
+    places.push_back(
+      { entry.details.host, entry.details.region, entry.details.domain });
+  }
+  ring_ = PartnerRing(places);
+
+  for (auto& [id, link] : links_) {
+    link.isPartner = false;
+  }
+  for (const std::uint32_t index : ring_.PartnersOf(indexes_.at(selfId_))) {
+    AddLink(entries_[index].id, true);
+  }
+}
+
+void
+HeartbeatProtocol::AddLink(std::uint64_t aPeer, bool aIsPartner)
+{
+  const auto [position, isNew] = links_.try_emplace(aPeer);
+  Link& link = position->second;
+  link.isPartner = aIsPartner;
+  if (!isNew) {
+    return;
+  }
+  const Instant now = clock_.Now();
+  link.graceUntil = now + kLinkGrace;
+  link.lastDialled = now;
+  link.wantsRecordsUntil = now + RecordExchangeTime();
+  link.refreshCursor = random_.Below(entries_.size());
+  // Spreads the heartbeats of the links over the interval.
+  link.nextHeartbeat =
+    now + Duration(static_cast<std::int64_t>(random_.Below(
+            static_cast<std::uint64_t>(Duration(kHeartbeatInterval).count()))));
+}
+
+void
+HeartbeatProtocol::MergeRecordOfSelf(const MemberRecord& aRecord)
+{
+  MemberRecord& own = FindEntry(selfId_)->record;
+  // A leaving process does not argue with the one that replaces it.
+  if (own.isLeaving || aRecord.version < own.version || aRecord == own) {
+    return;
+  }
+  // A record of an earlier process, whose clock was ahead, would outlive every
+  // later one.
+  own.version = aRecord.version;
+  BumpOwnVersion(true);
+}
+
+void
+HeartbeatProtocol::MergeRecord(const MemberRecord& aRecord, std::uint64_t aFrom)
+{
+  if (aRecord.id == selfId_) {
+    MemberRecord record = aRecord;
+    record.details.reset();
+    MergeRecordOfSelf(record);
+    return;
+  }
+  const auto tombstone = tombstones_.find(aRecord.id);
+  if (tombstone != tombstones_.end() &&
+      aRecord.version <= tombstone->second.version) {
+    return;
+  }
+  Entry* entry = FindEntry(aRecord.id);
+  if (entry == nullptr) {
+    if (!aRecord.details) {
+      const auto link = links_.find(aFrom);
+      if (link != links_.end() &&
+          link->second.unknown.size() < HeartbeatCodec::kMaxUnknown) {
+        link->second.unknown.push_back(ShortId(aRecord.id));
+      }
+      return;
+    }
+    entry = &AddEntry(*aRecord.details);
+  }
+  if (entry->details.host.empty() ||
+      (aRecord.details && aRecord.details->host != entry->details.host)) {
+    return;
+  }
+  MemberRecord& known = entry->record;
+  const auto sender = links_.find(aFrom);
+  if (sender != links_.end() && aRecord.version >= known.version) {
+    // The sender has it already.
+    std::erase_if(sender->second.pending, [&](const PendingUpdate& aEach) {
+      return aEach.id == aRecord.id;
+    });
+  }
+  if (aRecord.version <= known.version) {
+    // A host that speaks with an old version is told what is known of it, so
+    // that it exceeds it.
+    if (aFrom == aRecord.id && aRecord.version < known.version &&
+        sender != links_.end()) {
+      sender->second.pending.push_front({ aRecord.id, 1, false });
+    }
+    return;
+  }
+
+  const std::uint32_t ownShortId = ShortId(selfId_);
+  const auto reportsSelf = [&](const MemberRecord& aEach) {
+    return std::find(aEach.unheardPartners.begin(),
+                     aEach.unheardPartners.end(),
+                     ownShortId) != aEach.unheardPartners.end();
+  };
+  if (reportsSelf(aRecord) && !reportsSelf(known)) {
+    BumpOwnVersion(true);
+  }
+
+  const bool isRevisionOnly =
+    aRecord.incarnation == known.incarnation &&
+    aRecord.isLeaving == known.isLeaving &&
+    aRecord.unheardPartners == known.unheardPartners &&
+    aRecord.configurationRevision != known.configurationRevision;
+  if (aRecord.details && *aRecord.details != entry->details) {
+    entry->details = *aRecord.details;
+    entry->isListedAsKnown = false;
+    isRingStale_ = true;
+  }
+  const bool isFirst = known.version == 0;
+  known = aRecord;
+  known.details.reset();
+  isVerdictStale_ = true;
+  isViewStale_ = true;
+  if (!isRevisionOnly || entries_.size() <= kMaxMembersForwardingRevisions) {
+    Forward(aRecord.id, aFrom, !isFirst && !isRevisionOnly);
+  }
+}
+
+void
+HeartbeatProtocol::Forward(std::uint64_t aId,
+                           std::uint64_t aExcept,
+                           bool aIsUrgent)
+{
+  for (auto& [peer, link] : links_) {
+    if (peer == aExcept || peer == aId) {
+      continue;
+    }
+    std::erase_if(link.pending,
+                  [&](const PendingUpdate& aEach) { return aEach.id == aId; });
+    // The latest change goes first: while many hosts start, a new report must
+    // not wait for their records.
+    link.pending.push_front({ aId, kSendsPerUpdate, false });
+    link.isUrgent = link.isUrgent || aIsUrgent;
+  }
+}
+
+bool
+HeartbeatProtocol::OnHeartbeat(const ControlSender& aSender, ByteView aPayload)
+{
+  const auto heartbeat = HeartbeatCodec::Decode(aPayload);
+  if (!heartbeat || heartbeat->sender.id != HostId(aSender.host) ||
+      heartbeat->sender.incarnation != aSender.incarnation ||
+      heartbeat->sender.id == selfId_) {
+    return false;
+  }
+  const Instant now = clock_.Now();
+  const std::uint64_t peer = heartbeat->sender.id;
+  MergeRecord(heartbeat->sender, peer);
+  UpdateRing();
+  if (FindEntry(peer) == nullptr) {
+    // Nothing tells where to answer; the next heartbeat has the details, since
+    // this one is not confirmed.
+    return true;
+  }
+
+  auto found = links_.find(peer);
+  if (found == links_.end()) {
+    const auto guests =
+      std::count_if(links_.begin(), links_.end(), [](const auto& aEach) {
+        return !aEach.second.isPartner;
+      });
+    if (static_cast<std::size_t>(guests) >= kMaxGuests) {
+      return true;
+    }
+    AddLink(peer, false);
+    found = links_.find(peer);
+  }
+  Link& link = found->second;
+  link.hasHeard = true;
+  link.lastHeard = now;
+  link.isHeardByPeer = std::find(heartbeat->heard.begin(),
+                                 heartbeat->heard.end(),
+                                 ShortId(selfId_)) != heartbeat->heard.end();
+  if (heartbeat->wantsRecords && !link.doesPeerWantRecords) {
+    // Each partner of the peer starts at another place, so that together they
+    // send all records once.
+    const auto partners = ring_.PartnersOf(indexes_.at(peer));
+    const auto place =
+      std::find(partners.begin(), partners.end(), indexes_.at(selfId_));
+    if (place != partners.end()) {
+      link.refreshCursor = entries_.size() *
+                           static_cast<std::size_t>(place - partners.begin()) /
+                           partners.size();
+    }
+  }
+  link.doesPeerWantRecords = heartbeat->wantsRecords;
+
+  for (const std::uint32_t unknown : heartbeat->unknown) {
+    for (const Entry& entry : entries_) {
+      if (ShortId(entry.id) == unknown && entry.id != peer) {
+        link.pending.push_front({ entry.id, 1, true });
+      }
+    }
+  }
+  for (const MemberRecord& record : heartbeat->updates) {
+    MergeRecord(record, peer);
+  }
+  return true;
+}
+
+void
+HeartbeatProtocol::ResumeAfterPause(Instant aNow)
+{
+  for (auto& [id, link] : links_) {
+    link.hasHeard = false;
+    link.isHeardByPeer = false;
+    link.graceUntil = aNow + kLinkGrace;
+    link.wantsRecordsUntil = aNow + RecordExchangeTime();
+  }
+  // Others may have found this host unheard meanwhile.
+  BumpOwnVersion(true);
+}
+
+void
+HeartbeatProtocol::UpdateLinks(Instant aNow)
+{
+  std::vector<std::uint32_t> unheard;
+  bool hasRecovered = false;
+  for (auto entry = links_.begin(); entry != links_.end();) {
+    Link& link = entry->second;
+    const bool isHeard =
+      link.hasHeard && aNow - link.lastHeard <= Duration(kHeartbeatTimeout);
+    if (!link.isPartner && !isHeard) {
+      entry = links_.erase(entry);
+      continue;
+    }
+    const bool wasGood = link.isGood;
+    link.isGood = isHeard && link.isHeardByPeer;
+    hasRecovered = hasRecovered || (link.isGood && !wasGood);
+    const bool isReported =
+      link.isPartner && !link.isGood && aNow >= link.graceUntil;
+    if (link.isReported && !isReported) {
+      // What spread while the link was down did not come over it.
+      link.wantsRecordsUntil = aNow + RecordExchangeTime();
+    }
+    link.isReported = isReported;
+    if (isReported) {
+      unheard.push_back(ShortId(entry->first));
+    }
+    ++entry;
+  }
+  std::sort(unheard.begin(), unheard.end());
+  MemberRecord& own = FindEntry(selfId_)->record;
+  if (own.unheardPartners != unheard) {
+    own.unheardPartners = std::move(unheard);
+    isVerdictStale_ = true;
+    BumpOwnVersion(true);
+  } else if (hasRecovered) {
+    // Refutes what was concluded from the reports of the other end.
+    BumpOwnVersion(true);
+  }
+}
+
+void
+HeartbeatProtocol::ExpireEntries(Instant aNow)
+{
+  std::erase_if(tombstones_, [&](const auto& aEach) {
+    return aEach.second.expiresAt <= aNow;
+  });
+  std::vector<std::uint64_t> removed;
+  for (const Entry& entry : entries_) {
+    if (entry.id == selfId_ || entry.isListed ||
+        entry.state != HostState::Unreachable) {
+      continue;
+    }
+    const Instant since = std::max(entry.unlistedSince, entry.unreachableSince);
+    if (aNow - since >= Duration(kForgetTime)) {
+      removed.push_back(entry.id);
+      tombstones_[entry.id] = { entry.record.version,
+                                aNow + kTombstoneLifetime };
+    }
+  }
+  RemoveEntries(removed);
+}
+
+void
+HeartbeatProtocol::SetState(Entry& aEntry, HostState aState, Instant aNow)
+{
+  if (aEntry.state == aState) {
+    return;
+  }
+  aEntry.state = aState;
+  if (aState == HostState::Unreachable) {
+    aEntry.unreachableSince = aNow;
+  }
+  isViewStale_ = true;
+}
+
+void
+HeartbeatProtocol::UpdateIsolation()
+{
+  // Partners that others report are no evidence about this host. Partners of
+  // which nobody reports anything are: a host that hears nothing at all gets
+  // no reports either.
+  int counted = 0;
+  int good = 0;
+  for (const auto& [id, link] : links_) {
+    if (link.isPartner && !FindEntry(id)->isReported) {
+      ++counted;
+      good += link.isGood ? 1 : 0;
+    }
+  }
+  const bool isIsolated = good * 2 < counted;
+  if (isIsolated_ != isIsolated) {
+    isIsolated_ = isIsolated;
+    isVerdictStale_ = true;
+    isViewStale_ = true;
+  }
+}
+
+void
+HeartbeatProtocol::Judge(Instant aNow)
+{
+  const std::uint32_t selfIndex = indexes_.at(selfId_);
+  ReachabilityJudge judge(ring_, selfIndex);
+  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+    const auto& unheard = entries_[i].record.unheardPartners;
+    if (unheard.empty()) {
+      continue;
+    }
+    for (const std::uint32_t partner : ring_.PartnersOf(i)) {
+      if (std::find(unheard.begin(),
+                    unheard.end(),
+                    ShortId(entries_[partner].id)) != unheard.end()) {
+        judge.ReportLink(i, partner);
+      }
+    }
+  }
+  const std::vector<Reachability> verdicts = judge.Judge();
+  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+    if (i == selfIndex) {
+      continue;
+    }
+    Entry& entry = entries_[i];
+    if (verdicts[i] == Reachability::Unheard) {
+      if (!entry.isUnheard) {
+        entry.isUnheard = true;
+        entry.unheardVersion = entry.record.version;
+        entry.unheardSince = aNow;
+      }
+    } else if (entry.record.version > entry.unheardVersion ||
+               aNow - entry.unheardSince < Duration(kUnheardSettleTime)) {
+      entry.isUnheard = false;
+    }
+    entry.isReported =
+      verdicts[i] != Reachability::Reachable || entry.isUnheard;
+  }
+  UpdateIsolation();
+
+  // A host that never spoke is no owner, but a process that just started, or
+  // that hears nobody, does not know who spoke.
+  const bool isPresuming = isPresuming_ || isIsolated_;
+  for (Entry& entry : entries_) {
+    const bool isLeaving = entry.record.isLeaving || entry.isListedLeaving;
+    const bool hasSpoken = entry.record.version > 0;
+    if (entry.id != selfId_ &&
+        (entry.isReported || !(hasSpoken || isPresuming))) {
+      SetState(entry, HostState::Unreachable, aNow);
+    } else {
+      SetState(entry, isLeaving ? HostState::Leaving : HostState::Live, aNow);
+    }
+  }
+  isVerdictStale_ = false;
+}
+
+std::vector<OutgoingHeartbeat>
+HeartbeatProtocol::Tick()
+{
+  const Instant now = clock_.Now();
+  if (hasTicked_ && now - lastTick_ > Duration(kPauseThreshold)) {
+    ResumeAfterPause(now);
+  }
+  hasTicked_ = true;
+  lastTick_ = now;
+
+  UpdateRing();
+  UpdateLinks(now);
+  UpdateIsolation();
+  if (isPresuming_ && now >= presumeUntil_) {
+    isPresuming_ = false;
+    isVerdictStale_ = true;
+  }
+  if (isVerdictStale_) {
+    Judge(now);
+  }
+  ExpireEntries(now);
+  UpdateRing();
+
+  byteAllowance_ = std::min(byteAllowance_ + kBytesPerTick, kByteBurst);
+  const std::size_t sealedBytes =
+    kMaxSealedOverhead + FindEntry(selfId_)->details.host.size();
+  std::vector<OutgoingHeartbeat> heartbeats;
+  for (auto& [id, link] : links_) {
+    const bool isEarly = link.isUrgent && byteAllowance_ >= kUrgentReserve &&
+                         now - link.lastSent >= Duration(kUrgentGap);
+    if (now < link.nextHeartbeat && !isEarly) {
+      continue;
+    }
+    link.isUrgent = false;
+    link.lastSent = now;
+    // Without a delay in between, the interval holds on average although Tick
+    // comes at its own times.
+    link.nextHeartbeat =
+      isEarly || now - link.nextHeartbeat > Duration(kHeartbeatTickInterval)
+        ? now + kHeartbeatInterval
+        : link.nextHeartbeat + kHeartbeatInterval;
+    const std::size_t maxBytes =
+      std::min(byteAllowance_ / kAllowanceDivisor, kMaxHeartbeatBytes);
+    std::string payload =
+      Compose(id, link, maxBytes - std::min(maxBytes, sealedBytes), now);
+    byteAllowance_ -= std::min(byteAllowance_, payload.size() + sealedBytes);
+    const bool needsRedial =
+      !link.isGood && now - link.lastDialled >= Duration(kRedialInterval);
+    if (link.isGood || needsRedial) {
+      link.lastDialled = now;
+    }
+    const HostDetails& peer = FindEntry(id)->details;
+    heartbeats.push_back(
+      { peer.host, peer.control, std::move(payload), needsRedial });
+  }
+  return heartbeats;
+}
+
+MemberRecord
+HeartbeatProtocol::WireRecord(const Entry& aEntry, bool aWithDetails)
+{
+  MemberRecord record = aEntry.record;
+  if (aWithDetails || !aEntry.isListedAsKnown) {
+    record.details = aEntry.details;
+  }
+  return record;
+}
+
+std::string
+HeartbeatProtocol::Compose(std::uint64_t aPeer,
+                           Link& aLink,
+                           std::size_t aMaxBytes,
+                           Instant aNow)
+{
+  Heartbeat heartbeat;
+  // A peer that did not confirm may not know this host yet.
+  heartbeat.sender = WireRecord(*FindEntry(selfId_), !aLink.isGood);
+  heartbeat.wantsRecords = aNow < aLink.wantsRecordsUntil;
+  for (const auto& [id, link] : links_) {
+    if (link.hasHeard && heartbeat.heard.size() < HeartbeatCodec::kMaxHeard &&
+        aNow - link.lastHeard <= Duration(kHeartbeatTimeout)) {
+      heartbeat.heard.push_back(ShortId(id));
+    }
+  }
+
+  heartbeat.unknown.swap(aLink.unknown);
+
+  // Array headers, the format version and a flag.
+  constexpr std::size_t kFixedBytes = 7;
+  constexpr std::size_t kShortIdBytes = 5;
+  std::size_t bytes =
+    kFixedBytes + HeartbeatCodec::EncodedSize(heartbeat.sender) +
+    kShortIdBytes * (heartbeat.heard.size() + heartbeat.unknown.size());
+  const auto add = [&](const Entry& aEntry, bool aWithDetails) {
+    MemberRecord record = WireRecord(aEntry, aWithDetails);
+    const std::size_t size = HeartbeatCodec::EncodedSize(record);
+    if (heartbeat.updates.size() >= HeartbeatCodec::kMaxUpdates ||
+        bytes + size > aMaxBytes) {
+      return false;
+    }
+    bytes += size;
+    heartbeat.updates.push_back(std::move(record));
+    return true;
+  };
+
+  std::vector<PendingUpdate> sentAgain;
+  std::size_t taken = 0;
+  for (; taken < aLink.pending.size(); ++taken) {
+    PendingUpdate pending = aLink.pending[taken];
+    const Entry* entry = FindEntry(pending.id);
+    if (entry == nullptr || entry->record.version == 0) {
+      continue;
+    }
+    if (!add(*entry, pending.withDetails)) {
+      break;
+    }
+    if (--pending.sendsLeft > 0) {
+      sentAgain.push_back(pending);
+    }
+  }
+  aLink.pending.erase(aLink.pending.begin(),
+                      aLink.pending.begin() +
+                        static_cast<std::ptrdiff_t>(taken));
+  aLink.pending.insert(aLink.pending.end(), sentAgain.begin(), sentAgain.end());
+
+  const std::size_t refreshed =
+    aLink.doesPeerWantRecords ? HeartbeatCodec::kMaxUpdates : kRefreshedRecords;
+  std::size_t added = 0;
+  for (std::size_t i = 0; i < entries_.size() && added < refreshed; ++i) {
+    const Entry& entry = entries_[aLink.refreshCursor % entries_.size()];
+    const bool isSent = std::any_of(
+      heartbeat.updates.begin(),
+      heartbeat.updates.end(),
+      [&](const MemberRecord& aRecord) { return aRecord.id == entry.id; });
+    if (entry.id != selfId_ && entry.id != aPeer && entry.record.version > 0 &&
+        !isSent) {
+      if (!add(entry, false)) {
+        break;
+      }
+      ++added;
+    }
+    aLink.refreshCursor = (aLink.refreshCursor + 1) % entries_.size();
+  }
+  return HeartbeatCodec::Encode(heartbeat);
+}
+
+std::shared_ptr<const MembershipView>
+HeartbeatProtocol::View()
+{
+  UpdateRing();
+  if (isVerdictStale_) {
+    Judge(clock_.Now());
+  }
+  if (view_ != nullptr && !isViewStale_) {
+    return view_;
+  }
+  isViewStale_ = false;
+  std::vector<Member> members;
+  members.reserve(entries_.size());
+  for (const Entry& entry : entries_) {
+    members.push_back({ entry.details.host,
+                        entry.details.region,
+                        entry.details.domain,
+                        entry.record.incarnation,
+                        entry.state,
+                        entry.details.relay,
+                        entry.details.control,
+                        entry.record.configurationRevision });
+  }
+  view_ = MembershipView::Create(
+    FindEntry(selfId_)->details.host, std::move(members), isIsolated_);
+  return view_;
+}
+
+std::optional<ConfigurationHolder>
+HeartbeatProtocol::NewestConfiguration() const
+{
+  const Entry* newest = nullptr;
+  bool isNewestDirect = false;
+  for (const Entry& entry : entries_) {
+    const std::uint64_t revision = entry.record.configurationRevision;
+    if (entry.id == selfId_ || revision == 0 ||
+        entry.state == HostState::Unreachable) {
+      continue;
+    }
+    // A partner with a working link is the surest source.
+    const auto link = links_.find(entry.id);
+    const bool isDirect = link != links_.end() && link->second.isGood;
+    if (newest == nullptr || revision > newest->record.configurationRevision ||
+        (revision == newest->record.configurationRevision && isDirect &&
+         !isNewestDirect)) {
+      newest = &entry;
+      isNewestDirect = isDirect;
+    }
+  }
+  if (newest == nullptr) {
+    return std::nullopt;
+  }
+  return ConfigurationHolder{ newest->record.configurationRevision,
+                              newest->details.host,
+                              newest->details.relay };
+}
+
+std::vector<std::string>
+HeartbeatProtocol::Partners() const
+{
+  std::vector<std::string> partners;
+  for (const auto& [id, link] : links_) {
+    if (link.isPartner) {
+      partners.push_back(FindEntry(id)->details.host);
+    }
+  }
+  return partners;
+}
+
+std::size_t
+HeartbeatProtocol::MemoryBytes() const
+{
+  // Short names are stored within std::string itself.
+  std::size_t bytes = entries_.capacity() * sizeof(Entry) +
+                      ring_.MemberCount() * (PartnerRing::kMaxPartners + 1) *
+                        sizeof(std::uint32_t);
+  constexpr std::size_t kHashNodeBytes = 32;
+  bytes += indexes_.size() * kHashNodeBytes;
+  for (const Entry& entry : entries_) {
+    bytes += entry.record.unheardPartners.capacity() * sizeof(std::uint32_t);
+  }
+  for (const auto& [id, link] : links_) {
+    bytes += sizeof(Link) + link.pending.size() * sizeof(PendingUpdate);
+  }
+  return bytes;
+}
+
+} // namespace filbertbeam
--- a/src/membership/MembershipView.cpp
+++ b/src/membership/MembershipView.cpp
@@ -94,23 +94,23 @@
   // The best host of the domain, of the region and of all, in one pass.
   enum Scope
   {
-    kDomain,
-    kRegion,
-    kAll,
-    kScopes,
+    Domain,
+    Region,
+    Anywhere,
+    ScopeCount,
   };
-  const Member* best[kScopes] = {};
-  std::uint64_t bestWeight[kScopes] = {};
+  const Member* best[ScopeCount] = {};
+  std::uint64_t bestWeight[ScopeCount] = {};
   for (const Member& member : members_) {
     if (!CanOwn(member)) {
       continue;
     }
     const bool isInRegion = member.region == aRegion;
-    const bool isInScope[kScopes] = { isInRegion && member.domain == aDomain,
-                                      isInRegion,
-                                      true };
+    const bool isInScope[ScopeCount] = { isInRegion && member.domain == aDomain,
+                                         isInRegion,
+                                         true };
     const std::uint64_t weight = RendezvousWeight(member, keyHash);
-    for (int scope = kDomain; scope < kScopes; ++scope) {
+    for (int scope = Domain; scope < ScopeCount; ++scope) {
       // Equal weights go to the first by name, the same on every host.
       if (isInScope[scope] &&
           (best[scope] == nullptr || weight > bestWeight[scope])) {
@@ -119,10 +119,10 @@
       }
     }
   }
-  if (best[kDomain] != nullptr) {
-    return best[kDomain];
+  if (best[Domain] != nullptr) {
+    return best[Domain];
   }
-  return best[kRegion] != nullptr ? best[kRegion] : best[kAll];
+  return best[Region] != nullptr ? best[Region] : best[Anywhere];
 }
 
 const Member*
--- /dev/null
+++ b/src/membership/PartnerRing.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// Heartbeat partners of every member, the same on every host that knows the
+// same members: two neighbours on each side in a ring of the member's domain
+// and in a ring of all members. Partnership is symmetric.
+class PartnerRing
+{
+public:
+  static constexpr std::size_t kMaxPartners = 8;
+
+  struct Place
+  {
+    std::string host;
+    std::string region;
+    std::string domain;
+  };
+
+  PartnerRing() = default;
+  // Members are named by their index in aMembers; names have to differ.
+  explicit PartnerRing(std::span<const Place> aMembers);
+
+  std::size_t MemberCount() const { return partners_.size(); }
+  std::span<const std::uint32_t> PartnersOf(std::size_t aMember) const;
+  // A number that is equal for members of one domain of one region.
+  std::uint32_t DomainOf(std::size_t aMember) const
+  {
+    return partners_[aMember].domain;
+  }
+
+private:
+  struct Partners
+  {
+    std::array<std::uint32_t, kMaxPartners> indexes;
+    std::uint32_t count = 0;
+    std::uint32_t domain = 0;
+  };
+
+  void Connect(std::span<const std::uint32_t> aRing);
+  void Add(std::uint32_t aMember, std::uint32_t aPartner);
+
+  std::vector<Partners> partners_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/membership/ReachabilityJudge.cpp
@@ -0,0 +1,162 @@
+#include "membership/ReachabilityJudge.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+// One reporter alone may be the one at fault.
+constexpr std::size_t kMinReporters = 2;
+
+constexpr std::uint32_t kUnmarked = 0;
+constexpr std::uint32_t kConnectedToSelf = 1;
+
+} // namespace
+
+ReachabilityJudge::ReachabilityJudge(const PartnerRing& aRing,
+                                     std::size_t aSelf)
+  : ring_(aRing)
+  , self_(aSelf)
+  , reported_(aRing.MemberCount())
+{
+  static_assert(PartnerRing::kMaxPartners <= 8);
+}
+
+void
+ReachabilityJudge::ReportLink(std::size_t aReporter, std::size_t aPartner)
+{
+  const auto set = [&](std::size_t aMember, std::size_t aOther) {
+    const auto partners = ring_.PartnersOf(aMember);
+    const auto found = std::find(partners.begin(), partners.end(), aOther);
+    if (found != partners.end()) {
+      reported_[aMember] |=
+        static_cast<std::uint8_t>(1U << (found - partners.begin()));
+    }
+  };
+  set(aReporter, aPartner);
+  set(aPartner, aReporter);
+}
+
+bool
+ReachabilityJudge::IsLinkReported(std::size_t aMember,
+                                  std::size_t aPosition) const
+{
+  return (reported_[aMember] >> aPosition & 1U) != 0;
+}
+
+std::vector<std::uint32_t>
+ReachabilityJudge::Mark(std::vector<std::uint32_t>& aMarks,
+                        std::uint32_t aStart,
+                        std::uint32_t aMark) const
+{
+  std::vector<std::uint32_t> group{ aStart };
+  aMarks[aStart] = aMark;
+  for (std::size_t next = 0; next < group.size(); ++next) {
+    const std::uint32_t member = group[next];
+    const auto partners = ring_.PartnersOf(member);
+    for (std::size_t i = 0; i < partners.size(); ++i) {
+      if (aMarks[partners[i]] == kUnmarked && !IsLinkReported(member, i)) {
+        aMarks[partners[i]] = aMark;
+        group.push_back(partners[i]);
+      }
+    }
+  }
+  return group;
+}
+
+bool
+ReachabilityJudge::IsCutProven(std::span<const std::uint32_t> aGroup,
+                               const std::vector<std::uint32_t>& aMarks) const
+{
+  std::vector<std::uint32_t> reporters;
+  for (const std::uint32_t member : aGroup) {
+    const auto partners = ring_.PartnersOf(member);
+    for (const std::uint32_t partner : partners) {
+      if (aMarks[partner] == kConnectedToSelf &&
+          std::find(reporters.begin(), reporters.end(), partner) ==
+            reporters.end()) {
+        reporters.push_back(partner);
+        if (reporters.size() >= kMinReporters) {
+          return true;
+        }
+      }
+    }
+  }
+  // In a fleet of two, nobody else could report.
+  return aGroup.size() == 1 && reporters.size() == 1 &&
+         ring_.PartnersOf(aGroup.front()).size() == 1;
+}
+
+bool
+ReachabilityJudge::IsDomainCut(std::size_t aMember) const
+{
+  const std::uint32_t domain = ring_.DomainOf(aMember);
+  if (domain == ring_.DomainOf(self_)) {
+    return false;
+  }
+  const auto partners = ring_.PartnersOf(aMember);
+  std::size_t reports = 0;
+  for (std::size_t i = 0; i < partners.size(); ++i) {
+    if (ring_.DomainOf(partners[i]) == domain) {
+      continue;
+    }
+    if (!IsLinkReported(aMember, i)) {
+      return false;
+    }
+    ++reports;
+  }
+  return reports >= kMinReporters;
+}
+
+std::vector<Reachability>
+ReachabilityJudge::Judge() const
+{
+  std::vector<Reachability> verdicts(ring_.MemberCount(),
+                                     Reachability::Reachable);
+  std::vector<std::uint32_t> marks(ring_.MemberCount(), kUnmarked);
+  const auto connected =
+    Mark(marks, static_cast<std::uint32_t>(self_), kConnectedToSelf);
+
+  std::uint32_t mark = kConnectedToSelf;
+  for (std::uint32_t member = 0; member < marks.size(); ++member) {
+    if (marks[member] != kUnmarked) {
+      continue;
+    }
+    const auto group = Mark(marks, member, ++mark);
+    if (IsCutProven(group, marks)) {
+      const Reachability verdict =
+        group.size() == 1 ? Reachability::Unheard : Reachability::CutOff;
+      for (const std::uint32_t each : group) {
+        verdicts[each] = verdict;
+      }
+    }
+  }
+
+  for (const std::uint32_t member : connected) {
+    if (member == self_ || reported_[member] == 0) {
+      continue;
+    }
+    // Only partners on this side count: from the others no report arrives.
+    const auto partners = ring_.PartnersOf(member);
+    std::size_t counted = 0;
+    std::size_t reports = 0;
+    for (std::size_t i = 0; i < partners.size(); ++i) {
+      if (marks[partners[i]] == kConnectedToSelf) {
+        ++counted;
+        reports += IsLinkReported(member, i) ? 1U : 0U;
+      }
+    }
+    if (reports >= kMinReporters && reports * 2 > counted) {
+      verdicts[member] = Reachability::Unheard;
+    } else if (IsDomainCut(member)) {
+      // Half of the partners of a host in a lost domain are lost as well. The
+      // other half is enough; waiting until the reports of every host outside
+      // of the domain have spread would take longer in a large fleet.
+      verdicts[member] = Reachability::CutOff;
+    }
+  }
+  return verdicts;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/membership/tests/TestPartners.cpp
@@ -0,0 +1,347 @@
+#include "membership/MembershipView.h"
+#include "membership/PartnerRing.h"
+#include "membership/ReachabilityJudge.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace filbertbeam;
+
+namespace {
+
+std::vector<PartnerRing::Place>
+PlacesOf(int aHosts, int aRegions, int aDomains)
+{
+  std::vector<PartnerRing::Place> places;
+  for (int i = 0; i < aHosts; ++i) {
+    const int domain = i % aDomains;
+    places.push_back({ "host-" + std::to_string(i),
+                       "region-" + std::to_string(domain % aRegions),
+                       "domain-" + std::to_string(domain) });
+  }
+  return places;
+}
+
+bool
+ArePartners(const PartnerRing& aRing, std::size_t aLeft, std::size_t aRight)
+{
+  const auto partners = aRing.PartnersOf(aLeft);
+  return std::find(partners.begin(), partners.end(), aRight) != partners.end();
+}
+
+struct Fleet
+{
+  int hosts;
+  int regions;
+  int domains;
+};
+
+constexpr Fleet kFleets[] = { { 1, 1, 1 },    { 2, 1, 2 },   { 3, 1, 3 },
+                              { 5, 1, 2 },    { 12, 1, 3 },  { 48, 1, 3 },
+                              { 192, 1, 3 },  { 192, 1, 1 }, { 768, 6, 15 },
+                              { 1300, 6, 15 } };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Partners)
+
+// Guards against a one-sided partnership, whose link could never be good, and
+// against a number of partners that grows with the fleet.
+BOOST_AUTO_TEST_CASE(AreSymmetricAndAtMostEight)
+{
+  for (const Fleet& fleet : kFleets) {
+    BOOST_TEST_CONTEXT("hosts " << fleet.hosts)
+    {
+      const auto places = PlacesOf(fleet.hosts, fleet.regions, fleet.domains);
+      const PartnerRing ring(places);
+      for (std::size_t i = 0; i < places.size(); ++i) {
+        BOOST_TEST(ring.PartnersOf(i).size() <= PartnerRing::kMaxPartners);
+        BOOST_TEST(!ArePartners(ring, i, i));
+        for (const std::uint32_t partner : ring.PartnersOf(i)) {
+          BOOST_TEST(ArePartners(ring, partner, i));
+        }
+        if (fleet.hosts >= 48) {
+          BOOST_TEST(ring.PartnersOf(i).size() >= 6U);
+        }
+      }
+    }
+  }
+}
+
+// Guards against partners that depend on the order in which a host learned of
+// the others.
+BOOST_AUTO_TEST_CASE(AreTheSameForEveryOrderOfTheMembers)
+{
+  auto places = PlacesOf(50, 2, 5);
+  const auto byName = [&] {
+    const PartnerRing ring(places);
+    std::map<std::string, std::set<std::string>> partners;
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      for (const std::uint32_t partner : ring.PartnersOf(i)) {
+        partners[places[i].host].insert(places[partner].host);
+      }
+    }
+    return partners;
+  };
+  const auto expected = byName();
+  std::reverse(places.begin(), places.end());
+  BOOST_TEST((byName() == expected));
+  std::rotate(places.begin(), places.begin() + 17, places.end());
+  BOOST_TEST((byName() == expected));
+}
+
+// Guards against hosts of a lost domain that too few partners can report.
+BOOST_AUTO_TEST_CASE(OutsideOfTheDomainAreAtLeastTwo)
+{
+  for (const Fleet& fleet : kFleets) {
+    if (fleet.domains < 3 || fleet.hosts < 12) {
+      continue;
+    }
+    const auto places = PlacesOf(fleet.hosts, fleet.regions, fleet.domains);
+    const PartnerRing ring(places);
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      const auto partners = ring.PartnersOf(i);
+      const auto outside =
+        std::count_if(partners.begin(), partners.end(), [&](auto aPartner) {
+          return places[aPartner].domain != places[i].domain;
+        });
+      BOOST_TEST(outside >= 2);
+    }
+  }
+}
+
+// Guards against a fleet whose news cannot reach everyone in time.
+BOOST_AUTO_TEST_CASE(ConnectTheWholeFleetWithinFewHops)
+{
+  const auto places = PlacesOf(1300, 6, 15);
+  const PartnerRing ring(places);
+  std::vector<int> hops(places.size(), -1);
+  std::vector<std::uint32_t> queue{ 0 };
+  hops[0] = 0;
+  for (std::size_t next = 0; next < queue.size(); ++next) {
+    for (const std::uint32_t partner : ring.PartnersOf(queue[next])) {
+      if (hops[partner] < 0) {
+        hops[partner] = hops[queue[next]] + 1;
+        queue.push_back(partner);
+      }
+    }
+  }
+  BOOST_TEST(queue.size() == places.size());
+  const int farthest = *std::max_element(hops.begin(), hops.end());
+  BOOST_TEST_MESSAGE("1,300 hosts: farthest host after " << farthest
+                                                         << " hops");
+  BOOST_TEST(farthest <= 19);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Reports)
+
+namespace {
+
+// Reports the links from the first aCount partners of aMember.
+void
+ReportFrom(ReachabilityJudge& aJudge,
+           const PartnerRing& aRing,
+           std::size_t aMember,
+           std::size_t aCount)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    aJudge.ReportLink(aRing.PartnersOf(aMember)[i], aMember);
+  }
+}
+
+} // namespace
+
+// Guards against a host that is dropped by a minority, or kept against a
+// majority.
+BOOST_AUTO_TEST_CASE(TakeAMajorityOfThePartners)
+{
+  const auto places = PlacesOf(48, 1, 1);
+  const PartnerRing ring(places);
+  constexpr std::size_t kMember = 20;
+  const std::size_t partners = ring.PartnersOf(kMember).size();
+  for (std::size_t reports = 0; reports <= partners; ++reports) {
+    ReachabilityJudge judge(ring, 0);
+    ReportFrom(judge, ring, kMember, reports);
+    const auto verdicts = judge.Judge();
+    const bool isMajority = reports * 2 > partners;
+    BOOST_TEST((verdicts[kMember] == (isMajority ? Reachability::Unheard
+                                                 : Reachability::Reachable)));
+    for (std::size_t i = 0; i < places.size(); ++i) {
+      if (i != kMember) {
+        BOOST_TEST((verdicts[i] == Reachability::Reachable));
+      }
+    }
+  }
+}
+
+// Guards against one faulty reporter that takes a host out alone.
+BOOST_AUTO_TEST_CASE(TakeTwoReportersExceptInAFleetOfTwo)
+{
+  {
+    const PartnerRing ring(PlacesOf(3, 1, 3));
+    ReachabilityJudge judge(ring, 0);
+    judge.ReportLink(0, 1);
+    BOOST_TEST((judge.Judge()[1] == Reachability::Reachable));
+    judge.ReportLink(2, 1);
+    BOOST_TEST((judge.Judge()[1] == Reachability::Unheard));
+  }
+  {
+    // A host that hears nobody cannot tell that the others are gone.
+    const PartnerRing ring(PlacesOf(3, 1, 3));
+    ReachabilityJudge judge(ring, 0);
+    judge.ReportLink(0, 1);
+    judge.ReportLink(0, 2);
+    BOOST_TEST((judge.Judge()[1] == Reachability::Reachable));
+  }
+  {
+    const PartnerRing ring(PlacesOf(2, 1, 2));
+    ReachabilityJudge judge(ring, 0);
+    judge.ReportLink(0, 1);
+    BOOST_TEST((judge.Judge()[1] == Reachability::Unheard));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Ownership)
+
+namespace {
+
+Member
+MemberOf(const std::string& aHost,
+         const std::string& aRegion,
+         const std::string& aDomain,
+         HostState aState = HostState::Live)
+{
+  Member member;
+  member.host = aHost;
+  member.region = aRegion;
+  member.domain = aDomain;
+  member.state = aState;
+  return member;
+}
+
+std::vector<Member>
+Members()
+{
+  std::vector<Member> members;
+  for (int i = 0; i < 48; ++i) {
+    members.push_back(MemberOf("host-" + std::to_string(i),
+                               i < 24 ? "north" : "south",
+                               "domain-" + std::to_string(i % 6)));
+  }
+  return members;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(GoesToTheDomainThenTheRegionThenAnyone)
+{
+  auto members = Members();
+  const auto owner = [&] {
+    return MembershipView::Create("host-0", members, false)
+      ->OwnerOfShard("shard", "north", "domain-1");
+  };
+  BOOST_TEST(owner()->domain == "domain-1");
+  BOOST_TEST(owner()->region == "north");
+  for (Member& member : members) {
+    if (member.domain == "domain-1" && member.region == "north") {
+      member.state = HostState::Unreachable;
+    }
+  }
+  BOOST_TEST(owner()->domain != "domain-1");
+  BOOST_TEST(owner()->region == "north");
+  for (Member& member : members) {
+    if (member.region == "north") {
+      member.state = HostState::Leaving;
+    }
+  }
+  BOOST_TEST(owner()->region == "south");
+  for (Member& member : members) {
+    member.state = HostState::Unreachable;
+  }
+  BOOST_TEST((owner() == nullptr));
+}
+
+// Guards against an owner or home that is not live, and against shards and
+// customers that move without need: each move drops queues and shares.
+BOOST_AUTO_TEST_CASE(MovesOnlyFromTheHostThatIsLost)
+{
+  for (const HostState state : { HostState::Unreachable, HostState::Leaving }) {
+    auto members = Members();
+    const auto before = MembershipView::Create("host-0", members, false);
+    members[7].state = state;
+    const auto after = MembershipView::Create("host-0", members, false);
+    int moved = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const std::string key = "key-" + std::to_string(i);
+      const Member* homeBefore = before->HomeOfCustomer(key);
+      const Member* homeAfter = after->HomeOfCustomer(key);
+      const Member* ownerBefore =
+        before->OwnerOfShard(key, "north", "domain-1");
+      const Member* ownerAfter = after->OwnerOfShard(key, "north", "domain-1");
+      if (homeBefore->host == "host-7") {
+        ++moved;
+        BOOST_TEST(homeAfter->host != "host-7");
+      } else {
+        BOOST_TEST(homeAfter->host == homeBefore->host);
+      }
+      if (ownerBefore->host == "host-7") {
+        BOOST_TEST(ownerAfter->host != "host-7");
+      } else {
+        BOOST_TEST(ownerAfter->host == ownerBefore->host);
+      }
+    }
+    BOOST_TEST(moved > 0);
+  }
+}
+
+// Guards against a hash that gives some hosts most of the customers.
+BOOST_AUTO_TEST_CASE(IsSpreadEvenly)
+{
+  const auto view = MembershipView::Create("host-0", Members(), false);
+  std::map<std::string, int> homes;
+  constexpr int kCustomers = 48'000;
+  for (int i = 0; i < kCustomers; ++i) {
+    ++homes[view->HomeOfCustomer("customer-" + std::to_string(i))->host];
+  }
+  BOOST_TEST(homes.size() == 48U);
+  for (const auto& [host, count] : homes) {
+    // 1,000 expected; 32 is the standard deviation.
+    BOOST_TEST(count > 800);
+    BOOST_TEST(count < 1200);
+  }
+}
+
+// Guards against an isolated host that goes on owning.
+BOOST_AUTO_TEST_CASE(IsNeverWithAnIsolatedHost)
+{
+  const auto view = MembershipView::Create("host-3", Members(), true);
+  for (int i = 0; i < 1000; ++i) {
+    const std::string key = std::to_string(i);
+    BOOST_TEST(view->HomeOfCustomer(key)->host != "host-3");
+    BOOST_TEST(view->OwnerOfShard(key, "north", "domain-3")->host != "host-3");
+  }
+}
+
+// Guards against crashes on member lists that break the precondition.
+BOOST_AUTO_TEST_CASE(ViewsNeedTheHostItself)
+{
+  BOOST_TEST((MembershipView::Create("nobody", Members(), false) == nullptr));
+  BOOST_TEST((MembershipView::Create("nobody", {}, false) == nullptr));
+  auto members = Members();
+  members.push_back(members.front());
+  const auto view = MembershipView::Create("host-0", members, false);
+  BOOST_TEST(view->Members().size() == 48U);
+  BOOST_TEST(view->LiveCount() == 48);
+  BOOST_TEST(view->Self().host == "host-0");
+  BOOST_TEST((view->Find("nobody") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
