--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -424,6 +424,7 @@
     }
     server.state = state;
     server.epoch += 1;
+    stateChanges_ += 1;
   }
 }
 
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -37,6 +37,7 @@
                 Instant aNow) override;
   ShardLoad Load() const override;
   std::vector<ServerReport> Report(Instant aNow) const override;
+  std::uint64_t StateChanges() const override { return stateChanges_; }
 
 private:
   struct Server
@@ -106,6 +107,7 @@
   EjectionPolicy policy_;
   std::map<std::string, Server> servers_;
   ServerId nextServerId_ = 0;
+  std::uint64_t stateChanges_ = 0;
   FairQueue inContract_;
   FairQueue excess_;
   std::unordered_map<std::uint64_t, Queued> queued_;
--- a/src/slots/ShardScheduler.h
+++ b/src/slots/ShardScheduler.h
@@ -148,6 +148,9 @@
 
   virtual ShardLoad Load() const = 0;
   virtual std::vector<ServerReport> Report(Instant aNow) const = 0;
+  // Grows with every change of a backend server's state, so that a caller
+  // reads Report only when there is something new to log.
+  virtual std::uint64_t StateChanges() const = 0;
 };
 
 } // namespace filbertbeam
--- /dev/null
+++ b/tools/detection_trial/DetectionTrial.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "shard_model/ShardModel.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// One run of the model: a shard, a load and a fault. It is observed by the
+// scheduler's own detection, and by the baseline of five consecutive failures
+// per server.
+class DetectionTrial final : public ShardModelObserver
+{
+public:
+  struct Setup
+  {
+    DetectionPreference preference = DetectionPreference::Detection;
+    int servers = 7;
+    int slots = 4;
+    // Offered load as a share of the slots' capacity.
+    double load = 0.7;
+    // 1 keeps the scheduler from ejecting, so that the baseline sees all
+    // requests.
+    double floor = 0.5;
+    FaultKind fault = FaultKind::None;
+    double faultAtSeconds = 0;
+    double seconds = 0;
+    std::uint64_t seed = 1;
+  };
+
+  // What was seen by one way of detection.
+  struct Detection
+  {
+    // From the fault to the first ejection of the faulty server.
+    std::optional<double> seconds;
+    // Ejections of servers without a fault.
+    int falseEjections = 0;
+    // Requests that the fault failed or slowed before the detection.
+    int failed = 0;
+    int slowed = 0;
+  };
+
+  static DetectionTrial Run(const Setup& aSetup);
+
+  const Detection& Own() const { return own_; }
+  const Detection& Baseline() const { return baseline_; }
+  // Requests that the fault failed or slowed until the end.
+  int Affected() const { return affected_; }
+  const std::string& LastReason() const { return lastReason_; }
+
+  void OnAssigned(const ModelRequest& aRequest, Instant aNow) override;
+  void OnFinished(const ModelRequest& aRequest,
+                  AttemptResult aResult,
+                  Instant aNow) override;
+  void OnSettled(Instant aNow) override;
+
+private:
+  explicit DetectionTrial(const Setup& aSetup);
+  void Configure(bool aWithFaulty);
+  void CountEjection(Detection& aDetection, std::size_t aServer) const;
+
+  Setup setup_;
+  Service service_;
+  std::unique_ptr<ShardScheduler> scheduler_;
+  std::unique_ptr<ShardModel> model_;
+  std::uint64_t changes_ = 0;
+  std::set<std::string> ejected_;
+  std::vector<int> consecutiveFailures_;
+  Detection own_;
+  Detection baseline_;
+  int affected_ = 0;
+  std::string lastReason_;
+};
+
+} // namespace filbertbeam
