--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -169,12 +169,11 @@
     return false;
   }
   sealer_ = CreateRelaySealer(settings_, incarnation_, clock_);
-  channel_ = NngControlChannel::Create(settings_.control,
-                                       settings_.host,
-                                       incarnation_,
-                                       settings_.fleetSecret,
-                                       clock_,
-                                       aReason);
+  ControlChannelSettings channel;
+  channel.self = { settings_.host, incarnation_ };
+  channel.listen = settings_.control;
+  channel.secret = settings_.fleetSecret;
+  channel_ = NngControlChannel::Create(channel, clock_, aReason);
   if (!channel_) {
     return false;
   }
