--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -349,7 +349,7 @@
 int
 Fleet::TotalRuns(const Backend& aBackend)
 {
-  return ControlJson(aBackend.endpoint, "/control/runs")["total"].toInt();
+  return ControlJson(aBackend.endpoint, "/control/runs")["runs"].toInt();
 }
 
 void
--- a/tests/fleet/TestAtMostOnce.cpp
+++ b/tests/fleet/TestAtMostOnce.cpp
@@ -45,7 +45,7 @@
     BOOST_TEST(again->Status() == 409);
     BOOST_TEST(again->Outcome() == "unknown");
   }
-  BOOST_TEST(fleet.RunsOf("idempotency_keys", "temple-1") == 1);
+  BOOST_TEST(fleet.RunsOf("keys", "temple-1") == 1);
 }
 
 // Guards against two runs by tries at the same time through several hosts.
@@ -66,7 +66,7 @@
       BOOST_TEST((call->Status() == 200 || call->Status() == 409));
     }
     BOOST_TEST(served >= 1);
-    BOOST_TEST(fleet.RunsOf("idempotency_keys", key) == 1);
+    BOOST_TEST(fleet.RunsOf("keys", key) == 1);
     const auto later = Deposit(fleet, 1, key);
     BOOST_REQUIRE(WaitForAll({ later }, seconds(10)));
     BOOST_TEST(later->Status() == 200);
@@ -90,14 +90,14 @@
   BOOST_TEST(keyed->Outcome() == "not-run");
   BOOST_TEST(lookup->Status() == 200);
   BOOST_TEST(unkeyed->Status() == 200);
-  BOOST_TEST(fleet.RunsOf("idempotency_keys", "permit-7") == 0);
+  BOOST_TEST(fleet.RunsOf("keys", "permit-7") == 0);
 
   fleet.SetPlatformFault("away=0");
   RunFor(seconds(5));
   const auto again = Deposit(fleet, 0, "permit-7");
   BOOST_REQUIRE(WaitForAll({ again }, seconds(20)));
   BOOST_TEST(again->Status() == 200);
-  BOOST_TEST(fleet.RunsOf("idempotency_keys", "permit-7") == 1);
+  BOOST_TEST(fleet.RunsOf("keys", "permit-7") == 1);
 }
 
 // Guards against a claim that is lost or doubled with the answer to its write.
@@ -109,7 +109,7 @@
   const auto call = Deposit(fleet, 0, "temple-2");
   BOOST_REQUIRE(WaitForAll({ call }, seconds(20)));
   BOOST_TEST(call->Status() == 200);
-  BOOST_TEST(fleet.RunsOf("idempotency_keys", "temple-2") == 1);
+  BOOST_TEST(fleet.RunsOf("keys", "temple-2") == 1);
 }
 
 // Guards against a second run when an owner dies with requests in flight, and
@@ -136,7 +136,7 @@
   BOOST_REQUIRE(WaitForAll(calls, seconds(40)));
   for (int i = 0; i < 12; ++i) {
     const std::string key = "approval-" + std::to_string(i);
-    const int runs = fleet.RunsOf("idempotency_keys", key);
+    const int runs = fleet.RunsOf("keys", key);
     BOOST_TEST(runs <= 1);
     const auto& call = calls[static_cast<std::size_t>(i)];
     if (call->Status() == 200) {
@@ -179,7 +179,7 @@
   RunFor(seconds(2));
   for (int i = 0; i < 30; ++i) {
     const int runs =
-      fleet.RunsOf("idempotency_keys", "frozen-" + std::to_string(i));
+      fleet.RunsOf("keys", "frozen-" + std::to_string(i));
     BOOST_TEST(runs <= 1);
     if (calls[static_cast<std::size_t>(i)]->Outcome() == "not-run") {
       BOOST_TEST(runs == 0);
--- a/tests/fleet/TestPath.cpp
+++ b/tests/fleet/TestPath.cpp
@@ -45,8 +45,12 @@
     const auto direct = fleet.Control(fleet.Backends()[0].endpoint,
                                       "GET",
                                       "/bytes/" + std::to_string(sizes[i]));
-    BOOST_TEST(calls[i]->IsComplete());
-    BOOST_TEST(calls[i]->Body().size() == sizes[i]);
+    BOOST_TEST_CONTEXT(calls[i]->Status() << " " << calls[i]->Title() << " "
+                                          << calls[i]->FailureReason())
+    {
+      BOOST_TEST(calls[i]->IsComplete());
+      BOOST_TEST(calls[i]->Body().size() == sizes[i]);
+    }
     BOOST_TEST(Sha256Hex(calls[i]->Body()) == Sha256Hex(direct->Body()));
   }
 }
