--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -91,6 +91,7 @@
   isRequestSent_ = false;
   isAboveHigh_ = false;
   isPaused_ = false;
+  isHeadDelivered_ = false;
   parser_.Reset(aHead.method);
   Write(aHeadBytes);
   return exchange_;
@@ -244,7 +245,7 @@
     return;
   }
   const auto self = shared_from_this();
-  isOrderlyEnd_ = socket_->error() == QAbstractSocket::RemoteHostClosedError;
+  isOrderlyEnd_ = endWatch_ != nullptr && endWatch_->HasEndedInOrder();
   endReason_ = socket_->errorString().toStdString();
   // What arrived before the end is kept; it is at most one read buffer.
   const QByteArray rest = socket_->readAll();
@@ -255,6 +256,7 @@
   // Nothing more may be sent: the count of bytes sent is final from here on.
   socket_->disconnect(&receiver_);
   socket_->abort();
+  endWatch_.reset();
   if (exchange_ == nullptr) {
     Close();
     return;
@@ -291,11 +293,12 @@
 bool
 HttpClientConnection::Step()
 {
-  if (exchange_ == nullptr || isPaused_ || state_ == State::Closed) {
+  if (exchange_ == nullptr || (isPaused_ && isHeadDelivered_) ||
+      state_ == State::Closed) {
     return false;
   }
   std::size_t consumed = 0;
-  HttpParseStep step = parser_.Parse(Input(), consumed);
+  const HttpParseStep step = parser_.Parse(Input(), consumed);
   if (step == HttpParseStep::NeedMore) {
     inputBegin_ += consumed;
     if (ReadMore()) {
@@ -304,16 +307,13 @@
     if (state_ != State::Ended) {
       return false;
     }
-    if (!isOrderlyEnd_) {
-      Fail(HttpFailureKind::Closed, endReason_);
-      return false;
-    }
-    step = parser_.ParseEnd();
-    if (step == HttpParseStep::Failed) {
+    if (parser_.ParseEnd() == HttpParseStep::Failed) {
       Fail(HttpFailureKind::Closed, parser_.LastReason());
-      return false;
+    } else if (!isOrderlyEnd_) {
+      Fail(HttpFailureKind::Closed, endReason_);
+    } else {
+      CompleteExchange();
     }
-    CompleteExchange();
     return false;
   }
   const auto observer = observer_;
@@ -325,6 +325,16 @@
              "a response arrived before the request was sent");
         return false;
       }
+      if (parser_.Head().framing == BodyFraming::UntilClose) {
+        if (state_ == State::Ended) {
+          // The end came together with the head: whether it was a reset cannot
+          // be told any more.
+          Fail(HttpFailureKind::Closed, endReason_);
+          return false;
+        }
+        endWatch_ = std::make_unique<SocketDuplicate>(*socket_);
+      }
+      isHeadDelivered_ = true;
       observer->OnResponseHead(parser_.Head());
       return true;
     case HttpParseStep::Body:
@@ -423,6 +433,7 @@
   timer_.stop();
   socket_->disconnect(&receiver_);
   socket_->abort();
+  endWatch_.reset();
   if (const auto onClosed = std::exchange(handlers_.onClosed, nullptr)) {
     onClosed(*this);
   }
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -2,6 +2,7 @@
 
 #include "http/HttpClient.h"
 #include "http/HttpResponseParser.h"
+#include "http/SocketDuplicate.h"
 
 #include <QObject>
 #include <QTcpSocket>
@@ -92,6 +93,8 @@
   QTcpSocket* socket_;
   QTimer timer_;
   State state_ = State::Connecting;
+  // Present while the end of the connection ends the body.
+  std::unique_ptr<SocketDuplicate> endWatch_;
   // The peer ended the connection in order, not by a reset.
   bool isOrderlyEnd_ = false;
   std::string endReason_;
@@ -109,6 +112,7 @@
   bool isRequestSent_ = false;
   bool isAboveHigh_ = false;
   bool isPaused_ = false;
+  bool isHeadDelivered_ = false;
 
   std::string input_;
   std::size_t inputBegin_ = 0;
--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -15,6 +15,8 @@
 // an endless chunk extension would have to be buffered.
 constexpr std::size_t kMaxChunkLineBytes = 4096;
 constexpr std::string_view kSchemePrefix = "http://";
+constexpr std::string_view kUnsupportedVersion =
+  "the HTTP version is not supported";
 
 bool
 IsVisible(char aCharacter)
@@ -30,6 +32,25 @@
          kForbidden.find(aCharacter) == std::string_view::npos;
 }
 
+// True when the start line ends with a version of HTTP, known or not.
+bool
+NamesHttpVersion(ByteView aHead)
+{
+  constexpr std::string_view kExample = " HTTP/1.1";
+  const std::string_view head(aHead.data(), aHead.size());
+  const std::string_view line = head.substr(0, head.find('\r'));
+  if (line.size() < kExample.size() ||
+      std::count(line.begin(), line.end(), ' ') != 2) {
+    return false;
+  }
+  const std::string_view version = line.substr(line.size() - kExample.size());
+  const auto isDigit = [](char aCharacter) {
+    return aCharacter >= '0' && aCharacter <= '9';
+  };
+  return version.starts_with(" HTTP/") && isDigit(version[6]) &&
+         version[7] == '.' && isDigit(version[8]);
+}
+
 } // namespace
 
 HttpRequestParser::HttpRequestParser(std::size_t aHeadLimit,
@@ -86,6 +107,10 @@
   const ByteView bytes = aInput.subspan(
     scanner_.LeadingBytes(), scanner_.HeadBytes() - scanner_.LeadingBytes());
   parser_->Put(bytes, error);
+  if (error == boost::beast::http::error::bad_version &&
+      NamesHttpVersion(bytes)) {
+    return Fail(505, kUnsupportedVersion);
+  }
   if (error) {
     return Fail(400, error.message());
   }
@@ -146,7 +171,7 @@
   // HTTP/1.0 has no chunked coding, so a response of unknown length could end
   // only with the connection, and a truncated one would look complete.
   if (parser_->httpVersion != 11) {
-    Fail(505, "only HTTP/1.1 is supported");
+    Fail(505, kUnsupportedVersion);
     return false;
   }
   head_.method = std::move(parser_->method);
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 // What a caller may still send after a response that ends its connection.
 constexpr std::chrono::seconds kLingerTime{ 2 };
-constexpr std::size_t kLingerBytes = 1024 * 1024;
+constexpr std::size_t kLingerBytes = 8 * 1024 * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 Instant
@@ -109,6 +109,13 @@
     }
     return;
   }
+  // With a full read buffer, Qt does not watch the socket, and a caller that
+  // went away would keep its request queued.
+  if (socket_->bytesAvailable() >= kReadBufferBytes && !isFinished_ &&
+      HasPeerEnded(*socket_)) {
+    Close();
+    return;
+  }
   if (isRequestEnded_ || isBodyPaused_ || isFinished_) {
     requestProgress_.Reset();
   } else if (!requestProgress_.Check(
@@ -314,6 +321,11 @@
   if (phase_ != Phase::Open || exchange_ == nullptr || isHeadSent_) {
     return;
   }
+  // An interim response would be taken for the whole response here.
+  if (aHead.status < 200) {
+    Abort();
+    return;
+  }
   // Without its whole body read, the next request cannot be found.
   keepsAlive_ = parser_.KeepAlive() && !isStopping_ && isRequestEnded_;
   const bool isHeadRequest = exchange_->Request().method == "HEAD";
--- /dev/null
+++ b/src/http/SocketDuplicate.cpp
@@ -0,0 +1,35 @@
+#include "http/SocketDuplicate.h"
+
+#include <QTcpSocket>
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace filbertbeam {
+
+SocketDuplicate::SocketDuplicate(const QTcpSocket& aSocket)
+  : descriptor_(
+      ::fcntl(static_cast<int>(aSocket.socketDescriptor()), F_DUPFD_CLOEXEC, 0))
+{
+}
+
+SocketDuplicate::~SocketDuplicate()
+{
+  if (descriptor_ >= 0) {
+    ::close(descriptor_);
+  }
+}
+
+bool
+SocketDuplicate::HasEndedInOrder() const
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/http/SocketDuplicate.h
@@ -0,0 +1,25 @@
+#pragma once
+
+class QTcpSocket;
+
+namespace filbertbeam {
+
+// A second descriptor of a socket, which stays valid when Qt closes its own.
+// Qt reports a reset of the connection as an orderly close; the descriptor
+// tells one from the other.
+class SocketDuplicate
+{
+public:
+  explicit SocketDuplicate(const QTcpSocket& aSocket);
+  ~SocketDuplicate();
+  SocketDuplicate(const SocketDuplicate&) = delete;
+  SocketDuplicate& operator=(const SocketDuplicate&) = delete;
+
+  // True when the peer has closed its side, and has not reset the connection.
+  bool HasEndedInOrder() const;
+
+private:
+  int descriptor_;
+};
+
+} // namespace filbertbeam
--- a/src/http/SocketProbe.cpp
+++ b/src/http/SocketProbe.cpp
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace filbertbeam {
@@ -31,4 +32,14 @@
   return SocketCondition::Ended;
 }
 
+bool
+HasPeerEnded(const QTcpSocket& aSocket)
+{
+  pollfd descriptor{ static_cast<int>(aSocket.socketDescriptor()),
+                     POLLRDHUP,
+                     0 };
+  return ::poll(&descriptor, 1, 0) > 0 &&
+         (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace filbertbeam
--- a/src/http/SocketProbe.h
+++ b/src/http/SocketProbe.h
@@ -18,4 +18,9 @@
 SocketCondition
 ProbeSocket(const QTcpSocket& aSocket);
 
+// True when the peer closed or reset the connection, even while input that
+// arrived before is not read yet.
+bool
+HasPeerEnded(const QTcpSocket& aSocket);
+
 } // namespace filbertbeam
--- a/src/http/TcpHttpServer.cpp
+++ b/src/http/TcpHttpServer.cpp
@@ -8,6 +8,7 @@
 #include <QTcpSocket>
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertbeam {
 
@@ -45,6 +46,8 @@
   server_.setMaxPendingConnections(kListenBacklog);
   QObject::connect(
     &server_, &QTcpServer::newConnection, &server_, [this] { Accept(); });
+  QObject::connect(
+    &server_, &QTcpServer::acceptError, &server_, [this] { isPaused_ = true; });
   const auto shortest =
     std::min({ limits_.headTimeout, limits_.bodyGrace, limits_.idleTimeout });
   timer_.setInterval(
@@ -137,6 +140,11 @@
 void
 TcpHttpServer::CheckTime()
 {
+  // Qt stops accepting when accept fails, for example for want of a file
+  // descriptor, and would never start again by itself.
+  if (std::exchange(isPaused_, false)) {
+    server_.resumeAccepting();
+  }
   const Instant now = std::chrono::steady_clock::now();
   for (const auto& connection : Connections()) {
     connection->CheckTime(now);
--- a/src/http/TcpHttpServer.h
+++ b/src/http/TcpHttpServer.h
@@ -38,6 +38,8 @@
   // Context of the queued calls of the connections.
   QObject context_;
   QTcpServer server_;
+  // Accepting failed and starts again at the next check.
+  bool isPaused_ = false;
   QTimer timer_;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
--- /dev/null
+++ b/src/http/tests/TestHttpClient.cpp
@@ -0,0 +1,689 @@
+#include "http/HttpClient.h"
+#include "http/tests/support/EventLoop.h"
+#include "http/tests/support/RawPeers.h"
+#include "http/tests/support/RecordingApplication.h"
+#include "http/tests/support/RecordingObserver.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <ostream>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+const std::string kEmptyOk = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+HttpRequestHead
+Get(std::string_view aTarget = "/")
+{
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = aTarget;
+  return head;
+}
+
+HttpRequestHead
+Post(std::uint64_t aLength)
+{
+  HttpRequestHead head;
+  head.method = "POST";
+  head.target = "/p";
+  head.framing = BodyFraming::Length;
+  head.contentLength = aLength;
+  return head;
+}
+
+std::string
+Ok(std::string_view aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + std::string(aBody);
+}
+
+struct ClientFixture
+{
+  std::shared_ptr<RecordingObserver> Start(
+    const HttpRequestHead& aHead,
+    const HttpClientOptions& aOptions = {})
+  {
+    auto observer = std::make_shared<RecordingObserver>();
+    exchange = client->Start(server.Address(), aHead, aOptions, observer);
+    // No event may come during the call.
+    BOOST_TEST(observer->events == 0);
+    return observer;
+  }
+
+  // Makes the server answer every whole head with aResponse.
+  void AnswerHeadsWith(const std::string& aResponse, bool aCloses = false)
+  {
+    server.onReceived = [aResponse, aCloses](RawConnection& aConnection) {
+      if (aConnection.received.ends_with("\r\n\r\n")) {
+        aConnection.Send(aResponse);
+        if (aCloses) {
+          aConnection.Close();
+        }
+      }
+    };
+  }
+
+  int OpenConnections() const
+  {
+    return client->OpenConnections(server.Address());
+  }
+
+  // A port that nothing listens on.
+  static Endpoint RefusedAddress()
+  {
+    QTcpServer unused;
+    unused.listen(QHostAddress(QHostAddress::LocalHost));
+    return { "127.0.0.1", unused.serverPort() };
+  }
+
+  RawServer server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create({});
+  std::shared_ptr<HttpClientExchange> exchange;
+};
+
+struct BadResponse
+{
+  const char* name;
+  std::string bytes;
+  HttpFailureKind kind;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const BadResponse& aResponse)
+{
+  return aStream << aResponse.name;
+}
+
+const std::vector<BadResponse> kBadResponses{
+  { "nothing", "", HttpFailureKind::Closed },
+  { "half a head", "HTTP/1.1 200 OK\r\nContent-", HttpFailureKind::Closed },
+  { "only an interim response",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    HttpFailureKind::Closed },
+  { "short Content-Length",
+    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n123456789",
+    HttpFailureKind::Closed },
+  { "chunked without the last chunk",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+    HttpFailureKind::Closed },
+  { "chunked within a chunk",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+    HttpFailureKind::Closed },
+  { "chunked within the last chunk",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+    HttpFailureKind::Closed },
+  { "no HTTP", "SSH-2.0-OpenSSH\r\n\r\n", HttpFailureKind::Malformed },
+  { "empty line first", "\r\n" + kEmptyOk, HttpFailureKind::Malformed },
+  { "bare LF", "HTTP/1.1 200 OK\nX: y\n\n", HttpFailureKind::Malformed },
+  { "neither length nor close",
+    "HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody",
+    HttpFailureKind::Malformed },
+  { "Content-Length with Transfer-Encoding",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n0\r\n\r\n",
+    HttpFailureKind::Malformed },
+  { "repeated Content-Length",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    HttpFailureKind::Malformed },
+  { "unknown transfer coding",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+    HttpFailureKind::Malformed },
+  { "malformed chunk",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+    HttpFailureKind::Malformed },
+  { "protocol switch",
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+    HttpFailureKind::Malformed },
+  { "status out of range",
+    "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
+    HttpFailureKind::Malformed },
+  { "HTTP/2",
+    "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+    HttpFailureKind::Malformed },
+  { "oversized head",
+    "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n",
+    HttpFailureKind::Malformed },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http)
+
+BOOST_AUTO_TEST_SUITE(Client)
+
+BOOST_FIXTURE_TEST_SUITE(SentOnce, ClientFixture)
+
+// Guards against a POST that is sent again by itself: the server may have run
+// it before it closed.
+BOOST_AUTO_TEST_CASE(AServerThatClosesWithoutAnAnswerGetsOnePost)
+{
+  server.onReceived = [](RawConnection& aConnection) {
+    if (aConnection.received.ends_with("hello")) {
+      aConnection.Close();
+    }
+  };
+  const auto observer = Start(Post(5));
+  exchange->SendBody(std::string_view("hello"));
+  exchange->FinishBody();
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(observer->failures == 1);
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Closed));
+  BOOST_TEST(observer->failure->anyByteSent);
+  BOOST_TEST(observer->requestsSent == 1);
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(server.connections[0]->Count("POST /p") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatClosesAtOnceGetsAtMostOnePost)
+{
+  server.onAccepted = [](RawConnection& aConnection) {
+    aConnection.Socket().abort();
+  };
+  const auto observer = Start(Post(5));
+  exchange->SendBody(std::string_view("hello"));
+  exchange->FinishBody();
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(observer->failures == 1);
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Closed));
+  BOOST_TEST(server.connections.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatClosesWithinTheBodyGetsOnePost)
+{
+  server.onReceived = [](RawConnection& aConnection) {
+    if (aConnection.received.ends_with("half")) {
+      aConnection.Close();
+    }
+  };
+  const auto observer = Start(Post(8));
+  exchange->SendBody(std::string_view("half"));
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  exchange->SendBody(std::string_view("rest"));
+  exchange->FinishBody();
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(observer->failures == 1);
+  BOOST_TEST(observer->failure->anyByteSent);
+  BOOST_TEST(observer->requestsSent == 0);
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(server.Received().ends_with("half"));
+}
+
+// Guards against a resend on a new connection when an idle one turns out to
+// be closed, and against an idle connection that is used although it is closed.
+BOOST_AUTO_TEST_CASE(AnIdleConnectionThatThePeerClosedIsNotUsed)
+{
+  AnswerHeadsWith(kEmptyOk);
+  const auto first = Start(Get("/1"));
+  BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
+  BOOST_TEST(OpenConnections() == 1);
+
+  // The close is known to the kernel, but not yet to the client.
+  server.connections[0]->Socket().abort();
+  const auto second = Start(Post(0));
+  BOOST_TEST(WaitUntil([&] { return second->IsOver(); }));
+  BOOST_TEST(second->ends == 1);
+  BOOST_TEST(server.connections.size() == 2U);
+  BOOST_TEST(server.connections[0]->Count("POST") == 0);
+  BOOST_TEST(server.connections[1]->Count("POST") == 1);
+  BOOST_TEST(OpenConnections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnIdleConnectionThatThePeerClosesIsForgotten)
+{
+  AnswerHeadsWith(kEmptyOk, true);
+  const auto observer = Start(Get());
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(observer->ends == 1);
+  BOOST_TEST(WaitUntil([&] { return OpenConnections() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AnyByteSent, ClientFixture)
+
+// Guards against "not run" for a request that the server may have seen, and
+// against "unknown" for one that it cannot have seen.
+BOOST_AUTO_TEST_CASE(ARefusedConnectionSentNothing)
+{
+  auto observer = std::make_shared<RecordingObserver>();
+  exchange = client->Start(RefusedAddress(), Post(5), {}, observer);
+  exchange->SendBody(std::string_view("hello"));
+  BOOST_TEST(observer->events == 0);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Connect));
+  BOOST_TEST(!observer->failure->anyByteSent);
+  BOOST_TEST(!exchange->AnyByteSent());
+  BOOST_TEST(observer->events == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressThatIsNoIpAddressSentNothing)
+{
+  auto observer = std::make_shared<RecordingObserver>();
+  exchange = client->Start({ "localhost.test", 80 }, Get(), {}, observer);
+  BOOST_TEST(observer->events == 0);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Connect));
+  BOOST_TEST(!observer->failure->anyByteSent);
+}
+
+// Guards against an attempt that waits for ever: a listener whose backlog is
+// full ignores further connections.
+BOOST_AUTO_TEST_CASE(AConnectionThatDoesNotOpenInTimeSentNothing)
+{
+  QTcpServer full;
+  full.setListenBacklogSize(1);
+  BOOST_REQUIRE(full.listen(QHostAddress(QHostAddress::LocalHost)));
+  full.pauseAccepting();
+  constexpr int kFillers = 4;
+  std::vector<std::unique_ptr<RawConnection>> fillers;
+  fillers.reserve(kFillers);
+  for (int i = 0; i < kFillers; ++i) {
+    fillers.push_back(std::make_unique<RawConnection>(full.serverPort()));
+  }
+  RunFor(std::chrono::milliseconds(20));
+  auto observer = std::make_shared<RecordingObserver>();
+  exchange = client->Start({ "127.0.0.1", full.serverPort() },
+                           Get(),
+                           { false, std::chrono::milliseconds(50) },
+                           observer);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Connect));
+  BOOST_TEST(!observer->failure->anyByteSent);
+}
+
+BOOST_AUTO_TEST_CASE(AHeadThatCannotBeWrittenSentNothing)
+{
+  HttpRequestHead head = Get("/a b");
+  const auto observer = Start(head);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(!observer->failure->anyByteSent);
+  BOOST_TEST(server.connections.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ACancelBeforeTheConnectionIsOpenSentNothing)
+{
+  const auto observer = Start(Post(5));
+  exchange->Cancel();
+  BOOST_TEST(observer->events == 0);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Cancelled));
+  BOOST_TEST(!observer->failure->anyByteSent);
+  BOOST_TEST(observer->events == 1);
+  BOOST_TEST(server.Received().empty());
+  BOOST_TEST(OpenConnections() == 0);
+}
+
+// Guards against a claim that nothing was sent while the kernel has the bytes,
+// whether or not the server has read them.
+BOOST_AUTO_TEST_CASE(ACancelAfterTheHeadWasWrittenSentSomething)
+{
+  server.onAccepted = [](RawConnection& aConnection) {
+    aConnection.isReading = false;
+  };
+  const auto observer = Start(Post(5));
+  BOOST_TEST(!exchange->AnyByteSent());
+  BOOST_TEST(WaitUntil([&] { return exchange->AnyByteSent(); }));
+  BOOST_TEST(exchange->UnsentBytes() == 0U);
+  exchange->Cancel();
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Cancelled));
+  BOOST_TEST(observer->failure->anyByteSent);
+  BOOST_TEST(exchange->AnyByteSent());
+  BOOST_TEST(observer->requestsSent == 0);
+}
+
+// The property itself, over many moments of a cancel: when the client says that
+// nothing was sent, the server never receives a byte.
+BOOST_AUTO_TEST_CASE(NothingArrivesWhenNothingWasSent)
+{
+  int unsent = 0;
+  int sent = 0;
+  for (int turns = 0; turns < 12; ++turns) {
+    for (int repeat = 0; repeat < 10; ++repeat) {
+      RawServer target;
+      auto observer = std::make_shared<RecordingObserver>();
+      const auto running =
+        client->Start(target.Address(), Post(5), {}, observer);
+      for (int i = 0; i < turns; ++i) {
+        QCoreApplication::processEvents();
+      }
+      running->Cancel();
+      BOOST_REQUIRE(WaitUntil([&] { return observer->IsOver(); }));
+      RunFor(std::chrono::milliseconds(6));
+      if (observer->failure->anyByteSent) {
+        ++sent;
+      } else {
+        ++unsent;
+        BOOST_TEST(target.Received().empty());
+      }
+    }
+  }
+  BOOST_TEST(unsent > 0);
+  BOOST_TEST(sent > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Responses, ClientFixture)
+
+// Guards against a truncated or ambiguous response that is taken for a whole
+// one.
+BOOST_DATA_TEST_CASE_F(ClientFixture,
+                       ABadResponseIsAFailure,
+                       boost::unit_test::data::make(kBadResponses),
+                       response)
+{
+  AnswerHeadsWith(response.bytes, true);
+  const auto observer = Start(Get());
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  RunFor(std::chrono::milliseconds(10));
+  BOOST_TEST(observer->ends == 0);
+  BOOST_REQUIRE(observer->failures == 1);
+  BOOST_TEST((observer->failure->kind == response.kind));
+  BOOST_TEST(observer->failure->anyByteSent);
+  BOOST_TEST(!observer->failure->reason.empty());
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(WaitUntil([&] { return OpenConnections() == 0; }));
+}
+
+// Guards against a body that ends with a reset and is taken for a whole one.
+BOOST_AUTO_TEST_CASE(ABodyUntilCloseEndsWithAnOrderlyClose)
+{
+  AnswerHeadsWith("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", true);
+  const auto observer = Start(Get());
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(observer->ends == 1);
+  BOOST_TEST(observer->body == "whole");
+  BOOST_TEST((observer->head->framing == BodyFraming::UntilClose));
+}
+
+BOOST_AUTO_TEST_CASE(ABodyUntilCloseThatIsResetIsAFailure)
+{
+  AnswerHeadsWith("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+  const auto observer = Start(Get());
+  BOOST_TEST(WaitUntil([&] { return observer->body == "part"; }));
+  // Closing with unread input resets the connection.
+  QTcpSocket& socket = server.connections.at(0)->Socket();
+  server.connections[0]->isReading = false;
+  socket.setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+  const linger reset{ 1, 0 };
+  ::setsockopt(static_cast<int>(socket.socketDescriptor()),
+               SOL_SOCKET,
+               SO_LINGER,
+               &reset,
+               sizeof reset);
+  socket.abort();
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(observer->failures == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ResponsesWithoutABodyEndWithTheirHead)
+{
+  const auto expectEnd = [this](const char* aMethod, const char* aResponse) {
+    AnswerHeadsWith(aResponse);
+    server.connections.clear();
+    client = HttpClient::Create({});
+    HttpRequestHead head = Get();
+    head.method = aMethod;
+    const auto observer = Start(head);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    BOOST_TEST(observer->ends == 1);
+    BOOST_TEST(observer->body.empty());
+    BOOST_TEST(OpenConnections() == 1);
+  };
+  expectEnd("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+  expectEnd("HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  expectEnd("GET", "HTTP/1.1 204 No Content\r\n\r\n");
+  expectEnd("GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n");
+  expectEnd("GET",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+            "Link: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+}
+
+// Guards against a request body that continues after its answer, on a
+// connection that is used again.
+BOOST_AUTO_TEST_CASE(AnEarlyResponseEndsTheExchangeAndTheConnection)
+{
+  AnswerHeadsWith(Ok("early"));
+  const auto observer = Start(Post(1'000'000));
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(observer->ends == 1);
+  BOOST_TEST(observer->body == "early");
+  BOOST_TEST(observer->requestsSent == 0);
+  BOOST_TEST(OpenConnections() == 0);
+  exchange->SendBody(std::string_view("late"));
+  exchange->FinishBody();
+  BOOST_TEST(exchange->AnyByteSent());
+}
+
+BOOST_AUTO_TEST_CASE(APausedResponseIsDeliveredAfterTheServerClosed)
+{
+  AnswerHeadsWith(Ok("whole"), true);
+  auto observer = std::make_shared<RecordingObserver>();
+  exchange = client->Start(server.Address(), Get(), {}, observer);
+  exchange->PauseResponseBody();
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(!observer->IsOver());
+  BOOST_TEST(observer->bodyBytes == 0U);
+  const int eventsBefore = observer->events;
+  exchange->ResumeResponseBody();
+  BOOST_TEST(observer->events == eventsBefore);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(observer->ends == 1);
+  BOOST_TEST(observer->body == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(ACancelDuringTheResponseIsTheLastEvent)
+{
+  AnswerHeadsWith("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
+  const auto observer = Start(Get());
+  observer->onBody = [this](ByteView) { exchange->Cancel(); };
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST((observer->failure->kind == HttpFailureKind::Cancelled));
+  BOOST_TEST(observer->body == "part");
+  BOOST_TEST(WaitUntil([&] { return server.connections.at(0)->isClosed; }));
+}
+
+BOOST_AUTO_TEST_CASE(TheHeadIsSentAsGivenWithAHost)
+{
+  AnswerHeadsWith(kEmptyOk);
+  HttpRequestHead head = Get("/x?y");
+  head.fields.Add("X-A", "1");
+  head.fields.Add("Connection", "close");
+  const auto observer = Start(head);
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(server.Received() ==
+             "GET /x?y HTTP/1.1\r\nX-A: 1\r\nHost: 127.0.0.1:" +
+               std::to_string(server.Address().port) + "\r\n\r\n");
+}
+
+// Guards against a body length other than the one announced.
+BOOST_AUTO_TEST_CASE(ABodyOfAnotherLengthFails)
+{
+  const auto longer = Start(Post(2));
+  exchange->SendBody(std::string_view("long"));
+  const auto shorter = Start(Post(9));
+  exchange->SendBody(std::string_view("short"));
+  exchange->FinishBody();
+  BOOST_TEST(longer->events + shorter->events == 0);
+  BOOST_TEST(WaitUntil([&] { return longer->IsOver() && shorter->IsOver(); }));
+  BOOST_TEST(longer->failures == 1);
+  BOOST_TEST(shorter->failures == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Connections, ClientFixture)
+
+// Guards against a response that belongs to another request.
+BOOST_AUTO_TEST_CASE(BytesAfterAResponseEndTheConnection)
+{
+  AnswerHeadsWith(Ok("right") + Ok("crossed"));
+  const auto first = Start(Get("/1"));
+  BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
+  BOOST_TEST(first->body == "right");
+  BOOST_TEST(WaitUntil([&] { return OpenConnections() == 0; }));
+  const auto second = Start(Get("/2"));
+  BOOST_TEST(WaitUntil([&] { return second->IsOver(); }));
+  BOOST_TEST(second->body == "right");
+  BOOST_TEST(server.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ALateSecondResponseIsNotTakenForTheNext)
+{
+  AnswerHeadsWith(Ok("right"));
+  const auto first = Start(Get("/1"));
+  BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
+  BOOST_TEST(OpenConnections() == 1);
+  server.connections[0]->Send(Ok("late"));
+  server.connections[0]->Socket().flush();
+  const auto second = Start(Get("/2"));
+  BOOST_TEST(WaitUntil([&] { return second->IsOver(); }));
+  BOOST_TEST(second->body == "right");
+  BOOST_TEST(server.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AResponseBeforeTheRequestIsRefused)
+{
+  server.onAccepted = [](RawConnection& aConnection) {
+    aConnection.Send(Ok("unasked"));
+    aConnection.Socket().flush();
+  };
+  const auto first = Start(Get("/1"));
+  BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
+  if (first->ends == 1) {
+    // The request was sent first; the response cannot be told from its own.
+    BOOST_TEST(first->body == "unasked");
+  } else {
+    BOOST_TEST((first->failure->kind == HttpFailureKind::Malformed));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionIsUsedAgain)
+{
+  AnswerHeadsWith(kEmptyOk);
+  for (int i = 0; i < 5; ++i) {
+    const auto observer = Start(Get());
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    BOOST_TEST(observer->ends == 1);
+  }
+  BOOST_TEST(server.connections.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFreshConnectionIsOpenedOnRequest)
+{
+  AnswerHeadsWith(kEmptyOk);
+  for (int i = 0; i < 3; ++i) {
+    const auto observer =
+      Start(Post(0), { true, std::chrono::milliseconds(1000) });
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  }
+  BOOST_TEST(server.connections.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatAnnouncesCloseIsNotUsedAgain)
+{
+  AnswerHeadsWith(
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  const auto observer = Start(Get());
+  BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+  BOOST_TEST(OpenConnections() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionsAreBoundedInNumberAndTime)
+{
+  HttpClientLimits limits;
+  limits.idleConnections = 2;
+  limits.idleTimeout = std::chrono::milliseconds(100);
+  client = HttpClient::Create(limits);
+  constexpr int kExchanges = 4;
+  std::vector<std::shared_ptr<RecordingObserver>> observers;
+  observers.reserve(kExchanges);
+  for (int i = 0; i < kExchanges; ++i) {
+    observers.push_back(Start(Get()));
+  }
+  BOOST_TEST(OpenConnections() == 4);
+  BOOST_TEST(WaitUntil([&] { return server.connections.size() == 4; }));
+  for (const auto& connection : server.connections) {
+    connection->Send(kEmptyOk);
+  }
+  BOOST_TEST(WaitUntil([&] {
+    return std::all_of(
+      observers.begin(), observers.end(), [](const auto& aObserver) {
+        return aObserver->IsOver();
+      });
+  }));
+  BOOST_TEST(OpenConnections() == 2);
+  BOOST_TEST(WaitUntil([&] { return OpenConnections() == 0; }));
+}
+
+// Guards against responses that reach the wrong exchange under concurrency,
+// and against a next request that is started within the end of the last.
+BOOST_AUTO_TEST_CASE(ConcurrentExchangesGetTheirOwnResponses)
+{
+  ServerFixture whole;
+  int left = 400;
+  int wrong = 0;
+  int over = 0;
+  std::vector<std::shared_ptr<RecordingObserver>> observers;
+  std::function<void()> startNext = [&] {
+    const std::string target = "/" + std::to_string(--left);
+    auto observer = std::make_shared<RecordingObserver>();
+    observers.push_back(observer);
+    RecordingObserver* const raw = observer.get();
+    observer->onOver = [&, raw, target] {
+      ++over;
+      if (raw->ends != 1 || raw->body != target + target) {
+        ++wrong;
+      }
+      if (left > 0) {
+        startNext();
+      }
+    };
+    HttpRequestHead head = Post(target.size());
+    head.target = target;
+    const auto running =
+      client->Start({ "127.0.0.1", whole.server->Port() }, head, {}, observer);
+    running->SendBody(target);
+  };
+  for (int i = 0; i < 8; ++i) {
+    startNext();
+  }
+  BOOST_TEST(WaitUntil([&] { return over == 400; }));
+  BOOST_TEST(wrong == 0);
+  BOOST_TEST(client->OpenConnections({ "127.0.0.1", whole.server->Port() }) <=
+             8);
+}
+
+// Guards against events to observers of a client that no longer exists.
+BOOST_AUTO_TEST_CASE(ADestroyedClientSendsNoEvents)
+{
+  const auto running = Start(Get());
+  const auto cancelled = Start(Get());
+  exchange->Cancel();
+  client.reset();
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(running->events == 0);
+  BOOST_TEST(cancelled->events == 0);
+  BOOST_TEST(running.use_count() == 1);
+  exchange->SendBody(std::string_view("late"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
