Store: Add client of the platform's HTTP API

After a call without a whole response, or with a status of 500 or above, the following calls go to the next endpoint; calls that fail together move on once.

A failure before any byte was sent is marked isUnsent.

--- /dev/null
+++ b/src/store/PlatformClient.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "http/HttpClient.h"
+
+#include <QObject>
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertbeam {
+
+struct PlatformClientLimits
+{
+  // Time for one call from its start to the last byte of the response.
+  std::chrono::milliseconds callTimeout{ 2'000 };
+  std::chrono::milliseconds connectTimeout{ 500 };
+  // Larger responses are given up; a listing may hold many keys.
+  std::size_t responseBytes = 32 * 1024 * 1024;
+  // Waiting watches each hold a connection; these are kept when idle.
+  int idleConnections = 8;
+};
+
+struct PlatformReply
+{
+  // 0 when no whole response came; then reason says why.
+  int status = 0;
+  HttpFields fields;
+  std::string body;
+  std::string reason;
+  // With status 0: no byte of the request was sent.
+  bool isUnsent = false;
+};
+
+// Calls of the platform's HTTP API, each sent once to one endpoint. After a
+// failure, later calls go to the next endpoint.
+class PlatformClient
+{
+public:
+  using Callback = std::function<void(const PlatformReply&)>;
+
+  // Null, with a reason, when there is no endpoint or one is not an IP address
+  // and a port.
+  static std::unique_ptr<PlatformClient> Create(
+    std::vector<Endpoint> aEndpoints,
+    const PlatformClientLimits& aLimits,
+    std::string& aReason);
+
+  PlatformClient(std::vector<Endpoint> aEndpoints,
+                 const PlatformClientLimits& aLimits);
+  ~PlatformClient();
+
+  PlatformClient(const PlatformClient&) = delete;
+  PlatformClient& operator=(const PlatformClient&) = delete;
+
+  // The callback comes from the event loop, exactly once unless this is
+  // destroyed before. aExtraTime is added to the time limit of the call.
+  void Call(HttpRequestHead aHead,
+            std::string_view aBody,
+            std::chrono::milliseconds aExtraTime,
+            Callback aCallback);
+
+  // Calls aCallback from the event loop, unless this is destroyed before.
+  void Post(std::function<void()> aCallback);
+
+private:
+  class PendingCall;
+
+  void OnFinished(std::uint64_t aCall,
+                  const Callback& aCallback,
+                  const PlatformReply& aReply);
+
+  std::vector<Endpoint> endpoints_;
+  PlatformClientLimits limits_;
+  std::unique_ptr<HttpClient> client_;
+  std::size_t current_ = 0;
+  std::uint64_t nextCall_ = 1;
+  std::unordered_map<std::uint64_t, std::shared_ptr<PendingCall>> calls_;
+  QObject context_;
+};
+
+} // namespace filbertbeam
