Slots: Count a long request again only while its server is silent

Cause: an unanswered request counted at the tail of the peers and at each doubling of its age, so one very long request of a healthy server gave up to four samples (six with prefer: precision), and two of them ejected it.

Change: doublings count only while the server has answered nothing since the previous count. A black hole answers nothing and is counted as before.

--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -226,6 +226,7 @@
   }
   Attempt& attempt = found->second;
   attempt.headAt = aNow;
+  attempt.server->lastAnswerAt = aNow;
   if (attempt.sentAt && IsCurrent(attempt) && !attempt.isTrial) {
     ScheduleCheck(aRequestId, attempt, aNow + kStreamingGrace);
   } else {
@@ -483,26 +484,32 @@
     ScheduleCheck(aRequestId, attempt, aNow + kUnknownTailInterval);
     return;
   }
-  // An unanswered request counts again each time that its age doubles, since
-  // a server whose slots all hang gives no other samples.
-  const Instant due =
-    *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.unansweredSamples);
-  if (aNow < due) {
-    ScheduleCheck(aRequestId, attempt, due);
+  const auto due = [&] {
+    return *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.tailsPassed);
+  };
+  if (aNow < due()) {
+    ScheduleCheck(aRequestId, attempt, due());
     return;
   }
   if (attempt.isTrial) {
     CountTrial(attempt, AttemptResult::Failure, aNow);
     return;
   }
-  detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
-  attempt.isSampled = true;
-  attempt.unansweredSamples += 1;
+  // An unanswered request counts again each time that its age doubles, since
+  // a server whose slots all hang gives no other samples. While the server
+  // answers others, these tell more, and one very long request must not count
+  // as many.
+  const bool counts = attempt.tailsPassed == 0 || !server.lastAnswerAt ||
+                      *server.lastAnswerAt <= attempt.lastTailPassedAt;
+  attempt.tailsPassed += 1;
+  attempt.lastTailPassedAt = aNow;
+  if (counts) {
+    detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
+    attempt.isSampled = true;
+    attempt.unansweredSamples += 1;
+  }
   if (attempt.unansweredSamples < detector_.MaxUnansweredSamples()) {
-    ScheduleCheck(aRequestId,
-                  attempt,
-                  *attempt.sentAt +
-                    *tail * (std::int64_t{ 1 } << attempt.unansweredSamples));
+    ScheduleCheck(aRequestId, attempt, due());
   }
   JudgeServer(server, aNow);
 }
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -50,6 +50,7 @@
     // state say nothing about the present one.
     std::uint64_t epoch = 0;
     int trialsRunning = 0;
+    std::optional<Instant> lastAnswerAt;
     std::string lastReason;
     // No longer configured; kept until its last request finished.
     bool isRemoved = false;
@@ -74,6 +75,9 @@
     // The latency counted, or the trial is decided.
     bool isSampled = false;
     int unansweredSamples = 0;
+    // Times that the age passed the tail or a doubling of it.
+    int tailsPassed = 0;
+    Instant lastTailPassedAt;
     std::optional<Instant> nextCheck;
   };
 
