Slots: Raise the bound of prefer: detection from 12 to 15

Cause: at 12, a healthy server with 40 to 60 samples per second crosses the bound about once a day; detection takes well below the aim of a few seconds.

Change: 15, by the theory of the test: each unit divides the rate of false crossings by e and adds half a sample or so at the shifts of interest.

--- a/src/slots/OutlierDetector.cpp
+++ b/src/slots/OutlierDetector.cpp
@@ -13,9 +13,9 @@
 
 // Bounds of both tests, in units of log likelihood. In theory, a healthy
 // server with independent samples crosses the bound once in about 2 e^bound
-// samples: 3 e5 at 12, 1.3 e8 at 18. At 40 samples per second, the latter is
+// samples: 7 e6 at 15, 1.3 e8 at 18. At 40 samples per second, the latter is
 // 38 days.
-constexpr double kDetectionBound = 12;
+constexpr double kDetectionBound = 15;
 constexpr double kPrecisionBound = 18;
 // Scores stop at this multiple of the bound, so that a server that recovered
 // while the floor kept it from being ejected soon counts as healthy again.
