Slots: Pause a backend server that shed a request

Cause: 14 of 30 requests of the fleet story CarriesWholeAnswersSideBySide were refused with backend-shed. A response ends on the owner a moment before the backend server releases its slot; the next queued request is shed, its slot is free again at once, and the whole queue follows it.

--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -134,7 +134,7 @@
   std::vector<Assignment> assignments;
   // Trials come first: while healthy servers have free slots, no request
   // would be left over for them.
-  while (Server* const server = PickTrialServer()) {
+  while (Server* const server = PickTrialServer(aNow)) {
     std::optional<std::uint64_t> id = inContract_.PopIdempotent();
     if (!id) {
       id = excess_.PopIdempotent();
@@ -197,6 +197,13 @@
   if (!checks_.empty()) {
     consider(checks_.begin()->first);
   }
+  if (!queued_.empty()) {
+    for (const auto& [name, server] : servers_) {
+      if (server.shedPause.IsActive(aNow)) {
+        consider(server.shedPause.Until());
+      }
+    }
+  }
   return next;
 }
 
@@ -248,6 +255,11 @@
   running_.erase(found);
   Server& server = *attempt.server;
   server.slots.Release();
+  if (aResult == AttemptResult::Shed) {
+    server.shedPause.OnShed(aNow);
+  } else if (aResult == AttemptResult::Success) {
+    server.shedPause.OnServed();
+  }
   if (attempt.isTrial) {
     server.trialsRunning -= 1;
   }
@@ -337,7 +349,7 @@
   double bestShare = 1;
   std::uint64_t ties = 0;
   for (auto& [name, server] : servers_) {
-    if (!AcceptsWork(server) ||
+    if (!AcceptsWork(server) || server.shedPause.IsActive(aNow) ||
         server.slots.Free(policy_.ConcurrencyLimit(server.id, aNow)) == 0) {
       continue;
     }
@@ -355,11 +367,12 @@
 }
 
 FairShardScheduler::Server*
-FairShardScheduler::PickTrialServer()
+FairShardScheduler::PickTrialServer(Instant aNow)
 {
   for (auto& [name, server] : servers_) {
     if (!server.isRemoved && server.state == ServerState::Trial &&
-        server.trialsRunning == 0 && server.slots.Free() > 0) {
+        server.trialsRunning == 0 && server.slots.Free() > 0 &&
+        !server.shedPause.IsActive(aNow)) {
       return &server;
     }
   }
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -6,6 +6,7 @@
 #include "slots/OutlierDetector.h"
 #include "slots/ServerSlots.h"
 #include "slots/ShardScheduler.h"
+#include "slots/ShedPause.h"
 
 #include <map>
 #include <set>
@@ -45,6 +46,7 @@
     ServerId id = 0;
     std::string name;
     ServerSlots slots;
+    ShedPause shedPause;
     ServerState state = ServerState::Healthy;
     // Counts changes of state. Samples of requests that began in an earlier
     // state say nothing about the present one.
@@ -85,7 +87,7 @@
   bool HasBackendServer() const;
   FairQueue& QueueOf(RequestClass aClass);
   Server* PickServer(Instant aNow);
-  Server* PickTrialServer();
+  Server* PickTrialServer(Instant aNow);
   void Assign(std::uint64_t aRequestId,
               Server& aServer,
               bool aIsTrial,
--- /dev/null
+++ b/src/slots/ShedPause.cpp
@@ -0,0 +1,25 @@
+#include "slots/ShedPause.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+void
+ShedPause::OnShed(Instant aNow)
+{
+  // Requests that were sent side by side are shed side by side; they are one
+  // event.
+  if (IsActive(aNow)) {
+    return;
+  }
+  until_ = aNow + next_;
+  next_ = std::min(next_ * 2, kLongestPause);
+}
+
+void
+ShedPause::OnServed()
+{
+  next_ = kShortestPause;
+}
+
+} // namespace filbertbeam
--- a/tests/fleet/TestAtMostOnce.cpp
+++ b/tests/fleet/TestAtMostOnce.cpp
@@ -178,8 +178,7 @@
   fleet.Hosts()[1].process->Thaw();
   RunFor(seconds(2));
   for (int i = 0; i < 30; ++i) {
-    const int runs =
-      fleet.RunsOf("keys", "frozen-" + std::to_string(i));
+    const int runs = fleet.RunsOf("keys", "frozen-" + std::to_string(i));
     BOOST_TEST(runs <= 1);
     if (calls[static_cast<std::size_t>(i)]->Outcome() == "not-run") {
       BOOST_TEST(runs == 0);
--- a/tools/path_benchmark/Main.cpp
+++ b/tools/path_benchmark/Main.cpp
@@ -142,34 +142,33 @@
     const auto call = aFleet.Control(host.admin, "GET", "/metrics");
     const QString text = QString::fromStdString(call->Body());
     static const QRegularExpression bucket(
-      R"(filbertbeam_added_latency_seconds_bucket\{le="([^"]+)"\
-  } (\d+))");
+      "added_latency_seconds_bucket\\{le=\"([^\"]+)\"\\} (\\d+)");
     std::vector<std::pair<double, double>> buckets;
-  auto matches = bucket.globalMatch(text);
-  while (matches.hasNext()) {
-    const auto match = matches.next();
-    const QString edge = match.captured(1);
-    buckets.emplace_back(edge == "+Inf" ? HUGE_VAL : edge.toDouble() * 1e3,
-                         match.captured(2).toDouble());
-  }
-  if (buckets.empty()) {
-    continue;
-  }
-  const auto quantile = [&](double aQuantile) {
-    for (const auto& [edge, count] : buckets) {
-      if (count >= aQuantile * buckets.back().second) {
-        return edge;
-      }
+    auto matches = bucket.globalMatch(text);
+    while (matches.hasNext()) {
+      const auto match = matches.next();
+      const QString edge = match.captured(1);
+      buckets.emplace_back(edge == "+Inf" ? HUGE_VAL : edge.toDouble() * 1e3,
+                           match.captured(2).toDouble());
     }
-    return HUGE_VAL;
-  };
-  fmt::print("{:<26} n={:<6.0f} added by the fleet: p50<={:.2f} ms "
-             "p99<={:.2f} ms\n",
-             host.name,
-             buckets.back().second,
-             quantile(0.5),
-             quantile(0.99));
-}
+    if (buckets.empty()) {
+      continue;
+    }
+    const auto quantile = [&](double aQuantile) {
+      for (const auto& [edge, count] : buckets) {
+        if (count >= aQuantile * buckets.back().second) {
+          return edge;
+        }
+      }
+      return HUGE_VAL;
+    };
+    fmt::print("{:<26} n={:<6.0f} added by the fleet: p50<={:.2f} ms "
+               "p99<={:.2f} ms\n",
+               host.name,
+               buckets.back().second,
+               quantile(0.5),
+               quantile(0.99));
+  }
 }
 
 int
