--- a/src/http/tests/TestHttpServer.cpp
+++ b/src/http/tests/TestHttpServer.cpp
@@ -9,6 +9,9 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <ostream>
 
 using namespace filbertbeam;
@@ -428,6 +431,27 @@
   BOOST_TEST(WaitUntil([&] { return caller.Count("late") == 1; }));
 }
 
+// Guards against a server that never accepts again after accept failed once,
+// here for want of a file descriptor.
+BOOST_AUTO_TEST_CASE(AFailedAcceptIsTriedAgain)
+{
+  const int next = ::dup(0);
+  BOOST_REQUIRE(next >= 0);
+  ::close(next);
+  rlimit usual{};
+  BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &usual) == 0);
+  // Leaves one descriptor, which the caller takes.
+  const rlimit scarce{ static_cast<rlim_t>(next) + 1, usual.rlim_max };
+  BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &scarce) == 0);
+  RawConnection caller(server->Port());
+  caller.Send(kGet);
+  RunFor(std::chrono::milliseconds(100));
+  const int openWhileScarce = server->OpenConnections();
+  BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
+  BOOST_TEST(openWhileScarce == 0);
+  BOOST_TEST(WaitUntil([&] { return StatusOf(caller.received) == 200; }));
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsAboveTheLimitAreRefused)
 {
   HttpServerLimits limits;
