--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -181,7 +181,7 @@
   BOOST_TEST((observer->failure->kind == HttpFailureKind::Closed));
   BOOST_TEST(observer->failure->anyByteSent);
   BOOST_TEST(observer->requestsSent == 1);
-  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_REQUIRE(server.connections.size() == 1U);
   BOOST_TEST(server.connections[0]->Count("POST /p") == 1);
 }
 
@@ -234,7 +234,7 @@
   const auto second = Start(Post(0));
   BOOST_TEST(WaitUntil([&] { return second->IsOver(); }));
   BOOST_TEST(second->ends == 1);
-  BOOST_TEST(server.connections.size() == 2U);
+  BOOST_REQUIRE(server.connections.size() == 2U);
   BOOST_TEST(server.connections[0]->Count("POST") == 0);
   BOOST_TEST(server.connections[1]->Count("POST") == 1);
   BOOST_TEST(OpenConnections() == 1);
