Store: Run the contract suite against the HTTP client

The suite of MemoryObjectStore now also runs HttpObjectStore against the platform stand-in in its own process.

--- a/src/store/tests/TestObjectStoreContract.cpp
+++ b/src/store/tests/TestObjectStoreContract.cpp
@@ -1,3 +1,4 @@
+#include "store/tests/support/HttpStoreFixture.h"
 #include "store/tests/support/MemoryStoreFixture.h"
 #include "store/tests/support/StoreCalls.h"
 
@@ -11,7 +12,7 @@
 // What every duty relies on, checked against each implementation.
 BOOST_AUTO_TEST_SUITE(ObjectStoreContract)
 
-using Stores = std::tuple<MemoryStoreFixture>;
+using Stores = std::tuple<MemoryStoreFixture, HttpStoreFixture>;
 
 BOOST_AUTO_TEST_SUITE(Objects)
 
