--- /dev/null
+++ b/src/claims/tests/TestClaimsOverHttp.cpp
@@ -0,0 +1,89 @@
+#include "claims/tests/support/ClaimHost.h"
+#include "store/tests/support/HttpStoreFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using std::chrono::milliseconds;
+
+namespace {
+
+const ClaimRequest kRequest{ "customer", "key-1", "fingerprint" };
+
+// Two registries that reach the simulated platform over HTTP.
+struct HttpFleet : HttpStoreFixture
+{
+  HttpFleet()
+  {
+    std::string reason;
+    otherStore =
+      HttpObjectStore::Create({ { "127.0.0.1", standIn->Port() } }, {}, reason);
+    BOOST_REQUIRE_MESSAGE(otherStore != nullptr, reason);
+    first =
+      ClaimRegistry::Create(*store, clock, random, "host-1", 1, QuickLimits());
+    second = ClaimRegistry::Create(
+      *otherStore, clock, random, "host-2", 2, QuickLimits());
+  }
+
+  ClaimResult Claim(ClaimRegistry& aRegistry,
+                    milliseconds aTimeout = std::chrono::seconds(5))
+  {
+    std::optional<ClaimResult> result;
+    aRegistry.Claim(kRequest,
+                    clock.Now() + aTimeout,
+                    [&](const ClaimResult& aResult) { result = aResult; });
+    BOOST_REQUIRE(RunUntil([&] { return result.has_value(); }));
+    return *result;
+  }
+
+  void LoseAnswers(int aCount)
+  {
+    StoreFaults faults;
+    faults.loseWriteAnswers = aCount;
+    SetFaults(faults);
+  }
+
+  SystemClock clock;
+  SeededRandom random{ 1 };
+  std::unique_ptr<HttpObjectStore> otherStore;
+  std::unique_ptr<ClaimRegistry> first;
+  std::unique_ptr<ClaimRegistry> second;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ClaimsOverHttp)
+
+// Guards against a broken connection that the client reports in a way that
+// costs the claim or grants it twice.
+BOOST_FIXTURE_TEST_CASE(LostAnswersAreRecovered, HttpFleet)
+{
+  LoseAnswers(1);
+  const ClaimResult claim = Claim(*first);
+  BOOST_TEST(claim.decision == ClaimDecision::Granted);
+  BOOST_TEST(Claim(*second).decision == ClaimDecision::Undecided);
+  LoseAnswers(1);
+  first->Complete(
+    claim.claimId, 200, StoredResponse{ 200, "text/plain", "body" });
+  BOOST_REQUIRE(RunUntil([&] { return first->PendingWrites() == 0; }));
+  const ClaimResult again = Claim(*second);
+  BOOST_TEST(again.decision == ClaimDecision::AlreadyRan);
+  BOOST_REQUIRE(again.response);
+  BOOST_TEST(again.response->body == "body");
+}
+
+// Guards against a claim that stays undecided after an outage.
+BOOST_FIXTURE_TEST_CASE(AClaimDuringAnOutageIsReleasedAfterIt, HttpFleet)
+{
+  StoreFaults slow;
+  slow.delay = milliseconds(60);
+  SetFaults(slow);
+  BOOST_TEST(Claim(*first, milliseconds(30)).decision ==
+             ClaimDecision::StoreUnavailable);
+  BOOST_TEST(first->PendingWrites() == 1);
+  SetFaults({});
+  BOOST_REQUIRE(RunUntil([&] { return first->PendingWrites() == 0; }));
+  BOOST_TEST(Claim(*second).decision == ClaimDecision::Granted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
