--- /dev/null
+++ b/tools/contention_trial/FifoScheduler.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "slots/ServerSlots.h"
+#include "slots/ShardScheduler.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertbeam {
+
+// Baseline: one queue in order of arrival for all customers and classes, with
+// the same longest wait as in-contract requests; no detection.
+class FifoScheduler final : public ShardScheduler
+{
+public:
+  void SetBackendServers(const Service& aService,
+                         std::span<const BackendServer* const> aBackendServers,
+                         Instant aNow) override;
+  std::optional<RefusalReason> Submit(const ShardRequest& aRequest,
+                                      Instant aNow) override;
+  bool Cancel(std::uint64_t aRequestId) override;
+  std::vector<Assignment> Dispatch(Instant aNow) override;
+  std::vector<Refusal> Expire(Instant aNow) override;
+  std::optional<Instant> NextEvent(Instant aNow) const override;
+  void OnRequestSent(std::uint64_t /*aRequestId*/, Instant /*aNow*/) override {}
+  void OnResponseHead(std::uint64_t /*aRequestId*/, Instant /*aNow*/) override
+  {
+  }
+  void Complete(std::uint64_t aRequestId,
+                AttemptResult aResult,
+                Instant aNow) override;
+  ShardLoad Load() const override { return {}; }
+  std::vector<ServerReport> Report(Instant /*aNow*/) const override
+  {
+    return {};
+  }
+  std::uint64_t StateChanges() const override { return 0; }
+
+private:
+  struct Waiting
+  {
+    std::uint64_t id = 0;
+    Instant expiry;
+  };
+
+  std::map<std::string, ServerSlots> servers_;
+  std::deque<Waiting> queue_;
+  std::unordered_map<std::uint64_t, ServerSlots*> running_;
+};
+
+} // namespace filbertbeam
