--- /dev/null
+++ b/src/cli/AdminEndpoint.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <QByteArray>
+
+#include <string>
+
+namespace filbertbeam {
+
+// The admin endpoint of a daemon, as the tool sees it.
+class AdminEndpoint
+{
+public:
+  struct Answer
+  {
+    // 0 when no answer came; then reason says why.
+    int status = 0;
+    QByteArray body;
+    std::string reason;
+  };
+
+  virtual ~AdminEndpoint() = default;
+
+  // Waits for the answer to a GET of the target, for example "/status".
+  virtual Answer Get(const std::string& aTarget) = 0;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/cli/ToolSettings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/Findings.h"
+#include "cli/CliEnvironment.h"
+#include "http/HttpMessage.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// What the command line and the environment say.
+struct ToolSettings
+{
+  // Subcommand and its arguments.
+  std::vector<std::string> arguments;
+  CliOptions options;
+  std::vector<Endpoint> platform;
+  // "IP:PORT" each.
+  std::vector<std::string> admin;
+  std::string operatorToken;
+
+  // Reads flags, and FILBERTBEAM_... environment variables for those that are
+  // not given. Returns nothing when aFindings names a fault. An unknown flag
+  // or a malformed value ends the process with exit code 2.
+  static std::optional<ToolSettings> Create(int* argc,
+                                            char*** argv,
+                                            Findings& aFindings);
+};
+
+} // namespace filbertbeam
--- a/src/configuration/Suggestion.cpp
+++ b/src/configuration/Suggestion.cpp
@@ -11,22 +11,28 @@
 // Longer texts are no slip of the pen, and comparing them would cost time.
 constexpr std::size_t kMaxLength = 64;
 
-// Levenshtein distance.
+// Levenshtein distance in which swapping two neighbours counts as one slip.
 std::size_t
 EditDistance(std::string_view aLeft, std::string_view aRight)
 {
+  std::vector<std::size_t> beforeLast(aRight.size() + 1);
+  std::vector<std::size_t> last(aRight.size() + 1);
   std::vector<std::size_t> row(aRight.size() + 1);
   for (std::size_t j = 0; j <= aRight.size(); ++j) {
     row[j] = j;
   }
   for (std::size_t i = 1; i <= aLeft.size(); ++i) {
-    std::size_t diagonal = row[0];
+    beforeLast.swap(last);
+    last.swap(row);
     row[0] = i;
     for (std::size_t j = 1; j <= aRight.size(); ++j) {
-      const std::size_t replaced =
-        diagonal + (aLeft[i - 1] == aRight[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({ row[j] + 1, row[j - 1] + 1, replaced });
+      const bool isEqual = aLeft[i - 1] == aRight[j - 1];
+      row[j] = std::min(
+        { last[j] + 1, row[j - 1] + 1, last[j - 1] + (isEqual ? 0 : 1) });
+      if (i > 1 && j > 1 && aLeft[i - 1] == aRight[j - 2] &&
+          aLeft[i - 2] == aRight[j - 1]) {
+        row[j] = std::min(row[j], beforeLast[j - 2] + 1);
+      }
     }
   }
   return row.back();
--- a/src/configuration/tests/TestConfigurationReader.cpp
+++ b/src/configuration/tests/TestConfigurationReader.cpp
@@ -118,6 +118,11 @@
       "floor",
       "flor",
       "f:3: services[0].flor: is not a known field; did you mean \"floor\"?" },
+    { &Parts::service,
+      "floor",
+      "folor",
+      "f:3: services[0].folor: is not a known field; did you mean "
+      "\"floor\"?" },
     { &Parts::service,
       "floor",
       "zzzzzzz",
