Entry, owner: Avoid owners that failed and shards without slots

Cause: in the fleet stories, 11 of 757 requests of a rolling restart were refused with not-authentic, since their entry host still knew the restarted owner's earlier incarnation and the retry budget was spent on it; 2 of 60 failed when the only backend server of a domain left; a trial request to a black hole cost its caller the whole deadline. Change: an owner that failed, and a shard without slots, are avoided for 1 and 2 s; attempts that end between hosts are repeated for about 3 s without spending the retry budget; idempotent requests leave an owner that became unreachable; a trial gives up after 500 ms.

--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -56,6 +56,7 @@
   std::unique_ptr<RetryBudget> retryBudget_;
   ServiceLevelMeter serviceLevel_;
   ShardSelector selector_;
+  ActiveRelays activeRelays_;
   std::unique_ptr<EntryService> service_;
   std::unique_ptr<HttpServer> server_;
 };
--- /dev/null
+++ b/src/entry/ActiveRelays.cpp
@@ -0,0 +1,26 @@
+#include "entry/ActiveRelays.h"
+
+#include "entry/RelayAttempt.h"
+
+#include <memory>
+#include <vector>
+
+namespace filbertbeam {
+
+void
+ActiveRelays::OnView(const MembershipView& aView)
+{
+  // Attempts leave the set, and new ones join it, while they are told.
+  std::vector<std::shared_ptr<RelayAttempt>> lost;
+  for (RelayAttempt* attempt : attempts_) {
+    const Member* owner = aView.Find(attempt->Owner());
+    if (!owner || owner->state == HostState::Unreachable) {
+      lost.push_back(attempt->shared_from_this());
+    }
+  }
+  for (const std::shared_ptr<RelayAttempt>& attempt : lost) {
+    attempt->OnOwnerUnreachable();
+  }
+}
+
+} // namespace filbertbeam
--- a/src/entry/EntryService.cpp
+++ b/src/entry/EntryService.cpp
@@ -23,6 +23,7 @@
 {
   context_.limiter.SetLiveHosts(aView->LiveCount());
   context_.view = std::move(aView);
+  context_.activeRelays.OnView(*context_.view);
 }
 
 std::shared_ptr<HttpRequestObserver>
--- a/src/entry/EntryService.h
+++ b/src/entry/EntryService.h
@@ -5,6 +5,7 @@
 #include "base/Random.h"
 #include "claims/ClaimRegistry.h"
 #include "configuration/Configuration.h"
+#include "entry/ActiveRelays.h"
 #include "entry/EntryMetrics.h"
 #include "entry/RelaySealer.h"
 #include "entry/ServiceLevelMeter.h"
@@ -29,6 +30,7 @@
   RelaySealer& sealer;
   ServiceLevelMeter& serviceLevel;
   ShardSelector& selector;
+  ActiveRelays& activeRelays;
   EntryMetrics& metrics;
   EventSink& events;
   const Clock& clock;
--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t kMaxIdempotencyKeyLength = 255;
 
 constexpr int kMaxAttempts = 4;
+
+// Attempts that end between hosts reach no backend server. They are repeated
+// with doubled delays for about 3 s, within which a new owner is known.
+constexpr int kMaxOwnerFailures = 7;
 constexpr milliseconds kRetryDelay{ 50 };
 
 // The owner watches the deadline as well and knows whether it sent the
@@ -406,9 +410,10 @@
   ++attempts_;
   HttpRequestHead head = RelayHead(*shard);
   context_.sealer.Seal(head, *owner);
-  attempt_ = std::make_shared<RelayAttempt>(shared_from_this(), shard->key);
+  attempt_ = std::make_shared<RelayAttempt>(
+    shared_from_this(), shard->key, context_.activeRelays);
   context_.selector.OnRelayed(shard->key);
-  attempt_->Start(context_.client, owner->relay, head);
+  attempt_->Start(context_.client, *owner, head);
   deadlineTimer_.start(
     std::chrono::ceil<milliseconds>(Remaining() + kOwnerAnswerGrace));
   SendKeptBody();
@@ -583,38 +588,66 @@
 {
   const bool isSafe = isIdempotent_ || aRejection.outcome == Outcome::NotRun;
   const bool isPossible = isBodyKept_ && isBodyComplete_ && !isCallerGone_ &&
-                          attempts_ < kMaxAttempts &&
                           aRejection.reason != "deadline-passed" &&
-                          Remaining() > kRetryDelay * attempts_;
+                          Remaining() > kRetryDelay;
   if (!isSafe || !isPossible) {
     return false;
   }
-  const bool concernsOwner = ConcernsOwner(aRejection.reason);
-  if (ConcernsShard(aRejection.reason) || concernsOwner) {
+  if (ConcernsOwner(aRejection.reason)) {
+    return TryAnotherOwner();
+  }
+  if (ConcernsShard(aRejection.reason)) {
     excludedShards_.insert(attempt_->Shard());
   }
   const std::size_t shards =
     context_.configuration->ShardsOf(service_->name).size();
-  const bool isExhausted = excludedShards_.size() >= shards;
-  if (isExhausted && !concernsOwner) {
-    return false;
-  }
-  if (!context_.retryBudget.TryRetry(
+  if (attempts_ >= kMaxAttempts || excludedShards_.size() >= shards ||
+      !context_.retryBudget.TryRetry(
         service_->name, contract_->customer, context_.clock.Now())) {
     return false;
   }
   ++context_.metrics.retries;
   ReleaseAttempt();
-  if (isExhausted) {
-    // A new owner is known after some heartbeats at the latest.
-    excludedShards_.clear();
-    retryTimer_.start(kRetryDelay * attempts_);
+  Relay();
+  return true;
+}
+
+bool
+EntrySession::TryAnotherOwner()
+{
+  if (++ownerFailures_ > kMaxOwnerFailures) {
+    return false;
+  }
+  context_.selector.OnOwnerFailed(attempt_->Shard());
+  excludedShards_.insert(attempt_->Shard());
+  ReleaseAttempt();
+  ++context_.metrics.retries;
+  const std::size_t shards =
+    context_.configuration->ShardsOf(service_->name).size();
+  if (excludedShards_.size() < shards) {
+    Relay();
     return true;
   }
-  Relay();
+  // Every shard was tried. The view of the fleet changes within seconds.
+  excludedShards_.clear();
+  const milliseconds delay = kRetryDelay * (1 << (ownerFailures_ - 1));
+  retryTimer_.start(std::min(
+    delay, std::chrono::floor<milliseconds>(Remaining() - kRetryDelay / 2)));
   return true;
 }
 
+void
+EntrySession::OnOwnerUnreachable(const RelayAttempt& aAttempt)
+{
+  // The connection may still work, so a request that must not run twice waits
+  // on for its answer.
+  if (!isIdempotent_ || phase_ != Phase::Relaying ||
+      attempt_.get() != &aAttempt) {
+    return;
+  }
+  TryAgain({ 502, "owner-unreachable", Outcome::Unknown });
+}
+
 void
 EntrySession::OnRejected(const Rejection& aRejection)
 {
--- a/src/entry/EntrySession.h
+++ b/src/entry/EntrySession.h
@@ -41,6 +41,7 @@
   void OnAttemptEnd(const RelayAttempt& aAttempt) override;
   void OnAttemptFailed(const RelayAttempt& aAttempt,
                        const HttpFailure& aFailure) override;
+  void OnOwnerUnreachable(const RelayAttempt& aAttempt) override;
 
 private:
   enum class Phase
@@ -78,6 +79,7 @@
   HttpRequestHead RelayHead(const Shard& aShard) const;
   void SendKeptBody();
   bool TryAgain(const Rejection& aRejection);
+  bool TryAnotherOwner();
   void OnRejected(const Rejection& aRejection);
 
   // Sends a problem report and ends the session.
@@ -119,6 +121,8 @@
   std::optional<std::string> responseCopy_;
 
   int attempts_ = 0;
+  // Attempts that ended between this host and an owner.
+  int ownerFailures_ = 0;
   std::set<std::string, std::less<>> excludedShards_;
   std::shared_ptr<RelayAttempt> attempt_;
   QTimer deadlineTimer_;
--- a/src/entry/RelayAttempt.cpp
+++ b/src/entry/RelayAttempt.cpp
@@ -5,30 +5,48 @@
 namespace filbertbeam {
 
 RelayAttempt::RelayAttempt(std::shared_ptr<RelayAttemptObserver> aObserver,
-                           std::string_view aShard)
+                           std::string_view aShard,
+                           ActiveRelays& aActive)
   : observer_(std::move(aObserver))
   , shard_(aShard)
+  , active_(aActive)
 {
 }
 
+RelayAttempt::~RelayAttempt()
+{
+  active_.Remove(*this);
+}
+
 void
 RelayAttempt::Start(HttpClient& aClient,
-                    const Endpoint& aOwner,
+                    const Member& aOwner,
                     const HttpRequestHead& aHead)
 {
+  owner_ = aOwner.host;
+  active_.Add(*this);
   exchange_ =
-    aClient.Start(aOwner, aHead, HttpClientOptions{}, shared_from_this());
+    aClient.Start(aOwner.relay, aHead, HttpClientOptions{}, shared_from_this());
 }
 
 void
 RelayAttempt::GiveUp()
 {
   observer_.reset();
+  active_.Remove(*this);
   if (exchange_) {
     exchange_->Cancel();
   }
 }
 
+void
+RelayAttempt::OnOwnerUnreachable()
+{
+  if (const auto observer = observer_) {
+    observer->OnOwnerUnreachable(*this);
+  }
+}
+
 void
 RelayAttempt::OnRequestWritable()
 {
@@ -40,6 +58,7 @@
 void
 RelayAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
+  active_.Remove(*this);
   if (const auto observer = observer_) {
     observer->OnAttemptHead(*this, aHead);
   }
--- a/src/entry/RelayAttempt.h
+++ b/src/entry/RelayAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "entry/ActiveRelays.h"
 #include "http/HttpClient.h"
 
 #include <memory>
@@ -23,6 +24,9 @@
   virtual void OnAttemptEnd(const RelayAttempt& aAttempt) = 0;
   virtual void OnAttemptFailed(const RelayAttempt& aAttempt,
                                const HttpFailure& aFailure) = 0;
+  // The owner is unreachable in this host's view, and no head has arrived. The
+  // attempt goes on unless it is given up.
+  virtual void OnOwnerUnreachable(const RelayAttempt& aAttempt) = 0;
 };
 
 // One relay of a request to the owner of one shard. Once it is given up, its
@@ -33,17 +37,25 @@
   , public std::enable_shared_from_this<RelayAttempt>
 {
 public:
+  // aActive has to outlive the attempt.
   RelayAttempt(std::shared_ptr<RelayAttemptObserver> aObserver,
-               std::string_view aShard);
+               std::string_view aShard,
+               ActiveRelays& aActive);
+  ~RelayAttempt() override;
+  RelayAttempt(const RelayAttempt&) = delete;
+  RelayAttempt& operator=(const RelayAttempt&) = delete;
 
   void Start(HttpClient& aClient,
-             const Endpoint& aOwner,
+             const Member& aOwner,
              const HttpRequestHead& aHead);
   // Cancels the exchange; no further event reaches the observer.
   void GiveUp();
 
   HttpClientExchange& Exchange() { return *exchange_; }
   const std::string& Shard() const { return shard_; }
+  // Name of the host that the request was relayed to.
+  const std::string& Owner() const { return owner_; }
+  void OnOwnerUnreachable();
   bool AnyByteSent() const { return exchange_ && exchange_->AnyByteSent(); }
 
   void OnRequestSent() override {}
@@ -58,6 +70,8 @@
   std::shared_ptr<RelayAttemptObserver> observer_;
   std::shared_ptr<HttpClientExchange> exchange_;
   const std::string shard_;
+  ActiveRelays& active_;
+  std::string owner_;
 };
 
 } // namespace filbertbeam
--- a/src/entry/ShardSelector.cpp
+++ b/src/entry/ShardSelector.cpp
@@ -20,6 +20,25 @@
 // A report says nothing about the queue after most slots have turned over.
 constexpr Duration kLoadLifetime = milliseconds(250);
 
+// Within this time after a failure, the next heartbeats tell of a new owner.
+constexpr Duration kOwnerFailureLifetime = milliseconds(1'000);
+constexpr Duration kOwnerFailurePenalty = milliseconds(1'000);
+
+// A shard without any slot that takes work stays so for a while.
+constexpr Duration kNoSlotsLifetime = milliseconds(2'000);
+constexpr Duration kNoSlotsPenalty = milliseconds(1'000);
+
+// Slots of the backend servers that are not marked as leaving.
+int
+ConfiguredSlots(const Shard& aShard)
+{
+  int slots = 0;
+  for (const BackendServer* server : aShard.backendServers) {
+    slots += server->isLeaving ? 0 : server->slots;
+  }
+  return slots;
+}
+
 } // namespace
 
 ShardSelector::ShardSelector(const Clock& aClock, Random& aRandom)
@@ -73,6 +92,14 @@
   }
 }
 
+void
+ShardSelector::OnOwnerFailed(std::string_view aShard)
+{
+  Knowledge& known = knowledge_[std::string(aShard)];
+  known.ownerFailedAt = clock_.Now();
+  known.hasOwnerFailed = true;
+}
+
 void
 ShardSelector::OnLoad(std::string_view aShard, const RelayLoad& aLoad)
 {
@@ -81,6 +108,7 @@
   known.heardAt = clock_.Now();
   known.isHeard = true;
   known.relayedSince = 0;
+  known.hasOwnerFailed = false;
 }
 
 Duration
@@ -91,27 +119,39 @@
     delay = aShard.domain == aSelf.domain ? kSameDomainRoundTrip
                                           : kSameRegionRoundTrip;
   }
-  int slots = 0;
-  for (const BackendServer* server : aShard.backendServers) {
-    slots += server->slots;
+  if (ConfiguredSlots(aShard) == 0) {
+    return delay + kNoSlotsPenalty;
   }
-  slots = std::max(slots, 1);
-  int taken = 0;
   const auto known = knowledge_.find(aShard.key);
-  if (known != knowledge_.end()) {
-    const Knowledge& knowledge = known->second;
-    taken = knowledge.unanswered;
-    if (knowledge.isHeard && clock_.Now() - knowledge.heardAt < kLoadLifetime) {
-      slots = std::max(knowledge.load.slots, 1);
-      taken = knowledge.load.slots - knowledge.load.freeSlots +
-              knowledge.load.queued + knowledge.relayedSince;
-    }
+  if (known == knowledge_.end()) {
+    return delay;
   }
-  const int waiting = taken - slots + 1;
-  if (waiting > 0) {
-    delay += kTypicalServiceTime * waiting / slots;
+  return delay + ExpectedWait(aShard, known->second);
+}
+
+Duration
+ShardSelector::ExpectedWait(const Shard& aShard,
+                            const Knowledge& aKnowledge) const
+{
+  const Instant now = clock_.Now();
+  if (aKnowledge.hasOwnerFailed &&
+      now - aKnowledge.ownerFailedAt < kOwnerFailureLifetime) {
+    return kOwnerFailurePenalty;
   }
-  return delay;
+  const Duration age = now - aKnowledge.heardAt;
+  if (aKnowledge.isHeard && aKnowledge.load.slots == 0 &&
+      age < kNoSlotsLifetime) {
+    return kNoSlotsPenalty;
+  }
+  int slots = ConfiguredSlots(aShard);
+  int taken = aKnowledge.unanswered;
+  if (aKnowledge.isHeard && aKnowledge.load.slots > 0 && age < kLoadLifetime) {
+    slots = aKnowledge.load.slots;
+    taken = slots - aKnowledge.load.freeSlots + aKnowledge.load.queued +
+            aKnowledge.relayedSince;
+  }
+  const int waiting = taken - slots + 1;
+  return waiting > 0 ? kTypicalServiceTime * waiting / slots : Duration::zero();
 }
 
 } // namespace filbertbeam
--- a/src/entry/ShardSelector.h
+++ b/src/entry/ShardSelector.h
@@ -30,6 +30,9 @@
   void OnRelayed(std::string_view aShard);
   void OnAnswered(std::string_view aShard);
 
+  // The owner of the shard could not be reached or did not take the request.
+  void OnOwnerFailed(std::string_view aShard);
+
   // What the owner reported with a response.
   void OnLoad(std::string_view aShard, const RelayLoad& aLoad);
 
@@ -42,10 +45,13 @@
     // Requests relayed since the report.
     int relayedSince = 0;
     int unanswered = 0;
+    Instant ownerFailedAt;
+    bool hasOwnerFailed = false;
   };
 
   // Expected time until a request starts.
   Duration ExpectedDelay(const Shard& aShard, const Member& aSelf) const;
+  Duration ExpectedWait(const Shard& aShard, const Knowledge& aKnowledge) const;
 
   const Clock& clock_;
   Random& random_;
--- a/src/entry/tests/EntryFixture.h
+++ b/src/entry/tests/EntryFixture.h
@@ -124,6 +124,7 @@
                             sealer,
                             serviceLevel,
                             selector,
+                            activeRelays,
                             metrics,
                             events,
                             clock,
@@ -203,6 +204,7 @@
   NoEvents events;
   ServiceLevelMeter serviceLevel;
   ShardSelector selector{ clock, random };
+  ActiveRelays activeRelays;
   EntryMetrics metrics;
   EntryService service;
   std::shared_ptr<HttpRequestObserver> observer;
--- a/src/entry/tests/TestEntrySession.cpp
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -90,6 +90,7 @@
                                    sealer,
                                    serviceLevel,
                                    selector,
+                                   activeRelays,
                                    metrics,
                                    events,
                                    clock,
--- a/src/owner/OwnedShard.cpp
+++ b/src/owner/OwnedShard.cpp
@@ -134,7 +134,7 @@
       scheduler_->Complete(assignment.requestId, AttemptResult::Cancelled, now);
       continue;
     }
-    node.mapped()->OnAssigned(server->second);
+    node.mapped()->OnAssigned(server->second, assignment.isTrial);
   }
   ReportStateChanges();
   const std::optional<Instant> next = scheduler_->NextEvent(now);
--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -15,6 +15,11 @@
 // Above this, the sending side is paused until the receiver has caught up.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 
+// A trial that is not answered within this time has failed. The request is
+// idempotent, and its entry host sends it again, so the caller of a trial
+// waits little longer than others.
+constexpr std::chrono::milliseconds kTrialTimeout{ 500 };
+
 struct RefusalResponse
 {
   int status;
@@ -59,6 +64,8 @@
 {
   deadlineTimer_.setSingleShot(true);
   deadlineTimer_.callOnTimeout([this] { OnDeadline(); });
+  trialTimer_.setSingleShot(true);
+  trialTimer_.callOnTimeout([this] { OnTrialTimeout(); });
 }
 
 void
@@ -88,7 +95,7 @@
 }
 
 void
-OwnerSession::OnAssigned(const BackendServer& aBackendServer)
+OwnerSession::OnAssigned(const BackendServer& aBackendServer, bool aIsTrial)
 {
   holdsSlot_ = true;
   if (state_ != State::Queued) {
@@ -107,6 +114,9 @@
   state_ = State::Running;
   backendServer_ = aBackendServer.name;
   deadlineTimer_.start(remaining);
+  if (aIsTrial) {
+    trialTimer_.start(kTrialTimeout);
+  }
 
   HttpClientOptions options;
   // A stale idle connection would leave the outcome of a non-idempotent
@@ -157,6 +167,7 @@
 OwnerSession::Release(AttemptResult aResult)
 {
   deadlineTimer_.stop();
+  trialTimer_.stop();
   if (!holdsSlot_) {
     return;
   }
@@ -231,6 +242,7 @@
   if (state_ != State::Running) {
     return;
   }
+  trialTimer_.stop();
   shard_->OnResponseHead(id_);
   if (shedStatus_ && aHead.status == *shedStatus_) {
     Release(AttemptResult::Shed);
@@ -305,6 +317,17 @@
   Refuse(503, "backend-unreachable", Outcome::NotRun);
 }
 
+void
+OwnerSession::OnTrialTimeout()
+{
+  if (state_ != State::Running) {
+    return;
+  }
+  Refuse(502, "trial-failed", Outcome::Unknown);
+  backendExchange_->Cancel();
+  Release(AttemptResult::Failure);
+}
+
 void
 OwnerSession::OnDeadline()
 {
--- a/src/owner/OwnerSession.h
+++ b/src/owner/OwnerSession.h
@@ -41,7 +41,7 @@
   void OnResponseWritable() override;
   void OnRequestClosed(bool aIsComplete) override;
 
-  void OnAssigned(const BackendServer& aBackendServer) override;
+  void OnAssigned(const BackendServer& aBackendServer, bool aIsTrial) override;
   void OnRefused(RefusalReason aReason) override;
 
   void OnRequestSent() override;
@@ -65,6 +65,7 @@
   // Ends the attempt and gives the slot back.
   void Release(AttemptResult aResult);
   void OnDeadline();
+  void OnTrialTimeout();
 
   std::shared_ptr<HttpServerExchange> exchange_;
   std::shared_ptr<OwnedShard> shard_;
@@ -83,6 +84,7 @@
   std::string backendServer_;
   std::shared_ptr<HttpClientExchange> backendExchange_;
   QTimer deadlineTimer_;
+  QTimer trialTimer_;
 };
 
 } // namespace filbertbeam
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 
+#include <QCoreApplication>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QTcpServer>
@@ -21,14 +22,24 @@
 constexpr std::string_view kApiKey = "key-1";
 constexpr std::string_view kOperatorToken = "operator-token-of-tests";
 
-// Takes a free port. It is given back before the process under test takes it;
-// another process could take it in between, which no test here does.
+// Ports below the range that the system gives to outgoing connections, which
+// would otherwise take a port before the process under test does. Programs
+// that run at the same time start at different ports.
 std::uint16_t
 FreePort()
 {
-  QTcpServer server;
-  server.listen(QHostAddress::LocalHost, 0);
-  return server.serverPort();
+  constexpr int kFirstPort = 20'000;
+  constexpr int kPorts = 12'000;
+  constexpr int kPortsPerProgram = 400;
+  static int next = static_cast<int>(QCoreApplication::applicationPid() % 30) *
+                    kPortsPerProgram;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    QTcpServer server;
+    if (server.listen(QHostAddress::LocalHost, port)) {
+      return port;
+    }
+  }
 }
 
 Endpoint
