Owner, daemon: Queue shed requests again; be ready only with a usable view

Cause: right after the start of a fleet, each host published a view with itself alone until its next heartbeat, so three owners counted the same slots: 20 sheds in 10 ms, and 18 of 30 requests refused with backend-shed once the retry budget was spent. A restarted host signed for hosts whose incarnation it did not know: 4 of 759 requests refused with not-authentic. Change: the view is published as soon as the host list arrives; a host is ready once it knows the incarnation of every live host; a shed request without body is queued again at its owner, up to 3 times.

--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "limits/ShareMessages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertbeam {
@@ -12,6 +13,10 @@
 // At 1,300 hosts this is 260 reads per second of the platform's 2,000.
 constexpr std::chrono::seconds kHostListInterval{ 5 };
 
+// A host that cannot learn of others serves alone after this time; its
+// backend servers then shed what is too much.
+constexpr std::chrono::seconds kMaxWaitForMembers{ 10 };
+
 std::string_view
 StateName(HostState aState)
 {
@@ -71,6 +76,7 @@
 void
 ControlPlane::Start()
 {
+  startedAt_ = clock_.Now();
   FetchHosts();
   OnTick();
   heartbeatTimer_.start(kHeartbeatInterval);
@@ -94,6 +100,21 @@
   OnTick();
 }
 
+bool
+ControlPlane::IsViewUsable()
+{
+  if (clock_.Now() - startedAt_ > kMaxWaitForMembers) {
+    return true;
+  }
+  const std::shared_ptr<const MembershipView> view = heartbeats_.View();
+  const auto isKnown = [](const Member& aMember) {
+    return aMember.state != HostState::Live || aMember.incarnation != 0;
+  };
+  const bool hasPeers = view->Members().size() > 1;
+  return (isHostListKnown_ || hasPeers) &&
+         std::ranges::all_of(view->Members(), isKnown);
+}
+
 std::shared_ptr<const MembershipView>
 ControlPlane::View()
 {
@@ -168,6 +189,9 @@
 ControlPlane::OnHosts(const std::vector<ListedHost>& aHosts)
 {
   heartbeats_.SetListedHosts(aHosts);
+  isHostListKnown_ = true;
+  // A host that knows only itself would own every shard until the next tick.
+  PublishView();
   std::set<std::string> leaving;
   for (const ListedHost& host : aHosts) {
     if (host.isLeaving && host.controlPort == 0) {
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -59,6 +59,9 @@
   void SendDemands(std::span<const CustomerDemand> aDemands);
 
   std::shared_ptr<const MembershipView> View();
+  // False shortly after the start, while the incarnations of other hosts are
+  // not known: they would refuse this host's requests.
+  bool IsViewUsable();
   std::size_t MemoryBytes() const { return heartbeats_.MemoryBytes(); }
 
 private:
@@ -80,6 +83,8 @@
   std::shared_ptr<const MembershipView> publishedView_;
   std::map<std::string, HostState, std::less<>> knownStates_;
   bool isHostListAway_ = false;
+  bool isHostListKnown_ = false;
+  Instant startedAt_;
   QTimer heartbeatTimer_;
   QTimer hostListTimer_;
   QTimer demandTimer_;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -373,7 +373,7 @@
 bool
 Daemon::IsReady()
 {
-  return configuration_ && !stopped_;
+  return configuration_ && !stopped_ && controlPlane_->IsViewUsable();
 }
 
 std::string
--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -15,6 +15,9 @@
 // Above this, the sending side is paused until the receiver has caught up.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 
+// Times that a request is queued again after a shed.
+constexpr int kMaxSheds = 3;
+
 // A trial that is not answered within this time has failed. The request is
 // idempotent, and its entry host sends it again, so the caller of a trial
 // waits little longer than others.
@@ -73,6 +76,12 @@
 {
   // The body stays with the entry host until a backend server can take it.
   exchange_->PauseRequestBody();
+  Submit();
+}
+
+void
+OwnerSession::Submit()
+{
   ShardRequest request;
   request.id = id_;
   request.customer = request_.customer;
@@ -245,9 +254,9 @@
   trialTimer_.stop();
   shard_->OnResponseHead(id_);
   if (shedStatus_ && aHead.status == *shedStatus_) {
-    Release(AttemptResult::Shed);
-    Refuse(503, "backend-shed", Outcome::NotRun);
     backendExchange_->Cancel();
+    Release(AttemptResult::Shed);
+    OnShed();
     return;
   }
   state_ = State::Responding;
@@ -271,6 +280,22 @@
   exchange_->SendHead(head);
 }
 
+void
+OwnerSession::OnShed()
+{
+  // A request that was shed did not run. Without a body, it can be queued
+  // again here; the scheduler gives the server a pause.
+  const bool hasBody = exchange_->Request().framing != BodyFraming::None;
+  if (hasBody || sheds_ >= kMaxSheds) {
+    Refuse(503, "backend-shed", Outcome::NotRun);
+    return;
+  }
+  ++sheds_;
+  state_ = State::Queued;
+  backendExchange_.reset();
+  Submit();
+}
+
 void
 OwnerSession::OnResponseBody(ByteView aBytes)
 {
@@ -299,8 +324,8 @@
 void
 OwnerSession::OnExchangeFailed(const HttpFailure& aFailure)
 {
-  if (state_ == State::Done) {
-    Release(AttemptResult::Cancelled);
+  // Whoever cancels an exchange has already decided what follows.
+  if (aFailure.kind == HttpFailureKind::Cancelled || state_ == State::Done) {
     return;
   }
   const State before = state_;
--- a/src/owner/OwnerSession.h
+++ b/src/owner/OwnerSession.h
@@ -64,6 +64,8 @@
   void Refuse(int aStatus, std::string_view aReason, Outcome aOutcome);
   // Ends the attempt and gives the slot back.
   void Release(AttemptResult aResult);
+  void Submit();
+  void OnShed();
   void OnDeadline();
   void OnTrialTimeout();
 
@@ -81,6 +83,7 @@
   bool holdsSlot_ = false;
   bool isRequestComplete_ = false;
   int responseStatus_ = 0;
+  int sheds_ = 0;
   std::string backendServer_;
   std::shared_ptr<HttpClientExchange> backendExchange_;
   QTimer deadlineTimer_;
