--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -134,7 +134,7 @@
   std::vector<Assignment> assignments;
   // Trials come first: while healthy servers have free slots, no request
   // would be left over for them.
-  while (Server* const server = PickTrialServer()) {
+  while (Server* const server = PickTrialServer(aNow)) {
     std::optional<std::uint64_t> id = inContract_.PopIdempotent();
     if (!id) {
       id = excess_.PopIdempotent();
@@ -197,6 +197,13 @@
   if (!checks_.empty()) {
     consider(checks_.begin()->first);
   }
+  if (!queued_.empty()) {
+    for (const auto& [name, server] : servers_) {
+      if (server.shedPause.IsActive(aNow)) {
+        consider(server.shedPause.Until());
+      }
+    }
+  }
   return next;
 }
 
@@ -226,6 +233,7 @@
   }
   Attempt& attempt = found->second;
   attempt.headAt = aNow;
+  attempt.server->lastAnswerAt = aNow;
   if (attempt.sentAt && IsCurrent(attempt) && !attempt.isTrial) {
     ScheduleCheck(aRequestId, attempt, aNow + kStreamingGrace);
   } else {
@@ -247,6 +255,11 @@
   running_.erase(found);
   Server& server = *attempt.server;
   server.slots.Release();
+  if (aResult == AttemptResult::Shed) {
+    server.shedPause.OnShed(aNow);
+  } else if (aResult == AttemptResult::Success) {
+    server.shedPause.OnServed();
+  }
   if (attempt.isTrial) {
     server.trialsRunning -= 1;
   }
@@ -336,7 +349,7 @@
   double bestShare = 1;
   std::uint64_t ties = 0;
   for (auto& [name, server] : servers_) {
-    if (!AcceptsWork(server) ||
+    if (!AcceptsWork(server) || server.shedPause.IsActive(aNow) ||
         server.slots.Free(policy_.ConcurrencyLimit(server.id, aNow)) == 0) {
       continue;
     }
@@ -354,11 +367,12 @@
 }
 
 FairShardScheduler::Server*
-FairShardScheduler::PickTrialServer()
+FairShardScheduler::PickTrialServer(Instant aNow)
 {
   for (auto& [name, server] : servers_) {
     if (!server.isRemoved && server.state == ServerState::Trial &&
-        server.trialsRunning == 0 && server.slots.Free() > 0) {
+        server.trialsRunning == 0 && server.slots.Free() > 0 &&
+        !server.shedPause.IsActive(aNow)) {
       return &server;
     }
   }
@@ -424,6 +438,7 @@
     }
     server.state = state;
     server.epoch += 1;
+    stateChanges_ += 1;
   }
 }
 
@@ -482,26 +497,32 @@
     ScheduleCheck(aRequestId, attempt, aNow + kUnknownTailInterval);
     return;
   }
-  // An unanswered request counts again each time that its age doubles, since
-  // a server whose slots all hang gives no other samples.
-  const Instant due =
-    *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.unansweredSamples);
-  if (aNow < due) {
-    ScheduleCheck(aRequestId, attempt, due);
+  const auto due = [&] {
+    return *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.tailsPassed);
+  };
+  if (aNow < due()) {
+    ScheduleCheck(aRequestId, attempt, due());
     return;
   }
   if (attempt.isTrial) {
     CountTrial(attempt, AttemptResult::Failure, aNow);
     return;
   }
-  detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
-  attempt.isSampled = true;
-  attempt.unansweredSamples += 1;
+  // An unanswered request counts again each time that its age doubles, since
+  // a server whose slots all hang gives no other samples. While the server
+  // answers others, these tell more, and one very long request must not count
+  // as many.
+  const bool counts = attempt.tailsPassed == 0 || !server.lastAnswerAt ||
+                      *server.lastAnswerAt <= attempt.lastTailPassedAt;
+  attempt.tailsPassed += 1;
+  attempt.lastTailPassedAt = aNow;
+  if (counts) {
+    detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
+    attempt.isSampled = true;
+    attempt.unansweredSamples += 1;
+  }
   if (attempt.unansweredSamples < detector_.MaxUnansweredSamples()) {
-    ScheduleCheck(aRequestId,
-                  attempt,
-                  *attempt.sentAt +
-                    *tail * (std::int64_t{ 1 } << attempt.unansweredSamples));
+    ScheduleCheck(aRequestId, attempt, due());
   }
   JudgeServer(server, aNow);
 }
