--- /dev/null
+++ b/src/daemon/EntryRuntime.cpp
@@ -0,0 +1,66 @@
+#include "daemon/EntryRuntime.h"
+
+#include "store/HttpObjectStore.h"
+
+#include <utility>
+
+namespace filbertbeam {
+
+EntryRuntime::EntryRuntime(const DaemonSettings& aSettings,
+                           std::uint64_t aIncarnation,
+                           const Clock& aClock,
+                           EventSink& aEvents,
+                           EntryMetrics& aMetrics,
+                           RelaySealer& aSealer,
+                           std::unique_ptr<ObjectStore> aStore)
+  : client_(HttpClient::Create(HttpClientLimits{}))
+  , store_(std::move(aStore))
+  , claims_(ClaimRegistry::Create(*store_,
+                                  aClock,
+                                  random_,
+                                  aSettings.host,
+                                  aIncarnation))
+  , limiter_(CustomerLimiter::Create())
+  , retryBudget_(RetryBudget::Create())
+  , selector_(aClock, random_)
+  , service_(std::make_unique<EntryService>(EntryContext{ *client_,
+                                                          *claims_,
+                                                          *limiter_,
+                                                          *retryBudget_,
+                                                          aSealer,
+                                                          serviceLevel_,
+                                                          selector_,
+                                                          aMetrics,
+                                                          aEvents,
+                                                          aClock,
+                                                          random_ }))
+{
+}
+
+std::unique_ptr<EntryRuntime>
+EntryRuntime::Create(const DaemonSettings& aSettings,
+                     std::uint64_t aIncarnation,
+                     const Clock& aClock,
+                     EventSink& aEvents,
+                     EntryMetrics& aMetrics,
+                     RelaySealer& aSealer,
+                     std::string& aReason)
+{
+  std::unique_ptr<ObjectStore> store = HttpObjectStore::Create(
+    aSettings.platform, PlatformClientLimits{}, aReason);
+  if (!store) {
+    return nullptr;
+  }
+  std::unique_ptr<EntryRuntime> runtime(new EntryRuntime(aSettings,
+                                                         aIncarnation,
+                                                         aClock,
+                                                         aEvents,
+                                                         aMetrics,
+                                                         aSealer,
+                                                         std::move(store)));
+  runtime->server_ = HttpServer::Create(
+    aSettings.caller, HttpServerLimits{}, *runtime->service_, aReason);
+  return runtime->server_ ? std::move(runtime) : nullptr;
+}
+
+} // namespace filbertbeam
--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -27,6 +27,7 @@
                                               const Clock& aClock,
                                               EventSink& aEvents,
                                               EntryMetrics& aMetrics,
+                                              RelaySealer& aSealer,
                                               std::string& aReason);
 
   EntryService& Service() { return *service_; }
@@ -34,15 +35,18 @@
   const ServiceLevelMeter& ServiceLevel() const { return serviceLevel_; }
 
   void StopAccepting() { server_->StopAccepting(); }
-  // Nothing of a caller is in flight and no claim waits to be written.
-  bool IsIdle() const;
+  int RunningExchanges() const { return server_->RunningExchanges(); }
+  // Outcomes of claims that the store has not taken yet.
+  int PendingClaims() const { return claims_->PendingWrites(); }
 
 private:
   EntryRuntime(const DaemonSettings& aSettings,
                std::uint64_t aIncarnation,
                const Clock& aClock,
                EventSink& aEvents,
-               EntryMetrics& aMetrics);
+               EntryMetrics& aMetrics,
+               RelaySealer& aSealer,
+               std::unique_ptr<ObjectStore> aStore);
 
   SeededRandom random_;
   std::unique_ptr<HttpClient> client_;
@@ -50,7 +54,6 @@
   std::unique_ptr<ClaimRegistry> claims_;
   std::unique_ptr<CustomerLimiter> limiter_;
   std::unique_ptr<RetryBudget> retryBudget_;
-  std::unique_ptr<RelaySealer> sealer_;
   ServiceLevelMeter serviceLevel_;
   ShardSelector selector_;
   std::unique_ptr<EntryService> service_;
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -6,6 +6,7 @@
 #include "slots/OutlierDetector.h"
 #include "slots/ServerSlots.h"
 #include "slots/ShardScheduler.h"
+#include "slots/ShedPause.h"
 
 #include <map>
 #include <set>
@@ -37,6 +38,7 @@
                 Instant aNow) override;
   ShardLoad Load() const override;
   std::vector<ServerReport> Report(Instant aNow) const override;
+  std::uint64_t StateChanges() const override { return stateChanges_; }
 
 private:
   struct Server
@@ -44,11 +46,13 @@
     ServerId id = 0;
     std::string name;
     ServerSlots slots;
+    ShedPause shedPause;
     ServerState state = ServerState::Healthy;
     // Counts changes of state. Samples of requests that began in an earlier
     // state say nothing about the present one.
     std::uint64_t epoch = 0;
     int trialsRunning = 0;
+    std::optional<Instant> lastAnswerAt;
     std::string lastReason;
     // No longer configured; kept until its last request finished.
     bool isRemoved = false;
@@ -73,6 +77,9 @@
     // The latency counted, or the trial is decided.
     bool isSampled = false;
     int unansweredSamples = 0;
+    // Times that the age passed the tail or a doubling of it.
+    int tailsPassed = 0;
+    Instant lastTailPassedAt;
     std::optional<Instant> nextCheck;
   };
 
@@ -80,7 +87,7 @@
   bool HasBackendServer() const;
   FairQueue& QueueOf(RequestClass aClass);
   Server* PickServer(Instant aNow);
-  Server* PickTrialServer();
+  Server* PickTrialServer(Instant aNow);
   void Assign(std::uint64_t aRequestId,
               Server& aServer,
               bool aIsTrial,
@@ -106,6 +113,7 @@
   EjectionPolicy policy_;
   std::map<std::string, Server> servers_;
   ServerId nextServerId_ = 0;
+  std::uint64_t stateChanges_ = 0;
   FairQueue inContract_;
   FairQueue excess_;
   std::unordered_map<std::uint64_t, Queued> queued_;
