--- /dev/null
+++ b/src/cli/tests/TestHttpAdminEndpoint.cpp
@@ -0,0 +1,100 @@
+#include "cli/HttpAdminEndpoint.h"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace filbertbeam;
+
+namespace {
+
+// Answers every request with the same bytes and closes the connection.
+struct RawServer
+{
+  explicit RawServer(QByteArray aAnswer)
+    : answer(std::move(aAnswer))
+  {
+    BOOST_TEST_REQUIRE(server.listen(QHostAddress::LocalHost));
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [this] {
+      QTcpSocket* socket = server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        request += socket->readAll();
+        if (request.endsWith("\r\n\r\n")) {
+          socket->write(answer);
+          socket->disconnectFromHost();
+        }
+      });
+    });
+  }
+
+  std::string Address() const
+  {
+    return fmt::format("127.0.0.1:{}", server.serverPort());
+  }
+
+  QTcpServer server;
+  QByteArray answer;
+  QByteArray request;
+};
+
+// A port on which nothing listens.
+std::string
+ClosedAddress()
+{
+  const RawServer server("");
+  return server.Address();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdminEndpointOverHttp)
+
+BOOST_AUTO_TEST_CASE(SendsTheTokenAndGivesTheBody)
+{
+  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  HttpAdminEndpoint endpoint({ server.Address() }, "the token");
+  const AdminEndpoint::Answer answer =
+    endpoint.Get("/explain?kind=customer&name=a%2Fb");
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body.toStdString() == "{}");
+  BOOST_TEST(server.request.startsWith(
+    "GET /explain?kind=customer&name=a%2Fb HTTP/1.1\r\n"));
+  BOOST_TEST(
+    server.request.contains("\r\nAuthorization: Bearer the token\r\n"));
+}
+
+// Guards against a tool that is of no use while one host is down.
+BOOST_AUTO_TEST_CASE(AsksTheNextDaemonWhereOneCannotBeReached)
+{
+  RawServer server("HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\n\r\n");
+  HttpAdminEndpoint endpoint({ ClosedAddress(), server.Address() }, "t");
+  BOOST_TEST(endpoint.Get("/status").status == 401);
+  HttpAdminEndpoint none({ ClosedAddress() }, "t");
+  const AdminEndpoint::Answer answer = none.Get("/status");
+  BOOST_TEST(answer.status == 0);
+  BOOST_TEST(!answer.reason.empty());
+}
+
+// Guards against half a status that is shown as a whole one.
+BOOST_AUTO_TEST_CASE(ATruncatedAnswerIsNone)
+{
+  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{}");
+  HttpAdminEndpoint endpoint({ server.Address() }, "t");
+  BOOST_TEST(endpoint.Get("/status").status == 0);
+}
+
+// Guards against a token that is sent to wherever an answer points.
+BOOST_AUTO_TEST_CASE(FollowsNoRedirect)
+{
+  RawServer other("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  RawServer server(QByteArray("HTTP/1.1 302 Found\r\nLocation: http://") +
+                   QByteArray::fromStdString(other.Address()) +
+                   "/\r\nContent-Length: 0\r\n\r\n");
+  HttpAdminEndpoint endpoint({ server.Address() }, "t");
+  BOOST_TEST(endpoint.Get("/status").status != 200);
+  BOOST_TEST(other.request.isEmpty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
