Claims: Correct the test of refused connections

ARefusedConnectionLeavesNothingPending failed once, in a run with address and undefined behaviour sanitizers on a loaded machine: a write was still open at the deadline, and an open write counts as pending until its answer. That is what PendingWrites promises, so the check was wrong. It now waits until nothing is pending while the store stays away, and checks that no call follows. ALateRefusalLeavesNothingPending holds the write open on purpose.

--- a/src/claims/tests/TestClaimRegistry.cpp
+++ b/src/claims/tests/TestClaimRegistry.cpp
@@ -428,7 +428,28 @@
   first.memory.SetFaults(faults);
   BOOST_TEST(first.Claim(kRequest, milliseconds(20)).decision ==
              ClaimDecision::StoreUnavailable);
-  BOOST_TEST(first.registry->PendingWrites() == 0);
+  // A write may be open at the deadline; its refusal ends the claim. The store
+  // stays away, so nothing else can.
+  first.AwaitSettled();
+  const std::uint64_t writes = first.memory.Counts().Writes();
+  RunFor(milliseconds(30));
+  BOOST_TEST(first.memory.Counts().Writes() == writes);
+  BOOST_TEST(first.memory.Counts().Reads() == 0U);
+}
+
+// Guards against the same when the refusal comes after the deadline.
+BOOST_FIXTURE_TEST_CASE(ALateRefusalLeavesNothingPending, Fleet)
+{
+  StoreFaults faults;
+  faults.isAway = true;
+  faults.isConnectionRefused = true;
+  faults.delay = milliseconds(100);
+  first.memory.SetFaults(faults);
+  BOOST_TEST(first.Claim(kRequest, milliseconds(20)).decision ==
+             ClaimDecision::StoreUnavailable);
+  first.AwaitSettled();
+  BOOST_TEST(first.memory.Counts().Writes() == 1U);
+  BOOST_TEST(first.memory.Counts().Reads() == 0U);
 }
 
 // Guards against a caller that waits past its deadline, or not at all.
