Configuration: Divide what a service may lose among its shards

Cause: a floor for each shard by itself rounds up in every shard. Change: the servers that may be ejected are divided by largest remainder from the configuration alone, so owners still need no agreement.

--- a/src/configuration/Configuration.cpp
+++ b/src/configuration/Configuration.cpp
@@ -1,5 +1,7 @@
 #include "configuration/Configuration.h"
 
+#include "configuration/ShardFloors.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -112,6 +114,7 @@
     shards[state.openShard].backendServers.push_back(&backendServer);
     ++state.count;
   }
+  AssignShardFloors(aService.floor, shards);
   return shards;
 }
 
--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -83,6 +83,9 @@
   std::string region;
   std::string domain;
   std::vector<const BackendServer*> backendServers;
+  // Share of them that ejection has to leave; the floors of all shards keep
+  // the service's floor.
+  double floor = 1;
 };
 
 inline constexpr std::size_t kMaxBackendServersPerShard = 32;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -202,6 +202,9 @@
     random_,
     [this](const ConfigurationFollower::InForce& aInForce) {
       OnConfiguration(aInForce);
+    },
+    [this](std::function<void()> aWork, std::function<void()> aDone) {
+      background_.Run(std::move(aWork), std::move(aDone));
     });
   controlPlane_ =
     std::make_unique<ControlPlane>(SelfOf(settings_, incarnation_),
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "base/WorkerThread.h"
+#include "configuration/BackgroundWork.h"
 #include "configuration/ConfigurationFollower.h"
 #include "daemon/AdminServer.h"
 #include "daemon/ConfigurationResource.h"
@@ -67,6 +68,8 @@
   std::unique_ptr<HostList> hostList_;
   std::unique_ptr<RelaySealer> sealer_;
   std::unique_ptr<ControlChannel> channel_;
+  // Joining 80,000 contracts takes longer than heartbeats may be late.
+  BackgroundWork background_;
   std::unique_ptr<ConfigurationFollower> follower_;
   std::unique_ptr<ControlPlane> controlPlane_;
   std::shared_ptr<const Configuration> configuration_;
--- a/src/owner/OwnedShard.cpp
+++ b/src/owner/OwnedShard.cpp
@@ -58,7 +58,9 @@
       server.isLeaving || aLeavingAddresses.contains(server.address);
     pointers.push_back(&server);
   }
-  scheduler_->SetBackendServers(aService, pointers, clock_.Now());
+  Service service = aService;
+  service.floor = aShard.floor;
+  scheduler_->SetBackendServers(service, pointers, clock_.Now());
   SchedulePump();
 }
 
