--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -79,7 +79,7 @@
   startedAt_ = clock_.Now();
   FetchHosts();
   OnTick();
-  heartbeatTimer_.start(kHeartbeatInterval);
+  heartbeatTimer_.start(kHeartbeatTickInterval);
   hostListTimer_.start(kHostListInterval);
   demandTimer_.start(kDemandReportInterval);
 }
@@ -125,6 +125,9 @@
 ControlPlane::OnTick()
 {
   for (const OutgoingHeartbeat& heartbeat : heartbeats_.Tick()) {
+    if (heartbeat.needsRedial) {
+      channel_.Redial(heartbeat.to);
+    }
     channel_.Send(
       heartbeat.to, ControlMessageType::Heartbeat, heartbeat.payload);
   }
@@ -147,13 +150,16 @@
     return;
   }
   publishedView_ = view;
-  LogStateChanges(*view);
+  if (LogStateChanges(*view)) {
+    coordinator_->OnHomesChanged(clock_.Now());
+  }
   observer_.OnView(std::move(view));
 }
 
-void
+bool
 ControlPlane::LogStateChanges(const MembershipView& aView)
 {
+  bool isChanged = false;
   for (const Member& member : aView.Members()) {
     const auto [known, isNew] =
       knownStates_.try_emplace(member.host, member.state);
@@ -166,6 +172,7 @@
              { { "host", member.host }, { "state", StateName(member.state) } });
     events_.Record(EventSubject::Host, member.host, StateName(member.state));
   }
+  return isChanged;
 }
 
 void
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -70,7 +70,8 @@
   void FetchHosts();
   void OnHosts(const std::vector<ListedHost>& aHosts);
   void OnDemandReport(const ControlSender& aSender, ByteView aPayload);
-  void LogStateChanges(const MembershipView& aView);
+  // True when a host joined or changed its state.
+  bool LogStateChanges(const MembershipView& aView);
 
   const std::string self_;
   HostList& hostList_;
--- a/src/membership/tests/TestPartners.cpp
+++ b/src/membership/tests/TestPartners.cpp
@@ -245,9 +245,10 @@
 BOOST_AUTO_TEST_CASE(GoesToTheDomainThenTheRegionThenAnyone)
 {
   auto members = Members();
+  std::shared_ptr<const MembershipView> view;
   const auto owner = [&] {
-    return MembershipView::Create("host-0", members, false)
-      ->OwnerOfShard("shard", "north", "domain-1");
+    view = MembershipView::Create("host-0", members, false);
+    return view->OwnerOfShard("shard", "north", "domain-1");
   };
   BOOST_TEST(owner()->domain == "domain-1");
   BOOST_TEST(owner()->region == "north");
