Slots: Use outliers last where the floor keeps them

Cause: with the default floor of 0.7, a shard of two or three servers cannot eject any (ceil(0.7 x 2) = 2), so a detected gray server kept its full share.

Change: an outlier that may not be ejected stays in service but gets a request only where no other server has a free slot, and one probe per second, so that its recovery is seen. The floor is not affected.

It helps where other slots are free, and cannot replace an ejection: at 70% load the other server is mostly full.

--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -24,6 +24,10 @@
 // Interval of looking again while the peers' tail is not known yet.
 constexpr Duration kUnknownTailInterval = 1s;
 
+// A suspect server gets a request at least this often, so that its recovery is
+// seen.
+constexpr Duration kSuspectProbeInterval = 1s;
+
 // One slot in this many is kept free of excess requests.
 constexpr int kSlotsPerReservedSlot = 8;
 
@@ -142,14 +146,14 @@
     if (!id) {
       break;
     }
-    Assign(*id, *server, true, assignments);
+    Assign(*id, *server, true, aNow, assignments);
   }
   while (!inContract_.IsEmpty()) {
     Server* const server = PickServer(aNow);
     if (server == nullptr) {
       return assignments;
     }
-    Assign(*inContract_.Pop(), *server, false, assignments);
+    Assign(*inContract_.Pop(), *server, false, aNow, assignments);
   }
   while (!excess_.IsEmpty()) {
     const ShardLoad load = Load();
@@ -158,7 +162,7 @@
         server == nullptr) {
       break;
     }
-    Assign(*excess_.Pop(), *server, false, assignments);
+    Assign(*excess_.Pop(), *server, false, aNow, assignments);
   }
   return assignments;
 }
@@ -312,6 +316,14 @@
                                 aServer.state == ServerState::Cold);
 }
 
+bool
+FairShardScheduler::IsLastChoice(const Server& aServer, Instant aNow) const
+{
+  return aServer.isSuspect &&
+         (aServer.slots.Used() > 0 ||
+          aNow < aServer.lastAssignedAt + kSuspectProbeInterval);
+}
+
 bool
 FairShardScheduler::HasBackendServer() const
 {
@@ -334,20 +346,21 @@
   // The server with the smallest share of its slots in use; ties at random,
   // so that no server gets all requests of a quiet shard.
   Server* best = nullptr;
-  double bestShare = 1;
+  std::pair<bool, double> bestOrder;
   std::uint64_t ties = 0;
   for (auto& [name, server] : servers_) {
     if (!AcceptsWork(server) ||
         server.slots.Free(policy_.ConcurrencyLimit(server.id, aNow)) == 0) {
       continue;
     }
-    const double share =
-      static_cast<double>(server.slots.Used()) / server.slots.Slots();
-    if (best == nullptr || share < bestShare) {
+    const std::pair<bool, double> order(
+      IsLastChoice(server, aNow),
+      static_cast<double>(server.slots.Used()) / server.slots.Slots());
+    if (best == nullptr || order < bestOrder) {
       best = &server;
-      bestShare = share;
+      bestOrder = order;
       ties = 1;
-    } else if (share == bestShare && random_.Below(++ties) == 0) {
+    } else if (order == bestOrder && random_.Below(++ties) == 0) {
       best = &server;
     }
   }
@@ -370,10 +383,12 @@
 FairShardScheduler::Assign(std::uint64_t aRequestId,
                            Server& aServer,
                            bool aIsTrial,
+                           Instant aNow,
                            std::vector<Assignment>& aAssignments)
 {
   Forget(aRequestId);
   aServer.slots.TryTake();
+  aServer.lastAssignedAt = aNow;
   if (aIsTrial) {
     aServer.trialsRunning += 1;
   }
@@ -424,6 +439,7 @@
       }
     }
     server.state = state;
+    server.isSuspect = false;
     server.epoch += 1;
     stateChanges_ += 1;
   }
@@ -434,8 +450,14 @@
 {
   const std::optional<OutlierDetector::Verdict> verdict =
     detector_.Judge(aServer.id, aNow);
-  if (verdict && policy_.TryEject(aServer.id, verdict->severity, aNow)) {
-    aServer.lastReason = verdict->reason;
+  // Where the floor forbids the ejection, its slots stay in service, but are
+  // used last; small shards often cannot eject anything.
+  aServer.isSuspect = verdict.has_value();
+  if (!verdict) {
+    return;
+  }
+  aServer.lastReason = verdict->reason;
+  if (policy_.TryEject(aServer.id, verdict->severity, aNow)) {
     UpdateStates("readmitted in favour of a worse backend server");
   }
 }
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -51,6 +51,9 @@
     std::uint64_t epoch = 0;
     int trialsRunning = 0;
     std::optional<Instant> lastAnswerAt;
+    // An outlier that the floor keeps from being ejected.
+    bool isSuspect = false;
+    Instant lastAssignedAt;
     std::string lastReason;
     // No longer configured; kept until its last request finished.
     bool isRemoved = false;
@@ -82,6 +85,8 @@
   };
 
   bool AcceptsWork(const Server& aServer) const;
+  // Whether the server gets a request only where no other one has a slot free.
+  bool IsLastChoice(const Server& aServer, Instant aNow) const;
   bool HasBackendServer() const;
   FairQueue& QueueOf(RequestClass aClass);
   Server* PickServer(Instant aNow);
@@ -89,6 +94,7 @@
   void Assign(std::uint64_t aRequestId,
               Server& aServer,
               bool aIsTrial,
+              Instant aNow,
               std::vector<Assignment>& aAssignments);
   void RefuseExpired(Instant aNow);
   void Forget(std::uint64_t aRequestId);
