--- /dev/null
+++ b/src/slots/tests/TestEjectionPolicy.cpp
@@ -0,0 +1,210 @@
+#include "base/ManualClock.h"
+#include "slots/EjectionPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace filbertbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<EjectionPolicy::Member>
+Members(ServerId aCount)
+{
+  std::vector<EjectionPolicy::Member> members;
+  for (ServerId id = 0; id < aCount; ++id) {
+    members.push_back({ id, 2, false });
+  }
+  return members;
+}
+
+// Tries to eject servers 0, 1, ... with slightly rising severity, too close to
+// each other for one to take the place of another.
+int
+EjectAll(EjectionPolicy& aPolicy, ServerId aCount, Instant aNow)
+{
+  int ejected = 0;
+  for (ServerId id = 0; id < aCount; ++id) {
+    ejected += aPolicy.TryEject(id, 1 + 0.001 * id, aNow) ? 1 : 0;
+  }
+  return ejected;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EjectionWithinTheFloor)
+
+struct FloorCase
+{
+  double floor;
+  ServerId servers;
+  int ejectable;
+};
+
+// Guards against an ejection that leaves less than ceil(floor x configured).
+BOOST_AUTO_TEST_CASE(OnlyWhatTheFloorLeavesIsEjected)
+{
+  const FloorCase cases[] = {
+    { 0.5, 1, 0 },   { 0.5, 2, 1 },  { 0.5, 3, 1 },  { 0.7, 2, 0 },
+    { 0.7, 3, 0 },   { 0.7, 4, 1 },  { 0.7, 7, 2 },  { 0.7, 10, 3 },
+    { 0.55, 20, 9 }, { 1.0, 10, 0 }, { 0.9, 32, 3 },
+  };
+  const ManualClock clock;
+  for (const FloorCase& item : cases) {
+    BOOST_TEST_CONTEXT("floor " << item.floor << ", " << item.servers
+                                << " servers")
+    {
+      EjectionPolicy policy(item.floor);
+      policy.SetMembers(item.floor, Members(item.servers), clock.Now());
+      BOOST_TEST(EjectAll(policy, item.servers, clock.Now()) == item.ejectable);
+    }
+  }
+}
+
+// Guards against a floor that counts servers where the large ones are ejected.
+BOOST_AUTO_TEST_CASE(TheFloorHoldsInSlotsAsWell)
+{
+  const ManualClock clock;
+  EjectionPolicy policy(0.5);
+  const std::vector<EjectionPolicy::Member> members{
+    { 0, 8, false }, { 1, 1, false }, { 2, 1, false }, { 3, 1, false }
+  };
+  policy.SetMembers(0.5, members, clock.Now());
+  BOOST_TEST(!policy.TryEject(0, 3, clock.Now()));
+  BOOST_TEST(policy.TryEject(1, 3, clock.Now()));
+}
+
+// Guards against a departure that pushes the shard below its floor while
+// servers are ejected, and against the wrong server being readmitted.
+BOOST_AUTO_TEST_CASE(ADepartureReadmitsTheLeastUnhealthy)
+{
+  const ManualClock clock;
+  EjectionPolicy policy(0.5);
+  auto members = Members(6);
+  policy.SetMembers(0.5, members, clock.Now());
+  BOOST_TEST(EjectAll(policy, 3, clock.Now()) == 3);
+  members[5].isLeaving = true;
+  policy.SetMembers(0.5, members, clock.Now());
+  BOOST_TEST((policy.State(0) == ServerState::Healthy));
+  BOOST_TEST((policy.State(1) == ServerState::Ejected));
+  BOOST_TEST((policy.State(2) == ServerState::Ejected));
+}
+
+// Guards against an entry that raises the floor above what is healthy: a cold
+// server does not count.
+BOOST_AUTO_TEST_CASE(AnEntryReadmitsWhereTheFloorRises)
+{
+  const ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(4), clock.Now());
+  BOOST_TEST(EjectAll(policy, 2, clock.Now()) == 2);
+  policy.SetMembers(0.5, Members(5), clock.Now());
+  BOOST_TEST((policy.State(4) == ServerState::Cold));
+  BOOST_TEST((policy.State(0) == ServerState::Healthy));
+}
+
+// Guards against a mildly slow server that keeps the place of a black hole.
+BOOST_AUTO_TEST_CASE(AMuchWorseServerTakesThePlaceOfAMildOne)
+{
+  const ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(2), clock.Now());
+  BOOST_TEST(policy.TryEject(0, 1, clock.Now()));
+  BOOST_TEST(!policy.TryEject(1, 1.5, clock.Now()));
+  BOOST_TEST(policy.TryEject(1, 3, clock.Now()));
+  BOOST_TEST((policy.State(0) == ServerState::Healthy));
+  BOOST_TEST((policy.State(1) == ServerState::Ejected));
+}
+
+BOOST_AUTO_TEST_SUITE(Readmission)
+
+// Guards against a flapping server that returns after the same short time
+// again and again, and against a back-off without end.
+BOOST_AUTO_TEST_CASE(TheBackOffDoublesUpToFiveMinutes)
+{
+  ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(4), clock.Now());
+  const Duration expected[] = { 5s, 10s, 20s, 40s, 80s, 160s, 300s, 300s };
+  for (const Duration backOff : expected) {
+    BOOST_TEST(policy.TryEject(0, 3, clock.Now()));
+    clock.Advance(backOff - 1ms);
+    policy.Advance(clock.Now());
+    BOOST_TEST((policy.State(0) == ServerState::Ejected));
+    clock.Advance(1ms);
+    policy.Advance(clock.Now());
+    BOOST_TEST((policy.State(0) == ServerState::Trial));
+    for (int i = 0; i < 5; ++i) {
+      BOOST_TEST((policy.State(0) == ServerState::Trial));
+      policy.OnTrial(0, true, 0, clock.Now());
+    }
+    BOOST_TEST((policy.State(0) == ServerState::Healthy));
+  }
+}
+
+// Guards against readmission after a trial that failed.
+BOOST_AUTO_TEST_CASE(ABadTrialEjectsAgainForLonger)
+{
+  ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(4), clock.Now());
+  policy.TryEject(0, 3, clock.Now());
+  clock.Advance(5s);
+  policy.Advance(clock.Now());
+  for (int i = 0; i < 4; ++i) {
+    policy.OnTrial(0, true, 0, clock.Now());
+  }
+  policy.OnTrial(0, false, 0, clock.Now());
+  BOOST_TEST((policy.State(0) == ServerState::Ejected));
+  BOOST_TEST(policy.RecentEjections(0, clock.Now()) == 2);
+  clock.Advance(9s);
+  policy.Advance(clock.Now());
+  BOOST_TEST((policy.State(0) == ServerState::Ejected));
+  clock.Advance(1s);
+  policy.Advance(clock.Now());
+  BOOST_TEST((policy.State(0) == ServerState::Trial));
+}
+
+// Guards against a server of half the speed that passes because each single
+// trial was below the tail of its peers.
+BOOST_AUTO_TEST_CASE(FiveTrialsThatAreAllSlowDoNotReadmit)
+{
+  ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(4), clock.Now());
+  policy.TryEject(0, 3, clock.Now());
+  clock.Advance(5s);
+  policy.Advance(clock.Now());
+  for (int i = 0; i < 5; ++i) {
+    policy.OnTrial(0, true, 1.5, clock.Now());
+  }
+  BOOST_TEST((policy.State(0) == ServerState::Ejected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ColdStart)
+
+// Guards against a server that gets its full load before it warmed up.
+BOOST_AUTO_TEST_CASE(AnEnteringServerIsColdForTenSeconds)
+{
+  ManualClock clock;
+  EjectionPolicy policy(0.5);
+  policy.SetMembers(0.5, Members(4), clock.Now());
+  BOOST_TEST((policy.State(0) == ServerState::Healthy));
+  policy.SetMembers(0.5, Members(5), clock.Now());
+  BOOST_TEST((policy.State(4) == ServerState::Cold));
+  BOOST_TEST(policy.ConcurrencyLimit(4, clock.Now()) == 1);
+  BOOST_TEST(!policy.TryEject(4, 3, clock.Now()));
+  clock.Advance(1s);
+  BOOST_TEST(policy.ConcurrencyLimit(4, clock.Now()) > 1000);
+  clock.Advance(9s);
+  policy.Advance(clock.Now());
+  BOOST_TEST((policy.State(4) == ServerState::Healthy));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
