Slots: Count an unanswered request again only at four times its age

With a heavy tail, a request that is open is often open twice as long.

Change: the age has to grow by a factor of 4, which is about as rare in a Pareto tail of exponent 1.5 as any sample at the clip.

--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -21,6 +21,12 @@
 // answered. Bodies of sheds are small, so the response is none; a caller that
 // reads slowly must not keep the sample back for longer.
 constexpr Duration kStreamingGrace = 1s;
+// An unanswered request counts again each time that its age grows by this
+// factor. Where latencies have a Pareto tail of exponent 1.5, one in eight
+// requests that is still open gets that old, which is about as rare as any
+// sample at the clip. With a factor of 2, two long requests at a time ejected a
+// healthy server of two slots every second day.
+constexpr std::int64_t kUnansweredAgeFactor = 4;
 // Interval of looking again while the peers' tail is not known yet.
 constexpr Duration kUnknownTailInterval = 1s;
 
@@ -506,9 +512,7 @@
     ScheduleCheck(aRequestId, attempt, aNow + kUnknownTailInterval);
     return;
   }
-  const auto due = [&] {
-    return *attempt.sentAt + *tail * (std::int64_t{ 1 } << attempt.tailsPassed);
-  };
+  const auto due = [&] { return *attempt.sentAt + *tail * attempt.tailFactor; };
   if (aNow < due()) {
     ScheduleCheck(aRequestId, attempt, due());
     return;
@@ -517,13 +521,14 @@
     CountTrial(attempt, AttemptResult::Failure, aNow);
     return;
   }
-  // An unanswered request counts again each time that its age doubles, since
+  // An unanswered request counts again as its age grows, since
   // a server whose slots all hang gives no other samples. While the server
   // answers others, these tell more, and one very long request must not count
   // as many.
   const bool counts = attempt.tailsPassed == 0 || !server.lastAnswerAt ||
                       *server.lastAnswerAt <= attempt.lastTailPassedAt;
   attempt.tailsPassed += 1;
+  attempt.tailFactor *= kUnansweredAgeFactor;
   attempt.lastTailPassedAt = aNow;
   if (counts) {
     detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -78,8 +78,10 @@
     // The latency counted, or the trial is decided.
     bool isSampled = false;
     int unansweredSamples = 0;
-    // Times that the age passed the tail or a doubling of it.
+    // Times that the age passed the tail or a multiple of it, and the next
+    // multiple.
     int tailsPassed = 0;
+    std::int64_t tailFactor = 1;
     Instant lastTailPassedAt;
     std::optional<Instant> nextCheck;
   };
