Slots: Test that sheds, cancellations and slow callers eject nobody

The trial of these causes on a whole shard cannot see a fault here, since the peers show the same: taking out the mechanism for slow callers or for sheds left all tests passing. The new cases affect one server only, and fail for both (counting sheds as failures; measuring latency to the end of the body).

--- a/src/slots/tests/TestShardScheduler.cpp
+++ b/src/slots/tests/TestShardScheduler.cpp
@@ -477,6 +477,69 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(BlamelessServers)
+
+struct BlamelessCase
+{
+  const char* name;
+  AttemptResult result;
+  // Between the head of the response and its end.
+  Duration readTime;
+};
+
+// Guards against an ejection for what one server's callers do or for its
+// sheds, while its peers see nothing of it.
+BOOST_AUTO_TEST_CASE(AreNotEjectedForTheirCallers)
+{
+  const BlamelessCase cases[] = {
+    { "sheds", AttemptResult::Shed, 0ms },
+    { "cancelled", AttemptResult::Cancelled, 0ms },
+    { "slow callers", AttemptResult::Success, 400ms },
+    { "very slow callers", AttemptResult::Success, 5s },
+  };
+  for (const BlamelessCase& item : cases) {
+    BOOST_TEST_CONTEXT(item.name)
+    {
+      SchedulerFixture fixture({ { "a", 4 }, { "b", 4 }, { "c", 4 } });
+      std::vector<std::pair<Instant, Assignment>> running;
+      int requests = 0;
+      for (int step = 0; step < 6000; ++step) {
+        fixture.Advance(10ms);
+        std::erase_if(running, [&](const auto& aItem) {
+          if (aItem.first > fixture.Now()) {
+            return false;
+          }
+          fixture.Complete(aItem.second.requestId,
+                           aItem.second.backendServer == "a"
+                             ? item.result
+                             : AttemptResult::Success);
+          return true;
+        });
+        fixture.Expire();
+        for (int i = 0; i < 3; ++i) {
+          fixture.Submit("customer");
+        }
+        for (const Assignment& assignment : fixture.Dispatch()) {
+          const bool isCase = assignment.backendServer == "a";
+          requests += isCase ? 1 : 0;
+          fixture.Scheduler().OnRequestSent(assignment.requestId,
+                                            fixture.Now());
+          fixture.Scheduler().OnResponseHead(assignment.requestId,
+                                             fixture.Now() + 10ms);
+          running.emplace_back(
+            fixture.Now() + 10ms + (isCase ? item.readTime : 0ms), assignment);
+        }
+        BOOST_TEST_REQUIRE((fixture.StateOf("a") == ServerState::Healthy));
+      }
+      // Eight samples at the clip would eject it. The server whose callers
+      // are very slow gets few requests, since its slots are taken.
+      BOOST_TEST(requests >= 10);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(EnteringServers)
 
 // Guards against a cold server that gets its full load at once.
