--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -21,12 +21,6 @@
 // answered. Bodies of sheds are small, so the response is none; a caller that
 // reads slowly must not keep the sample back for longer.
 constexpr Duration kStreamingGrace = 1s;
-// An unanswered request counts again each time that its age grows by this
-// factor. Where latencies have a Pareto tail of exponent 1.5, one in eight
-// requests that is still open gets that old, which is about as rare as any
-// sample at the clip. With a factor of 2, two long requests at a time ejected a
-// healthy server of two slots every second day.
-constexpr std::int64_t kUnansweredAgeFactor = 4;
 // Interval of looking again while the peers' tail is not known yet.
 constexpr Duration kUnknownTailInterval = 1s;
 
@@ -528,7 +522,7 @@
   const bool counts = attempt.tailsPassed == 0 || !server.lastAnswerAt ||
                       *server.lastAnswerAt <= attempt.lastTailPassedAt;
   attempt.tailsPassed += 1;
-  attempt.tailFactor *= kUnansweredAgeFactor;
+  attempt.tailFactor *= detector_.UnansweredAgeFactor();
   attempt.lastTailPassedAt = aNow;
   if (counts) {
     detector_.OnUnanswered(server.id, aNow - *attempt.sentAt, aNow);
--- a/src/slots/OutlierDetector.cpp
+++ b/src/slots/OutlierDetector.cpp
@@ -17,6 +17,14 @@
 // 38 days.
 constexpr double kDetectionBound = 15;
 constexpr double kPrecisionBound = 18;
+// An unanswered request counts again each time that its age grows by this
+// factor. Where latencies have a Pareto tail of exponent 1.5, one in eight
+// requests that is still open gets four times as old, which is about as rare
+// as any sample at the clip. With a factor of 2 and two slots, two long
+// requests at a time ejected a healthy server every second day; black holes
+// are detected in a third of the time.
+constexpr std::int64_t kDetectionAgeFactor = 2;
+constexpr std::int64_t kPrecisionAgeFactor = 4;
 // Scores stop at this multiple of the bound, so that a server that recovered
 // while the floor kept it from being ejected soon counts as healthy again.
 constexpr double kScoreCap = 2;
@@ -89,10 +97,18 @@
                                                        : kPrecisionBound;
 }
 
+std::int64_t
+AgeFactorOf(DetectionPreference aPreference)
+{
+  return aPreference == DetectionPreference::Detection ? kDetectionAgeFactor
+                                                       : kPrecisionAgeFactor;
+}
+
 } // namespace
 
 OutlierDetector::OutlierDetector(DetectionPreference aPreference)
   : bound_(BoundOf(aPreference))
+  , unansweredAgeFactor_(AgeFactorOf(aPreference))
 {
 }
 
@@ -100,6 +116,7 @@
 OutlierDetector::SetPreference(DetectionPreference aPreference)
 {
   bound_ = BoundOf(aPreference);
+  unansweredAgeFactor_ = AgeFactorOf(aPreference);
 }
 
 void
--- a/src/slots/OutlierDetector.h
+++ b/src/slots/OutlierDetector.h
@@ -59,6 +59,8 @@
   // Unanswered samples that one request may count for, so that a single
   // request cannot reach the bound.
   int MaxUnansweredSamples() const;
+  // Growth of its age after which an unanswered request counts again.
+  std::int64_t UnansweredAgeFactor() const { return unansweredAgeFactor_; }
 
   Scores ScoresOf(ServerId aServer) const;
 
@@ -111,6 +113,7 @@
   std::optional<Verdict> JudgeFailures(ServerId aServer, Instant aNow);
 
   double bound_;
+  std::int64_t unansweredAgeFactor_;
   std::map<ServerId, Track> tracks_;
   mutable std::vector<double> scratch_;
 };
