--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -53,6 +53,9 @@
     std::uint64_t epoch = 0;
     int trialsRunning = 0;
     std::optional<Instant> lastAnswerAt;
+    // An outlier that the floor keeps from being ejected.
+    bool isSuspect = false;
+    Instant lastAssignedAt;
     std::string lastReason;
     // No longer configured; kept until its last request finished.
     bool isRemoved = false;
@@ -77,13 +80,17 @@
     // The latency counted, or the trial is decided.
     bool isSampled = false;
     int unansweredSamples = 0;
-    // Times that the age passed the tail or a doubling of it.
+    // Times that the age passed the tail or a multiple of it, and the next
+    // multiple.
     int tailsPassed = 0;
+    std::int64_t tailFactor = 1;
     Instant lastTailPassedAt;
     std::optional<Instant> nextCheck;
   };
 
   bool AcceptsWork(const Server& aServer) const;
+  // Whether the server gets a request only where no other one has a slot free.
+  bool IsLastChoice(const Server& aServer, Instant aNow) const;
   bool HasBackendServer() const;
   FairQueue& QueueOf(RequestClass aClass);
   Server* PickServer(Instant aNow);
@@ -91,6 +98,7 @@
   void Assign(std::uint64_t aRequestId,
               Server& aServer,
               bool aIsTrial,
+              Instant aNow,
               std::vector<Assignment>& aAssignments);
   void RefuseExpired(Instant aNow);
   void Forget(std::uint64_t aRequestId);
