Slots: Refuse at once where every backend server of a shard is ejected

A small shard may be ejected whole where the service's floor allows it. Its requests waited for up to 1 s before their entry host tried another shard; they are refused at once now, but for those that may be a trial.

--- a/src/owner/OwnedShard.cpp
+++ b/src/owner/OwnedShard.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kStateReportInterval{ 100 };
-
 std::string_view
 StateName(ServerState aState)
 {
@@ -150,12 +148,11 @@
 void
 OwnedShard::ReportStateChanges()
 {
-  const Instant now = clock_.Now();
-  if (now < nextReport_) {
+  if (scheduler_->StateChanges() == reportedChanges_) {
     return;
   }
-  nextReport_ = now + kStateReportInterval;
-  for (const ServerReport& report : scheduler_->Report(now)) {
+  reportedChanges_ = scheduler_->StateChanges();
+  for (const ServerReport& report : scheduler_->Report(clock_.Now())) {
     const auto [known, isNew] =
       reportedStates_.try_emplace(report.backendServer, report.state);
     if (isNew || known->second == report.state) {
--- a/src/owner/OwnedShard.h
+++ b/src/owner/OwnedShard.h
@@ -56,7 +56,8 @@
   std::map<std::string, BackendServer, std::less<>> backendServers_;
   std::unordered_map<std::uint64_t, std::shared_ptr<ScheduledRequest>> queued_;
   std::map<std::string, ServerState, std::less<>> reportedStates_;
-  Instant nextReport_;
+  // Of the scheduler's count of state changes.
+  std::uint64_t reportedChanges_ = 0;
   QTimer timer_;
 };
 
--- a/src/slots/FairShardScheduler.cpp
+++ b/src/slots/FairShardScheduler.cpp
@@ -86,7 +86,7 @@
   if (aRequest.deadline <= aNow) {
     return RefusalReason::DeadlinePassed;
   }
-  if (!HasBackendServer()) {
+  if (!HasBackendServer() || !CanServe(aRequest)) {
     return RefusalReason::NoBackendServer;
   }
   // Counted by class, so that a customer's excess requests cannot take the
@@ -346,6 +346,18 @@
   });
 }
 
+bool
+FairShardScheduler::CanServe(const ShardRequest& aRequest) const
+{
+  // Where the floor of a small shard lets all of it be ejected, another shard
+  // serves at once what would wait here; only a trial may come in.
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& aItem) {
+    const Server& server = aItem.second;
+    return AcceptsWork(server) ||
+           (aRequest.isIdempotent && server.state == ServerState::Trial);
+  });
+}
+
 FairQueue&
 FairShardScheduler::QueueOf(RequestClass aClass)
 {
--- a/src/slots/FairShardScheduler.h
+++ b/src/slots/FairShardScheduler.h
@@ -92,6 +92,7 @@
   // Whether the server gets a request only where no other one has a slot free.
   bool IsLastChoice(const Server& aServer, Instant aNow) const;
   bool HasBackendServer() const;
+  bool CanServe(const ShardRequest& aRequest) const;
   FairQueue& QueueOf(RequestClass aClass);
   Server* PickServer(Instant aNow);
   Server* PickTrialServer(Instant aNow);
