--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -106,7 +106,7 @@
 std::string
 Fleet::WriteFile(const std::string& aName, const std::string& aText)
 {
-  const std::string path =
+  std::string path =
     folder_.filePath(QString::fromStdString(aName)).toStdString();
   std::ofstream(path, std::ios::binary) << aText;
   return path;
