--- a/tests/fleet/ChildProcess.h
+++ b/tests/fleet/ChildProcess.h
@@ -31,6 +31,8 @@
   // Runs the event loop until the process ended; false after the timeout.
   bool WaitForEnd(std::chrono::milliseconds aTimeout);
   bool IsRunning() const;
+  // 0 when it is not running.
+  qint64 ProcessId() const { return process_.processId(); }
   // Meaningful after the end.
   int ExitCode() const { return process_.exitCode(); }
   std::string Log() const;
