Entry: Say not-run only when no attempt may have run

Cause: the outcome was that of the last attempt. A GET whose first attempt lost its connection and whose second was refused in a queue was answered not-run, although the first may have run. Change: an earlier attempt that is not known not to have run makes the answer unknown; a test guards it. The names of states are written once, in membership and slots, in place of three times.

--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -17,20 +17,6 @@
 // backend servers then shed what is too much.
 constexpr std::chrono::seconds kMaxWaitForMembers{ 10 };
 
-std::string_view
-StateName(HostState aState)
-{
-  switch (aState) {
-    case HostState::Live:
-      return "live";
-    case HostState::Leaving:
-      return "leaving";
-    case HostState::Unreachable:
-      return "unreachable";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 ControlPlane::ControlPlane(const Member& aSelf,
@@ -167,10 +153,12 @@
       continue;
     }
     known->second = member.state;
-    LogEvent(LogLevel::Info,
-             "host_state",
-             { { "host", member.host }, { "state", StateName(member.state) } });
-    events_.Record(EventSubject::Host, member.host, StateName(member.state));
+    LogEvent(
+      LogLevel::Info,
+      "host_state",
+      { { "host", member.host }, { "state", HostStateName(member.state) } });
+    events_.Record(
+      EventSubject::Host, member.host, HostStateName(member.state));
   }
   return isChanged;
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -73,38 +73,6 @@
     .toString(Qt::ISODateWithMs);
 }
 
-const char*
-StateName(HostState aState)
-{
-  switch (aState) {
-    case HostState::Live:
-      return "live";
-    case HostState::Leaving:
-      return "leaving";
-    case HostState::Unreachable:
-      return "unreachable";
-  }
-  return "unknown";
-}
-
-const char*
-StateName(ServerState aState)
-{
-  switch (aState) {
-    case ServerState::Healthy:
-      return "healthy";
-    case ServerState::Cold:
-      return "cold";
-    case ServerState::Ejected:
-      return "ejected";
-    case ServerState::Trial:
-      return "trial";
-    case ServerState::Leaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 std::optional<EventSubject>
 ParseSubject(std::string_view aKind)
 {
@@ -407,7 +375,7 @@
     host["host"] = Text(member.host);
     host["region"] = Text(member.region);
     host["domain"] = Text(member.domain);
-    host["state"] = StateName(member.state);
+    host["state"] = Text(HostStateName(member.state));
     host["revision"] =
       &member == &view->Self()
         ? status["revision"]
@@ -421,7 +389,7 @@
   for (const ServerReport& report : reports) {
     QJsonObject server;
     server["backend_server"] = Text(report.backendServer);
-    server["state"] = StateName(report.state);
+    server["state"] = Text(ServerStateName(report.state));
     server["slots"] = report.slots;
     server["used_slots"] = report.usedSlots;
     server["latency_score"] = report.latencyScore;
@@ -468,7 +436,7 @@
         now,
         Text(fmt::format("{} now: latency score {:.2f}, failure score {:.2f}, "
                          "ejected at {:.2f}; {}",
-                         StateName(report.state),
+                         ServerStateName(report.state),
                          report.latencyScore,
                          report.failureScore,
                          report.bound,
--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -586,6 +586,7 @@
 bool
 EntrySession::TryAgain(const Rejection& aRejection)
 {
+  mayHaveRun_ = mayHaveRun_ || aRejection.outcome != Outcome::NotRun;
   const bool isSafe = isIdempotent_ || aRejection.outcome == Outcome::NotRun;
   const bool isPossible = isBodyKept_ && isBodyComplete_ && !isCallerGone_ &&
                           aRejection.reason != "deadline-passed" &&
@@ -660,17 +661,21 @@
 void
 EntrySession::Answer(const Rejection& aRejection)
 {
+  // The last attempt may not have run, and an earlier one have.
+  const Outcome outcome = mayHaveRun_ && aRejection.outcome == Outcome::NotRun
+                            ? Outcome::Unknown
+                            : aRejection.outcome;
   phase_ = Phase::Done;
   deadlineTimer_.stop();
   retryTimer_.stop();
   ReleaseAttempt();
-  SettleClaim(aRejection.outcome);
-  if (aRejection.outcome == Outcome::NotRun) {
+  SettleClaim(outcome);
+  if (outcome == Outcome::NotRun) {
     ++context_.metrics.refusedNotRun;
     if (isClassified_ && requestClass_ == RequestClass::InContract) {
       context_.limiter.Refund(contract_->customer, context_.clock.Now());
     }
-  } else if (aRejection.outcome == Outcome::Unknown) {
+  } else if (outcome == Outcome::Unknown) {
     ++context_.metrics.unknownOutcomes;
   }
   constexpr int kTooManyRequests = 429;
@@ -685,7 +690,7 @@
   problem.status = aRejection.status;
   problem.title = aRejection.reason;
   problem.detail = DetailOf(aRejection.reason);
-  problem.outcome = OutcomeName(aRejection.outcome);
+  problem.outcome = OutcomeName(outcome);
   problem.requestId = requestId_;
   if (isOverload) {
     problem.retryAfter = std::chrono::seconds(1);
--- a/src/entry/EntrySession.h
+++ b/src/entry/EntrySession.h
@@ -120,6 +120,8 @@
   // The response's body for later tries; nothing when it is too long.
   std::optional<std::string> responseCopy_;
 
+  // An earlier attempt may have run.
+  bool mayHaveRun_ = false;
   int attempts_ = 0;
   // Attempts that ended between this host and an owner.
   int ownerFailures_ = 0;
--- a/src/entry/tests/TestEntrySession.cpp
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -264,6 +264,18 @@
   BOOST_TEST(Says(*exchange, 503, "unknown"));
 }
 
+// Guards against "not-run" for the last attempt when an earlier one may have
+// run.
+BOOST_AUTO_TEST_CASE(AndAnEarlierAttemptThatMayHaveRunIsNotForgotten)
+{
+  const auto exchange = Send(Head("GET", "/permits/7"));
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_REQUIRE(client.exchanges.size() == 2U);
+  client.Last().Respond(Refusal(504, "deadline-passed", "not-run"));
+  BOOST_TEST(Says(*exchange, 504, "unknown"));
+}
+
 // Guards against retries that multiply the load of an outage.
 BOOST_AUTO_TEST_CASE(WithinABudget)
 {
--- a/src/membership/MembershipView.cpp
+++ b/src/membership/MembershipView.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+std::string_view
+HostStateName(HostState aState)
+{
+  switch (aState) {
+    case HostState::Live:
+      return "live";
+    case HostState::Leaving:
+      return "leaving";
+    case HostState::Unreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
 std::shared_ptr<const MembershipView>
 MembershipView::Create(std::string_view aSelf,
                        std::vector<Member> aMembers,
--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -18,6 +18,10 @@
   Unreachable,
 };
 
+// "live", "leaving" or "unreachable".
+std::string_view
+HostStateName(HostState aState);
+
 struct Member
 {
   std::string host;
--- a/src/owner/OwnedShard.cpp
+++ b/src/owner/OwnedShard.cpp
@@ -7,28 +7,6 @@
 
 namespace filbertbeam {
 
-namespace {
-
-std::string_view
-StateName(ServerState aState)
-{
-  switch (aState) {
-    case ServerState::Healthy:
-      return "healthy";
-    case ServerState::Cold:
-      return "cold";
-    case ServerState::Ejected:
-      return "ejected";
-    case ServerState::Trial:
-      return "trial";
-    case ServerState::Leaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
-} // namespace
-
 OwnedShard::OwnedShard(const Service& aService,
                        const Clock& aClock,
                        EventSink& aEvents,
@@ -162,7 +140,7 @@
     LogEvent(LogLevel::Info,
              "backend_server_state",
              { { "backend_server", report.backendServer },
-               { "state", StateName(report.state) },
+               { "state", ServerStateName(report.state) },
                { "latency_score", report.latencyScore },
                { "failure_score", report.failureScore },
                { "bound", report.bound },
@@ -170,7 +148,7 @@
     events_.Record(EventSubject::BackendServer,
                    report.backendServer,
                    fmt::format("{}: {}",
-                               StateName(report.state),
+                               ServerStateName(report.state),
                                report.lastReason.empty() ? "no reason recorded"
                                                          : report.lastReason));
   }
--- a/src/slots/ShardScheduler.h
+++ b/src/slots/ShardScheduler.h
@@ -79,6 +79,10 @@
   Leaving,
 };
 
+// "healthy", "cold", "ejected", "trial" or "leaving".
+std::string_view
+ServerStateName(ServerState aState);
+
 // Why a backend server is in its state, for operators.
 struct ServerReport
 {
