--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -203,7 +203,6 @@
 void
 OwnerSession::OnRequestEnd()
 {
-  isRequestComplete_ = true;
   if (backendExchange_ && state_ != State::Done &&
       exchange_->Request().framing != BodyFraming::None) {
     backendExchange_->FinishBody();
--- a/src/owner/OwnerSession.h
+++ b/src/owner/OwnerSession.h
@@ -83,7 +83,6 @@
   Instant deadline_;
   Instant assignedAt_;
   bool holdsSlot_ = false;
-  bool isRequestComplete_ = false;
   int responseStatus_ = 0;
   int sheds_ = 0;
   bool isTrial_ = false;
