--- a/cmake/Filbertbeam.cmake
+++ b/cmake/Filbertbeam.cmake
@@ -1,9 +1,10 @@
 # filbertbeam_library(NAME [DEPENDS libraries...])
-# Builds every source of the current folder into the static library
-# filbertbeam_NAME.
+# Builds every source of the current folder but Main.cpp into the static
+# library filbertbeam_NAME.
 function(filbertbeam_library aName)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp *.h)
+  list(FILTER sources EXCLUDE REGEX "/Main\\.cpp$")
   add_library(filbertbeam_${aName} STATIC ${sources})
   target_include_directories(filbertbeam_${aName}
                              PUBLIC ${CMAKE_SOURCE_DIR}/src)
--- /dev/null
+++ b/tests/fleet/TestAtMostOnce.cpp
@@ -0,0 +1,190 @@
+#include "Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::shared_ptr<HttpCall>
+Deposit(Fleet& aFleet, std::size_t aHost, const std::string& aKey)
+{
+  return aFleet.Request(aFleet.Hosts()[aHost],
+                        "POST",
+                        "/work/deposit",
+                        "{\"amount\":1}",
+                        { { "Idempotency-Key", aKey } });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ANonIdempotentRequest)
+
+// Guards against a second run after the connection closed without an answer,
+// at the fleet's own doing or by the caller's second try at another host.
+BOOST_AUTO_TEST_CASE(RunsOnceWhenItsAnswerIsLost)
+{
+  Fleet fleet(SaengthongPlan());
+  BOOST_REQUIRE(fleet.Start());
+  for (const Fleet::Backend& backend : fleet.Backends()) {
+    fleet.SetMode(backend, "close");
+  }
+  const auto first = Deposit(fleet, 0, "temple-1");
+  BOOST_REQUIRE(WaitForAll({ first }, seconds(10)));
+  BOOST_TEST(first->Status() == 502);
+  BOOST_TEST(first->Outcome() == "unknown");
+  for (const Fleet::Backend& backend : fleet.Backends()) {
+    fleet.SetMode(backend, "healthy");
+  }
+  for (std::size_t host = 0; host < 3; ++host) {
+    const auto again = Deposit(fleet, host, "temple-1");
+    BOOST_REQUIRE(WaitForAll({ again }, seconds(10)));
+    BOOST_TEST(again->Status() == 409);
+    BOOST_TEST(again->Outcome() == "unknown");
+  }
+  BOOST_TEST(fleet.RunsOf("idempotency_keys", "temple-1") == 1);
+}
+
+// Guards against two runs by tries at the same time through several hosts.
+BOOST_AUTO_TEST_CASE(RunsOnceWhenTriedEverywhereAtOnce)
+{
+  Fleet fleet(SaengthongPlan());
+  BOOST_REQUIRE(fleet.Start());
+  for (int round = 0; round < 10; ++round) {
+    const std::string key = "crate-" + std::to_string(round);
+    Calls calls;
+    for (std::size_t i = 0; i < 12; ++i) {
+      calls.push_back(Deposit(fleet, i % 3, key));
+    }
+    BOOST_REQUIRE(WaitForAll(calls, seconds(20)));
+    int served = 0;
+    for (const auto& call : calls) {
+      served += call->Status() == 200 ? 1 : 0;
+      BOOST_TEST((call->Status() == 200 || call->Status() == 409));
+    }
+    BOOST_TEST(served >= 1);
+    BOOST_TEST(fleet.RunsOf("idempotency_keys", key) == 1);
+    const auto later = Deposit(fleet, 1, key);
+    BOOST_REQUIRE(WaitForAll({ later }, seconds(10)));
+    BOOST_TEST(later->Status() == 200);
+    BOOST_TEST(later->Field("Idempotency-Replayed") == "true");
+  }
+}
+
+// Guards against a run without a claim while the store is away, and against a
+// "not-run" that did run.
+BOOST_AUTO_TEST_CASE(IsRefusedWhileTheStoreIsAwayAndOthersAreServed)
+{
+  Fleet fleet(AuthorityPlan());
+  BOOST_REQUIRE(fleet.Start());
+  fleet.SetPlatformFault("away=true");
+  const auto keyed = Deposit(fleet, 0, "permit-7");
+  const auto lookup = fleet.Request(fleet.Hosts()[0], "GET", "/work/1");
+  const auto unkeyed =
+    fleet.Request(fleet.Hosts()[1], "POST", "/work/2", "recall");
+  BOOST_REQUIRE(WaitForAll({ keyed, lookup, unkeyed }, seconds(20)));
+  BOOST_TEST(keyed->Status() == 503);
+  BOOST_TEST(keyed->Outcome() == "not-run");
+  BOOST_TEST(lookup->Status() == 200);
+  BOOST_TEST(unkeyed->Status() == 200);
+  BOOST_TEST(fleet.RunsOf("idempotency_keys", "permit-7") == 0);
+
+  fleet.SetPlatformFault("away=false");
+  RunFor(seconds(5));
+  const auto again = Deposit(fleet, 0, "permit-7");
+  BOOST_REQUIRE(WaitForAll({ again }, seconds(20)));
+  BOOST_TEST(again->Status() == 200);
+  BOOST_TEST(fleet.RunsOf("idempotency_keys", "permit-7") == 1);
+}
+
+// Guards against a claim that is lost or doubled with the answer to its write.
+BOOST_AUTO_TEST_CASE(RunsOnceWhenTheAnswerToItsClaimIsLost)
+{
+  Fleet fleet(SaengthongPlan());
+  BOOST_REQUIRE(fleet.Start());
+  fleet.SetPlatformFault("lose_write_answers=1");
+  const auto call = Deposit(fleet, 0, "temple-2");
+  BOOST_REQUIRE(WaitForAll({ call }, seconds(20)));
+  BOOST_TEST(call->Status() == 200);
+  BOOST_TEST(fleet.RunsOf("idempotency_keys", "temple-2") == 1);
+}
+
+// Guards against a second run when an owner dies with requests in flight, and
+// against a service that does not come back.
+BOOST_AUTO_TEST_CASE(RunsAtMostOnceWhenItsOwnerIsKilled)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.hostsPerDomain = 2;
+  plan.backendFlags = { "--service_time_ms=300" };
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  Calls calls;
+  for (int i = 0; i < 12; ++i) {
+    calls.push_back(fleet.Request(
+      fleet.Hosts()[0],
+      "POST",
+      "/work/approve",
+      "{}",
+      { { "Idempotency-Key", "approval-" + std::to_string(i) } }));
+  }
+  RunFor(milliseconds(150));
+  // Entry hosts prefer owners in their own domain: the first domain's.
+  fleet.Hosts()[1].process->Kill();
+  BOOST_REQUIRE(WaitForAll(calls, seconds(40)));
+  for (int i = 0; i < 12; ++i) {
+    const std::string key = "approval-" + std::to_string(i);
+    const int runs = fleet.RunsOf("idempotency_keys", key);
+    BOOST_TEST(runs <= 1);
+    const auto& call = calls[static_cast<std::size_t>(i)];
+    if (call->Status() == 200) {
+      BOOST_TEST(runs == 1);
+    }
+    if (call->Outcome() == "not-run") {
+      BOOST_TEST(runs == 0);
+    }
+  }
+  RunFor(seconds(5));
+  const auto later = fleet.Request(fleet.Hosts()[0], "GET", "/work/1");
+  BOOST_REQUIRE(WaitForAll({ later }, seconds(10)));
+  BOOST_TEST(later->Status() == 200);
+}
+
+// Guards against a frozen owner that thaws and sends what its callers were
+// told did not run.
+BOOST_AUTO_TEST_CASE(IsNotSentByAnOwnerThatThawsAfterItsDeadline)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.hostsPerDomain = 2;
+  plan.backendFlags = { "--service_time_ms=200" };
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  Calls calls;
+  for (int i = 0; i < 30; ++i) {
+    calls.push_back(
+      fleet.Request(fleet.Hosts()[0],
+                    "POST",
+                    "/work/approve",
+                    "{}",
+                    { { "Idempotency-Key", "frozen-" + std::to_string(i) },
+                      { "Request-Timeout-Ms", "1000" } }));
+  }
+  RunFor(milliseconds(100));
+  fleet.Hosts()[1].process->Freeze();
+  BOOST_TEST(WaitForAll(calls, seconds(20)));
+  RunFor(seconds(3));
+  fleet.Hosts()[1].process->Thaw();
+  RunFor(seconds(2));
+  for (int i = 0; i < 30; ++i) {
+    const int runs =
+      fleet.RunsOf("idempotency_keys", "frozen-" + std::to_string(i));
+    BOOST_TEST(runs <= 1);
+    if (calls[static_cast<std::size_t>(i)]->Outcome() == "not-run") {
+      BOOST_TEST(runs == 0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleet/TestOperations.cpp
@@ -0,0 +1,200 @@
+#include "Fleet.h"
+
+#include <QElapsedTimer>
+#include <QJsonArray>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// The brief allows "a few seconds"; the target names 19 s for configuration.
+constexpr seconds kConfigurationBound{ 19 };
+constexpr seconds kLeavingBound{ 5 };
+
+bool
+IsInForceEverywhere(Fleet& aFleet, int aRevision)
+{
+  for (const Fleet::Host& host : aFleet.Hosts()) {
+    if (aFleet.Status(host)["revision"].toInt() < aRevision) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Operations)
+
+BOOST_AUTO_TEST_SUITE(AConfiguration)
+
+// Guards against a change that reaches some hosts only, or late.
+BOOST_AUTO_TEST_CASE(IsInForceEverywhereWithinSeconds)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.hostsPerDomain = 3;
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  for (int revision = 2; revision <= 4; ++revision) {
+    fleet.Backends()[0].isLeaving = revision % 2 == 0;
+    fleet.Apply();
+    QElapsedTimer timer;
+    timer.start();
+    while (!IsInForceEverywhere(fleet, revision) &&
+           timer.elapsed() < milliseconds(kConfigurationBound).count()) {
+      RunFor(milliseconds(50));
+    }
+    BOOST_TEST(IsInForceEverywhere(fleet, revision));
+    BOOST_TEST_MESSAGE("in force on 9 hosts after " << timer.elapsed()
+                                                    << " ms");
+  }
+}
+
+// Guards against a host that starts empty while the store is away, and against
+// one that comes back with an older configuration.
+BOOST_AUTO_TEST_CASE(ReachesAHostThatStartsWhileTheStoreIsAway)
+{
+  Fleet fleet(AuthorityPlan());
+  BOOST_REQUIRE(fleet.Start());
+  fleet.Apply();
+  RunFor(seconds(3));
+  const int revision = fleet.Status(fleet.Hosts()[1])["revision"].toInt();
+  fleet.SetPlatformFault("away=true");
+  fleet.Hosts()[0].process->Kill();
+  BOOST_REQUIRE(fleet.Hosts()[0].process->Start());
+  QElapsedTimer timer;
+  timer.start();
+  while (fleet.Status(fleet.Hosts()[0])["revision"].toInt() < revision &&
+         timer.elapsed() < milliseconds(kConfigurationBound).count()) {
+    RunFor(milliseconds(50));
+  }
+  BOOST_TEST(fleet.Status(fleet.Hosts()[0])["revision"].toInt() == revision);
+  BOOST_TEST_MESSAGE("in force on the restarted host after " << timer.elapsed()
+                                                             << " ms");
+  const auto call = fleet.Request(fleet.Hosts()[0], "GET", "/work/1");
+  BOOST_TEST(WaitForAll({ call }, seconds(10)));
+  BOOST_TEST(call->Status() == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ABackendServerThatLeaves)
+
+// Guards against new work for a backend server that operators marked.
+BOOST_AUTO_TEST_CASE(GetsNoNewWorkAfterAFewSeconds)
+{
+  Fleet fleet(AuthorityPlan());
+  BOOST_REQUIRE(fleet.Start());
+  fleet.Backends()[0].isLeaving = true;
+  fleet.Apply();
+  RunFor(kLeavingBound);
+  const int before = fleet.TotalRuns(fleet.Backends()[0]);
+  Calls calls;
+  for (std::size_t i = 0; i < 60; ++i) {
+    calls.push_back(fleet.Request(fleet.Hosts()[i % 3], "GET", "/work/1"));
+    RunFor(milliseconds(20));
+  }
+  BOOST_REQUIRE(WaitForAll(calls, seconds(20)));
+  for (const auto& call : calls) {
+    BOOST_TEST(call->Status() == 200);
+  }
+  BOOST_TEST(fleet.TotalRuns(fleet.Backends()[0]) == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(APlannedStop)
+
+// Guards against requests that are cut, refused or lost by a rolling restart.
+BOOST_AUTO_TEST_CASE(OfEveryHostInTurnCutsNoRequest)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.hostsPerDomain = 2;
+  plan.backendFlags = { "--service_time_ms=30" };
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  Calls calls;
+  std::vector<const Fleet::Host*> all;
+  for (const Fleet::Host& host : fleet.Hosts()) {
+    all.push_back(&host);
+  }
+  for (Fleet::Host& stopping : fleet.Hosts()) {
+    // A long answer is under way while its host stops.
+    calls.push_back(fleet.Request(stopping, "GET", "/bytes/8000000"));
+    RunFor(milliseconds(20));
+    stopping.process->Terminate();
+    QElapsedTimer timer;
+    timer.start();
+    std::size_t next = 0;
+    while (stopping.process->IsRunning() && timer.elapsed() < 30'000) {
+      // The balancer stops choosing a host that is not ready.
+      const Fleet::Host& host = fleet.Hosts()[next++ % fleet.Hosts().size()];
+      if (&host != &stopping) {
+        calls.push_back(fleet.Request(host, "GET", "/work/1"));
+      }
+      RunFor(milliseconds(20));
+    }
+    BOOST_TEST(!stopping.process->IsRunning());
+    BOOST_TEST(stopping.process->ExitCode() == 0);
+    BOOST_REQUIRE(stopping.process->Start());
+    BOOST_TEST(fleet.WaitUntilReady(all, 6, seconds(20)));
+  }
+  BOOST_REQUIRE(WaitForAll(calls, seconds(30)));
+  int failed = 0;
+  for (const auto& call : calls) {
+    if (call->Status() != 200 || !call->IsComplete()) {
+      ++failed;
+      BOOST_TEST_MESSAGE("failed: " << call->Status() << " " << call->Title()
+                                    << " " << call->FailureReason());
+    }
+  }
+  BOOST_TEST_MESSAGE(calls.size() << " requests, " << failed << " failed");
+  BOOST_TEST(failed == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AGrayBackendServer)
+
+// Guards against callers that keep being sent to a backend server that
+// accepts requests and never answers.
+BOOST_AUTO_TEST_CASE(IsEjectedBeforeCallersSufferForLong)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.backendServersPerDomain = 4;
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  fleet.SetMode(fleet.Backends()[0], "black-hole");
+  Calls calls;
+  QElapsedTimer timer;
+  timer.start();
+  while (timer.elapsed() < 10'000) {
+    calls.push_back(fleet.Request(fleet.Hosts()[calls.size() % 3],
+                                  "GET",
+                                  "/work/1",
+                                  {},
+                                  { { "Request-Timeout-Ms", "2000" } }));
+    RunFor(milliseconds(10));
+  }
+  BOOST_REQUIRE(WaitForAll(calls, seconds(20)));
+  int late = 0;
+  for (std::size_t i = calls.size() / 2; i < calls.size(); ++i) {
+    late += calls[i]->Status() == 200 ? 0 : 1;
+  }
+  int early = 0;
+  for (std::size_t i = 0; i < calls.size() / 2; ++i) {
+    early += calls[i]->Status() == 200 ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE(early << " failed in the first 5 s, " << late
+                           << " in the next 5 s, of " << calls.size());
+  BOOST_TEST(late == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleet/TestPath.cpp
@@ -0,0 +1,80 @@
+#include "Fleet.h"
+
+#include "base/Digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(TheWholePath)
+
+// Guards against a path that works for one deployment only, and against hosts
+// that serve only the backend servers of their own failure domain.
+BOOST_AUTO_TEST_CASE(ServesBothDeploymentsThroughEveryHost)
+{
+  for (const FleetPlan& plan : { AuthorityPlan(), SaengthongPlan() }) {
+    Fleet fleet(plan);
+    BOOST_REQUIRE(fleet.Start());
+    for (const Fleet::Host& host : fleet.Hosts()) {
+      const auto call = fleet.Request(host, "GET", "/work/1");
+      BOOST_TEST(WaitForAll({ call }, seconds(5)));
+      BOOST_TEST(call->Status() == 200);
+      const auto post = fleet.Request(host, "POST", "/work/2", "deposit");
+      BOOST_TEST(WaitForAll({ post }, seconds(5)));
+      BOOST_TEST(post->Status() == 200);
+    }
+  }
+}
+
+// Guards against answers that are truncated, altered or crossed.
+BOOST_AUTO_TEST_CASE(CarriesWholeAnswersSideBySide)
+{
+  Fleet fleet(AuthorityPlan());
+  BOOST_REQUIRE(fleet.Start());
+  Calls calls;
+  std::vector<std::size_t> sizes;
+  for (std::size_t i = 0; i < 30; ++i) {
+    sizes.push_back(1'000 + 50'021 * i);
+    calls.push_back(fleet.Request(
+      fleet.Hosts()[i % 3], "GET", "/bytes/" + std::to_string(sizes.back())));
+  }
+  BOOST_REQUIRE(WaitForAll(calls, seconds(20)));
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    const auto direct = fleet.Control(fleet.Backends()[0].endpoint,
+                                      "GET",
+                                      "/bytes/" + std::to_string(sizes[i]));
+    BOOST_TEST(calls[i]->IsComplete());
+    BOOST_TEST(calls[i]->Body().size() == sizes[i]);
+    BOOST_TEST(Sha256Hex(calls[i]->Body()) == Sha256Hex(direct->Body()));
+  }
+}
+
+// Guards against a large answer that the hosts hold in memory or cut.
+BOOST_AUTO_TEST_CASE(CarriesAnAnswerOf64MegabytesWhole)
+{
+  Fleet fleet(SaengthongPlan());
+  BOOST_REQUIRE(fleet.Start());
+  constexpr std::size_t kBytes = 64UL * 1024 * 1024;
+  const auto call =
+    fleet.Request(fleet.Hosts()[0], "GET", "/bytes/" + std::to_string(kBytes));
+  BOOST_REQUIRE(WaitForAll({ call }, seconds(60)));
+  BOOST_TEST(call->IsComplete());
+  BOOST_TEST(call->Body().size() == kBytes);
+}
+
+// Guards against a truncated answer that ends as if it were complete.
+BOOST_AUTO_TEST_CASE(NeverEndsATruncatedAnswerAsComplete)
+{
+  Fleet fleet(AuthorityPlan());
+  BOOST_REQUIRE(fleet.Start());
+  for (const Fleet::Backend& backend : fleet.Backends()) {
+    fleet.SetMode(backend, "truncate");
+  }
+  const auto call = fleet.Request(fleet.Hosts()[0], "GET", "/bytes/100000");
+  BOOST_TEST(WaitForAll({ call }, seconds(20)));
+  BOOST_TEST((!call->IsComplete() || call->Status() >= 500));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
