--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -161,8 +161,13 @@
 Daemon::Start(std::string& aReason)
 {
   client_ = HttpClient::Create(HttpClientLimits{});
-  store_ = HttpObjectStore::Create(*client_, settings_.platform);
-  hostList_ = HttpHostList::Create(*client_, settings_.platform);
+  store_ = HttpObjectStore::Create(
+    settings_.platform, PlatformClientLimits{}, aReason);
+  hostList_ = HttpHostList::Create(
+    settings_.platform, PlatformClientLimits{}, aReason);
+  if (!store_ || !hostList_) {
+    return false;
+  }
   sealer_ = CreateRelaySealer(settings_, incarnation_, clock_);
   channel_ = NngControlChannel::Create(settings_.control,
                                        settings_.host,
--- a/src/daemon/EntryRuntime.cpp
+++ b/src/daemon/EntryRuntime.cpp
@@ -3,15 +3,18 @@
 #include "daemon/RelayAuthentication.h"
 #include "store/HttpObjectStore.h"
 
+#include <utility>
+
 namespace filbertbeam {
 
 EntryRuntime::EntryRuntime(const DaemonSettings& aSettings,
                            std::uint64_t aIncarnation,
                            const Clock& aClock,
                            EventSink& aEvents,
-                           EntryMetrics& aMetrics)
+                           EntryMetrics& aMetrics,
+                           std::unique_ptr<ObjectStore> aStore)
   : client_(HttpClient::Create(HttpClientLimits{}))
-  , store_(HttpObjectStore::Create(*client_, aSettings.platform))
+  , store_(std::move(aStore))
   , claims_(ClaimRegistry::Create(*store_,
                                   aClock,
                                   random_,
@@ -43,8 +46,17 @@
                      EntryMetrics& aMetrics,
                      std::string& aReason)
 {
-  std::unique_ptr<EntryRuntime> runtime(
-    new EntryRuntime(aSettings, aIncarnation, aClock, aEvents, aMetrics));
+  std::unique_ptr<ObjectStore> store = HttpObjectStore::Create(
+    aSettings.platform, PlatformClientLimits{}, aReason);
+  if (!store) {
+    return nullptr;
+  }
+  std::unique_ptr<EntryRuntime> runtime(new EntryRuntime(aSettings,
+                                                         aIncarnation,
+                                                         aClock,
+                                                         aEvents,
+                                                         aMetrics,
+                                                         std::move(store)));
   runtime->server_ = HttpServer::Create(
     aSettings.caller, HttpServerLimits{}, *runtime->service_, aReason);
   return runtime->server_ ? std::move(runtime) : nullptr;
--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -43,7 +43,8 @@
                std::uint64_t aIncarnation,
                const Clock& aClock,
                EventSink& aEvents,
-               EntryMetrics& aMetrics);
+               EntryMetrics& aMetrics,
+               std::unique_ptr<ObjectStore> aStore);
 
   SeededRandom random_;
   std::unique_ptr<HttpClient> client_;
