--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -15,12 +15,13 @@
 // Above this, the sending side is paused until the receiver has caught up.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 
+constexpr int kFirstServerError = 500;
+
 // Times that a request is queued again after a shed.
 constexpr int kMaxSheds = 3;
 
-// A trial that is not answered within this time has failed. The request is
-// idempotent, and its entry host sends it again, so the caller of a trial
-// waits little longer than others.
+// A trial that is not answered within this time has failed. Its request is
+// queued again, so that its caller waits little longer than others.
 constexpr std::chrono::milliseconds kTrialTimeout{ 500 };
 
 struct RefusalResponse
@@ -122,6 +123,7 @@
   }
   state_ = State::Running;
   backendServer_ = aBackendServer.name;
+  isTrial_ = aIsTrial;
   deadlineTimer_.start(remaining);
   if (aIsTrial) {
     trialTimer_.start(kTrialTimeout);
@@ -156,13 +158,15 @@
 OwnerSession::Refuse(int aStatus, std::string_view aReason, Outcome aOutcome)
 {
   state_ = State::Done;
+  const Outcome outcome =
+    mayHaveRun_ && aOutcome == Outcome::NotRun ? Outcome::Unknown : aOutcome;
   ProblemDetails problem;
   problem.status = aStatus;
   problem.title = std::string(aReason);
-  problem.outcome = OutcomeName(aOutcome);
+  problem.outcome = OutcomeName(outcome);
   HttpResponseHead head = ProblemHead(problem);
   head.fields.Set(kRefusalField, aReason);
-  head.fields.Set(kOutcomeField, OutcomeName(aOutcome));
+  head.fields.Set(kOutcomeField, OutcomeName(outcome));
   const ShardLoad load = shard_->Load();
   head.fields.Set(kLoadField,
                   FormatRelayLoad({ load.slots, load.freeSlots, load.queued }));
@@ -259,6 +263,12 @@
     OnShed();
     return;
   }
+  if (aHead.status >= kFirstServerError && CanLeaveTrial()) {
+    backendExchange_->Cancel();
+    Release(AttemptResult::Failure);
+    LeaveTrial();
+    return;
+  }
   state_ = State::Responding;
   responseStatus_ = aHead.status;
   HttpResponseHead head = aHead;
@@ -316,7 +326,6 @@
   }
   state_ = State::Done;
   exchange_->Finish();
-  constexpr int kFirstServerError = 500;
   Release(responseStatus_ >= kFirstServerError ? AttemptResult::Failure
                                                : AttemptResult::Success);
 }
@@ -335,6 +344,10 @@
     exchange_->Abort();
     return;
   }
+  if (CanLeaveTrial()) {
+    LeaveTrial();
+    return;
+  }
   if (aFailure.anyByteSent) {
     Refuse(502, "backend-connection-lost", Outcome::Unknown);
     return;
@@ -348,9 +361,32 @@
   if (state_ != State::Running) {
     return;
   }
-  Refuse(502, "trial-failed", Outcome::Unknown);
   backendExchange_->Cancel();
   Release(AttemptResult::Failure);
+  if (CanLeaveTrial()) {
+    LeaveTrial();
+    return;
+  }
+  Refuse(502, "trial-failed", Outcome::Unknown);
+}
+
+bool
+OwnerSession::CanLeaveTrial() const
+{
+  return isTrial_ && !mayHaveRun_ && request_.isIdempotent &&
+         exchange_->Request().framing == BodyFraming::None;
+}
+
+void
+OwnerSession::LeaveTrial()
+{
+  // The server was known to be bad, and this caller happened to try it. The
+  // request goes to the queue again, once, for a server that is in use.
+  isTrial_ = false;
+  mayHaveRun_ = true;
+  state_ = State::Queued;
+  backendExchange_.reset();
+  Submit();
 }
 
 void
--- a/src/owner/OwnerSession.h
+++ b/src/owner/OwnerSession.h
@@ -68,6 +68,8 @@
   void OnShed();
   void OnDeadline();
   void OnTrialTimeout();
+  bool CanLeaveTrial() const;
+  void LeaveTrial();
 
   std::shared_ptr<HttpServerExchange> exchange_;
   std::shared_ptr<OwnedShard> shard_;
@@ -84,6 +86,9 @@
   bool isRequestComplete_ = false;
   int responseStatus_ = 0;
   int sheds_ = 0;
+  bool isTrial_ = false;
+  // A failed trial may have run.
+  bool mayHaveRun_ = false;
   std::string backendServer_;
   std::shared_ptr<HttpClientExchange> backendExchange_;
   QTimer deadlineTimer_;
--- a/tests/fleet/TestOperations.cpp
+++ b/tests/fleet/TestOperations.cpp
@@ -195,6 +195,34 @@
   BOOST_TEST(late == 0);
 }
 
+// Guards against trials of ejected backend servers that fail their callers.
+BOOST_AUTO_TEST_CASE(IsTriedAgainWithoutItsCallersSuffering)
+{
+  FleetPlan plan = AuthorityPlan();
+  plan.backendServersPerDomain = 4;
+  Fleet fleet(plan);
+  BOOST_REQUIRE(fleet.Start());
+  for (std::size_t i = 0; i < fleet.Backends().size(); i += 2) {
+    fleet.SetMode(fleet.Backends()[i], "close");
+  }
+  Calls calls;
+  QElapsedTimer timer;
+  timer.start();
+  // Ejected after some requests, tried again from 5 s on.
+  while (timer.elapsed() < 12'000) {
+    calls.push_back(
+      fleet.Request(fleet.Hosts()[calls.size() % 3], "GET", "/work/1"));
+    RunFor(milliseconds(10));
+  }
+  BOOST_REQUIRE(WaitForAll(calls, seconds(20)));
+  int late = 0;
+  for (std::size_t i = calls.size() / 3; i < calls.size(); ++i) {
+    late += calls[i]->Status() == 200 ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE(late << " failed in the last 8 s, of " << calls.size());
+  BOOST_TEST(late == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
