--- a/cmake/Filbertbeam.cmake
+++ b/cmake/Filbertbeam.cmake
@@ -11,11 +11,15 @@
   target_link_libraries(filbertbeam_${aName} PUBLIC ${ARG_DEPENDS})
 endfunction()
 
-# filbertbeam_test(NAME [TIMEOUT seconds] [DEPENDS libraries...])
+# filbertbeam_test(NAME [TIMEOUT seconds] [DEPENDS libraries...]
+#                  [INCLUDES folders...])
 # Builds every source of the current folder's tests/ into one Boost.Test
 # program test_NAME and registers it with CTest.
 function(filbertbeam_test aName)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPENDS" ${ARGN})
+  if(FILBERTBEAM_GATEWAY_ONLY)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPENDS;INCLUDES" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 60)
   endif()
@@ -25,7 +29,7 @@
   target_compile_definitions(test_${aName} PRIVATE
     BOOST_TEST_DYN_LINK FILBERTBEAM_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests")
   target_include_directories(test_${aName} PRIVATE
-    ${CMAKE_SOURCE_DIR}/src/base/tests/support)
+    ${CMAKE_SOURCE_DIR}/src/base/tests/support ${ARG_INCLUDES})
   target_link_libraries(test_${aName} PRIVATE ${ARG_DEPENDS} Qt6::Core
                         Boost::unit_test_framework)
   add_test(NAME ${aName} COMMAND test_${aName} --log_level=test_suite)
--- /dev/null
+++ b/src/balancing/BackendSelector.cpp
@@ -0,0 +1,344 @@
+#include "balancing/BackendSelector.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Costs are in milliseconds of the caller's time.
+
+// Bytes between failure domains are dear: a large response from another domain
+// costs about a third of what the request is worth.
+constexpr double kOtherDomainCost = 30;
+constexpr double kOtherDomainLargeCost = 350;
+// A failed request costs its caller this many latency objectives. An idempotent
+// one gets a second attempt.
+constexpr double kFailureObjectives = 3.0;
+constexpr double kIdempotentFailureObjectives = 1.0;
+// Cost of a server to which the path from the asking host seems broken.
+constexpr double kAvoidedObjectives = 2.0;
+// Spreads requests over servers that are equally good.
+constexpr double kJitter = 12;
+// Cost of a server whose slots are all but one in use, in mean latencies:
+// servers slow down when they are nearly full.
+constexpr double kNearlyFull = 0.12;
+// A cold server takes about twice as long.
+constexpr double kColdLatencies = 1.0;
+
+// Evidence of one pending attempt and of all of a server, at most.
+constexpr double kMaxAttemptEvidence = 4.5;
+constexpr double kMaxPendingEvidence = 8;
+// Probability that a sick server does not answer.
+constexpr double kSickHolds = 0.8;
+// Repeated bad reports of one host within this time count little: its path to
+// the server may be broken.
+constexpr seconds kSameReporterTime{ 3 };
+constexpr double kSameReporterWeight = 0.25;
+// An attempt that nobody waits for any more says less than its age does.
+constexpr double kAbandonedWeight = 0.8;
+
+// A server that refused for want of room counts as full for this long.
+constexpr milliseconds kFullTime{ 150 };
+// Reports come with the end of the attempt; after this they are lost.
+constexpr seconds kReportGrace{ 1 };
+// Of the budget, kept for attempts after a failure.
+constexpr double kHedgeReserve = 0.35;
+// Weight of one response in a server's slowness.
+constexpr double kSlownessWeight = 0.12;
+constexpr double kMaxSlowness = 8;
+constexpr milliseconds kShortestHedge{ 60 };
+constexpr milliseconds kRetryAfter{ 150 };
+
+std::string
+LatencyClass(const SelectionRequest& aRequest)
+{
+  return fmt::format(
+    "{}/{}/{}{}",
+    aRequest.service,
+    std::chrono::duration_cast<milliseconds>(aRequest.latencyObjective).count(),
+    aRequest.isIdempotent ? 'i' : 'o',
+    aRequest.hasLargeResponses ? 'l' : 's');
+}
+
+// Early enough that a second attempt still meets the objective, but not before
+// most healthy servers would have answered.
+Duration
+HedgeTime(const LatencyModel& aModel, Duration aObjective)
+{
+  const Duration typical = aModel.Quantile(0.5);
+  const Duration early = aModel.Quantile(0.75);
+  const Duration late = std::max(early, aModel.Quantile(0.97));
+  const Duration wanted = aObjective - typical * 3 / 2;
+  return std::max<Duration>(std::clamp(wanted, early, late), kShortestHedge);
+}
+
+} // namespace
+
+BackendSelector::BackendSelector(const RepeatBudgetLimits& aBudget,
+                                 Random& aRandom)
+  : budgetLimits_(aBudget)
+  , random_(aRandom)
+  , directory_(std::make_shared<BackendDirectory>(
+      0,
+      std::vector<BackendServerRecord>()))
+  // A restarted host must not take reports on its earlier tickets.
+  , nextTicket_((aRandom.Next() >> 24) << 16)
+{
+}
+
+void
+BackendSelector::SetDirectory(
+  std::shared_ptr<const BackendDirectory> aDirectory)
+{
+  directory_ = std::move(aDirectory);
+  std::erase_if(servers_, [this](const auto& aItem) {
+    return directory_->Find(aItem.first) == nullptr;
+  });
+  for (const BackendServerRecord& record : directory_->Servers()) {
+    ServerState& server = servers_[record.id];
+    if (server.startedAt != record.startedAt) {
+      server = {};
+      server.startedAt = record.startedAt;
+    }
+  }
+}
+
+SelectionResult
+BackendSelector::Select(const SelectionRequest& aRequest, Instant aNow)
+{
+  DropOverdue(aNow);
+  ServiceState& service = ServiceOf(aRequest.service);
+  if (aRequest.purpose == AttemptPurpose::First) {
+    service.budget.OnRequest(aNow);
+  }
+  LatencyModel& model =
+    ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
+  const BackendServerRecord* best = nullptr;
+  double bestCost = 0;
+  for (const BackendServerRecord* record :
+       directory_->OfService(aRequest.service)) {
+    if (record->isDraining ||
+        std::ranges::find(aRequest.excluded, record->id) !=
+          aRequest.excluded.end()) {
+      continue;
+    }
+    const double cost =
+      ExpectedCost(aRequest, *record, servers_[record->id], model, aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = record;
+      bestCost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return { std::nullopt, "no-backend-server", kRetryAfter };
+  }
+  const bool isRepeat = aRequest.purpose == AttemptPurpose::Repeat ||
+                        aRequest.purpose == AttemptPurpose::Hedge;
+  if (isRepeat &&
+      !service.budget.TryRepeat(
+        aRequest.purpose == AttemptPurpose::Hedge ? kHedgeReserve : 0, aNow)) {
+    return { std::nullopt, "no-repeat-budget", kRetryAfter };
+  }
+  return { Selection{ Track(aRequest, best->id, aNow),
+                      best->id,
+                      HedgeTime(model, aRequest.latencyObjective) },
+           {},
+           {} };
+}
+
+std::uint64_t
+BackendSelector::Track(const SelectionRequest& aRequest,
+                       const std::string& aServer,
+                       Instant aNow)
+{
+  const std::string latencyClass = LatencyClass(aRequest);
+  ModelOf(latencyClass, aRequest.latencyObjective);
+  const std::uint64_t ticket = ++nextTicket_;
+  tickets_.emplace(ticket,
+                   PendingAttempt{ aRequest.service,
+                                   aServer,
+                                   aRequest.host,
+                                   latencyClass,
+                                   aNow,
+                                   aNow + aRequest.remaining + kReportGrace });
+  servers_[aServer].pending.push_back(ticket);
+  return ticket;
+}
+
+double
+BackendSelector::ExpectedCost(const SelectionRequest& aRequest,
+                              const BackendServerRecord& aRecord,
+                              ServerState& aServer,
+                              const LatencyModel& aModel,
+                              Instant aNow)
+{
+  const double pendingEvidence = PendingEvidence(aServer, aNow);
+  if (aServer.health.UpdateEpisode(pendingEvidence, aNow)) {
+    LogEvent(LogLevel::Info,
+             "backend_server_suspected",
+             { { "server", aRecord.id },
+               { "service", aRecord.service },
+               { "pending", aServer.pending.size() },
+               { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) } });
+  }
+  const double sick = aServer.health.SickProbability(pendingEvidence, aNow);
+  const double objective = Milliseconds(aRequest.latencyObjective).count();
+  const double mean = Milliseconds(aModel.Mean()).count();
+  const double slots = std::max(aRecord.slots, 1);
+  double busy = static_cast<double>(aServer.pending.size());
+  if (aNow < aServer.fullUntil) {
+    busy = std::max(busy, slots + 1);
+  }
+  double cost = sick * objective *
+                (aRequest.isIdempotent ? kIdempotentFailureObjectives
+                                       : kFailureObjectives);
+  if (busy >= slots) {
+    cost += mean * aServer.slowness * (busy - slots + 1) / slots;
+  }
+  if (busy + 1 >= slots) {
+    cost += mean * kNearlyFull;
+  }
+  cost += mean * std::max(aServer.slowness - 1, 0.0);
+  if (aNow < aRecord.warmAt) {
+    cost += mean * kColdLatencies;
+  }
+  if (aRecord.domain != aRequest.domain) {
+    cost += aRequest.hasLargeResponses ? kOtherDomainLargeCost
+                                       : kOtherDomainCost;
+  }
+  if (std::ranges::find(aRequest.avoided, aRecord.id) !=
+      aRequest.avoided.end()) {
+    cost += objective * kAvoidedObjectives;
+  }
+  return cost + kJitter * random_.Uniform();
+}
+
+double
+BackendSelector::PendingEvidence(const ServerState& aServer, Instant aNow) const
+{
+  double evidence = 0;
+  for (const std::uint64_t ticket : aServer.pending) {
+    const auto attempt = tickets_.find(ticket);
+    if (attempt == tickets_.end()) {
+      continue;
+    }
+    const auto model = models_.find(attempt->second.latencyClass);
+    if (model == models_.end()) {
+      continue;
+    }
+    const double survival =
+      model->second.Survival(aNow - attempt->second.sentAt);
+    evidence += std::clamp(
+      std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+  }
+  return std::min(evidence, kMaxPendingEvidence);
+}
+
+void
+BackendSelector::Finish(std::uint64_t aTicket,
+                        AttemptResult aResult,
+                        Instant aNow)
+{
+  const auto node = tickets_.extract(aTicket);
+  if (node.empty()) {
+    return;
+  }
+  const PendingAttempt& attempt = node.mapped();
+  const auto found = servers_.find(attempt.server);
+  if (found == servers_.end()) {
+    return;
+  }
+  ServerState& server = found->second;
+  RemovePending(server, aTicket);
+  const auto model = models_.find(attempt.latencyClass);
+  if (aResult == AttemptResult::Unused || model == models_.end()) {
+    return;
+  }
+  const Duration latency = aNow - attempt.sentAt;
+  const double survival = model->second.Survival(latency);
+  if (aResult == AttemptResult::Answered) {
+    // A very late response is a sign of a slow server rather than a good one.
+    const double lateness = std::max(-std::log(survival) - 2.5, 0.0);
+    server.health.ObserveAnswer(
+      attempt.sentAt, LogLikelihoodOf(aResult) + lateness, aNow);
+    const double typical = Milliseconds(model->second.Mean()).count();
+    const double ratio = std::clamp(
+      Milliseconds(latency).count() / std::max(typical, 1.0), 0.2, kMaxSlowness);
+    server.slowness += (ratio - server.slowness) * kSlownessWeight;
+    model->second.Add(latency);
+    return;
+  }
+  double evidence = LogLikelihoodOf(aResult);
+  if (aResult == AttemptResult::Abandoned ||
+      aResult == AttemptResult::NoResponse) {
+    const double age = std::clamp(
+      std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+    evidence = aResult == AttemptResult::Abandoned ? age * kAbandonedWeight
+                                                   : std::max(evidence, age);
+  }
+  if (aResult == AttemptResult::NotExecuted) {
+    server.fullUntil = aNow + kFullTime;
+  }
+  if (evidence > 0) {
+    const bool isSameReporter = server.badReporter == attempt.host &&
+                                aNow - server.badReportAt < kSameReporterTime;
+    server.badReporter = attempt.host;
+    server.badReportAt = aNow;
+    server.health.Observe(
+      isSameReporter ? evidence * kSameReporterWeight : evidence, aNow);
+  }
+}
+
+void
+BackendSelector::DropOverdue(Instant aNow)
+{
+  while (!tickets_.empty()) {
+    const auto oldest = tickets_.begin();
+    if (oldest->second.dropAt > aNow) {
+      return;
+    }
+    const auto server = servers_.find(oldest->second.server);
+    if (server != servers_.end()) {
+      RemovePending(server->second, oldest->first);
+    }
+    tickets_.erase(oldest);
+  }
+}
+
+double
+BackendSelector::SickProbability(std::string_view aServer, Instant aNow) const
+{
+  const auto server = servers_.find(std::string(aServer));
+  return server == servers_.end()
+           ? 0
+           : server->second.health.SickProbability(
+               PendingEvidence(server->second, aNow), aNow);
+}
+
+LatencyModel&
+BackendSelector::ModelOf(const std::string& aClass, Duration aObjective)
+{
+  return models_.try_emplace(aClass, aObjective).first->second;
+}
+
+BackendSelector::ServiceState&
+BackendSelector::ServiceOf(const std::string& aService)
+{
+  return services_.try_emplace(aService, budgetLimits_).first->second;
+}
+
+void
+BackendSelector::RemovePending(ServerState& aServer, std::uint64_t aTicket)
+{
+  std::erase(aServer.pending, aTicket);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/BackendSelector.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "balancing/LatencyModel.h"
+#include "balancing/RepeatBudget.h"
+#include "balancing/Selection.h"
+#include "balancing/ServerHealth.h"
+#include "base/Random.h"
+#include "directory/BackendDirectory.h"
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace filbertbeam {
+
+// Chooses backend servers for the requests it is told of: the one with the
+// least expected cost, from the requests under way there, the belief in its
+// health, its speed and the bytes between failure domains. A server is never
+// excluded for its health alone, so no belief can take away capacity that a
+// service needs.
+class BackendSelector
+{
+public:
+  BackendSelector(const RepeatBudgetLimits& aBudget, Random& aRandom);
+
+  void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
+
+  SelectionResult Select(const SelectionRequest& aRequest, Instant aNow);
+  // Counts an attempt for which another host chose aServer, or the caller of
+  // this did. Returns its ticket.
+  std::uint64_t Track(const SelectionRequest& aRequest,
+                      const std::string& aServer,
+                      Instant aNow);
+  // The attempt of aTicket ended. Unknown tickets are ignored: a report may
+  // come twice, or after the ticket was dropped.
+  void Finish(std::uint64_t aTicket, AttemptResult aResult, Instant aNow);
+
+  // Drops attempts whose reports were lost.
+  void DropOverdue(Instant aNow);
+
+  int PendingAttempts() const { return static_cast<int>(tickets_.size()); }
+  double SickProbability(std::string_view aServer, Instant aNow) const;
+
+private:
+  struct PendingAttempt
+  {
+    std::string service;
+    std::string server;
+    std::string host;
+    std::string latencyClass;
+    Instant sentAt;
+    Instant dropAt;
+  };
+
+  struct ServerState
+  {
+    std::int64_t startedAt = 0;
+    ServerHealth health;
+    // Tickets of the attempts under way.
+    std::vector<std::uint64_t> pending;
+    // Ratio of its latencies to those of its service.
+    double slowness = 1;
+    // Last bad report, to tell a broken path of one host from a sick server.
+    std::string badReporter;
+    Instant badReportAt;
+    // It refused work for want of room; counted as full until then.
+    Instant fullUntil;
+  };
+
+  struct ServiceState
+  {
+    explicit ServiceState(const RepeatBudgetLimits& aBudget)
+      : budget(aBudget)
+    {
+    }
+    RepeatBudget budget;
+  };
+
+  LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
+  ServiceState& ServiceOf(const std::string& aService);
+  // Log likelihood of the ages of the attempts under way at aServer.
+  double PendingEvidence(const ServerState& aServer, Instant aNow) const;
+  double ExpectedCost(const SelectionRequest& aRequest,
+                      const BackendServerRecord& aRecord,
+                      ServerState& aServer,
+                      const LatencyModel& aModel,
+                      Instant aNow);
+  static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
+
+  RepeatBudgetLimits budgetLimits_;
+  Random& random_;
+  std::shared_ptr<const BackendDirectory> directory_;
+  std::unordered_map<std::string, ServerState> servers_;
+  std::unordered_map<std::string, ServiceState> services_;
+  std::unordered_map<std::string, LatencyModel> models_;
+  // Ordered by age: tickets grow.
+  std::map<std::uint64_t, PendingAttempt> tickets_;
+  std::uint64_t nextTicket_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/DatagramSocket.cpp
@@ -0,0 +1,71 @@
+#include "balancing/DatagramSocket.h"
+
+#include <QHostAddress>
+
+namespace filbertbeam {
+
+namespace {
+
+// Keeps asks apart from each other even when many arrive in one turn.
+constexpr int kMaxDatagramBytes = 8 * 1024;
+
+} // namespace
+
+std::unique_ptr<DatagramSocket>
+DatagramSocket::Create(const Endpoint& aListen, std::string& aReason)
+{
+  std::unique_ptr<DatagramSocket> socket(new DatagramSocket);
+  const QHostAddress address(QString::fromStdString(aListen.address));
+  if (address.isNull()) {
+    aReason = "not an IP address: " + aListen.address;
+    return nullptr;
+  }
+  if (!socket->socket_.bind(address, aListen.port)) {
+    aReason = socket->socket_.errorString().toStdString();
+    return nullptr;
+  }
+  DatagramSocket* self = socket.get();
+  QObject::connect(&socket->socket_,
+                   &QUdpSocket::readyRead,
+                   &socket->socket_,
+                   [self] { self->ReceiveAll(); });
+  return socket;
+}
+
+Endpoint
+DatagramSocket::LocalEndpoint() const
+{
+  return { socket_.localAddress().toString().toStdString(),
+           socket_.localPort() };
+}
+
+void
+DatagramSocket::Send(const Endpoint& aReceiver, std::string_view aBytes)
+{
+  socket_.writeDatagram(aBytes.data(),
+                        static_cast<qint64>(aBytes.size()),
+                        QHostAddress(QString::fromStdString(aReceiver.address)),
+                        aReceiver.port);
+}
+
+void
+DatagramSocket::ReceiveAll()
+{
+  std::string buffer(kMaxDatagramBytes, '\0');
+  while (socket_.hasPendingDatagrams()) {
+    QHostAddress address;
+    quint16 port = 0;
+    const qint64 size = socket_.readDatagram(
+      buffer.data(), kMaxDatagramBytes, &address, &port);
+    if (size < 0) {
+      // An earlier datagram to a closed port shows up here as an error.
+      continue;
+    }
+    if (handler_) {
+      handler_({ address.toString().toStdString(), port },
+               ByteView(buffer).first(static_cast<std::size_t>(size)));
+    }
+  }
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/LatencyModel.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <array>
+
+namespace filbertbeam {
+
+// How long the requests of one route take at healthy backend servers, learned
+// from their responses. Old responses lose weight, so that the model follows
+// slow changes.
+class LatencyModel
+{
+public:
+  // Starts with a broad guess from the route's latency objective.
+  explicit LatencyModel(Duration aObjective);
+
+  void Add(Duration aLatency);
+
+  // Probability that a healthy server takes longer than aAge; never 0.
+  double Survival(Duration aAge) const;
+  // The time that the share aQuantile of the requests does not exceed.
+  Duration Quantile(double aQuantile) const;
+  Duration Mean() const { return std::chrono::duration_cast<Duration>(mean_); }
+
+private:
+  static constexpr std::size_t kBins = 48;
+
+  static std::size_t BinOf(double aSeconds);
+  static double BinEdge(std::size_t aBin);
+  void AddWeight(double aSeconds, double aWeight);
+
+  std::array<double, kBins> weights_{};
+  double total_ = 0;
+  std::chrono::duration<double> mean_{ 0 };
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/RepeatBudget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <array>
+#include <cstdint>
+
+namespace filbertbeam {
+
+struct RepeatBudgetLimits
+{
+  // Repeats per request of the window.
+  double ratio = 0;
+  // Repeats per window on top of that.
+  double burst = 0;
+  std::chrono::seconds window{ 10 };
+};
+
+// Bounds the attempts beyond the first of each request of one service, over any
+// window of the length given.
+class RepeatBudget
+{
+public:
+  explicit RepeatBudget(const RepeatBudgetLimits& aLimits);
+
+  void OnRequest(Instant aNow);
+  // Takes one repeat; false when none is left above aReserve, a share from 0 to
+  // 1 of what a window allows.
+  bool TryRepeat(double aReserve, Instant aNow);
+
+private:
+  static constexpr std::size_t kSlots = 20;
+
+  struct Slot
+  {
+    std::int64_t number = -1;
+    std::uint32_t requests = 0;
+    std::uint32_t repeats = 0;
+  };
+
+  Slot& SlotAt(Instant aNow);
+
+  RepeatBudgetLimits limits_;
+  // One slot more than the window, so that any window is covered.
+  std::array<Slot, kSlots + 1> slots_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/SelectionMessages.cpp
@@ -0,0 +1,220 @@
+#include "balancing/SelectionMessages.h"
+
+#include "membership/CborInput.h"
+
+#include <QCborStreamWriter>
+
+#include <limits>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kAsk = 1;
+constexpr std::uint64_t kAnswer = 2;
+constexpr std::uint64_t kReport = 3;
+constexpr std::uint64_t kHello = 4;
+
+constexpr std::size_t kMaxNameBytes = 256;
+// Servers that a request may exclude or avoid; keeps the datagram small.
+constexpr std::size_t kMaxServers = 16;
+constexpr std::size_t kMaxElements = 16;
+constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
+constexpr std::uint64_t kMaxTicket = std::numeric_limits<std::int64_t>::max();
+
+void
+AppendText(QCborStreamWriter& aWriter, const std::string& aText)
+{
+  aWriter.appendTextString(aText.data(), static_cast<qsizetype>(aText.size()));
+}
+
+void
+AppendDuration(QCborStreamWriter& aWriter, Duration aDuration)
+{
+  const auto count =
+    std::chrono::duration_cast<milliseconds>(aDuration).count();
+  aWriter.append(static_cast<quint64>(std::max<std::int64_t>(count, 0)));
+}
+
+void
+AppendServers(QCborStreamWriter& aWriter,
+              const std::vector<std::string>& aServers)
+{
+  const std::size_t count = std::min(aServers.size(), kMaxServers);
+  aWriter.startArray(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    AppendText(aWriter, aServers[i]);
+  }
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const SelectionAsk& aAsk)
+{
+  const SelectionRequest& request = aAsk.request;
+  aWriter.startArray(13);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kAsk));
+  aWriter.append(static_cast<quint64>(aAsk.call));
+  AppendText(aWriter, request.service);
+  aWriter.append(static_cast<quint64>(request.purpose));
+  aWriter.append(request.isIdempotent);
+  aWriter.append(request.hasLargeResponses);
+  AppendDuration(aWriter, request.latencyObjective);
+  AppendDuration(aWriter, request.remaining);
+  AppendText(aWriter, request.host);
+  AppendText(aWriter, request.domain);
+  AppendServers(aWriter, request.excluded);
+  AppendServers(aWriter, request.avoided);
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const SelectionAnswer& aAnswer)
+{
+  const Selection selection = aAnswer.result.selection.value_or(Selection{});
+  aWriter.startArray(8);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kAnswer));
+  aWriter.append(static_cast<quint64>(aAnswer.call));
+  aWriter.append(static_cast<quint64>(selection.ticket));
+  AppendText(aWriter, selection.backendServer);
+  AppendDuration(aWriter, selection.hedgeAfter);
+  AppendText(aWriter, aAnswer.result.reason);
+  AppendDuration(aWriter, aAnswer.result.retryAfter);
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const SelectionReport& aReport)
+{
+  aWriter.startArray(4);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kReport));
+  aWriter.append(static_cast<quint64>(aReport.ticket));
+  aWriter.append(static_cast<quint64>(aReport.result));
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const SelectionHello& aHello)
+{
+  aWriter.startArray(3);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kHello));
+  AppendText(aWriter, aHello.host);
+  aWriter.endArray();
+}
+
+Duration
+ReadDuration(CborInput& aInput)
+{
+  return milliseconds(aInput.ReadUnsigned(kMaxMilliseconds));
+}
+
+std::vector<std::string>
+ReadServers(CborInput& aInput)
+{
+  const std::size_t count = aInput.EnterArray(kMaxServers);
+  std::vector<std::string> servers;
+  for (std::size_t i = 0; i < count; ++i) {
+    servers.push_back(aInput.ReadText(kMaxNameBytes));
+  }
+  aInput.LeaveArray();
+  return servers;
+}
+
+SelectionAsk
+ReadAsk(CborInput& aInput)
+{
+  SelectionAsk ask;
+  ask.call = aInput.ReadUnsigned(kMaxTicket);
+  SelectionRequest& request = ask.request;
+  request.service = aInput.ReadText(kMaxNameBytes);
+  request.purpose = static_cast<AttemptPurpose>(
+    aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptPurpose::Hedge)));
+  request.isIdempotent = aInput.ReadBool();
+  request.hasLargeResponses = aInput.ReadBool();
+  request.latencyObjective = ReadDuration(aInput);
+  request.remaining = ReadDuration(aInput);
+  request.host = aInput.ReadText(kMaxNameBytes);
+  request.domain = aInput.ReadText(kMaxNameBytes);
+  request.excluded = ReadServers(aInput);
+  request.avoided = ReadServers(aInput);
+  return ask;
+}
+
+SelectionAnswer
+ReadAnswer(CborInput& aInput)
+{
+  SelectionAnswer answer;
+  answer.call = aInput.ReadUnsigned(kMaxTicket);
+  Selection selection;
+  selection.ticket = aInput.ReadUnsigned(kMaxTicket);
+  selection.backendServer = aInput.ReadText(kMaxNameBytes);
+  selection.hedgeAfter = ReadDuration(aInput);
+  answer.result.reason = aInput.ReadText(kMaxNameBytes);
+  answer.result.retryAfter = ReadDuration(aInput);
+  if (!selection.backendServer.empty()) {
+    answer.result.selection = std::move(selection);
+  }
+  return answer;
+}
+
+SelectionReport
+ReadReport(CborInput& aInput)
+{
+  SelectionReport report;
+  report.ticket = aInput.ReadUnsigned(kMaxTicket);
+  report.result = static_cast<AttemptResult>(
+    aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptResult::Unused)));
+  return report;
+}
+
+} // namespace
+
+std::string
+EncodeSelectionMessage(const SelectionMessage& aMessage)
+{
+  QByteArray bytes;
+  QCborStreamWriter writer(&bytes);
+  std::visit([&writer](const auto& aKind) { Append(writer, aKind); }, aMessage);
+  return bytes.toStdString();
+}
+
+std::optional<SelectionMessage>
+DecodeSelectionMessage(ByteView aBytes)
+{
+  CborInput input(aBytes);
+  input.EnterArray(kMaxElements);
+  if (input.ReadUnsigned(kVersion) != kVersion) {
+    return std::nullopt;
+  }
+  SelectionMessage message;
+  switch (input.ReadUnsigned(kHello)) {
+    case kAsk:
+      message = ReadAsk(input);
+      break;
+    case kAnswer:
+      message = ReadAnswer(input);
+      break;
+    case kReport:
+      message = ReadReport(input);
+      break;
+    case kHello:
+      message = SelectionHello{ input.ReadText(kMaxNameBytes) };
+      break;
+    default:
+      return std::nullopt;
+  }
+  input.LeaveArray();
+  if (!input.IsComplete()) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/SelectionMessages.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "balancing/AttemptResult.h"
+#include "balancing/Selection.h"
+#include "http/HttpMessage.h"
+
+#include <variant>
+
+namespace filbertbeam {
+
+// An entry host asks the owner of a service for a backend server.
+struct SelectionAsk
+{
+  // Chosen by the entry host; the answer repeats it.
+  std::uint64_t call = 0;
+  SelectionRequest request;
+};
+
+struct SelectionAnswer
+{
+  std::uint64_t call = 0;
+  SelectionResult result;
+};
+
+// The attempt of a ticket ended.
+struct SelectionReport
+{
+  std::uint64_t ticket = 0;
+  AttemptResult result = AttemptResult::Unused;
+};
+
+// A host has started, or found the receiver anew. Its address is the sender's.
+struct SelectionHello
+{
+  std::string host;
+};
+
+using SelectionMessage = std::
+  variant<SelectionAsk, SelectionAnswer, SelectionReport, SelectionHello>;
+
+// One datagram, in CBOR.
+std::string
+EncodeSelectionMessage(const SelectionMessage& aMessage);
+
+// Nothing when the bytes are no message of this version.
+std::optional<SelectionMessage>
+DecodeSelectionMessage(ByteView aBytes);
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/SelectionService.cpp
@@ -0,0 +1,279 @@
+#include "balancing/SelectionService.h"
+
+#include "base/Digest.h"
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A round trip between failure domains is about 11 ms; the rest is for the
+// processor of a busy host.
+constexpr milliseconds kAnswerTime{ 45 };
+// A peer that misses this many answers in a row is passed over for a while.
+constexpr int kMissesUntilDown = 2;
+constexpr milliseconds kShortestDown{ 1'000 };
+constexpr int kMaxDownDoublings = 3;
+
+} // namespace
+
+std::unique_ptr<SelectionService>
+SelectionService::Create(const SelectionServiceSettings& aSettings,
+                         const Clock& aClock,
+                         Random& aRandom,
+                         std::string& aReason)
+{
+  std::unique_ptr<SelectionService> service(
+    new SelectionService(aSettings, aClock, aRandom));
+  service->socket_ = DatagramSocket::Create(aSettings.listen, aReason);
+  if (!service->socket_) {
+    return nullptr;
+  }
+  SelectionService* self = service.get();
+  service->socket_->SetHandler(
+    [self](const Endpoint& aSender, ByteView aBytes) {
+      self->OnDatagram(aSender, aBytes);
+    });
+  return service;
+}
+
+SelectionService::SelectionService(const SelectionServiceSettings& aSettings,
+                                   const Clock& aClock,
+                                   Random& aRandom)
+  : settings_(aSettings)
+  , clock_(aClock)
+  , owned_(aSettings.ownerBudget, aRandom)
+  , own_(aSettings.ownBudget, aRandom)
+{
+  timer_.setSingleShot(true);
+  timer_.setTimerType(Qt::PreciseTimer);
+  timer_.callOnTimeout([this] { OnAskTimeout(); });
+}
+
+void
+SelectionService::SetHosts(std::vector<PeerHost> aHosts)
+{
+  for (const PeerHost& host : aHosts) {
+    const bool isKnown =
+      std::ranges::any_of(hosts_, [&host](const PeerHost& aKnown) {
+        return aKnown.name == host.name && aKnown.address == host.address;
+      });
+    if (!isKnown && host.name != settings_.host) {
+      socket_->Send(host.address,
+                    EncodeSelectionMessage(SelectionHello{ settings_.host }));
+    }
+  }
+  hosts_ = std::move(aHosts);
+  std::erase_if(peers_, [this](const auto& aItem) {
+    return std::ranges::none_of(hosts_, [&aItem](const PeerHost& aHost) {
+      return aHost.name == aItem.first;
+    });
+  });
+}
+
+void
+SelectionService::SetDirectory(
+  const std::shared_ptr<const BackendDirectory>& aDirectory)
+{
+  owned_.SetDirectory(aDirectory);
+  own_.SetDirectory(aDirectory);
+}
+
+const PeerHost*
+SelectionService::OwnerOf(const std::string& aService)
+{
+  const Instant now = clock_.Now();
+  const std::uint64_t key = StableHash(aService);
+  const PeerHost* owner = nullptr;
+  std::uint64_t ownerWeight = StableHash(settings_.host, key);
+  for (const PeerHost& host : hosts_) {
+    const std::uint64_t weight = StableHash(host.name, key);
+    if (host.name == settings_.host || weight <= ownerWeight) {
+      continue;
+    }
+    const auto peer = peers_.find(host.name);
+    if (peer != peers_.end() && now < peer->second.downUntil) {
+      continue;
+    }
+    owner = &host;
+    ownerWeight = weight;
+  }
+  return owner;
+}
+
+void
+SelectionService::Select(SelectionRequest aRequest, Callback aCallback)
+{
+  aRequest.host = settings_.host;
+  aRequest.domain = settings_.domain;
+  const PeerHost* owner = OwnerOf(aRequest.service);
+  if (owner == nullptr) {
+    SelectionOutcome outcome;
+    outcome.result = owned_.Select(aRequest, clock_.Now());
+    outcome.source = "self";
+    if (outcome.result.selection) {
+      outcome.handle.localTicket = outcome.result.selection->ticket;
+      outcome.handle.owner = LocalEndpoint();
+    }
+    aCallback(outcome);
+    return;
+  }
+  const std::uint64_t call = nextCall_++;
+  socket_->Send(owner->address,
+                EncodeSelectionMessage(SelectionAsk{ call, aRequest }));
+  asks_.emplace(call,
+                PendingAsk{ std::move(aRequest),
+                            std::move(aCallback),
+                            owner->name,
+                            clock_.Now() + kAnswerTime });
+  ScheduleTimeout();
+}
+
+SelectionOutcome
+SelectionService::SelectAlone(SelectionRequest aRequest)
+{
+  aRequest.host = settings_.host;
+  aRequest.domain = settings_.domain;
+  SelectionOutcome outcome;
+  outcome.result = own_.Select(aRequest, clock_.Now());
+  outcome.source = "alone";
+  if (outcome.result.selection) {
+    outcome.handle.localTicket = outcome.result.selection->ticket;
+  }
+  return outcome;
+}
+
+void
+SelectionService::Finish(const SelectionHandle& aHandle, AttemptResult aResult)
+{
+  const Instant now = clock_.Now();
+  if (aHandle.ownerTicket != 0) {
+    socket_->Send(
+      aHandle.owner,
+      EncodeSelectionMessage(SelectionReport{ aHandle.ownerTicket, aResult }));
+  } else if (aHandle.owner == LocalEndpoint()) {
+    owned_.Finish(aHandle.localTicket, aResult, now);
+    return;
+  }
+  own_.Finish(aHandle.localTicket, aResult, now);
+}
+
+void
+SelectionService::OnDatagram(const Endpoint& aSender, ByteView aBytes)
+{
+  const std::optional<SelectionMessage> message =
+    DecodeSelectionMessage(aBytes);
+  if (!message) {
+    LogEvent(
+      LogLevel::Warning,
+      "selection_message_malformed",
+      { { "sender", aSender.address }, { "bytes", aBytes.size() } });
+    return;
+  }
+  if (const auto* ask = std::get_if<SelectionAsk>(&*message)) {
+    OnAsk(aSender, *ask);
+  } else if (const auto* answer = std::get_if<SelectionAnswer>(&*message)) {
+    OnAnswer(aSender, *answer);
+  } else if (const auto* report = std::get_if<SelectionReport>(&*message)) {
+    owned_.Finish(report->ticket, report->result, clock_.Now());
+  } else if (const auto* hello = std::get_if<SelectionHello>(&*message)) {
+    OnHeard(hello->host, aSender);
+  }
+}
+
+void
+SelectionService::OnHeard(const std::string& aHost, const Endpoint& aAddress)
+{
+  peers_.erase(aHost);
+  const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
+  if (known == hosts_.end()) {
+    hosts_.push_back({ aHost, aAddress });
+  } else {
+    known->address = aAddress;
+  }
+}
+
+void
+SelectionService::OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk)
+{
+  OnHeard(aAsk.request.host, aSender);
+  socket_->Send(aSender,
+                EncodeSelectionMessage(SelectionAnswer{
+                  aAsk.call, owned_.Select(aAsk.request, clock_.Now()) }));
+}
+
+void
+SelectionService::OnAnswer(const Endpoint& aSender,
+                           const SelectionAnswer& aAnswer)
+{
+  const auto node = asks_.extract(aAnswer.call);
+  if (node.empty()) {
+    // The request was served without this answer.
+    if (aAnswer.result.selection) {
+      socket_->Send(aSender,
+                    EncodeSelectionMessage(
+                      SelectionReport{ aAnswer.result.selection->ticket,
+                                       AttemptResult::Unused }));
+    }
+    return;
+  }
+  const PendingAsk& ask = node.mapped();
+  peers_.erase(ask.owner);
+  SelectionOutcome outcome;
+  outcome.result = aAnswer.result;
+  outcome.source = "owner";
+  if (aAnswer.result.selection) {
+    outcome.handle.owner = aSender;
+    outcome.handle.ownerTicket = aAnswer.result.selection->ticket;
+    outcome.handle.localTicket = own_.Track(
+      ask.request, aAnswer.result.selection->backendServer, clock_.Now());
+  }
+  ask.callback(outcome);
+}
+
+void
+SelectionService::OnAskTimeout()
+{
+  const Instant now = clock_.Now();
+  while (!asks_.empty() && asks_.begin()->second.dueAt <= now) {
+    const auto node = asks_.extract(asks_.begin());
+    const PendingAsk& ask = node.mapped();
+    OnMissedAnswer(ask.owner);
+    ask.callback(SelectAlone(ask.request));
+  }
+  ScheduleTimeout();
+}
+
+void
+SelectionService::OnMissedAnswer(const std::string& aOwner)
+{
+  PeerState& peer = peers_[aOwner];
+  ++peer.missedAnswers;
+  const int doublings = peer.missedAnswers - kMissesUntilDown;
+  if (doublings < 0) {
+    return;
+  }
+  peer.downUntil = clock_.Now() +
+                   kShortestDown * (1 << std::min(doublings, kMaxDownDoublings));
+  LogEvent(LogLevel::Info,
+           "peer_passed_over",
+           { { "peer", aOwner }, { "missed_answers", peer.missedAnswers } });
+}
+
+void
+SelectionService::ScheduleTimeout()
+{
+  if (asks_.empty()) {
+    timer_.stop();
+    return;
+  }
+  const auto left = std::chrono::ceil<milliseconds>(
+    asks_.begin()->second.dueAt - clock_.Now());
+  timer_.start(std::max(left, milliseconds(0)));
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/SelectionService.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "balancing/BackendSelector.h"
+#include "balancing/DatagramSocket.h"
+#include "balancing/SelectionMessages.h"
+
+#include <QTimer>
+
+#include <functional>
+#include <map>
+
+namespace filbertbeam {
+
+// A host of the system as it is found in the catalog.
+struct PeerHost
+{
+  std::string name;
+  Endpoint address;
+};
+
+struct SelectionServiceSettings
+{
+  std::string host;
+  std::string domain;
+  Endpoint listen;
+  // Bound the repeats of a service when this host is its owner.
+  RepeatBudgetLimits ownerBudget;
+  // Bound them when this host chooses by itself. All hosts together may spend
+  // as much, on top of the owner's.
+  RepeatBudgetLimits ownBudget;
+};
+
+// Names an attempt until its report.
+struct SelectionHandle
+{
+  // The owner that chose, or no address when this host did.
+  Endpoint owner;
+  std::uint64_t ownerTicket = 0;
+  std::uint64_t localTicket = 0;
+};
+
+struct SelectionOutcome
+{
+  SelectionResult result;
+  SelectionHandle handle;
+  // "owner", "self" where this host is the owner, or "alone" where the owner
+  // did not answer in time.
+  std::string_view source;
+};
+
+// Chooses backend servers together with the other hosts. Each service has one
+// owner, found by rendezvous hashing over the hosts, that sees every attempt of
+// the service: it counts them and pools what the hosts learn about health. It
+// only advises: the request itself goes from the entry host straight to the
+// backend server, so the loss of an owner loses no request. A host whose owner
+// does not answer in time chooses by what it has seen itself.
+class SelectionService
+{
+public:
+  using Callback = std::function<void(const SelectionOutcome&)>;
+
+  static std::unique_ptr<SelectionService> Create(
+    const SelectionServiceSettings& aSettings,
+    const Clock& aClock,
+    Random& aRandom,
+    std::string& aReason);
+  SelectionService(const SelectionService&) = delete;
+  SelectionService& operator=(const SelectionService&) = delete;
+
+  // Tells hosts that are new to this one that it is there.
+  void SetHosts(std::vector<PeerHost> aHosts);
+  void SetDirectory(const std::shared_ptr<const BackendDirectory>& aDirectory);
+
+  // aCallback may come during the call; exactly once unless this is destroyed.
+  void Select(SelectionRequest aRequest, Callback aCallback);
+  // Chooses without asking the owner.
+  SelectionOutcome SelectAlone(SelectionRequest aRequest);
+  void Finish(const SelectionHandle& aHandle, AttemptResult aResult);
+
+  Endpoint LocalEndpoint() const { return socket_->LocalEndpoint(); }
+
+private:
+  struct PendingAsk
+  {
+    SelectionRequest request;
+    Callback callback;
+    std::string owner;
+    Instant dueAt;
+  };
+
+  struct PeerState
+  {
+    int missedAnswers = 0;
+    // Asked again only after this.
+    Instant downUntil;
+  };
+
+  SelectionService(const SelectionServiceSettings& aSettings,
+                   const Clock& aClock,
+                   Random& aRandom);
+
+  const PeerHost* OwnerOf(const std::string& aService);
+  void OnDatagram(const Endpoint& aSender, ByteView aBytes);
+  // A message of a peer shows that it is alive, and where.
+  void OnHeard(const std::string& aHost, const Endpoint& aAddress);
+  void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
+  void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
+  void OnAskTimeout();
+  void OnMissedAnswer(const std::string& aOwner);
+  void ScheduleTimeout();
+
+  const SelectionServiceSettings settings_;
+  const Clock& clock_;
+  std::unique_ptr<DatagramSocket> socket_;
+  std::vector<PeerHost> hosts_;
+  std::map<std::string, PeerState> peers_;
+  // For the services that this host owns, and its own view of all others.
+  BackendSelector owned_;
+  BackendSelector own_;
+  std::map<std::uint64_t, PendingAsk> asks_;
+  std::uint64_t nextCall_ = 1;
+  QTimer timer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/balancing/ServerHealth.cpp
@@ -0,0 +1,117 @@
+#include "balancing/ServerHealth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Log odds that a server without a history is sick at any moment.
+constexpr double kPrior = -3.2;
+// Each remembered episode adds this much, up to the limit.
+constexpr double kPerEpisode = 0.6;
+constexpr double kMaxHistory = 1.8;
+constexpr seconds kEpisodeMemory{ 45 }; // half-life
+// Bounds keep the belief able to turn within a few observations.
+constexpr double kMinEvidence = -2.5;
+constexpr double kMaxEvidence = 7;
+// Half-lives. Bad evidence lasts about as long as an episode does.
+constexpr milliseconds kBadMemory{ 2'000 };
+constexpr milliseconds kGoodMemory{ 1'000 };
+constexpr double kSickAbove = 0.6;
+constexpr double kHealthyBelow = 0.25;
+
+double
+HalfLife(Duration aElapsed, Duration aHalfLife)
+{
+  return std::exp2(-duration<double>(aElapsed) / duration<double>(aHalfLife));
+}
+
+} // namespace
+
+void
+ServerHealth::Observe(double aLogLikelihood, Instant aNow)
+{
+  evidence_ =
+    std::clamp(Evidence(aNow) + aLogLikelihood, kMinEvidence, kMaxEvidence);
+  evidenceAt_ = aNow;
+}
+
+void
+ServerHealth::ObserveAnswer(Instant aSent, double aLogLikelihood, Instant aNow)
+{
+  // Requests that were under way when an episode began may still be answered.
+  const bool isOlder = isInEpisode_ && aSent < suspectedAt_;
+  Observe(isOlder ? aLogLikelihood * 0.25 : aLogLikelihood, aNow);
+}
+
+double
+ServerHealth::SickProbability(double aPending, Instant aNow) const
+{
+  const double logOdds = Prior(aNow) + Evidence(aNow) + aPending;
+  return 1 / (1 + std::exp(-logOdds));
+}
+
+bool
+ServerHealth::UpdateEpisode(double aPending, Instant aNow)
+{
+  const double probability = SickProbability(aPending, aNow);
+  if (isInEpisode_) {
+    isInEpisode_ = probability > kHealthyBelow;
+    return false;
+  }
+  if (probability < kSickAbove) {
+    return false;
+  }
+  isInEpisode_ = true;
+  suspectedAt_ = aNow;
+  episodes_ = episodes_ * HalfLife(aNow - episodesAt_, kEpisodeMemory) + 1;
+  episodesAt_ = aNow;
+  return true;
+}
+
+double
+ServerHealth::Evidence(Instant aNow) const
+{
+  const Duration elapsed = aNow - evidenceAt_;
+  return evidence_ * HalfLife(elapsed, evidence_ > 0 ? kBadMemory : kGoodMemory);
+}
+
+double
+ServerHealth::Prior(Instant aNow) const
+{
+  const double episodes =
+    episodes_ * HalfLife(aNow - episodesAt_, kEpisodeMemory);
+  return kPrior + std::min(episodes * kPerEpisode, kMaxHistory);
+}
+
+double
+LogLikelihoodOf(AttemptResult aResult)
+{
+  switch (aResult) {
+    case AttemptResult::Answered:
+      return -1.2;
+    case AttemptResult::Failed:
+      return 2.2;
+    case AttemptResult::NotExecuted:
+      return 1.0;
+    case AttemptResult::WrongServer:
+    case AttemptResult::Unreachable:
+      return 6.0;
+    case AttemptResult::Broken:
+      return 2.6;
+    case AttemptResult::NoResponse:
+      return 3.5;
+    case AttemptResult::Abandoned:
+    case AttemptResult::Unused:
+      return 0;
+  }
+  return 0;
+}
+
+} // namespace filbertbeam
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -2,9 +2,12 @@
 
 #include <fmt/chrono.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
 
 namespace filbertbeam {
 
@@ -12,6 +15,69 @@
 
 std::atomic<LogLevel> lowestLevel{ LogLevel::Info };
 
+// Decides which lines are written. Shared by all threads.
+class LogGate
+{
+public:
+  // False for a line that has to be dropped.
+  bool Admit(LogLevel aLevel, std::chrono::seconds aSecond)
+  {
+    if (aSecond != second_) {
+      second_ = aSecond;
+      lines_ = 0;
+    }
+    if (aLevel < LogLevel::Warning && lines_ >= kMaxLogLinesPerSecond) {
+      ++dropped_;
+      return false;
+    }
+    ++lines_;
+    return true;
+  }
+
+  void Write(std::string_view aLine)
+  {
+    if (dropped_ > 0) {
+      const std::string notice =
+        fmt::format("level=warning event=log_lines_dropped count={}\n", dropped_);
+      if (TryWrite(notice)) {
+        dropped_ = 0;
+      }
+    }
+    if (!TryWrite(aLine)) {
+      ++dropped_;
+    }
+  }
+
+  std::mutex& Mutex() { return mutex_; }
+
+private:
+  // A pipe that polls writable takes at least this many bytes at once.
+  static constexpr std::size_t kMaxLineBytes = 4096;
+
+  static bool TryWrite(std::string_view aLine)
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+      return false;
+    }
+    std::string line(aLine.substr(0, kMaxLineBytes));
+    line.back() = '\n';
+    return ::write(STDOUT_FILENO, line.data(), line.size()) > 0;
+  }
+
+  std::mutex mutex_;
+  std::chrono::seconds second_{ 0 };
+  int lines_ = 0;
+  std::uint64_t dropped_ = 0;
+};
+
+LogGate&
+Gate()
+{
+  static LogGate gate;
+  return gate;
+}
+
 std::string_view
 LevelName(LogLevel aLevel)
 {
@@ -94,13 +160,17 @@
   const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
   const auto milliseconds =
     std::chrono::duration_cast<std::chrono::milliseconds>(now - seconds);
-  // One write per line keeps lines of several threads apart.
+  LogGate& gate = Gate();
+  const std::lock_guard lock(gate.Mutex());
+  if (!gate.Admit(aLevel, seconds.time_since_epoch())) {
+    return;
+  }
   const std::string line =
     fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
                 fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
                 milliseconds.count(),
                 FormatLogLine(aLevel, aEvent, aFields));
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  gate.Write(line);
 }
 
 void
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -37,12 +37,18 @@
               std::string_view aEvent,
               std::initializer_list<LogField> aFields);
 
-// Writes one line, with the wall time in front, to standard error.
+// Writes one line, with the wall time in front, to standard output. Never waits
+// for its reader: a line that the reader has no room for, or that exceeds the
+// number allowed per second, is dropped, and the next line written says how
+// many were. Warnings and errors are not counted against that number.
 void
 LogEvent(LogLevel aLevel,
          std::string_view aEvent,
          std::initializer_list<LogField> aFields = {});
 
+// Lines below Warning that are written per second at most.
+inline constexpr int kMaxLogLinesPerSecond = 400;
+
 // Events below this level are not written; Info at start.
 void
 SetLogLevel(LogLevel aLevel);
--- a/src/daemon/SignalWatcher.cpp
+++ b/src/base/SignalWatcher.cpp
@@ -1,4 +1,4 @@
-#include "daemon/SignalWatcher.h"
+#include "base/SignalWatcher.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,9 +15,9 @@
 
 // Only calls that are safe in a signal handler are allowed here.
 void
-HandleSignal(int)
+HandleSignal(int aSignal)
 {
-  const char byte = 1;
+  const char byte = static_cast<char>(aSignal);
   [[maybe_unused]] const ssize_t written =
     ::write(static_cast<int>(signalSocket), &byte, 1);
 }
@@ -47,6 +47,7 @@
   signalSocket = sockets[0];
   std::signal(SIGTERM, HandleSignal);
   std::signal(SIGINT, HandleSignal);
+  std::signal(SIGHUP, HandleSignal);
   // A peer that goes away shows up as an error of the write.
   std::signal(SIGPIPE, SIG_IGN);
   return watcher;
@@ -56,6 +57,7 @@
 {
   std::signal(SIGTERM, SIG_DFL);
   std::signal(SIGINT, SIG_DFL);
+  std::signal(SIGHUP, SIG_DFL);
   notifier_.setEnabled(false);
   ::close(sockets_[0]);
   ::close(sockets_[1]);
@@ -67,12 +69,22 @@
   handler_ = std::move(aHandler);
 }
 
+void
+SignalWatcher::SetReloadHandler(std::function<void()> aHandler)
+{
+  reloadHandler_ = std::move(aHandler);
+}
+
 void
 SignalWatcher::OnReadable()
 {
   char byte = 0;
-  if (::read(sockets_[1], &byte, 1) == 1 && handler_) {
-    handler_();
+  if (::read(sockets_[1], &byte, 1) != 1) {
+    return;
+  }
+  const auto& handler = byte == SIGHUP ? reloadHandler_ : handler_;
+  if (handler) {
+    handler();
   }
 }
 
--- a/src/daemon/SignalWatcher.h
+++ b/src/base/SignalWatcher.h
@@ -9,8 +9,8 @@
 
 namespace filbertbeam {
 
-// Turns SIGTERM and SIGINT into a call from the event loop. At most one at a
-// time per process.
+// Turns SIGTERM and SIGINT, and SIGHUP, into calls from the event loop. At most
+// one at a time per process.
 class SignalWatcher
 {
 public:
@@ -19,7 +19,10 @@
   SignalWatcher(const SignalWatcher&) = delete;
   SignalWatcher& operator=(const SignalWatcher&) = delete;
 
+  // For SIGTERM and SIGINT.
   void SetHandler(std::function<void()> aHandler);
+  // For SIGHUP.
+  void SetReloadHandler(std::function<void()> aHandler);
 
 private:
   explicit SignalWatcher(std::array<int, 2> aSockets);
@@ -29,6 +32,7 @@
   const std::array<int, 2> sockets_;
   QSocketNotifier notifier_;
   std::function<void()> handler_;
+  std::function<void()> reloadHandler_;
 };
 
 } // namespace filbertbeam
--- /dev/null
+++ b/src/catalog/CatalogFollower.cpp
@@ -0,0 +1,238 @@
+#include "catalog/CatalogFollower.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A waiting watch costs one call, so it waits as long as is allowed. A broken
+// connection is found by the keep-alive probes of the catalog's client.
+constexpr milliseconds kWatchWait{ 25'000 };
+// After a failure; doubled for each further one, and drawn at random so that
+// hosts that failed together do not come back together.
+constexpr milliseconds kFirstRetry{ 100 };
+constexpr milliseconds kLongestRetry{ 800 };
+
+} // namespace
+
+CatalogFollower::CatalogFollower(ObjectCatalog& aCatalog,
+                                 const CatalogFollowerSettings& aSettings,
+                                 const Clock& aClock,
+                                 Random& aRandom,
+                                 ChangeHandler aOnChange)
+  : catalog_(aCatalog)
+  , settings_(aSettings)
+  , clock_(aClock)
+  , random_(aRandom)
+  , onChange_(std::move(aOnChange))
+  , lastAnswer_(aClock.Now())
+  , returnedAt_(aClock.Now())
+{
+  callTimer_.setSingleShot(true);
+  callTimer_.setTimerType(Qt::PreciseTimer);
+  callTimer_.callOnTimeout([this] {
+    if (revision_ == 0) {
+      List({});
+    } else {
+      Watch();
+    }
+  });
+  missingTimer_.setSingleShot(true);
+  missingTimer_.callOnTimeout([this] { DropAfterReturnTime(); });
+}
+
+void
+CatalogFollower::Start()
+{
+  List({});
+}
+
+void
+CatalogFollower::List(const std::string& aAfter)
+{
+  if (aAfter.empty()) {
+    listing_.clear();
+    listingRevision_ = 0;
+  }
+  catalog_.List(settings_.collection, aAfter, [this](CatalogPage aPage) {
+    OnPage(std::move(aPage));
+  });
+}
+
+void
+CatalogFollower::OnPage(CatalogPage aPage)
+{
+  if (!CheckAnswer(aPage.failure)) {
+    return;
+  }
+  // Later pages may be newer; a watch from the first page's revision repeats
+  // what they already show, which is harmless.
+  if (listingRevision_ == 0) {
+    listingRevision_ = aPage.revision;
+  }
+  std::string last;
+  for (CatalogObject& object : aPage.objects) {
+    last = object.name;
+    listing_.insert_or_assign(object.name, std::move(object));
+  }
+  if (aPage.hasMore && !last.empty()) {
+    List(last);
+    return;
+  }
+  CompleteList();
+}
+
+void
+CatalogFollower::CompleteList()
+{
+  revision_ = std::max<std::uint64_t>(listingRevision_, 1);
+  if (wasAway_ && settings_.returnTime.count() > 0) {
+    for (const auto& [name, object] : objects_) {
+      if (!listing_.contains(name)) {
+        missing_.emplace(name, object);
+      }
+    }
+  }
+  objects_ = std::move(listing_);
+  listing_.clear();
+  std::erase_if(missing_, [this](const auto& aItem) {
+    return objects_.contains(aItem.first);
+  });
+  for (const auto& [name, object] : missing_) {
+    objects_.emplace(name, object);
+  }
+  if (!missing_.empty()) {
+    missingTimer_.start(settings_.returnTime);
+  }
+  isComplete_ = true;
+  wasAway_ = false;
+  Notify();
+  Watch();
+}
+
+void
+CatalogFollower::Watch()
+{
+  catalog_.Watch(settings_.collection,
+                 revision_,
+                 kWatchWait,
+                 [this](CatalogChanges aChanges) {
+                   OnChanges(std::move(aChanges));
+                 });
+}
+
+void
+CatalogFollower::OnChanges(CatalogChanges aChanges)
+{
+  if (aChanges.failure.error == CatalogError::HistoryGone) {
+    LogEvent(LogLevel::Info,
+             "catalog_history_gone",
+             { { "collection", settings_.name }, { "revision", revision_ } });
+    lastAnswer_ = clock_.Now();
+    revision_ = 0;
+    List({});
+    return;
+  }
+  if (!CheckAnswer(aChanges.failure)) {
+    return;
+  }
+  revision_ = std::max(revision_, aChanges.revision);
+  bool isChanged = false;
+  for (CatalogEvent& event : aChanges.events) {
+    const std::string name = event.object.name;
+    const auto known = objects_.find(name);
+    if (known != objects_.end() &&
+        known->second.revision > event.object.revision) {
+      continue;
+    }
+    isChanged = true;
+    if (!event.isDeleted) {
+      missing_.erase(name);
+      objects_.insert_or_assign(name, std::move(event.object));
+      continue;
+    }
+    // Just after an outage, an entry may have lapsed only because its writer
+    // could not reach the catalog either.
+    const bool mayReturn =
+      known != objects_.end() && settings_.returnTime.count() > 0 &&
+      clock_.Now() - returnedAt_ < settings_.returnTime && wasAway_;
+    if (mayReturn) {
+      missing_.insert_or_assign(name, known->second);
+      missingTimer_.start(settings_.returnTime);
+    } else {
+      objects_.erase(name);
+    }
+  }
+  if (wasAway_ && clock_.Now() - returnedAt_ >= settings_.returnTime) {
+    wasAway_ = false;
+  }
+  if (isChanged) {
+    Notify();
+  }
+  callTimer_.start(aChanges.events.empty() ? milliseconds(0)
+                                           : settings_.gatherTime);
+}
+
+bool
+CatalogFollower::CheckAnswer(const CatalogFailure& aFailure)
+{
+  if (aFailure.error == CatalogError::None) {
+    if (failures_ > 0) {
+      LogEvent(
+        LogLevel::Info,
+        "catalog_regained",
+        { { "collection", settings_.name },
+          { "failures", failures_ },
+          { "away_ms",
+            std::chrono::duration_cast<milliseconds>(Age()).count() } });
+      returnedAt_ = clock_.Now();
+    }
+    failures_ = 0;
+    lastAnswer_ = clock_.Now();
+    return true;
+  }
+  if (failures_ == 0) {
+    LogEvent(LogLevel::Warning,
+             "catalog_lost",
+             { { "collection", settings_.name },
+               { "revision", revision_ },
+               { "reason", aFailure.reason } });
+  }
+  const int doublings = std::min(failures_, 6);
+  ++failures_;
+  wasAway_ = true;
+  const milliseconds longest =
+    std::min(kFirstRetry * (1 << doublings), kLongestRetry);
+  callTimer_.start(milliseconds(
+    longest.count() / 2 +
+    static_cast<std::int64_t>(random_.Below(
+      static_cast<std::uint64_t>(longest.count() / 2 + 1)))));
+  return false;
+}
+
+void
+CatalogFollower::DropAfterReturnTime()
+{
+  for (const auto& [name, object] : missing_) {
+    objects_.erase(name);
+    LogEvent(LogLevel::Info,
+             "catalog_entry_not_returned",
+             { { "collection", settings_.name }, { "name", name } });
+  }
+  missing_.clear();
+  wasAway_ = false;
+  Notify();
+}
+
+void
+CatalogFollower::Notify()
+{
+  onChange_(objects_);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/catalog/CatalogFollower.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Random.h"
+#include "catalog/ObjectCatalog.h"
+
+#include <QTimer>
+
+#include <functional>
+#include <map>
+
+namespace filbertbeam {
+
+struct CatalogFollowerSettings
+{
+  Collection collection = Collection::Configuration;
+  // For logs.
+  std::string_view name;
+  // A watch is asked again only after this time, so that a series of changes
+  // costs one call. It adds to the age of what is known.
+  std::chrono::milliseconds gatherTime{ 0 };
+  // Objects that are missing in the first list after an outage stay for this
+  // time, since their writers need it to write them again.
+  std::chrono::milliseconds returnTime{ 0 };
+};
+
+// Keeps a copy of one collection: lists it, then watches it, and lists again
+// when the history is gone. Goes on with what it has while the catalog is away.
+class CatalogFollower
+{
+public:
+  using Objects = std::map<std::string, CatalogObject, std::less<>>;
+  // Called after each change of the copy.
+  using ChangeHandler = std::function<void(const Objects&)>;
+
+  CatalogFollower(ObjectCatalog& aCatalog,
+                  const CatalogFollowerSettings& aSettings,
+                  const Clock& aClock,
+                  Random& aRandom,
+                  ChangeHandler aOnChange);
+  CatalogFollower(const CatalogFollower&) = delete;
+  CatalogFollower& operator=(const CatalogFollower&) = delete;
+
+  void Start();
+
+  // True once the whole collection was read.
+  bool IsComplete() const { return isComplete_; }
+  bool IsReachable() const { return failures_ == 0; }
+  std::uint64_t Revision() const { return revision_; }
+  // Time since the last answer of the catalog, or since the start.
+  Duration Age() const { return clock_.Now() - lastAnswer_; }
+
+private:
+  void List(const std::string& aAfter);
+  void OnPage(CatalogPage aPage);
+  void CompleteList();
+  void Watch();
+  void OnChanges(CatalogChanges aChanges);
+  // Returns false after a failure, which it has handled.
+  bool CheckAnswer(const CatalogFailure& aFailure);
+  void DropAfterReturnTime();
+  void Notify();
+
+  ObjectCatalog& catalog_;
+  const CatalogFollowerSettings settings_;
+  const Clock& clock_;
+  Random& random_;
+  ChangeHandler onChange_;
+  Objects objects_;
+  Objects listing_;
+  std::uint64_t listingRevision_ = 0;
+  std::uint64_t revision_ = 0;
+  bool isComplete_ = false;
+  // Whether the catalog was away since the last complete list.
+  bool wasAway_ = false;
+  int failures_ = 0;
+  Instant lastAnswer_;
+  // The first answer after the last outage.
+  Instant returnedAt_;
+  // Objects whose writers may still write them again, with their last form.
+  Objects missing_;
+  QTimer callTimer_;
+  QTimer missingTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/BackendAttempt.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "balancing/SelectionService.h"
+#include "directory/BackendServerRecord.h"
+#include "gateway/ExchangeDialect.h"
+#include "http/HttpClient.h"
+
+namespace filbertbeam {
+
+class BackendAttempt;
+
+// Receives the end of an attempt, or the bytes of one that it lets stream.
+class BackendAttemptOwner
+{
+public:
+  virtual ~BackendAttemptOwner() = default;
+
+  // A whole response has arrived.
+  virtual void OnAttemptAnswered(BackendAttempt& aAttempt) = 0;
+  virtual void OnAttemptFailed(BackendAttempt& aAttempt,
+                               const HttpFailure& aFailure) = 0;
+  // The response has grown too large to be held until it is whole. Returns
+  // true to receive it piece by piece from now on; false ends the attempt.
+  virtual bool OnAttemptLarge(BackendAttempt& aAttempt) = 0;
+  virtual void OnAttemptBody(BackendAttempt& aAttempt, ByteView aBytes) = 0;
+  // More of the request's body can be sent.
+  virtual void OnAttemptWritable(BackendAttempt& aAttempt) = 0;
+};
+
+// One sending of a request to one backend server. Holds the response until it
+// is whole, so that a truncated one can be replaced by a second attempt.
+class BackendAttempt final
+  : public HttpResponseObserver
+  , public std::enable_shared_from_this<BackendAttempt>
+{
+public:
+  BackendAttempt(std::weak_ptr<BackendAttemptOwner> aOwner,
+                 const ExchangeDialect& aDialect,
+                 std::string aRequestId,
+                 const BackendServerRecord& aServer,
+                 const SelectionHandle& aHandle,
+                 Instant aNow);
+
+  // aBody is what is known of the request's body so far.
+  void Start(HttpClient& aClient,
+             const HttpRequestHead& aHead,
+             const HttpClientOptions& aOptions,
+             std::string_view aBody,
+             bool aIsBodyComplete);
+  void SendBody(ByteView aBytes);
+  void FinishBody();
+  // No event comes after this.
+  void Cancel();
+
+  const BackendServerRecord& Server() const { return server_; }
+  const SelectionHandle& Handle() const { return handle_; }
+  Instant StartedAt() const { return startedAt_; }
+  bool AnyByteSent() const;
+  std::size_t UnsentBytes() const;
+  const HttpResponseHead& Head() const { return head_; }
+  std::string& Body() { return body_; }
+  bool IsStreaming() const { return isStreaming_; }
+  void PauseResponse();
+  void ResumeResponse();
+
+  void OnRequestSent() override;
+  void OnRequestWritable() override;
+  bool IsOwnResponse(const HttpResponseHead& aHead) override;
+  void OnResponseHead(const HttpResponseHead& aHead) override;
+  void OnResponseBody(ByteView aBytes) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(const HttpFailure& aFailure) override;
+
+private:
+  std::weak_ptr<BackendAttemptOwner> owner_;
+  const ExchangeDialect& dialect_;
+  const std::string requestId_;
+  const BackendServerRecord server_;
+  const SelectionHandle handle_;
+  const Instant startedAt_;
+  std::shared_ptr<HttpClientExchange> exchange_;
+  HttpResponseHead head_;
+  std::string body_;
+  bool isStreaming_ = false;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/DirectoryBuilder.cpp
@@ -0,0 +1,73 @@
+#include "gateway/DirectoryBuilder.h"
+
+#include "base/Log.h"
+
+namespace filbertbeam {
+
+DirectoryBuilder::DirectoryBuilder(const CatalogCodec& aCodec,
+                                   const Clock& aClock)
+  : codec_(aCodec)
+  , clock_(aClock)
+{
+}
+
+std::shared_ptr<const BackendDirectory>
+DirectoryBuilder::Build(const CatalogFollower::Objects& aObjects)
+{
+  for (auto known = decoded_.begin(); known != decoded_.end();) {
+    if (aObjects.contains(known->first)) {
+      ++known;
+      continue;
+    }
+    if (known->second.record) {
+      LogEvent(LogLevel::Info,
+               "backend_server_gone",
+               { { "server", known->first },
+                 { "service", known->second.record->service } });
+    }
+    known = decoded_.erase(known);
+  }
+  std::vector<BackendServerRecord> records;
+  for (const auto& [name, object] : aObjects) {
+    if (const Decoded& decoded = Decode(object); decoded.record) {
+      records.push_back(*decoded.record);
+    }
+  }
+  return std::make_shared<BackendDirectory>(++revision_, std::move(records));
+}
+
+const DirectoryBuilder::Decoded&
+DirectoryBuilder::Decode(const CatalogObject& aObject)
+{
+  const auto [place, isNew] = decoded_.try_emplace(aObject.name);
+  Decoded& decoded = place->second;
+  if (!isNew && decoded.objectRevision == aObject.revision) {
+    return decoded;
+  }
+  const bool wasDraining = decoded.record && decoded.record->isDraining;
+  decoded.objectRevision = aObject.revision;
+  std::string reason;
+  decoded.record = codec_.ReadBackendServer(aObject, clock_.Now(), reason);
+  if (!decoded.record) {
+    LogEvent(LogLevel::Warning,
+             "backend_server_entry_ignored",
+             { { "entry", aObject.name },
+               { "revision", aObject.revision },
+               { "reason", reason } });
+  } else if (isNew) {
+    LogEvent(LogLevel::Debug,
+             "backend_server_found",
+             { { "server", aObject.name },
+               { "service", decoded.record->service },
+               { "domain", decoded.record->domain } });
+  } else if (decoded.record->isDraining && !wasDraining) {
+    LogEvent(LogLevel::Info,
+             "backend_server_draining",
+             { { "server", aObject.name },
+               { "service", decoded.record->service },
+               { "revision", aObject.revision } });
+  }
+  return decoded;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/DirectoryBuilder.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "catalog/CatalogFollower.h"
+#include "directory/BackendDirectory.h"
+#include "gateway/CatalogCodec.h"
+
+namespace filbertbeam {
+
+// Makes directories of backend servers from the catalog's objects. Decodes an
+// object only when it changed.
+class DirectoryBuilder
+{
+public:
+  DirectoryBuilder(const CatalogCodec& aCodec, const Clock& aClock);
+
+  std::shared_ptr<const BackendDirectory> Build(
+    const CatalogFollower::Objects& aObjects);
+
+private:
+  struct Decoded
+  {
+    std::uint64_t objectRevision = 0;
+    // Nothing for an object that describes no backend server.
+    std::optional<BackendServerRecord> record;
+  };
+
+  const Decoded& Decode(const CatalogObject& aObject);
+
+  const CatalogCodec& codec_;
+  const Clock& clock_;
+  std::map<std::string, Decoded, std::less<>> decoded_;
+  std::uint64_t revision_ = 0;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/Gateway.cpp
@@ -0,0 +1,254 @@
+#include "gateway/Gateway.h"
+
+#include "base/Log.h"
+
+#include <fmt/format.h>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A quarter of the time that a leaving backend server grants: a series of
+// changes costs few calls, and there is time left for a slow answer.
+constexpr int kGatherParts = 5;
+// Backend servers are back this long after the catalog's return, if they live.
+constexpr milliseconds kReturnTime{ 2'000 };
+
+// After the signal to stop, the balancer still sends connections for as long as
+// it takes it to miss two readiness checks, one a second.
+constexpr milliseconds kLeavingTime{ 2'600 };
+constexpr milliseconds kStopCheckInterval{ 50 };
+// Kept from the time to stop, so that the process ends by itself.
+constexpr milliseconds kStopMargin{ 300 };
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+Gateway::Gateway(const GatewaySettings& aSettings,
+                 ObjectCatalog& aCatalog,
+                 const CatalogCodec& aCodec,
+                 const ExchangeDialect& aDialect)
+  : settings_(aSettings)
+  , catalog_(aCatalog)
+  , codec_(aCodec)
+  , dialect_(aDialect)
+  , directoryBuilder_(aCodec, clock_)
+{
+  stopTimer_.callOnTimeout([this] { CheckStopped(); });
+}
+
+Gateway::~Gateway()
+{
+  trafficThread_.Run([this] { traffic_.reset(); });
+}
+
+std::unique_ptr<Gateway>
+Gateway::Create(const GatewaySettings& aSettings,
+                ObjectCatalog& aCatalog,
+                const CatalogCodec& aCodec,
+                const ExchangeDialect& aDialect,
+                std::string& aReason)
+{
+  std::unique_ptr<Gateway> gateway(
+    new Gateway(aSettings, aCatalog, aCodec, aDialect));
+  return gateway->Start(aReason) ? std::move(gateway) : nullptr;
+}
+
+bool
+Gateway::Start(std::string& aReason)
+{
+  trafficThread_.Run([&] {
+    traffic_ = TrafficRuntime::Create(
+      settings_, dialect_, metrics_, clock_, aReason);
+    frontPort_ = traffic_ ? traffic_->FrontPort() : std::uint16_t(0);
+  });
+  if (!traffic_) {
+    return false;
+  }
+  readiness_ = ProbeServer::Create(
+    settings_.readiness,
+    [this] {
+      return IsReady() ? ProbeAnswer{ kOk, "ready\n" }
+                       : ProbeAnswer{ kUnavailable, "not ready\n" };
+    },
+    aReason);
+  if (!readiness_) {
+    return false;
+  }
+  metricsServer_ = ProbeServer::Create(
+    settings_.metrics,
+    [this] { return ProbeAnswer{ kOk, FormatMetrics() }; },
+    aReason);
+  if (!metricsServer_) {
+    return false;
+  }
+  configurationFollower_ = std::make_unique<CatalogFollower>(
+    catalog_,
+    CatalogFollowerSettings{
+      Collection::Configuration, "configuration", milliseconds(0), {} },
+    clock_,
+    random_,
+    [this](const CatalogFollower::Objects& aObjects) {
+      OnConfiguration(aObjects);
+    });
+  const auto gather = std::chrono::duration_cast<milliseconds>(
+    settings_.drainTime / kGatherParts);
+  serverFollower_ = std::make_unique<CatalogFollower>(
+    catalog_,
+    CatalogFollowerSettings{
+      Collection::BackendServers, "backend-servers", gather, kReturnTime },
+    clock_,
+    random_,
+    [this](const CatalogFollower::Objects& aObjects) {
+      OnBackendServers(aObjects);
+    });
+  registry_ = std::make_unique<HostRegistry>(
+    catalog_,
+    PeerHost{ settings_.host, settings_.peer },
+    random_,
+    [this](std::vector<PeerHost> aHosts) {
+      trafficThread_.Post([this, hosts = std::move(aHosts)] {
+        traffic_->SetHosts(hosts);
+      });
+    });
+  LogEvent(LogLevel::Info,
+           "started",
+           { { "host", settings_.host },
+             { "region", settings_.region },
+             { "domain", settings_.domain } });
+  configurationFollower_->Start();
+  serverFollower_->Start();
+  registry_->Start();
+  return true;
+}
+
+bool
+Gateway::IsReady() const
+{
+  return routing_ != nullptr && serverFollower_->IsComplete() && !stopped_;
+}
+
+void
+Gateway::OnConfiguration(const CatalogFollower::Objects& aObjects)
+{
+  for (const auto& [name, object] : aObjects) {
+    if (object.revision <= rejectedRevision_) {
+      continue;
+    }
+    std::string reason;
+    const auto table = codec_.ReadConfiguration(object, reason);
+    if (!table) {
+      rejectedRevision_ = object.revision;
+      LogEvent(LogLevel::Error,
+               "configuration_rejected",
+               { { "document", name },
+                 { "revision", object.revision },
+                 { "in_force", routing_ ? routing_->Version() : 0 },
+                 { "reason", reason } });
+      continue;
+    }
+    if (routing_ && table->Version() <= routing_->Version()) {
+      continue;
+    }
+    routing_ = table;
+    LogEvent(LogLevel::Info,
+             "configuration_in_force",
+             { { "version", table->Version() },
+               { "revision", object.revision },
+               { "routes", table->Routes().size() } });
+    trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
+  }
+  ReportReadiness();
+}
+
+void
+Gateway::OnBackendServers(const CatalogFollower::Objects& aObjects)
+{
+  const auto directory = directoryBuilder_.Build(aObjects);
+  LogEvent(LogLevel::Info,
+           "directory_in_force",
+           { { "directory", directory->Revision() },
+             { "catalog_revision", serverFollower_->Revision() },
+             { "backend_servers", directory->Servers().size() } });
+  trafficThread_.Post([this, directory] { traffic_->SetDirectory(directory); });
+  ReportReadiness();
+}
+
+void
+Gateway::ReportReadiness()
+{
+  const bool isReady = IsReady();
+  if (isReady == wasReady_) {
+    return;
+  }
+  wasReady_ = isReady;
+  LogEvent(LogLevel::Info,
+           isReady ? "ready" : "not_ready",
+           { { "host", settings_.host },
+             { "version", routing_ ? routing_->Version() : 0 } });
+}
+
+void
+Gateway::Stop(std::function<void()> aStopped)
+{
+  if (stopped_) {
+    return;
+  }
+  stopped_ = std::move(aStopped);
+  stoppingSince_ = clock_.Now();
+  LogEvent(LogLevel::Info, "stopping", { { "host", settings_.host } });
+  ReportReadiness();
+  trafficThread_.Post([this] { traffic_->BeginStop(); });
+  stopTimer_.start(kStopCheckInterval);
+}
+
+void
+Gateway::CheckStopped()
+{
+  const Duration elapsed = clock_.Now() - stoppingSince_;
+  if (elapsed < kLeavingTime) {
+    return;
+  }
+  int running = 0;
+  trafficThread_.Run([&] {
+    if (std::exchange(isAccepting_, false)) {
+      traffic_->StopAccepting();
+    }
+    running = traffic_->RunningExchanges();
+  });
+  if (running > 0 && elapsed < settings_.stopTime - kStopMargin) {
+    return;
+  }
+  stopTimer_.stop();
+  LogEvent(
+    running > 0 ? LogLevel::Warning : LogLevel::Info,
+    "stopped",
+    { { "host", settings_.host },
+      { "cut_requests", running },
+      { "ms", std::chrono::duration_cast<milliseconds>(elapsed).count() } });
+  stopped_();
+}
+
+std::string
+Gateway::FormatMetrics() const
+{
+  std::string text = metrics_.Format();
+  const auto gauge = [&text](std::string_view aName, auto aValue) {
+    text += fmt::format(
+      "# TYPE filbertbeam_{0} gauge\nfilbertbeam_{0} {1}\n", aName, aValue);
+  };
+  gauge("ready", IsReady() ? 1 : 0);
+  gauge("configuration_version", routing_ ? routing_->Version() : 0);
+  gauge("directory_catalog_revision", serverFollower_->Revision());
+  gauge("catalog_reachable",
+        serverFollower_->IsReachable() && configurationFollower_->IsReachable()
+          ? 1
+          : 0);
+  return text;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "base/SystemClock.h"
+#include "base/WorkerThread.h"
+#include "catalog/CatalogFollower.h"
+#include "gateway/DirectoryBuilder.h"
+#include "gateway/HostRegistry.h"
+#include "gateway/ProbeServer.h"
+#include "gateway/TrafficRuntime.h"
+
+#include <atomic>
+
+namespace filbertbeam {
+
+// One host: follows the catalog on the thread that creates it and serves
+// callers on a thread of its own.
+class Gateway
+{
+public:
+  // aCatalog, aCodec and aDialect have to outlive the gateway. Null, with a
+  // reason, when an address cannot be bound.
+  static std::unique_ptr<Gateway> Create(const GatewaySettings& aSettings,
+                                         ObjectCatalog& aCatalog,
+                                         const CatalogCodec& aCodec,
+                                         const ExchangeDialect& aDialect,
+                                         std::string& aReason);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Knows its configuration and the backend servers, and is not stopping.
+  bool IsReady() const;
+
+  // Takes no new callers, finishes what runs and then calls aStopped.
+  void Stop(std::function<void()> aStopped);
+
+  std::uint16_t FrontPort() const { return frontPort_; }
+  std::uint16_t ReadinessPort() const { return readiness_->Port(); }
+
+private:
+  Gateway(const GatewaySettings& aSettings,
+          ObjectCatalog& aCatalog,
+          const CatalogCodec& aCodec,
+          const ExchangeDialect& aDialect);
+
+  bool Start(std::string& aReason);
+  void OnConfiguration(const CatalogFollower::Objects& aObjects);
+  void OnBackendServers(const CatalogFollower::Objects& aObjects);
+  void CheckStopped();
+  void ReportReadiness();
+  std::string FormatMetrics() const;
+
+  const GatewaySettings settings_;
+  ObjectCatalog& catalog_;
+  const CatalogCodec& codec_;
+  const ExchangeDialect& dialect_;
+  SystemClock clock_;
+  SeededRandom random_;
+  GatewayMetrics metrics_;
+  DirectoryBuilder directoryBuilder_;
+  std::unique_ptr<CatalogFollower> configurationFollower_;
+  std::unique_ptr<CatalogFollower> serverFollower_;
+  std::unique_ptr<HostRegistry> registry_;
+  std::unique_ptr<ProbeServer> readiness_;
+  std::unique_ptr<ProbeServer> metricsServer_;
+  std::shared_ptr<const RoutingTable> routing_;
+  std::uint64_t rejectedRevision_ = 0;
+  bool wasReady_ = false;
+
+  WorkerThread trafficThread_{ "traffic" };
+  std::unique_ptr<TrafficRuntime> traffic_;
+  std::uint16_t frontPort_ = 0;
+
+  std::function<void()> stopped_;
+  Instant stoppingSince_;
+  bool isAccepting_ = true;
+  QTimer stopTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewayContext.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "balancing/SelectionService.h"
+#include "directory/BackendDirectory.h"
+#include "gateway/ExchangeDialect.h"
+#include "gateway/GatewayMetrics.h"
+#include "gateway/PathHealth.h"
+#include "http/HttpClient.h"
+#include "routing/RoutingTable.h"
+#include "routing/WeightedSplit.h"
+
+#include <memory>
+
+namespace filbertbeam {
+
+// What the sessions of one traffic thread share.
+struct GatewayContext
+{
+  HttpClient& client;
+  SelectionService& selection;
+  const ExchangeDialect& dialect;
+  GatewayMetrics& metrics;
+  const Clock& clock;
+  WeightedSplit split;
+  PathHealth paths;
+  // Null until the first configuration is known.
+  std::shared_ptr<const RoutingTable> routing;
+  std::shared_ptr<const BackendDirectory> directory;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewayMetrics.cpp
@@ -0,0 +1,40 @@
+#include "gateway/GatewayMetrics.h"
+
+#include <fmt/format.h>
+
+namespace filbertbeam {
+
+namespace {
+
+constexpr std::array<const char*, 13> kNames{
+  "requests",        "succeeded",    "backend_failures", "refused_not_run",
+  "failed_unknown",  "timed_out",    "not_routed",       "caller_left",
+  "attempts",        "repeats",      "hedges",           "unusable_choices",
+  "chosen_alone",
+};
+
+} // namespace
+
+void
+GatewayMetrics::Count(GatewayCounter aCounter)
+{
+  counters_[static_cast<std::size_t>(aCounter)].fetch_add(
+    1, std::memory_order_relaxed);
+}
+
+std::string
+GatewayMetrics::Format() const
+{
+  std::string text;
+  for (std::size_t i = 0; i < kCounters; ++i) {
+    text += fmt::format("# TYPE filbertbeam_{0}_total counter\n"
+                        "filbertbeam_{0}_total {1}\n",
+                        kNames[i],
+                        counters_[i].load(std::memory_order_relaxed));
+  }
+  text += latency_.Format("filbertbeam_request_seconds");
+  text += attempts_.Format("filbertbeam_attempt_seconds");
+  return text;
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewayMetrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/LatencyHistogram.h"
+
+#include <array>
+#include <atomic>
+#include <string>
+
+namespace filbertbeam {
+
+enum class GatewayCounter
+{
+  Requests,
+  Succeeded,
+  BackendFailures,
+  RefusedNotRun,
+  FailedUnknown,
+  TimedOut,
+  NotRouted,
+  CallerLeft,
+  Attempts,
+  Repeats,
+  Hedges,
+  UnusableChoices,
+  ChosenAlone,
+};
+
+// Counters and histograms of the traffic of this host. Safe to use from any
+// thread.
+class GatewayMetrics
+{
+public:
+  void Count(GatewayCounter aCounter);
+  void RecordLatency(Duration aLatency) { latency_.Record(aLatency); }
+  void RecordAttempt(Duration aLatency) { attempts_.Record(aLatency); }
+
+  // Prometheus text format.
+  std::string Format() const;
+
+private:
+  static constexpr std::size_t kCounters =
+    static_cast<std::size_t>(GatewayCounter::ChosenAlone) + 1;
+
+  std::array<std::atomic<std::uint64_t>, kCounters> counters_{};
+  LatencyHistogram latency_;
+  LatencyHistogram attempts_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewayService.cpp
@@ -0,0 +1,95 @@
+#include "gateway/GatewayService.h"
+
+#include "base/Log.h"
+#include "gateway/GatewaySession.h"
+
+namespace filbertbeam {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// A host that has just started learns its configuration within about this time.
+constexpr std::string_view kStartRetryAfter = "0.200";
+
+} // namespace
+
+GatewayService::GatewayService(GatewayContext aContext)
+  : context_(std::move(aContext))
+{
+}
+
+void
+GatewayService::SetRouting(std::shared_ptr<const RoutingTable> aRouting)
+{
+  if (context_.routing == nullptr ||
+      context_.routing->Version() < aRouting->Version()) {
+    context_.routing = std::move(aRouting);
+  }
+}
+
+void
+GatewayService::SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory)
+{
+  context_.selection.SetDirectory(aDirectory);
+  context_.directory = std::move(aDirectory);
+}
+
+std::shared_ptr<HttpRequestObserver>
+GatewayService::OnRequest(std::shared_ptr<HttpServerExchange> aExchange)
+{
+  context_.metrics.Count(GatewayCounter::Requests);
+  const HttpRequestHead& head = aExchange->Request();
+  CallerTerms terms = context_.dialect.ReadCaller(head);
+  // Without a configuration nothing is known about the route: "not found" would
+  // be a guess.
+  if (context_.routing == nullptr) {
+    Refuse(*aExchange, terms, kUnavailable, "no-configuration");
+    return nullptr;
+  }
+  const auto host = head.fields.Find("Host");
+  if (!host) {
+    Refuse(*aExchange, terms, kBadRequest, "no-host");
+    return nullptr;
+  }
+  const std::string_view path =
+    std::string_view(head.target).substr(0, head.target.find('?'));
+  const Route* route = context_.routing->Find(*host, path);
+  if (route == nullptr) {
+    Refuse(*aExchange, terms, kNotFound, "no-route");
+    return nullptr;
+  }
+  const auto session = std::make_shared<GatewaySession>(
+    context_, std::move(aExchange), *route, std::move(terms));
+  session->Start();
+  return session;
+}
+
+void
+GatewayService::Refuse(HttpServerExchange& aExchange,
+                       const CallerTerms& aTerms,
+                       int aStatus,
+                       std::string_view aReason)
+{
+  context_.metrics.Count(aStatus == kUnavailable
+                           ? GatewayCounter::RefusedNotRun
+                           : GatewayCounter::NotRouted);
+  HttpResponseHead head;
+  head.status = aStatus;
+  context_.dialect.WriteOwnResponse(head, aTerms.requestId);
+  if (aStatus == kUnavailable) {
+    head.fields.Set("Retry-After", kStartRetryAfter);
+  }
+  LogEvent(LogLevel::Info,
+           "request_refused",
+           { { "request", aTerms.requestId },
+             { "host", aExchange.Request().fields.Find("Host").value_or("") },
+             { "target", aExchange.Request().target },
+             { "version", context_.routing ? context_.routing->Version() : 0 },
+             { "status", aStatus },
+             { "reason", aReason } });
+  SendWholeResponse(aExchange, head, aReason);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewaySession.cpp
@@ -0,0 +1,564 @@
+#include "gateway/GatewaySession.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kMisdirected = 421;
+
+// Larger bodies are passed on while they arrive and cannot be sent again.
+constexpr std::size_t kMaxKeptBody = 256 * 1024;
+// Request bytes that wait for a slow server before the caller is paused.
+constexpr std::size_t kMaxUnsentBody = 256 * 1024;
+// Servers that cannot be reached are replaced without counting as attempts, up
+// to this number.
+constexpr int kMaxUnreachable = 4;
+// A server in the same deployment accepts a connection within a few round
+// trips; after this it is taken as unreachable and another one is tried.
+constexpr milliseconds kConnectTime{ 300 };
+// With less time left, a further attempt cannot be answered in time.
+constexpr milliseconds kMinAttemptTime{ 20 };
+constexpr milliseconds kRetryAfter{ 150 };
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+// Statuses by which this system promises that a request has not run. A server
+// that sends one without its statement gives no such promise.
+bool
+PromisesNotRun(int aStatus)
+{
+  constexpr int kRequestTimeout = 408;
+  constexpr int kTooManyRequests = 429;
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
+// Callers that state no patience wait as long as the route allows.
+Duration
+TimeAllowed(const Route& aRoute, const CallerTerms& aTerms)
+{
+  return aTerms.patience ? std::min(*aTerms.patience, aRoute.timeout)
+                         : aRoute.timeout;
+}
+
+std::int64_t
+CountMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<milliseconds>(aDuration).count();
+}
+
+} // namespace
+
+GatewaySession::GatewaySession(GatewayContext& aContext,
+                               std::shared_ptr<HttpServerExchange> aExchange,
+                               const Route& aRoute,
+                               CallerTerms aTerms)
+  : context_(aContext)
+  , exchange_(std::move(aExchange))
+  , routing_(aContext.routing)
+  , route_(aRoute)
+  , terms_(std::move(aTerms))
+  , service_(aContext.split.Choose(aRoute, aContext.routing->Version()))
+  , arrivedAt_(aContext.clock.Now())
+  , deadline_(arrivedAt_ + TimeAllowed(aRoute, terms_))
+{
+  for (QTimer* timer : { &deadlineTimer_, &hedgeTimer_ }) {
+    timer->setSingleShot(true);
+    timer->setTimerType(Qt::PreciseTimer);
+  }
+  deadlineTimer_.callOnTimeout([this] { OnDeadline(); });
+  hedgeTimer_.callOnTimeout([this] { OnHedgeTime(); });
+}
+
+GatewaySession::~GatewaySession()
+{
+  CancelAttempts(AttemptResult::Abandoned);
+}
+
+void
+GatewaySession::Start()
+{
+  deadlineTimer_.start(std::chrono::ceil<milliseconds>(Remaining()));
+}
+
+Duration
+GatewaySession::Remaining() const
+{
+  return std::max(deadline_ - context_.clock.Now(), Duration::zero());
+}
+
+void
+GatewaySession::OnRequestBody(ByteView aBytes)
+{
+  if (isDone_) {
+    return;
+  }
+  bodyBytes_ += aBytes.size();
+  if (isBodyStreamed_ && !running_.empty()) {
+    running_.front()->SendBody(aBytes);
+    if (running_.front()->UnsentBytes() > kMaxUnsentBody) {
+      exchange_->PauseRequestBody();
+    }
+    return;
+  }
+  body_.append(aBytes.data(), aBytes.size());
+  if (body_.size() > kMaxKeptBody && !isBodyStreamed_) {
+    isBodyStreamed_ = true;
+    exchange_->PauseRequestBody();
+    RequestSelection(AttemptPurpose::First);
+  }
+}
+
+void
+GatewaySession::OnRequestEnd()
+{
+  if (isDone_) {
+    return;
+  }
+  isBodyComplete_ = true;
+  if (!isBodyStreamed_) {
+    RequestSelection(AttemptPurpose::First);
+  } else if (!running_.empty()) {
+    running_.front()->FinishBody();
+  }
+}
+
+SelectionRequest
+GatewaySession::MakeSelectionRequest(AttemptPurpose aPurpose) const
+{
+  SelectionRequest request;
+  request.service = service_;
+  request.purpose = aPurpose;
+  request.isIdempotent = route_.isIdempotent;
+  request.hasLargeResponses = route_.hasLargeResponses;
+  request.latencyObjective = route_.latencyObjective;
+  request.remaining = Remaining();
+  request.excluded = triedServers_;
+  request.avoided = context_.paths.Avoided(context_.clock.Now());
+  return request;
+}
+
+void
+GatewaySession::RequestSelection(AttemptPurpose aPurpose)
+{
+  isSelecting_ = true;
+  context_.selection.Select(
+    MakeSelectionRequest(aPurpose),
+    [weak = weak_from_this(), &selection = context_.selection, aPurpose](
+      const SelectionOutcome& aOutcome) {
+      if (const auto self = weak.lock()) {
+        self->OnSelection(aPurpose, aOutcome);
+      } else {
+        selection.Finish(aOutcome.handle, AttemptResult::Unused);
+      }
+    });
+}
+
+void
+GatewaySession::OnSelection(AttemptPurpose aPurpose,
+                            const SelectionOutcome& aOutcome)
+{
+  isSelecting_ = false;
+  if (isDone_) {
+    context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
+    return;
+  }
+  if (!aOutcome.result.selection) {
+    if (!running_.empty()) {
+      return;
+    }
+    if (aPurpose == AttemptPurpose::Hedge) {
+      // The first attempt has failed meanwhile.
+      TryAgainOrAnswer(AttemptPurpose::Repeat, aOutcome.result.reason);
+    } else {
+      AnswerWithoutSuccess(aOutcome.result.reason, aOutcome.result.retryAfter);
+    }
+    return;
+  }
+  const BackendServerRecord* server =
+    context_.directory->Find(aOutcome.result.selection->backendServer);
+  if (server == nullptr || server->isDraining || server->service != service_) {
+    // The owner's directory is older than this host's.
+    context_.metrics.Count(GatewayCounter::UnusableChoices);
+    context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
+    if (aOutcome.source == "owner") {
+      OnSelection(
+        aPurpose,
+        context_.selection.SelectAlone(MakeSelectionRequest(aPurpose)));
+      return;
+    }
+    AnswerWithoutSuccess("no-backend-server", kRetryAfter);
+    return;
+  }
+  StartAttempt(*server, aOutcome, aPurpose);
+}
+
+void
+GatewaySession::StartAttempt(const BackendServerRecord& aServer,
+                             const SelectionOutcome& aOutcome,
+                             AttemptPurpose aPurpose)
+{
+  HttpRequestHead head = exchange_->Request();
+  const bool isWhole = isBodyComplete_ && !isBodyStreamed_;
+  if (isWhole && head.framing == BodyFraming::Chunked) {
+    head.framing = BodyFraming::Length;
+    head.contentLength = body_.size();
+  }
+  context_.dialect.WriteAttempt(head, aServer.id, Remaining());
+  const auto attempt = std::make_shared<BackendAttempt>(weak_from_this(),
+                                                        context_.dialect,
+                                                        terms_.requestId,
+                                                        aServer,
+                                                        aOutcome.handle,
+                                                        context_.clock.Now());
+  running_.push_back(attempt);
+  triedServers_.push_back(aServer.id);
+  lastServer_ = aServer.id;
+  lastSource_ = aOutcome.source;
+  context_.metrics.Count(GatewayCounter::Attempts);
+  if (aPurpose == AttemptPurpose::Repeat) {
+    context_.metrics.Count(GatewayCounter::Repeats);
+  } else if (aPurpose == AttemptPurpose::Hedge) {
+    context_.metrics.Count(GatewayCounter::Hedges);
+  }
+  if (aOutcome.source == "alone") {
+    context_.metrics.Count(GatewayCounter::ChosenAlone);
+  }
+  HttpClientOptions options;
+  options.connectTimeout =
+    std::min(kConnectTime, std::chrono::ceil<milliseconds>(Remaining()));
+  ++sentAttempts_;
+  attempt->Start(context_.client, head, options, body_, isBodyComplete_);
+  if (isBodyStreamed_) {
+    body_ = {};
+    exchange_->ResumeRequestBody();
+  }
+  if (MayRepeat() && running_.size() == 1) {
+    hedgeTimer_.start(std::chrono::ceil<milliseconds>(
+      aOutcome.result.selection->hedgeAfter));
+  }
+}
+
+bool
+GatewaySession::MayRepeat() const
+{
+  return (route_.isIdempotent || !mayHaveRun_) && !isBodyStreamed_ &&
+         sentAttempts_ < route_.maxAttempts && Remaining() > kMinAttemptTime;
+}
+
+void
+GatewaySession::OnHedgeTime()
+{
+  if (isDone_ || isSelecting_ || !route_.isIdempotent || !MayRepeat() ||
+      running_.size() != 1) {
+    return;
+  }
+  RequestSelection(AttemptPurpose::Hedge);
+}
+
+void
+GatewaySession::TryAgainOrAnswer(AttemptPurpose aPurpose,
+                                 std::string_view aReason)
+{
+  if (!running_.empty() || isSelecting_) {
+    return;
+  }
+  if (MayRepeat() && unreachable_ < kMaxUnreachable) {
+    RequestSelection(aPurpose);
+    return;
+  }
+  AnswerWithoutSuccess(aReason, kRetryAfter);
+}
+
+void
+GatewaySession::AnswerWithoutSuccess(std::string_view aReason,
+                                     Duration aRetryAfter)
+{
+  if (failureHead_) {
+    const HttpResponseHead head = *std::exchange(failureHead_, std::nullopt);
+    Forward(head, failureBody_);
+    Close(head.status, "backend-failed", aReason);
+    return;
+  }
+  if (mayHaveRun_) {
+    context_.metrics.Count(GatewayCounter::FailedUnknown);
+    SendOwnAnswer(kBadGateway, aReason, std::nullopt);
+    Close(kBadGateway, "unknown", aReason);
+    return;
+  }
+  context_.metrics.Count(GatewayCounter::RefusedNotRun);
+  SendOwnAnswer(kUnavailable,
+                aReason,
+                aRetryAfter > Duration::zero() ? aRetryAfter : kRetryAfter);
+  Close(kUnavailable, "not-run", aReason);
+}
+
+void
+GatewaySession::OnDeadline()
+{
+  if (isDone_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const std::vector<AttemptPointer> attempts = running_;
+  CancelAttempts(AttemptResult::NoResponse);
+  // Asked after the connections are closed: no byte can follow.
+  const bool wasSent =
+    mayHaveRun_ || std::ranges::any_of(attempts, [](const auto& aAttempt) {
+      return aAttempt->AnyByteSent();
+    });
+  context_.metrics.Count(GatewayCounter::TimedOut);
+  if (streaming_ != nullptr) {
+    exchange_->Abort();
+    Close(0, "cut", "timeout");
+    return;
+  }
+  const int status = wasSent ? kGatewayTimeout : kUnavailable;
+  SendOwnAnswer(status,
+                "timeout",
+                wasSent ? std::nullopt : std::optional<Duration>(kRetryAfter));
+  Close(status, wasSent ? "unknown" : "not-run", "timeout");
+}
+
+void
+GatewaySession::OnAttemptAnswered(BackendAttempt& aAttempt)
+{
+  if (streaming_.get() == &aAttempt) {
+    EndAttempt(aAttempt, AttemptResult::Answered);
+    exchange_->Finish();
+    Close(aAttempt.Head().status, "answered", "streamed");
+    return;
+  }
+  const HttpResponseHead& head = aAttempt.Head();
+  const ReplyTerms terms = context_.dialect.ReadReply(head);
+  context_.paths.OnReached(aAttempt.Server().id);
+  if (terms.isNotExecuted || head.status == kMisdirected) {
+    EndAttempt(aAttempt,
+               head.status == kMisdirected ? AttemptResult::WrongServer
+                                           : AttemptResult::NotExecuted);
+    TryAgainOrAnswer(AttemptPurpose::Repeat, "not-executed");
+    return;
+  }
+  mayHaveRun_ = true;
+  const bool isForeign =
+    IsSuccess(head.status) &&
+    (!terms.isSigned || head.fields.Find("Content-Encoding"));
+  if (isForeign) {
+    EndAttempt(aAttempt, AttemptResult::Broken);
+    TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-response");
+    return;
+  }
+  if (IsSuccess(head.status) || head.status < 500) {
+    if (PromisesNotRun(head.status)) {
+      EndAttempt(aAttempt, AttemptResult::Failed);
+      TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-refusal");
+      return;
+    }
+    const AttemptPointer attempt =
+      EndAttempt(aAttempt, AttemptResult::Answered);
+    CancelAttempts(AttemptResult::Abandoned);
+    Forward(head, attempt->Body());
+    Close(head.status, "answered", "");
+    return;
+  }
+  const AttemptPointer attempt = EndAttempt(aAttempt, AttemptResult::Failed);
+  if (!PromisesNotRun(head.status)) {
+    failureHead_ = head;
+    failureBody_ = std::move(attempt->Body());
+  }
+  TryAgainOrAnswer(AttemptPurpose::Repeat, "backend-failed");
+}
+
+void
+GatewaySession::OnAttemptFailed(BackendAttempt& aAttempt,
+                                const HttpFailure& aFailure)
+{
+  const std::string server = aAttempt.Server().id;
+  LogEvent(LogLevel::Info,
+           "attempt_failed",
+           { { "request", terms_.requestId },
+             { "service", service_ },
+             { "server", server },
+             { "sent", aFailure.anyByteSent },
+             { "reason", aFailure.reason },
+             { "ms",
+               CountMilliseconds(context_.clock.Now() -
+                                 aAttempt.StartedAt()) } });
+  if (streaming_.get() == &aAttempt) {
+    EndAttempt(aAttempt, AttemptResult::Broken);
+    exchange_->Abort();
+    Close(0, "cut", aFailure.reason);
+    return;
+  }
+  if (!aFailure.anyByteSent) {
+    EndAttempt(aAttempt, AttemptResult::Unreachable);
+    context_.paths.OnUnreachable(server, context_.clock.Now());
+    --sentAttempts_;
+    ++unreachable_;
+    TryAgainOrAnswer(AttemptPurpose::Replacement, "unreachable");
+    return;
+  }
+  mayHaveRun_ = true;
+  EndAttempt(aAttempt, AttemptResult::Broken);
+  TryAgainOrAnswer(AttemptPurpose::Repeat, "broken-response");
+}
+
+bool
+GatewaySession::OnAttemptLarge(BackendAttempt& aAttempt)
+{
+  const HttpResponseHead& head = aAttempt.Head();
+  const ReplyTerms terms = context_.dialect.ReadReply(head);
+  if (isDone_ || !IsSuccess(head.status) || !terms.isSigned ||
+      head.fields.Find("Content-Encoding")) {
+    mayHaveRun_ = true;
+    EndAttempt(aAttempt, AttemptResult::Broken);
+    TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-response");
+    return false;
+  }
+  // The winner is decided: its head goes out, so no other can follow.
+  const auto attempt = aAttempt.shared_from_this();
+  std::erase(running_, attempt);
+  CancelAttempts(AttemptResult::Abandoned);
+  running_.push_back(attempt);
+  streaming_ = attempt;
+  mayHaveRun_ = true;
+  hedgeTimer_.stop();
+  exchange_->SendHead(head);
+  exchange_->SendBody(attempt->Body());
+  attempt->Body().clear();
+  return true;
+}
+
+void
+GatewaySession::OnAttemptBody(BackendAttempt& aAttempt, ByteView aBytes)
+{
+  if (isDone_) {
+    return;
+  }
+  exchange_->SendBody(aBytes);
+  if (exchange_->UnsentBytes() > kMaxUnsentBody) {
+    aAttempt.PauseResponse();
+  }
+}
+
+void
+GatewaySession::OnAttemptWritable(BackendAttempt&)
+{
+  if (!isDone_) {
+    exchange_->ResumeRequestBody();
+  }
+}
+
+void
+GatewaySession::OnResponseWritable()
+{
+  if (streaming_ != nullptr) {
+    streaming_->ResumeResponse();
+  }
+}
+
+void
+GatewaySession::OnRequestClosed(bool aIsComplete)
+{
+  if (isDone_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (!aIsComplete) {
+    context_.metrics.Count(GatewayCounter::CallerLeft);
+  }
+  CancelAttempts(AttemptResult::Abandoned);
+  Close(0, "caller-left", "");
+}
+
+GatewaySession::AttemptPointer
+GatewaySession::EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult)
+{
+  const AttemptPointer attempt = aAttempt.shared_from_this();
+  std::erase(running_, attempt);
+  context_.metrics.RecordAttempt(context_.clock.Now() - attempt->StartedAt());
+  context_.selection.Finish(attempt->Handle(), aResult);
+  return attempt;
+}
+
+void
+GatewaySession::CancelAttempts(AttemptResult aResult)
+{
+  for (const AttemptPointer& attempt : std::exchange(running_, {})) {
+    context_.selection.Finish(attempt->Handle(), aResult);
+    attempt->Cancel();
+  }
+}
+
+void
+GatewaySession::Forward(const HttpResponseHead& aHead, std::string_view aBody)
+{
+  SendWholeResponse(*exchange_, aHead, aBody);
+}
+
+void
+GatewaySession::SendOwnAnswer(int aStatus,
+                              std::string_view aReason,
+                              std::optional<Duration> aRetryAfter)
+{
+  HttpResponseHead head;
+  head.status = aStatus;
+  context_.dialect.WriteOwnResponse(head, terms_.requestId);
+  head.fields.Set("Content-Type", "text/plain");
+  if (aRetryAfter) {
+    head.fields.Set(
+      "Retry-After",
+      fmt::format("{:.3f}",
+                  std::chrono::duration<double>(*aRetryAfter).count()));
+  }
+  SendWholeResponse(*exchange_, head, aReason);
+}
+
+void
+GatewaySession::Close(int aStatus,
+                      std::string_view aOutcome,
+                      std::string_view aReason)
+{
+  if (std::exchange(isDone_, true)) {
+    return;
+  }
+  deadlineTimer_.stop();
+  hedgeTimer_.stop();
+  const Duration latency = context_.clock.Now() - arrivedAt_;
+  context_.metrics.RecordLatency(latency);
+  if (IsSuccess(aStatus)) {
+    context_.metrics.Count(GatewayCounter::Succeeded);
+  } else if (aOutcome == "backend-failed") {
+    context_.metrics.Count(GatewayCounter::BackendFailures);
+  }
+  LogEvent(LogLevel::Info,
+           "request_closed",
+           { { "request", terms_.requestId },
+             { "route", route_.name },
+             { "version", routing_->Version() },
+             { "service", service_ },
+             { "directory", context_.directory->Revision() },
+             { "server", lastServer_ },
+             { "chosen_by", lastSource_ },
+             { "attempts", sentAttempts_ },
+             { "unreachable", unreachable_ },
+             { "status", aStatus },
+             { "outcome", aOutcome },
+             { "reason", aReason },
+             { "ms", CountMilliseconds(latency) } });
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewaySession.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "gateway/BackendAttempt.h"
+#include "gateway/GatewayContext.h"
+#include "http/HttpServerExchange.h"
+
+#include <QTimer>
+
+#include <vector>
+
+namespace filbertbeam {
+
+// One request of a caller, from its head to its final answer. Sends it to a
+// backend server, again where that is allowed, and tells the caller "not run"
+// only when no attempt can have run and none will follow.
+class GatewaySession final
+  : public HttpRequestObserver
+  , public BackendAttemptOwner
+  , public std::enable_shared_from_this<GatewaySession>
+{
+public:
+  // aRoute belongs to the routing table that is in force.
+  GatewaySession(GatewayContext& aContext,
+                 std::shared_ptr<HttpServerExchange> aExchange,
+                 const Route& aRoute,
+                 CallerTerms aTerms);
+  ~GatewaySession() override;
+  GatewaySession(const GatewaySession&) = delete;
+  GatewaySession& operator=(const GatewaySession&) = delete;
+
+  void Start();
+
+  void OnRequestBody(ByteView aBytes) override;
+  void OnRequestEnd() override;
+  void OnResponseWritable() override;
+  void OnRequestClosed(bool aIsComplete) override;
+
+  void OnAttemptAnswered(BackendAttempt& aAttempt) override;
+  void OnAttemptFailed(BackendAttempt& aAttempt,
+                       const HttpFailure& aFailure) override;
+  bool OnAttemptLarge(BackendAttempt& aAttempt) override;
+  void OnAttemptBody(BackendAttempt& aAttempt, ByteView aBytes) override;
+  void OnAttemptWritable(BackendAttempt& aAttempt) override;
+
+private:
+  using AttemptPointer = std::shared_ptr<BackendAttempt>;
+
+  Duration Remaining() const;
+  SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
+  void RequestSelection(AttemptPurpose aPurpose);
+  void OnSelection(AttemptPurpose aPurpose, const SelectionOutcome& aOutcome);
+  void StartAttempt(const BackendServerRecord& aServer,
+                    const SelectionOutcome& aOutcome,
+                    AttemptPurpose aPurpose);
+  bool MayRepeat() const;
+  // Tries again where that is allowed; otherwise answers, unless another
+  // attempt is under way.
+  void TryAgainOrAnswer(AttemptPurpose aPurpose, std::string_view aReason);
+  void AnswerWithoutSuccess(std::string_view aReason, Duration aRetryAfter);
+  void OnDeadline();
+  void OnHedgeTime();
+
+  // Takes aAttempt out of the running ones and reports its result.
+  AttemptPointer EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult);
+  void CancelAttempts(AttemptResult aResult);
+  void Forward(const HttpResponseHead& aHead, std::string_view aBody);
+  void SendOwnAnswer(int aStatus,
+                     std::string_view aReason,
+                     std::optional<Duration> aRetryAfter);
+  void Close(int aStatus, std::string_view aOutcome, std::string_view aReason);
+
+  GatewayContext& context_;
+  std::shared_ptr<HttpServerExchange> exchange_;
+  // Keeps route_ alive.
+  std::shared_ptr<const RoutingTable> routing_;
+  const Route& route_;
+  const CallerTerms terms_;
+  const std::string service_;
+  const Instant arrivedAt_;
+  const Instant deadline_;
+
+  std::string body_;
+  std::uint64_t bodyBytes_ = 0;
+  bool isBodyComplete_ = false;
+  // The body is too large to be kept for another attempt.
+  bool isBodyStreamed_ = false;
+
+  std::vector<AttemptPointer> running_;
+  std::vector<std::string> triedServers_;
+  int sentAttempts_ = 0;
+  // Attempts at servers that could not be reached.
+  int unreachable_ = 0;
+  // An attempt was sent without proof that it did not run.
+  bool mayHaveRun_ = false;
+  bool isSelecting_ = false;
+  bool isDone_ = false;
+  // The attempt whose response is passed on piece by piece.
+  AttemptPointer streaming_;
+  // A failure that a server answered; passed on when nothing better comes.
+  std::optional<HttpResponseHead> failureHead_;
+  std::string failureBody_;
+
+  std::string lastServer_;
+  std::string_view lastSource_ = "none";
+  QTimer deadlineTimer_;
+  QTimer hedgeTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/GatewaySettings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "http/HttpMessage.h"
+
+#include <optional>
+#include <string>
+
+namespace filbertbeam {
+
+// What a host learns from its deployment at its start.
+struct GatewaySettings
+{
+  std::string host;
+  std::string region;
+  std::string domain;
+  // For the requests of callers.
+  Endpoint front;
+  // For the balancer's readiness checks.
+  Endpoint readiness;
+  // For datagrams between hosts.
+  Endpoint peer;
+  // For metrics.
+  Endpoint metrics;
+  Endpoint catalog;
+
+  // From the signal to stop until the process is killed.
+  Duration stopTime = std::chrono::seconds(6);
+  // Attempts beyond the first of a request, over all hosts, per request and on
+  // top of that, in any window.
+  double repeatRatio = 0.2;
+  double repeatBurst = 64;
+  std::chrono::seconds repeatWindow{ 10 };
+  // A backend server that leaves gets no request later than this after the
+  // catalog knows.
+  Duration drainTime = std::chrono::seconds(2);
+
+  bool operator==(const GatewaySettings&) const = default;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/HostRegistry.cpp
@@ -0,0 +1,119 @@
+#include "gateway/HostRegistry.h"
+
+#include "base/Log.h"
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kAddressField = "address";
+constexpr const char* kPortField = "port";
+
+constexpr milliseconds kRegisterRetry{ 500 };
+// Hosts that start together are all registered after about a second. Later
+// ones make themselves known to those they find.
+constexpr milliseconds kFirstList{ 1'200 };
+constexpr milliseconds kListInterval{ 60'000 };
+constexpr milliseconds kListRetry{ 1'000 };
+
+std::optional<PeerHost>
+ReadHost(const CatalogObject& aObject)
+{
+  PeerHost host;
+  host.name = aObject.name;
+  host.address.address =
+    aObject.content.value(kAddressField).toString().toStdString();
+  const int port = aObject.content.value(kPortField).toInt();
+  host.address.port = static_cast<std::uint16_t>(port);
+  if (host.address.address.empty() || port <= 0 || port > 0xFFFF) {
+    return std::nullopt;
+  }
+  return host;
+}
+
+} // namespace
+
+HostRegistry::HostRegistry(ObjectCatalog& aCatalog,
+                           PeerHost aSelf,
+                           Random& aRandom,
+                           Handler aOnHosts)
+  : catalog_(aCatalog)
+  , self_(std::move(aSelf))
+  , random_(aRandom)
+  , onHosts_(std::move(aOnHosts))
+{
+  for (QTimer* timer : { &registerTimer_, &listTimer_ }) {
+    timer->setSingleShot(true);
+  }
+  registerTimer_.callOnTimeout([this] { Register(); });
+  listTimer_.callOnTimeout([this] { List({}); });
+}
+
+void
+HostRegistry::Start()
+{
+  Register();
+  listTimer_.start(kFirstList);
+}
+
+void
+HostRegistry::Register()
+{
+  QJsonObject content;
+  content[kAddressField] = QString::fromStdString(self_.address.address);
+  content[kPortField] = self_.address.port;
+  catalog_.Put(Collection::Hosts,
+               self_.name,
+               content,
+               [this](const CatalogFailure& aFailure) {
+                 if (aFailure.error == CatalogError::None) {
+                   return;
+                 }
+                 LogEvent(LogLevel::Warning,
+                          "host_not_registered",
+                          { { "reason", aFailure.reason } });
+                 registerTimer_.start(
+                   kRegisterRetry +
+                   milliseconds(random_.Below(static_cast<std::uint64_t>(
+                     kRegisterRetry.count()))));
+               });
+}
+
+void
+HostRegistry::List(const std::string& aAfter)
+{
+  if (aAfter.empty()) {
+    hosts_.clear();
+  }
+  catalog_.List(Collection::Hosts, aAfter, [this](const CatalogPage& aPage) {
+    OnPage(aPage);
+  });
+}
+
+void
+HostRegistry::OnPage(const CatalogPage& aPage)
+{
+  if (aPage.failure.error != CatalogError::None) {
+    listTimer_.start(
+      kListRetry + milliseconds(random_.Below(
+                     static_cast<std::uint64_t>(kListRetry.count()))));
+    return;
+  }
+  for (const CatalogObject& object : aPage.objects) {
+    if (const auto host = ReadHost(object)) {
+      hosts_.push_back(*host);
+    }
+  }
+  if (aPage.hasMore && !aPage.objects.empty()) {
+    List(aPage.objects.back().name);
+    return;
+  }
+  LogEvent(LogLevel::Info, "hosts_listed", { { "hosts", hosts_.size() } });
+  onHosts_(std::move(hosts_));
+  hosts_.clear();
+  listTimer_.start(kListInterval);
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/HostRegistry.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "balancing/SelectionService.h"
+#include "base/Random.h"
+#include "catalog/ObjectCatalog.h"
+
+#include <QTimer>
+
+namespace filbertbeam {
+
+// Writes this host into the catalog and finds the others there. Hosts that are
+// gone stay in the list until their entries are removed; asking them is cheap
+// and stops after a few missed answers.
+class HostRegistry
+{
+public:
+  using Handler = std::function<void(std::vector<PeerHost>)>;
+
+  HostRegistry(ObjectCatalog& aCatalog,
+               PeerHost aSelf,
+               Random& aRandom,
+               Handler aOnHosts);
+
+  void Start();
+
+private:
+  void Register();
+  void List(const std::string& aAfter);
+  void OnPage(const CatalogPage& aPage);
+
+  ObjectCatalog& catalog_;
+  const PeerHost self_;
+  Random& random_;
+  Handler onHosts_;
+  std::vector<PeerHost> hosts_;
+  QTimer registerTimer_;
+  QTimer listTimer_;
+};
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/TrafficRuntime.cpp
@@ -0,0 +1,110 @@
+#include "gateway/TrafficRuntime.h"
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Idle connections to one backend server; all hosts together share what it
+// accepts.
+constexpr int kIdlePerServer = 3;
+// Servers close idle connections after a time that some do not state; a request
+// on a connection that closes meanwhile may be lost.
+constexpr seconds kIdleTime{ 7 };
+// An idle connection that went silent is found by keep-alive probes.
+constexpr seconds kSilenceTimeout{ 4 };
+
+// Of the repeats that all hosts may spend together: the owner of a service
+// takes most of them; the rest is for hosts that cannot reach it.
+constexpr double kOwnerRatioShare = 0.75;
+constexpr double kOwnerBurstShare = 0.5;
+constexpr double kOwnRatioShare = 0.5;
+constexpr double kOwnBurst = 0.5;
+
+SelectionServiceSettings
+SelectionSettings(const GatewaySettings& aSettings)
+{
+  SelectionServiceSettings settings;
+  settings.host = aSettings.host;
+  settings.domain = aSettings.domain;
+  settings.listen = aSettings.peer;
+  settings.ownerBudget = { aSettings.repeatRatio * kOwnerRatioShare,
+                           aSettings.repeatBurst * kOwnerBurstShare,
+                           aSettings.repeatWindow };
+  settings.ownBudget = { aSettings.repeatRatio * kOwnRatioShare,
+                         kOwnBurst,
+                         aSettings.repeatWindow };
+  return settings;
+}
+
+HttpServerLimits
+ServerLimits(const CallerLimits& aLimits)
+{
+  HttpServerLimits limits;
+  limits.headBytes = aLimits.headBytes;
+  limits.bodyBytes = aLimits.bodyBytes;
+  limits.headTimeout =
+    std::chrono::duration_cast<milliseconds>(aLimits.headTimeout);
+  limits.idleTimeout =
+    std::chrono::duration_cast<milliseconds>(aLimits.idleTimeout);
+  return limits;
+}
+
+} // namespace
+
+std::unique_ptr<TrafficRuntime>
+TrafficRuntime::Create(const GatewaySettings& aSettings,
+                       const ExchangeDialect& aDialect,
+                       GatewayMetrics& aMetrics,
+                       const Clock& aClock,
+                       std::string& aReason)
+{
+  std::unique_ptr<TrafficRuntime> runtime(new TrafficRuntime);
+  HttpClientLimits limits;
+  limits.idleConnections = kIdlePerServer;
+  limits.idleTimeout = kIdleTime;
+  limits.silenceTimeout = kSilenceTimeout;
+  runtime->client_ = HttpClient::Create(limits);
+  runtime->selection_ = SelectionService::Create(
+    SelectionSettings(aSettings), aClock, runtime->random_, aReason);
+  if (!runtime->selection_) {
+    return nullptr;
+  }
+  runtime->service_ = std::make_unique<GatewayService>(
+    GatewayContext{ *runtime->client_,
+                    *runtime->selection_,
+                    aDialect,
+                    aMetrics,
+                    aClock,
+                    WeightedSplit(runtime->random_),
+                    {},
+                    nullptr,
+                    std::make_shared<BackendDirectory>(
+                      0, std::vector<BackendServerRecord>()) });
+  runtime->server_ = HttpServer::Create(
+    aSettings.front, ServerLimits({}), *runtime->service_, aReason);
+  return runtime->server_ ? std::move(runtime) : nullptr;
+}
+
+void
+TrafficRuntime::SetRouting(const std::shared_ptr<const RoutingTable>& aRouting)
+{
+  service_->SetRouting(aRouting);
+  server_->SetLimits(ServerLimits(aRouting->Limits()));
+}
+
+void
+TrafficRuntime::SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory)
+{
+  service_->SetDirectory(std::move(aDirectory));
+}
+
+void
+TrafficRuntime::SetHosts(std::vector<PeerHost> aHosts)
+{
+  selection_->SetHosts(std::move(aHosts));
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/TrafficRuntime.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/SeededRandom.h"
+#include "gateway/GatewayService.h"
+#include "gateway/GatewaySettings.h"
+
+namespace filbertbeam {
+
+// What lives on the traffic thread: created, used and destroyed there.
+class TrafficRuntime
+{
+public:
+  // Null, with a reason, when an address cannot be bound.
+  static std::unique_ptr<TrafficRuntime> Create(
+    const GatewaySettings& aSettings,
+    const ExchangeDialect& aDialect,
+    GatewayMetrics& aMetrics,
+    const Clock& aClock,
+    std::string& aReason);
+
+  void SetRouting(const std::shared_ptr<const RoutingTable>& aRouting);
+  void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
+  void SetHosts(std::vector<PeerHost> aHosts);
+
+  // Responses end their connections from now on.
+  void BeginStop() { server_->CloseAfterResponses(); }
+  void StopAccepting() { server_->StopAccepting(); }
+  int RunningExchanges() const { return server_->RunningExchanges(); }
+  std::uint16_t FrontPort() const { return server_->Port(); }
+
+private:
+  TrafficRuntime() = default;
+
+  SeededRandom random_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<SelectionService> selection_;
+  std::unique_ptr<GatewayService> service_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+} // namespace filbertbeam
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -4,6 +4,12 @@
 
 namespace filbertbeam {
 
+bool
+HttpResponseObserver::IsOwnResponse(const HttpResponseHead&)
+{
+  return true;
+}
+
 std::unique_ptr<HttpClient>
 HttpClient::Create(const HttpClientLimits& aLimits)
 {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -39,6 +39,10 @@
   virtual void OnRequestSent() = 0;
   // Unsent request bytes fell below the low watermark again.
   virtual void OnRequestWritable() = 0;
+  // False for a response that belongs to another request, such as a late one
+  // to an earlier request of the connection. It is passed over, and the next
+  // response is awaited.
+  virtual bool IsOwnResponse(const HttpResponseHead& aHead);
   virtual void OnResponseHead(const HttpResponseHead& aHead) = 0;
   virtual void OnResponseBody(ByteView aBytes) = 0;
   // The whole response arrived; the last event.
@@ -86,6 +90,9 @@
   std::chrono::milliseconds idleTimeout{ 30'000 };
   std::size_t highWatermark = 256 * 1024;
   std::size_t lowWatermark = 64 * 1024;
+  // With a value, a connection whose peer does not answer keep-alive probes or
+  // acknowledge data for about this long is taken as broken.
+  std::chrono::seconds silenceTimeout{ 0 };
 };
 
 // Sends every request exactly once: it never sends a request again by itself.
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -7,12 +7,32 @@
 #include <QHostAddress>
 #include <QNetworkProxy>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace filbertbeam {
 
 namespace {
 
 constexpr qint64 kReadBufferBytes = 64 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
+// Responses to earlier requests that may come before the one that is due.
+constexpr int kMaxSkippedResponses = 4;
+// A server that states when it closes idle connections is not sent a request
+// just before that.
+constexpr std::chrono::milliseconds kIdleMargin{ 1'500 };
+
+void
+SetSocketNumber(const QTcpSocket& aSocket, int aLevel, int aOption, int aValue)
+{
+  // Without the option, the time limits of the callers still hold.
+  (void)::setsockopt(static_cast<int>(aSocket.socketDescriptor()),
+                     aLevel,
+                     aOption,
+                     &aValue,
+                     sizeof(aValue));
+}
 
 } // namespace
 
@@ -92,7 +112,10 @@
   isAboveHigh_ = false;
   isPaused_ = false;
   isHeadDelivered_ = false;
-  parser_.Reset(aHead.method);
+  isSkipping_ = false;
+  skippedResponses_ = 0;
+  method_ = aHead.method;
+  parser_.Reset(method_);
   Write(aHeadBytes);
   return exchange_;
 }
@@ -190,11 +213,27 @@
   timer_.stop();
   state_ = State::Connected;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  WatchForSilence();
   socket_->write(waiting_.data(), static_cast<qint64>(waiting_.size()));
   waiting_.clear();
   waiting_.shrink_to_fit();
 }
 
+void
+HttpClientConnection::WatchForSilence()
+{
+  const int seconds = static_cast<int>(limits_.silenceTimeout.count());
+  if (seconds <= 0) {
+    return;
+  }
+  constexpr int kProbeInterval = 1; // second
+  SetSocketNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPIDLE, kProbeInterval);
+  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPINTVL, kProbeInterval);
+  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPCNT, std::max(seconds - 1, 1));
+  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_USER_TIMEOUT, seconds * 1000);
+}
+
 void
 HttpClientConnection::OnBytesWritten(qint64 aBytes)
 {
@@ -309,7 +348,7 @@
     }
     if (parser_.ParseEnd() == HttpParseStep::Failed) {
       Fail(HttpFailureKind::Closed, parser_.LastReason());
-    } else if (!isOrderlyEnd_) {
+    } else if (!isOrderlyEnd_ || isSkipping_) {
       Fail(HttpFailureKind::Closed, endReason_);
     } else {
       CompleteExchange();
@@ -334,15 +373,24 @@
         }
         endWatch_ = std::make_unique<SocketDuplicate>(*socket_);
       }
-      isHeadDelivered_ = true;
-      observer->OnResponseHead(parser_.Head());
+      isSkipping_ = !observer->IsOwnResponse(parser_.Head());
+      if (!isSkipping_) {
+        isHeadDelivered_ = true;
+        observer->OnResponseHead(parser_.Head());
+      }
       return true;
     case HttpParseStep::Body:
-      observer->OnResponseBody(parser_.Body());
+      if (!isSkipping_) {
+        observer->OnResponseBody(parser_.Body());
+      }
       inputBegin_ += consumed;
       return true;
     case HttpParseStep::End:
       inputBegin_ += consumed;
+      if (isSkipping_) {
+        SkipResponse();
+        return exchange_ != nullptr;
+      }
       CompleteExchange();
       return false;
     case HttpParseStep::Failed:
@@ -387,16 +435,38 @@
   isAboveHigh_ = isAboveHigh_ || UnsentBytes() >= limits_.highWatermark;
 }
 
+void
+HttpClientConnection::SkipResponse()
+{
+  ++skippedResponses_;
+  if (!parser_.KeepAlive()) {
+    Fail(HttpFailureKind::Closed, "the last response was of another request");
+    return;
+  }
+  if (skippedResponses_ > kMaxSkippedResponses) {
+    Fail(HttpFailureKind::Malformed, "too many responses of other requests");
+    return;
+  }
+  isSkipping_ = false;
+  parser_.Reset(method_);
+}
+
 void
 HttpClientConnection::CompleteExchange()
 {
   const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
-                          sentBytes_ == queuedBytes_ && parser_.KeepAlive();
+                          sentBytes_ == queuedBytes_ &&
+                          parser_.KeepAlive() && skippedResponses_ == 0;
+  const std::chrono::milliseconds idleTime =
+    parser_.IdleTimeout()
+      ? std::min(limits_.idleTimeout, *parser_.IdleTimeout() - kIdleMargin)
+      : limits_.idleTimeout;
   exchange_->Detach(AnyByteSent());
   exchange_.reset();
   const auto observer = std::exchange(observer_, nullptr);
-  if (isReusable && IsUsable() && handlers_.onIdle(*this)) {
-    timer_.start(limits_.idleTimeout);
+  if (isReusable && idleTime.count() > 0 && IsUsable() &&
+      handlers_.onIdle(*this)) {
+    timer_.start(idleTime);
   } else {
     Close();
   }
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -70,6 +70,7 @@
   };
 
   void OnConnected();
+  void WatchForSilence();
   void OnBytesWritten(qint64 aBytes);
   void OnReadyRead();
   void OnError();
@@ -81,6 +82,7 @@
   ByteView Input() const;
   void Write(std::string_view aBytes);
   void CompleteExchange();
+  void SkipResponse();
   void Fail(HttpFailureKind aKind, std::string aReason);
   void Close();
 
@@ -113,6 +115,11 @@
   bool isAboveHigh_ = false;
   bool isPaused_ = false;
   bool isHeadDelivered_ = false;
+  // The response under way belongs to an earlier request.
+  bool isSkipping_ = false;
+  // Responses passed over since the request was sent.
+  int skippedResponses_ = 0;
+  std::string method_;
 
   std::string input_;
   std::size_t inputBegin_ = 0;
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -4,6 +4,8 @@
 #include "http/BodyFramingFields.h"
 #include "http/ConnectionFields.h"
 
+#include <charconv>
+
 namespace filbertbeam {
 
 namespace {
@@ -12,6 +14,27 @@
 // Bounds what a server can send before its final response.
 constexpr int kMaxInterimResponses = 16;
 
+// Reads "Keep-Alive: timeout=SECONDS".
+std::optional<std::chrono::milliseconds>
+ReadIdleTimeout(const HttpFields& aFields)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  for (const std::string_view parameter :
+       SplitList(aFields.Find("Keep-Alive").value_or(""))) {
+    if (!parameter.starts_with(kParameter)) {
+      continue;
+    }
+    const std::string_view text = parameter.substr(kParameter.size());
+    unsigned seconds = 0;
+    const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (result.ec == std::errc()) {
+      return std::chrono::seconds(seconds);
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 HttpResponseParser::HttpResponseParser(std::size_t aHeadLimit)
@@ -171,6 +194,7 @@
   head_.framing = framing->framing;
   head_.contentLength = framing->contentLength;
   keepAlive_ = parser_->keep_alive();
+  idleTimeout_ = ReadIdleTimeout(head_.fields);
   if (head_.framing == BodyFraming::None && !parser_->is_done()) {
     head_.framing = BodyFraming::UntilClose;
     // A server that keeps the connection open would never end this body.
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -3,6 +3,7 @@
 #include "http/HttpHeadScanner.h"
 #include "http/HttpParseStep.h"
 
+#include <chrono>
 #include <memory>
 
 namespace filbertbeam {
@@ -30,6 +31,11 @@
 
   const HttpResponseHead& Head() const { return head_; }
   bool KeepAlive() const { return keepAlive_; }
+  // How long the server keeps an idle connection, where it says so.
+  std::optional<std::chrono::milliseconds> IdleTimeout() const
+  {
+    return idleTimeout_;
+  }
   ByteView Body() const { return body_; }
   const std::string& LastReason() const { return lastReason_; }
 
@@ -48,6 +54,7 @@
   bool isHeadDone_ = false;
   bool isFailed_ = false;
   bool keepAlive_ = false;
+  std::optional<std::chrono::milliseconds> idleTimeout_;
   int interimResponses_ = 0;
   ByteView body_;
   std::string lastReason_;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -57,6 +57,14 @@
 
   virtual std::uint16_t Port() const = 0;
 
+  // Head and body sizes hold for connections accepted from now on, the times
+  // for all.
+  virtual void SetLimits(const HttpServerLimits& aLimits) = 0;
+
+  // From now on every response ends its connection, so that callers move to
+  // other hosts; new connections are still served.
+  virtual void CloseAfterResponses() = 0;
+
   // Graceful stop: accepts no further connections, answers no further request
   // on the open ones (Connection: close), and lets running exchanges finish.
   virtual void StopAccepting() = 0;
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -37,6 +37,8 @@
   void Start();
   // Enforces the time limits.
   void CheckTime(Instant aNow);
+  // The next response ends the connection; until then it stays open.
+  void CloseAfterResponse() { closesAfterResponse_ = true; }
   // Closes after the exchange that runs or whose request is arriving.
   void StopAfterExchange();
   // Closes at once.
@@ -99,6 +101,7 @@
   Phase phase_ = Phase::Open;
   bool isProcessing_ = false;
   bool isStopping_ = false;
+  bool closesAfterResponse_ = false;
   bool isClosedNotified_ = false;
 
   std::string input_;
--- a/src/http/TcpHttpServer.cpp
+++ b/src/http/TcpHttpServer.cpp
@@ -48,13 +48,35 @@
     &server_, &QTcpServer::newConnection, &server_, [this] { Accept(); });
   QObject::connect(
     &server_, &QTcpServer::acceptError, &server_, [this] { isPaused_ = true; });
+  SetCheckInterval();
+  QObject::connect(
+    &timer_, &QTimer::timeout, &server_, [this] { CheckTime(); });
+  timer_.start();
+}
+
+void
+TcpHttpServer::SetCheckInterval()
+{
   const auto shortest =
     std::min({ limits_.headTimeout, limits_.bodyGrace, limits_.idleTimeout });
   timer_.setInterval(
     std::clamp(shortest / 8, kMinCheckInterval, kMaxCheckInterval));
-  QObject::connect(
-    &timer_, &QTimer::timeout, &server_, [this] { CheckTime(); });
-  timer_.start();
+}
+
+void
+TcpHttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  limits_ = aLimits;
+  SetCheckInterval();
+}
+
+void
+TcpHttpServer::CloseAfterResponses()
+{
+  isClosingAfterResponses_ = true;
+  for (const auto& connection : Connections()) {
+    connection->CloseAfterResponse();
+  }
 }
 
 TcpHttpServer::~TcpHttpServer()
@@ -133,6 +155,9 @@
       context_,
       [this](HttpServerConnection& aClosed) { connections_.erase(&aClosed); });
     connections_.emplace(connection.get(), connection);
+    if (isClosingAfterResponses_) {
+      connection->CloseAfterResponse();
+    }
     connection->Start();
   }
 }
--- a/src/http/TcpHttpServer.h
+++ b/src/http/TcpHttpServer.h
@@ -24,6 +24,8 @@
   const std::string& LastReason() const { return lastReason_; }
 
   std::uint16_t Port() const override;
+  void SetLimits(const HttpServerLimits& aLimits) override;
+  void CloseAfterResponses() override;
   void StopAccepting() override;
   int RunningExchanges() const override;
   int OpenConnections() const override;
@@ -31,6 +33,7 @@
 private:
   void Accept();
   void CheckTime();
+  void SetCheckInterval();
   std::vector<std::shared_ptr<HttpServerConnection>> Connections() const;
 
   HttpServerLimits limits_;
@@ -40,6 +43,7 @@
   QTcpServer server_;
   // Accepting failed and starts again at the next check.
   bool isPaused_ = false;
+  bool isClosingAfterResponses_ = false;
   QTimer timer_;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
--- /dev/null
+++ b/src/routing/RoutingTable.cpp
@@ -0,0 +1,111 @@
+#include "routing/RoutingTable.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+std::string
+NormalizeHost(std::string_view aHost)
+{
+  // A bracketed IPv6 literal keeps its colons.
+  const auto bracket = aHost.rfind(']');
+  const auto colon = aHost.rfind(':');
+  if (colon != std::string_view::npos &&
+      (bracket == std::string_view::npos || colon > bracket)) {
+    aHost = aHost.substr(0, colon);
+  }
+  std::string host(aHost);
+  std::ranges::transform(host, host.begin(), [](char aLetter) {
+    return aLetter >= 'A' && aLetter <= 'Z'
+             ? static_cast<char>(aLetter - 'A' + 'a')
+             : aLetter;
+  });
+  return host;
+}
+
+// No reason when the route can be served.
+std::string
+FindFault(const Route& aRoute)
+{
+  if (aRoute.host.empty()) {
+    return "has no host";
+  }
+  if (!aRoute.pathPrefix.starts_with('/') ||
+      !aRoute.pathPrefix.ends_with('/')) {
+    return "has a path prefix that does not begin and end with a slash";
+  }
+  if (aRoute.timeout <= Duration::zero()) {
+    return "has no timeout";
+  }
+  if (aRoute.maxAttempts < 1) {
+    return "allows no attempt";
+  }
+  if (aRoute.targets.empty()) {
+    return "names no service";
+  }
+  const bool hasWeights =
+    std::ranges::all_of(aRoute.targets, [](const RouteTarget& aTarget) {
+      return !aTarget.service.empty() && aTarget.weight >= 0;
+    });
+  const bool hasPositive =
+    std::ranges::any_of(aRoute.targets, [](const RouteTarget& aTarget) {
+      return aTarget.weight > 0;
+    });
+  return hasWeights && hasPositive ? "" : "has a service without a weight";
+}
+
+} // namespace
+
+std::shared_ptr<const RoutingTable>
+RoutingTable::Create(std::uint64_t aVersion,
+                     std::vector<Route> aRoutes,
+                     const CallerLimits& aLimits,
+                     std::string& aReason)
+{
+  std::shared_ptr<RoutingTable> table(new RoutingTable);
+  table->version_ = aVersion;
+  table->limits_ = aLimits;
+  table->routes_ = std::move(aRoutes);
+  for (std::size_t i = 0; i < table->routes_.size(); ++i) {
+    Route& route = table->routes_[i];
+    route.host = NormalizeHost(route.host);
+    if (const std::string fault = FindFault(route); !fault.empty()) {
+      aReason = fmt::format("route {} {}", route.name, fault);
+      return nullptr;
+    }
+    if (!table->places_.emplace(route.host + route.pathPrefix, i).second) {
+      aReason = fmt::format("two routes stand at {}{}: {} and another",
+                            route.host,
+                            route.pathPrefix,
+                            route.name);
+      return nullptr;
+    }
+  }
+  return table;
+}
+
+const Route*
+RoutingTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const std::string host = NormalizeHost(aHost);
+  // Every prefix ends with a slash, so only these lengths can match.
+  std::size_t end = aPath.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto place =
+      places_.find(host + std::string(aPath.substr(0, end + 1)));
+    if (place != places_.end()) {
+      return &routes_[place->second];
+    }
+    if (end == 0) {
+      return nullptr;
+    }
+    end = aPath.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+} // namespace filbertbeam
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -16,6 +16,7 @@
 {
   HttpClientLimits limits;
   limits.idleConnections = aLimits.idleConnections;
+  limits.silenceTimeout = aLimits.silenceTimeout;
   return limits;
 }
 
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -19,6 +19,8 @@
   std::size_t responseBytes = 32 * 1024 * 1024;
   // Waiting watches each hold a connection; these are kept when idle.
   int idleConnections = 8;
+  // As in HttpClientLimits; finds the broken connection of a waiting watch.
+  std::chrono::seconds silenceTimeout{ 0 };
 };
 
 struct PlatformReply
