Balancing: Keep every server in use and learn latency by route

Ruled out: the directory (all hosts had 37 servers) and the fallback (6 of 4030 choices were made alone).

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -27,6 +27,18 @@
 constexpr double kAvoidedObjectives = 2.0;
 // Spreads requests over servers that are equally good.
 constexpr double kJitter = 12;
+// Every server that is not under suspicion gets a request within this time, so
+// that the belief in it stays fresh and no healthy server stays without work.
+constexpr milliseconds kRotationTime{ 1'000 };
+// Requests from other domains keep up the rotation only after this.
+constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
+constexpr double kRotationCost = -10'000;
+constexpr double kMaxSickForRotation = 0.4;
+constexpr double kMaxSickForIdempotentRotation = 0.7;
+// Cost of each request under way, in mean latencies of a whole server.
+constexpr double kBusyLatencies = 0.12;
+// Servers that are slower than this, by mean latencies, are chosen less.
+constexpr double kTolerableSlowness = 1.25;
 // Cost of a server whose slots are all but one in use, in mean latencies:
 // servers slow down when they are nearly full.
 constexpr double kNearlyFull = 0.12;
@@ -49,8 +61,9 @@
 constexpr milliseconds kFullTime{ 150 };
 // Reports come with the end of the attempt; after this they are lost.
 constexpr seconds kReportGrace{ 1 };
-// Of the budget, kept for attempts after a failure.
-constexpr double kHedgeReserve = 0.35;
+// Of the budget, kept for attempts after a failure while a hedge would leave a
+// server that seems healthy.
+constexpr double kHedgeReserve = 0.5;
 // Weight of one response in a server's slowness.
 constexpr double kSlownessWeight = 0.12;
 constexpr double kMaxSlowness = 8;
@@ -60,12 +73,7 @@
 std::string
 LatencyClass(const SelectionRequest& aRequest)
 {
-  return fmt::format(
-    "{}/{}/{}{}",
-    aRequest.service,
-    std::chrono::duration_cast<milliseconds>(aRequest.latencyObjective).count(),
-    aRequest.isIdempotent ? 'i' : 'o',
-    aRequest.hasLargeResponses ? 'l' : 's');
+  return aRequest.service + '/' + aRequest.route;
 }
 
 // Early enough that a second attempt still meets the objective, but not before
@@ -143,8 +151,7 @@
   const bool isRepeat = aRequest.purpose == AttemptPurpose::Repeat ||
                         aRequest.purpose == AttemptPurpose::Hedge;
   if (isRepeat &&
-      !service.budget.TryRepeat(
-        aRequest.purpose == AttemptPurpose::Hedge ? kHedgeReserve : 0, aNow)) {
+      !service.budget.TryRepeat(RepeatReserve(aRequest, aNow), aNow)) {
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
   return { Selection{ Track(aRequest, best->id, aNow),
@@ -169,10 +176,42 @@
                                    latencyClass,
                                    aNow,
                                    aNow + aRequest.remaining + kReportGrace });
-  servers_[aServer].pending.push_back(ticket);
+  ServerState& server = servers_[aServer];
+  server.pending.push_back(ticket);
+  server.chosenAt = aNow;
   return ticket;
 }
 
+double
+BackendSelector::RepeatReserve(const SelectionRequest& aRequest,
+                               Instant aNow) const
+{
+  if (aRequest.purpose != AttemptPurpose::Hedge) {
+    return 0;
+  }
+  double sick = 0;
+  for (const std::string& server : aRequest.excluded) {
+    sick = std::max(sick, SickProbability(server, aNow));
+  }
+  return kHedgeReserve * (1 - sick);
+}
+
+bool
+BackendSelector::IsRotationDue(const SelectionRequest& aRequest,
+                               const BackendServerRecord& aRecord,
+                               const ServerState& aServer,
+                               double aSick,
+                               Instant aNow)
+{
+  const bool isNear = aRecord.domain == aRequest.domain;
+  const double limit = aRequest.isIdempotent ? kMaxSickForIdempotentRotation
+                                             : kMaxSickForRotation;
+  return aRequest.purpose == AttemptPurpose::First && aSick < limit &&
+         (isNear || !aRequest.hasLargeResponses) &&
+         aNow - aServer.chosenAt >
+           (isNear ? kRotationTime : kOtherDomainRotationTime);
+}
+
 double
 BackendSelector::ExpectedCost(const SelectionRequest& aRequest,
                               const BackendServerRecord& aRecord,
@@ -206,7 +245,8 @@
   if (busy + 1 >= slots) {
     cost += mean * kNearlyFull;
   }
-  cost += mean * std::max(aServer.slowness - 1, 0.0);
+  cost += mean * kBusyLatencies * busy / slots;
+  cost += mean * std::max(aServer.slowness - kTolerableSlowness, 0.0);
   if (aNow < aRecord.warmAt) {
     cost += mean * kColdLatencies;
   }
@@ -218,6 +258,9 @@
       aRequest.avoided.end()) {
     cost += objective * kAvoidedObjectives;
   }
+  if (busy < slots && IsRotationDue(aRequest, aRecord, aServer, sick, aNow)) {
+    cost += kRotationCost;
+  }
   return cost + kJitter * random_.Uniform();
 }
 
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -61,6 +61,7 @@
     std::vector<std::uint64_t> pending;
     // Ratio of its latencies to those of its service.
     double slowness = 1;
+    Instant chosenAt;
     // Last bad report, to tell a broken path of one host from a sick server.
     std::string badReporter;
     Instant badReportAt;
@@ -86,6 +87,13 @@
                       ServerState& aServer,
                       const LatencyModel& aModel,
                       Instant aNow);
+  // Share of the budget that the attempt must leave.
+  double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
+  static bool IsRotationDue(const SelectionRequest& aRequest,
+                            const BackendServerRecord& aRecord,
+                            const ServerState& aServer,
+                            double aSick,
+                            Instant aNow);
   static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
 
   RepeatBudgetLimits budgetLimits_;
--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -24,6 +24,8 @@
 struct SelectionRequest
 {
   std::string service;
+  // Requests of one route take similar times.
+  std::string route;
   AttemptPurpose purpose = AttemptPurpose::First;
   bool isIdempotent = false;
   bool hasLargeResponses = false;
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -55,11 +55,12 @@
 Append(QCborStreamWriter& aWriter, const SelectionAsk& aAsk)
 {
   const SelectionRequest& request = aAsk.request;
-  aWriter.startArray(13);
+  aWriter.startArray(14);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kAsk));
   aWriter.append(static_cast<quint64>(aAsk.call));
   AppendText(aWriter, request.service);
+  AppendText(aWriter, request.route);
   aWriter.append(static_cast<quint64>(request.purpose));
   aWriter.append(request.isIdempotent);
   aWriter.append(request.hasLargeResponses);
@@ -134,6 +135,7 @@
   ask.call = aInput.ReadUnsigned(kMaxTicket);
   SelectionRequest& request = ask.request;
   request.service = aInput.ReadText(kMaxNameBytes);
+  request.route = aInput.ReadText(kMaxNameBytes);
   request.purpose = static_cast<AttemptPurpose>(
     aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptPurpose::Hedge)));
   request.isIdempotent = aInput.ReadBool();
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -28,6 +28,8 @@
 // With less time left, a further attempt cannot be answered in time.
 constexpr milliseconds kMinAttemptTime{ 20 };
 constexpr milliseconds kRetryAfter{ 150 };
+// A hedge that was refused is asked for again after this time.
+constexpr milliseconds kHedgeInterval{ 120 };
 
 bool
 IsSuccess(int aStatus)
@@ -141,6 +143,7 @@
 {
   SelectionRequest request;
   request.service = service_;
+  request.route = route_.name;
   request.purpose = aPurpose;
   request.isIdempotent = route_.isIdempotent;
   request.hasLargeResponses = route_.hasLargeResponses;
@@ -178,6 +181,10 @@
   }
   if (!aOutcome.result.selection) {
     if (!running_.empty()) {
+      // The owner allows a hedge sooner when the server is under suspicion.
+      if (aPurpose == AttemptPurpose::Hedge) {
+        hedgeTimer_.start(kHedgeInterval);
+      }
       return;
     }
     if (aPurpose == AttemptPurpose::Hedge) {
