--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -94,9 +94,8 @@
                                  Random& aRandom)
   : budgetLimits_(aBudget)
   , random_(aRandom)
-  , directory_(std::make_shared<BackendDirectory>(
-      0,
-      std::vector<BackendServerRecord>()))
+  , directory_(
+      std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
   // A restarted host must not take reports on its earlier tickets.
   , nextTicket_((aRandom.Next() >> 24) << 16)
 {
@@ -204,8 +203,8 @@
                                Instant aNow)
 {
   const bool isNear = aRecord.domain == aRequest.domain;
-  const double limit = aRequest.isIdempotent ? kMaxSickForIdempotentRotation
-                                             : kMaxSickForRotation;
+  const double limit =
+    aRequest.isIdempotent ? kMaxSickForIdempotentRotation : kMaxSickForRotation;
   return aRequest.purpose == AttemptPurpose::First && aSick < limit &&
          (isNear || !aRequest.hasLargeResponses) &&
          aNow - aServer.chosenAt >
@@ -221,12 +220,13 @@
 {
   const double pendingEvidence = PendingEvidence(aServer, aNow);
   if (aServer.health.UpdateEpisode(pendingEvidence, aNow)) {
-    LogEvent(LogLevel::Info,
-             "backend_server_suspected",
-             { { "server", aRecord.id },
-               { "service", aRecord.service },
-               { "pending", aServer.pending.size() },
-               { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) } });
+    LogEvent(
+      LogLevel::Info,
+      "backend_server_suspected",
+      { { "server", aRecord.id },
+        { "service", aRecord.service },
+        { "pending", aServer.pending.size() },
+        { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) } });
   }
   const double sick = aServer.health.SickProbability(pendingEvidence, aNow);
   const double objective = Milliseconds(aRequest.latencyObjective).count();
@@ -236,9 +236,9 @@
   if (aNow < aServer.fullUntil) {
     busy = std::max(busy, slots + 1);
   }
-  double cost = sick * objective *
-                (aRequest.isIdempotent ? kIdempotentFailureObjectives
-                                       : kFailureObjectives);
+  double cost =
+    sick * objective *
+    (aRequest.isIdempotent ? kIdempotentFailureObjectives : kFailureObjectives);
   if (busy >= slots) {
     cost += mean * aServer.slowness * (busy - slots + 1) / slots;
   }
@@ -251,8 +251,8 @@
     cost += mean * kColdLatencies;
   }
   if (aRecord.domain != aRequest.domain) {
-    cost += aRequest.hasLargeResponses ? kOtherDomainLargeCost
-                                       : kOtherDomainCost;
+    cost +=
+      aRequest.hasLargeResponses ? kOtherDomainLargeCost : kOtherDomainCost;
   }
   if (std::ranges::find(aRequest.avoided, aRecord.id) !=
       aRequest.avoided.end()) {
@@ -279,8 +279,8 @@
     }
     const double survival =
       model->second.Survival(aNow - attempt->second.sentAt);
-    evidence += std::clamp(
-      std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+    evidence +=
+      std::clamp(std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
   }
   return std::min(evidence, kMaxPendingEvidence);
 }
@@ -313,8 +313,10 @@
     server.health.ObserveAnswer(
       attempt.sentAt, LogLikelihoodOf(aResult) + lateness, aNow);
     const double typical = Milliseconds(model->second.Mean()).count();
-    const double ratio = std::clamp(
-      Milliseconds(latency).count() / std::max(typical, 1.0), 0.2, kMaxSlowness);
+    const double ratio =
+      std::clamp(Milliseconds(latency).count() / std::max(typical, 1.0),
+                 0.2,
+                 kMaxSlowness);
     server.slowness += (ratio - server.slowness) * kSlownessWeight;
     model->second.Add(latency);
     return;
@@ -322,8 +324,8 @@
   double evidence = LogLikelihoodOf(aResult);
   if (aResult == AttemptResult::Abandoned ||
       aResult == AttemptResult::NoResponse) {
-    const double age = std::clamp(
-      std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+    const double age =
+      std::clamp(std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
     evidence = aResult == AttemptResult::Abandoned ? age * kAbandonedWeight
                                                    : std::max(evidence, age);
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -35,8 +35,8 @@
   std::string host;
 };
 
-using SelectionMessage = std::
-  variant<SelectionAsk, SelectionAnswer, SelectionReport, SelectionHello>;
+using SelectionMessage =
+  std::variant<SelectionAsk, SelectionAnswer, SelectionReport, SelectionHello>;
 
 // One datagram, in CBOR.
 std::string
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -168,10 +168,9 @@
   const std::optional<SelectionMessage> message =
     DecodeSelectionMessage(aBytes);
   if (!message) {
-    LogEvent(
-      LogLevel::Warning,
-      "selection_message_malformed",
-      { { "sender", aSender.address }, { "bytes", aBytes.size() } });
+    LogEvent(LogLevel::Warning,
+             "selection_message_malformed",
+             { { "sender", aSender.address }, { "bytes", aBytes.size() } });
     return;
   }
   if (const auto* ask = std::get_if<SelectionAsk>(&*message)) {
@@ -214,10 +213,10 @@
   if (node.empty()) {
     // The request was served without this answer.
     if (aAnswer.result.selection) {
-      socket_->Send(aSender,
-                    EncodeSelectionMessage(
-                      SelectionReport{ aAnswer.result.selection->ticket,
-                                       AttemptResult::Unused }));
+      socket_->Send(
+        aSender,
+        EncodeSelectionMessage(SelectionReport{
+          aAnswer.result.selection->ticket, AttemptResult::Unused }));
     }
     return;
   }
@@ -257,8 +256,9 @@
   if (doublings < 0) {
     return;
   }
-  peer.downUntil = clock_.Now() +
-                   kShortestDown * (1 << std::min(doublings, kMaxDownDoublings));
+  peer.downUntil =
+    clock_.Now() +
+    kShortestDown * (1 << std::min(doublings, kMaxDownDoublings));
   LogEvent(LogLevel::Info,
            "peer_passed_over",
            { { "peer", aOwner }, { "missed_answers", peer.missedAnswers } });
@@ -271,8 +271,8 @@
     timer_.stop();
     return;
   }
-  const auto left = std::chrono::ceil<milliseconds>(
-    asks_.begin()->second.dueAt - clock_.Now());
+  const auto left =
+    std::chrono::ceil<milliseconds>(asks_.begin()->second.dueAt - clock_.Now());
   timer_.start(std::max(left, milliseconds(0)));
 }
 
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "balancing/BackendSelector.h"
-#include "balancing/DatagramSocket.h"
 #include "balancing/SelectionMessages.h"
+#include "membership/DatagramSocket.h"
 
 #include <QTimer>
 
--- a/src/balancing/ServerHealth.cpp
+++ b/src/balancing/ServerHealth.cpp
@@ -79,7 +79,8 @@
 ServerHealth::Evidence(Instant aNow) const
 {
   const Duration elapsed = aNow - evidenceAt_;
-  return evidence_ * HalfLife(elapsed, evidence_ > 0 ? kBadMemory : kGoodMemory);
+  return evidence_ *
+         HalfLife(elapsed, evidence_ > 0 ? kBadMemory : kGoodMemory);
 }
 
 double
--- a/src/balancing/ServerHealth.h
+++ b/src/balancing/ServerHealth.h
@@ -6,8 +6,8 @@
 namespace filbertbeam {
 
 // The belief that a backend server is in an episode in which it fails or holds
-// most of its requests. Evidence is kept as a logarithm of odds and fades, since
-// episodes end; servers that had episodes before are suspected sooner.
+// most of its requests. Evidence is kept as a logarithm of odds and fades,
+// since episodes end; servers that had episodes before are suspected sooner.
 class ServerHealth
 {
 public:
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -37,8 +37,8 @@
   void Write(std::string_view aLine)
   {
     if (dropped_ > 0) {
-      const std::string notice =
-        fmt::format("level=warning event=log_lines_dropped count={}\n", dropped_);
+      const std::string notice = fmt::format(
+        "level=warning event=log_lines_dropped count={}\n", dropped_);
       if (TryWrite(notice)) {
         dropped_ = 0;
       }
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -118,12 +118,11 @@
 void
 CatalogFollower::Watch()
 {
-  catalog_.Watch(settings_.collection,
-                 revision_,
-                 kWatchWait,
-                 [this](CatalogChanges aChanges) {
-                   OnChanges(std::move(aChanges));
-                 });
+  catalog_.Watch(
+    settings_.collection,
+    revision_,
+    kWatchWait,
+    [this](CatalogChanges aChanges) { OnChanges(std::move(aChanges)); });
 }
 
 void
@@ -183,13 +182,12 @@
 {
   if (aFailure.error == CatalogError::None) {
     if (failures_ > 0) {
-      LogEvent(
-        LogLevel::Info,
-        "catalog_regained",
-        { { "collection", settings_.name },
-          { "failures", failures_ },
-          { "away_ms",
-            std::chrono::duration_cast<milliseconds>(Age()).count() } });
+      LogEvent(LogLevel::Info,
+               "catalog_regained",
+               { { "collection", settings_.name },
+                 { "failures", failures_ },
+                 { "away_ms",
+                   std::chrono::duration_cast<milliseconds>(Age()).count() } });
       returnedAt_ = clock_.Now();
     }
     failures_ = 0;
@@ -208,10 +206,10 @@
   wasAway_ = true;
   const milliseconds longest =
     std::min(kFirstRetry * (1 << doublings), kLongestRetry);
-  callTimer_.start(milliseconds(
-    longest.count() / 2 +
-    static_cast<std::int64_t>(random_.Below(
-      static_cast<std::uint64_t>(longest.count() / 2 + 1)))));
+  callTimer_.start(
+    milliseconds(longest.count() / 2 +
+                 static_cast<std::int64_t>(random_.Below(
+                   static_cast<std::uint64_t>(longest.count() / 2 + 1)))));
   return false;
 }
 
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -111,9 +111,6 @@
 ControlPlane::OnTick()
 {
   for (const OutgoingHeartbeat& heartbeat : heartbeats_.Tick()) {
-    if (heartbeat.needsRedial) {
-      channel_.Redial(heartbeat.to);
-    }
     channel_.Send(
       heartbeat.to, ControlMessageType::Heartbeat, heartbeat.payload);
   }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -3,7 +3,7 @@
 #include "base/Log.h"
 #include "daemon/PeerConfigurationSource.h"
 #include "daemon/RelayAuthentication.h"
-#include "membership/NngControlChannel.h"
+#include "membership/UdpControlChannel.h"
 #include "store/HttpHostList.h"
 #include "store/HttpObjectStore.h"
 
@@ -141,7 +141,7 @@
   channel.self = { settings_.host, incarnation_ };
   channel.listen = settings_.control;
   channel.secret = settings_.fleetSecret;
-  channel_ = NngControlChannel::Create(channel, clock_, aReason);
+  channel_ = UdpControlChannel::Create(channel, clock_, aReason);
   if (!channel_) {
     return false;
   }
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,6 +1,6 @@
 #include "base/Log.h"
-#include "daemon/Daemon.h"
 #include "base/SignalWatcher.h"
+#include "daemon/Daemon.h"
 
 #include <QCoreApplication>
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -62,8 +62,8 @@
 Gateway::Start(std::string& aReason)
 {
   trafficThread_.Run([&] {
-    traffic_ = TrafficRuntime::Create(
-      settings_, dialect_, metrics_, clock_, aReason);
+    traffic_ =
+      TrafficRuntime::Create(settings_, dialect_, metrics_, clock_, aReason);
     frontPort_ = traffic_ ? traffic_->FrontPort() : std::uint16_t(0);
   });
   if (!traffic_) {
@@ -81,7 +81,9 @@
   }
   metricsServer_ = ProbeServer::Create(
     settings_.metrics,
-    [this] { return ProbeAnswer{ kOk, FormatMetrics() }; },
+    [this] {
+      return ProbeAnswer{ kOk, FormatMetrics() };
+    },
     aReason);
   if (!metricsServer_) {
     return false;
@@ -111,9 +113,8 @@
     PeerHost{ settings_.host, settings_.peer },
     random_,
     [this](std::vector<PeerHost> aHosts) {
-      trafficThread_.Post([this, hosts = std::move(aHosts)] {
-        traffic_->SetHosts(hosts);
-      });
+      trafficThread_.Post(
+        [this, hosts = std::move(aHosts)] { traffic_->SetHosts(hosts); });
     });
   LogEvent(LogLevel::Info,
            "started",
--- a/src/gateway/GatewayMetrics.cpp
+++ b/src/gateway/GatewayMetrics.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr std::array<const char*, 13> kNames{
-  "requests",        "succeeded",    "backend_failures", "refused_not_run",
-  "failed_unknown",  "timed_out",    "not_routed",       "caller_left",
-  "attempts",        "repeats",      "hedges",           "unusable_choices",
+  "requests",       "succeeded", "backend_failures", "refused_not_run",
+  "failed_unknown", "timed_out", "not_routed",       "caller_left",
+  "attempts",       "repeats",   "hedges",           "unusable_choices",
   "chosen_alone",
 };
 
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -72,9 +72,8 @@
                        int aStatus,
                        std::string_view aReason)
 {
-  context_.metrics.Count(aStatus == kUnavailable
-                           ? GatewayCounter::RefusedNotRun
-                           : GatewayCounter::NotRouted);
+  context_.metrics.Count(aStatus == kUnavailable ? GatewayCounter::RefusedNotRun
+                                                 : GatewayCounter::NotRouted);
   HttpResponseHead head;
   head.status = aStatus;
   context_.dialect.WriteOwnResponse(head, aTerms.requestId);
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -254,8 +254,8 @@
     exchange_->ResumeRequestBody();
   }
   if (MayRepeat() && running_.size() == 1) {
-    hedgeTimer_.start(std::chrono::ceil<milliseconds>(
-      aOutcome.result.selection->hedgeAfter));
+    hedgeTimer_.start(
+      std::chrono::ceil<milliseconds>(aOutcome.result.selection->hedgeAfter));
   }
 }
 
@@ -394,16 +394,16 @@
                                 const HttpFailure& aFailure)
 {
   const std::string server = aAttempt.Server().id;
-  LogEvent(LogLevel::Info,
-           "attempt_failed",
-           { { "request", terms_.requestId },
-             { "service", service_ },
-             { "server", server },
-             { "sent", aFailure.anyByteSent },
-             { "reason", aFailure.reason },
-             { "ms",
-               CountMilliseconds(context_.clock.Now() -
-                                 aAttempt.StartedAt()) } });
+  LogEvent(
+    LogLevel::Info,
+    "attempt_failed",
+    { { "request", terms_.requestId },
+      { "service", service_ },
+      { "server", server },
+      { "sent", aFailure.anyByteSent },
+      { "reason", aFailure.reason },
+      { "ms",
+        CountMilliseconds(context_.clock.Now() - aAttempt.StartedAt()) } });
   if (streaming_.get() == &aAttempt) {
     EndAttempt(aAttempt, AttemptResult::Broken);
     exchange_->Abort();
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -76,8 +76,8 @@
                           { { "reason", aFailure.reason } });
                  registerTimer_.start(
                    kRegisterRetry +
-                   milliseconds(random_.Below(static_cast<std::uint64_t>(
-                     kRegisterRetry.count()))));
+                   milliseconds(random_.Below(
+                     static_cast<std::uint64_t>(kRegisterRetry.count()))));
                });
 }
 
@@ -96,9 +96,9 @@
 HostRegistry::OnPage(const CatalogPage& aPage)
 {
   if (aPage.failure.error != CatalogError::None) {
-    listTimer_.start(
-      kListRetry + milliseconds(random_.Below(
-                     static_cast<std::uint64_t>(kListRetry.count()))));
+    listTimer_.start(kListRetry +
+                     milliseconds(random_.Below(
+                       static_cast<std::uint64_t>(kListRetry.count()))));
     return;
   }
   for (const CatalogObject& object : aPage.objects) {
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -455,8 +455,8 @@
 HttpClientConnection::CompleteExchange()
 {
   const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
-                          sentBytes_ == queuedBytes_ &&
-                          parser_.KeepAlive() && skippedResponses_ == 0;
+                          sentBytes_ == queuedBytes_ && parser_.KeepAlive() &&
+                          skippedResponses_ == 0;
   const std::chrono::milliseconds idleTime =
     parser_.IdleTimeout()
       ? std::min(limits_.idleTimeout, *parser_.IdleTimeout() - kIdleMargin)
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -327,8 +327,8 @@
     return;
   }
   // Without its whole body read, the next request cannot be found.
-  keepsAlive_ = parser_.KeepAlive() && !isStopping_ &&
-                !closesAfterResponse_ && isRequestEnded_;
+  keepsAlive_ = parser_.KeepAlive() && !isStopping_ && !closesAfterResponse_ &&
+                isRequestEnded_;
   const bool isHeadRequest = exchange_->Request().method == "HEAD";
   std::string reason;
   const auto head =
--- a/src/membership/ControlChannel.h
+++ b/src/membership/ControlChannel.h
@@ -37,10 +37,6 @@
                     ControlMessageType aType,
                     ByteView aPayload) = 0;
 
-  // Gives up the connection to aTo, with what waits in it; the next Send opens
-  // a new one. After a partition, TCP may take minutes to try again.
-  virtual void Redial(const Endpoint& /* aTo */) {}
-
   // One receiver per type; a later call replaces it.
   virtual void SetReceiver(ControlMessageType aType, Receiver aReceiver) = 0;
 };
--- /dev/null
+++ b/src/membership/DatagramAssembler.cpp
@@ -0,0 +1,143 @@
+#include "membership/DatagramAssembler.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace filbertbeam {
+
+namespace {
+
+// Message number (4 bytes, most significant first), number of this part and
+// number of parts, one byte each.
+constexpr std::size_t kHeaderBytes = 6;
+constexpr std::size_t kMaxParts = 64;
+static_assert(kMaxParts * kMaxDatagramPart >= 64 * 1024);
+
+struct PartHeader
+{
+  std::uint32_t message = 0;
+  std::size_t part = 0;
+  std::size_t parts = 0;
+};
+
+std::string
+WriteHeader(const PartHeader& aHeader)
+{
+  std::string bytes;
+  for (const int shift : { 24, 16, 8, 0 }) {
+    bytes += static_cast<char>((aHeader.message >> shift) & 0xFFU);
+  }
+  bytes += static_cast<char>(aHeader.part);
+  bytes += static_cast<char>(aHeader.parts);
+  return bytes;
+}
+
+std::optional<PartHeader>
+ReadHeader(ByteView aDatagram)
+{
+  if (aDatagram.size() <= kHeaderBytes ||
+      aDatagram.size() > kHeaderBytes + kMaxDatagramPart) {
+    return std::nullopt;
+  }
+  const auto byte = [aDatagram](std::size_t aIndex) {
+    return static_cast<std::uint32_t>(
+      static_cast<unsigned char>(aDatagram[aIndex]));
+  };
+  PartHeader header;
+  for (std::size_t i = 0; i < 4; ++i) {
+    header.message = header.message << 8U | byte(i);
+  }
+  header.part = byte(4);
+  header.parts = byte(5);
+  if (header.parts > kMaxParts || header.part >= header.parts) {
+    return std::nullopt;
+  }
+  return header;
+}
+
+} // namespace
+
+std::vector<std::string>
+DivideIntoDatagrams(std::string_view aMessage, std::uint32_t aNumber)
+{
+  const std::size_t parts =
+    (aMessage.size() + kMaxDatagramPart - 1) / kMaxDatagramPart;
+  std::vector<std::string> datagrams;
+  for (std::size_t i = 0; i < parts; ++i) {
+    datagrams.push_back(WriteHeader({ aNumber, i, parts }));
+    datagrams.back() += aMessage.substr(i * kMaxDatagramPart, kMaxDatagramPart);
+  }
+  return datagrams;
+}
+
+std::optional<std::string>
+DatagramAssembler::Add(const Endpoint& aSender,
+                       ByteView aDatagram,
+                       Instant aNow)
+{
+  const auto header = ReadHeader(aDatagram);
+  if (!header) {
+    ++malformed_;
+    return std::nullopt;
+  }
+  const std::string_view bytes(aDatagram.data() + kHeaderBytes,
+                               aDatagram.size() - kHeaderBytes);
+  if (header->parts == 1) {
+    return std::string(bytes);
+  }
+  MakeRoom(bytes.size(), aNow);
+  const Key key(fmt::format("{}:{}", aSender.address, aSender.port),
+                header->message);
+  const auto [item, isNew] = unfinished_.try_emplace(key);
+  Unfinished& message = item->second;
+  if (isNew) {
+    message.parts.resize(header->parts);
+    message.missing = header->parts;
+    message.since = aNow;
+  }
+  if (message.parts.size() != header->parts ||
+      !message.parts[header->part].empty()) {
+    // A datagram that came twice, or one of an unrelated message.
+    return std::nullopt;
+  }
+  message.parts[header->part] = bytes;
+  keptBytes_ += bytes.size();
+  if (--message.missing > 0) {
+    return std::nullopt;
+  }
+  std::string whole;
+  for (const std::string& part : message.parts) {
+    whole += part;
+  }
+  Forget(item);
+  return whole;
+}
+
+void
+DatagramAssembler::Forget(std::map<Key, Unfinished>::iterator aItem)
+{
+  for (const std::string& part : aItem->second.parts) {
+    keptBytes_ -= part.size();
+  }
+  unfinished_.erase(aItem);
+}
+
+void
+DatagramAssembler::MakeRoom(std::size_t aBytes, Instant aNow)
+{
+  for (auto item = unfinished_.begin(); item != unfinished_.end();) {
+    const auto next = std::next(item);
+    if (aNow - item->second.since > kMaxAge) {
+      Forget(item);
+    }
+    item = next;
+  }
+  while (!unfinished_.empty() && keptBytes_ + aBytes > kMaxKeptBytes) {
+    Forget(std::ranges::min_element(
+      unfinished_, {}, [](const auto& aItem) { return aItem.second.since; }));
+  }
+}
+
+} // namespace filbertbeam
--- a/src/balancing/DatagramSocket.cpp
+++ b/src/membership/DatagramSocket.cpp
@@ -1,4 +1,4 @@
-#include "balancing/DatagramSocket.h"
+#include "membership/DatagramSocket.h"
 
 #include <QHostAddress>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Keeps asks apart from each other even when many arrive in one turn.
+// Larger datagrams are cut, and then refused as malformed.
 constexpr int kMaxDatagramBytes = 8 * 1024;
 
 } // namespace
@@ -39,13 +39,15 @@
            socket_.localPort() };
 }
 
-void
+bool
 DatagramSocket::Send(const Endpoint& aReceiver, std::string_view aBytes)
 {
-  socket_.writeDatagram(aBytes.data(),
-                        static_cast<qint64>(aBytes.size()),
-                        QHostAddress(QString::fromStdString(aReceiver.address)),
-                        aReceiver.port);
+  const QHostAddress address(QString::fromStdString(aReceiver.address));
+  return socket_.writeDatagram(aBytes.data(),
+                               static_cast<qint64>(aBytes.size()),
+                               address,
+                               aReceiver.port) ==
+         static_cast<qint64>(aBytes.size());
 }
 
 void
@@ -55,8 +57,8 @@
   while (socket_.hasPendingDatagrams()) {
     QHostAddress address;
     quint16 port = 0;
-    const qint64 size = socket_.readDatagram(
-      buffer.data(), kMaxDatagramBytes, &address, &port);
+    const qint64 size =
+      socket_.readDatagram(buffer.data(), kMaxDatagramBytes, &address, &port);
     if (size < 0) {
       // An earlier datagram to a closed port shows up here as an error.
       continue;
--- a/src/balancing/DatagramSocket.h
+++ b/src/membership/DatagramSocket.h
@@ -24,7 +24,8 @@
 
   void SetHandler(Handler aHandler) { handler_ = std::move(aHandler); }
   Endpoint LocalEndpoint() const;
-  void Send(const Endpoint& aReceiver, std::string_view aBytes);
+  // False when the operating system did not take the datagram; it is lost.
+  bool Send(const Endpoint& aReceiver, std::string_view aBytes);
 
 private:
   DatagramSocket() = default;
--- a/src/membership/HeartbeatProtocol.cpp
+++ b/src/membership/HeartbeatProtocol.cpp
@@ -36,10 +36,6 @@
 constexpr std::chrono::milliseconds kRecordExchangeBase{ 2'000 };
 constexpr std::chrono::milliseconds kRecordExchangePerMember{ 20 };
 
-// A link that does not work is dialled anew this often. TCP doubles its pauses
-// during a partition, and would need minutes to notice that it is over.
-constexpr std::chrono::seconds kRedialInterval{ 3 };
-
 // A host that was unheard for this time stays so until it speaks again, even if
 // its partners stop reporting it, as they do once they forget it. Shorter
 // verdicts come from reports that arrive out of order and just end.
@@ -292,7 +288,6 @@
   }
   const Instant now = clock_.Now();
   link.graceUntil = now + kLinkGrace;
-  link.lastDialled = now;
   link.wantsRecordsUntil = now + RecordExchangeTime();
   link.refreshCursor = random_.Below(entries_.size());
   // Spreads the heartbeats of the links over the interval.
@@ -686,14 +681,8 @@
     std::string payload =
       Compose(id, link, maxBytes - std::min(maxBytes, sealedBytes), now);
     byteAllowance_ -= std::min(byteAllowance_, payload.size() + sealedBytes);
-    const bool needsRedial =
-      !link.isGood && now - link.lastDialled >= Duration(kRedialInterval);
-    if (link.isGood || needsRedial) {
-      link.lastDialled = now;
-    }
     const HostDetails& peer = FindEntry(id)->details;
-    heartbeats.push_back(
-      { peer.host, peer.control, std::move(payload), needsRedial });
+    heartbeats.push_back({ peer.host, peer.control, std::move(payload) });
   }
   return heartbeats;
 }
--- a/src/membership/HeartbeatProtocol.h
+++ b/src/membership/HeartbeatProtocol.h
@@ -31,8 +31,6 @@
   std::string host;
   Endpoint to;
   std::string payload;
-  // The link has not worked for a while: call ControlChannel::Redial first.
-  bool needsRedial = false;
 };
 
 // The greatest configuration revision heard, and a host that has it in force.
@@ -145,7 +143,6 @@
     Instant nextHeartbeat;
     Instant lastSent;
     // Last time the link worked or was dialled anew.
-    Instant lastDialled;
     // Hosts of which the peer sent a record without details.
     std::vector<std::uint32_t> unknown;
     // Latest change first.
