Http, gateway: Run pipelined idempotent requests at once, tell peers how new the catalog is

Hosts send the newest change that they know with every message; one that is behind reads the catalog again.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -51,11 +51,18 @@
   aWriter.endArray();
 }
 
+void
+AppendVersions(QCborStreamWriter& aWriter, const KnownVersions& aKnown)
+{
+  aWriter.append(static_cast<quint64>(aKnown.configuration));
+  aWriter.append(static_cast<quint64>(aKnown.directory));
+}
+
 void
 Append(QCborStreamWriter& aWriter, const SelectionAsk& aAsk)
 {
   const SelectionRequest& request = aAsk.request;
-  aWriter.startArray(14);
+  aWriter.startArray(16);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kAsk));
   aWriter.append(static_cast<quint64>(aAsk.call));
@@ -70,6 +77,7 @@
   AppendText(aWriter, request.domain);
   AppendServers(aWriter, request.excluded);
   AppendServers(aWriter, request.avoided);
+  AppendVersions(aWriter, aAsk.known);
   aWriter.endArray();
 }
 
@@ -77,7 +85,7 @@
 Append(QCborStreamWriter& aWriter, const SelectionAnswer& aAnswer)
 {
   const Selection selection = aAnswer.result.selection.value_or(Selection{});
-  aWriter.startArray(8);
+  aWriter.startArray(10);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kAnswer));
   aWriter.append(static_cast<quint64>(aAnswer.call));
@@ -86,6 +94,7 @@
   AppendDuration(aWriter, selection.hedgeAfter);
   AppendText(aWriter, aAnswer.result.reason);
   AppendDuration(aWriter, aAnswer.result.retryAfter);
+  AppendVersions(aWriter, aAnswer.known);
   aWriter.endArray();
 }
 
@@ -128,6 +137,15 @@
   return servers;
 }
 
+KnownVersions
+ReadVersions(CborInput& aInput)
+{
+  KnownVersions known;
+  known.configuration = aInput.ReadUnsigned(kMaxTicket);
+  known.directory = aInput.ReadUnsigned(kMaxTicket);
+  return known;
+}
+
 SelectionAsk
 ReadAsk(CborInput& aInput)
 {
@@ -146,6 +164,7 @@
   request.domain = aInput.ReadText(kMaxNameBytes);
   request.excluded = ReadServers(aInput);
   request.avoided = ReadServers(aInput);
+  ask.known = ReadVersions(aInput);
   return ask;
 }
 
@@ -160,6 +179,7 @@
   selection.hedgeAfter = ReadDuration(aInput);
   answer.result.reason = aInput.ReadText(kMaxNameBytes);
   answer.result.retryAfter = ReadDuration(aInput);
+  answer.known = ReadVersions(aInput);
   if (!selection.backendServer.empty()) {
     answer.result.selection = std::move(selection);
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -8,18 +8,28 @@
 
 namespace filbertbeam {
 
+// The newest versions that a host has read from the catalog.
+struct KnownVersions
+{
+  std::uint64_t configuration = 0;
+  // Of the last change of a backend server's entry.
+  std::uint64_t directory = 0;
+};
+
 // An entry host asks the owner of a service for a backend server.
 struct SelectionAsk
 {
   // Chosen by the entry host; the answer repeats it.
   std::uint64_t call = 0;
   SelectionRequest request;
+  KnownVersions known;
 };
 
 struct SelectionAnswer
 {
   std::uint64_t call = 0;
   SelectionResult result;
+  KnownVersions known;
 };
 
 // The attempt of a ticket ended.
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -124,7 +124,7 @@
   }
   const std::uint64_t call = nextCall_++;
   socket_->Send(owner->address,
-                EncodeSelectionMessage(SelectionAsk{ call, aRequest }));
+                EncodeSelectionMessage(SelectionAsk{ call, aRequest, known_ }));
   asks_.emplace(call,
                 PendingAsk{ std::move(aRequest),
                             std::move(aCallback),
@@ -202,13 +202,26 @@
   OnHeard(aAsk.request.host, aSender);
   socket_->Send(aSender,
                 EncodeSelectionMessage(SelectionAnswer{
-                  aAsk.call, owned_.Select(aAsk.request, clock_.Now()) }));
+                  aAsk.call,
+                  owned_.Select(aAsk.request, clock_.Now()),
+                  known_ }));
+  OnVersions(aAsk.known);
+}
+
+void
+SelectionService::OnVersions(const KnownVersions& aKnown)
+{
+  if (onNewerVersions_ && (aKnown.configuration > known_.configuration ||
+                           aKnown.directory > known_.directory)) {
+    onNewerVersions_(aKnown);
+  }
 }
 
 void
 SelectionService::OnAnswer(const Endpoint& aSender,
                            const SelectionAnswer& aAnswer)
 {
+  OnVersions(aAnswer.known);
   const auto node = asks_.extract(aAnswer.call);
   if (node.empty()) {
     // The request was served without this answer.
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -69,6 +69,15 @@
 
   // Tells hosts that are new to this one that it is there.
   void SetHosts(std::vector<PeerHost> aHosts);
+  // Sent along with every message, so that a host whose own watch of the catalog
+  // is broken learns that it is behind.
+  void SetKnownVersions(const KnownVersions& aKnown) { known_ = aKnown; }
+  using VersionsHandler = std::function<void(const KnownVersions&)>;
+  // Called when a peer knows a newer version than this host.
+  void SetNewerVersionsHandler(VersionsHandler aHandler)
+  {
+    onNewerVersions_ = std::move(aHandler);
+  }
   void SetDirectory(const std::shared_ptr<const BackendDirectory>& aDirectory);
 
   // aCallback may come during the call; exactly once unless this is destroyed.
@@ -103,6 +112,7 @@
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   // A message of a peer shows that it is alive, and where.
   void OnHeard(const std::string& aHost, const Endpoint& aAddress);
+  void OnVersions(const KnownVersions& aKnown);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
@@ -119,6 +129,8 @@
   BackendSelector own_;
   std::map<std::uint64_t, PendingAsk> asks_;
   std::uint64_t nextCall_ = 1;
+  KnownVersions known_;
+  VersionsHandler onNewerVersions_;
   QTimer timer_;
 };
 
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -59,9 +59,30 @@
     listing_.clear();
     listingRevision_ = 0;
   }
-  catalog_.List(settings_.collection, aAfter, [this](CatalogPage aPage) {
-    OnPage(std::move(aPage));
-  });
+  callTimer_.stop();
+  catalog_.List(settings_.collection,
+                aAfter,
+                [this, call = ++call_](CatalogPage aPage) {
+                  if (call == call_) {
+                    OnPage(std::move(aPage));
+                  }
+                });
+}
+
+void
+CatalogFollower::CatchUp(std::uint64_t aRevision)
+{
+  if (aRevision <= newestChange_ || aRevision <= caughtUpTo_ ||
+      revision_ == 0) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "catalog_behind_peer",
+           { { "collection", settings_.name },
+             { "newest_change", newestChange_ },
+             { "peer", aRevision } });
+  caughtUpTo_ = aRevision;
+  List({});
 }
 
 void
@@ -78,6 +99,7 @@
   std::string last;
   for (CatalogObject& object : aPage.objects) {
     last = object.name;
+    newestChange_ = std::max(newestChange_, object.revision);
     listing_.insert_or_assign(object.name, std::move(object));
   }
   if (aPage.hasMore && !last.empty()) {
@@ -122,7 +144,11 @@
     settings_.collection,
     revision_,
     kWatchWait,
-    [this](CatalogChanges aChanges) { OnChanges(std::move(aChanges)); });
+    [this, call = ++call_](CatalogChanges aChanges) {
+                   if (call == call_) {
+                     OnChanges(std::move(aChanges));
+                   }
+                 });
 }
 
 void
@@ -144,6 +170,7 @@
   bool isChanged = false;
   for (CatalogEvent& event : aChanges.events) {
     const std::string name = event.object.name;
+    newestChange_ = std::max(newestChange_, event.object.revision);
     const auto known = objects_.find(name);
     if (known != objects_.end() &&
         known->second.revision > event.object.revision) {
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -43,6 +43,15 @@
 
   void Start();
 
+  // Reads the collection again at once, for a peer knows a newer change; a watch
+  // that waits on a broken connection would bring it late. Does nothing when
+  // the newest change that was read is not older than aRevision, or for an
+  // aRevision that it was called for before.
+  void CatchUp(std::uint64_t aRevision);
+
+  // Revision of the newest change that was read.
+  std::uint64_t NewestChange() const { return newestChange_; }
+
   // True once the whole collection was read.
   bool IsComplete() const { return isComplete_; }
   bool IsReachable() const { return failures_ == 0; }
@@ -51,6 +60,7 @@
   Duration Age() const { return clock_.Now() - lastAnswer_; }
 
 private:
+  // A call's answer counts only as long as no newer call replaces it.
   void List(const std::string& aAfter);
   void OnPage(CatalogPage aPage);
   void CompleteList();
@@ -70,6 +80,9 @@
   Objects listing_;
   std::uint64_t listingRevision_ = 0;
   std::uint64_t revision_ = 0;
+  std::uint64_t newestChange_ = 0;
+  std::uint64_t caughtUpTo_ = 0;
+  std::uint64_t call_ = 0;
   bool isComplete_ = false;
   // Whether the catalog was away since the last complete list.
   bool wasAway_ = false;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -16,6 +16,10 @@
 // Backend servers are back this long after the catalog's return, if they live.
 constexpr milliseconds kReturnTime{ 2'000 };
 
+// The host's own watch usually brings a change that a peer knows within this
+// time.
+constexpr milliseconds kCatchUpTime{ 250 };
+
 // After the signal to stop, the balancer still sends connections for as long as
 // it takes it to miss two readiness checks, one a second.
 constexpr milliseconds kLeavingTime{ 2'600 };
@@ -39,6 +43,8 @@
   , directoryBuilder_(aCodec, clock_)
 {
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
+  catchUpTimer_.setSingleShot(true);
+  catchUpTimer_.callOnTimeout([this] { CatchUp(); });
 }
 
 Gateway::~Gateway()
@@ -64,6 +70,14 @@
   trafficThread_.Run([&] {
     traffic_ =
       TrafficRuntime::Create(settings_, dialect_, metrics_, clock_, aReason);
+    if (traffic_) {
+      traffic_->SetNewerVersionsHandler([this](const KnownVersions& aKnown) {
+        QMetaObject::invokeMethod(
+          &catchUpTimer_,
+          [this, aKnown] { OnNewerVersions(aKnown); },
+          Qt::QueuedConnection);
+      });
+    }
     frontPort_ = traffic_ ? traffic_->FrontPort() : std::uint16_t(0);
   });
   if (!traffic_) {
@@ -163,6 +177,7 @@
                { "routes", table->Routes().size() } });
     trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
   }
+  PublishKnownVersions();
   ReportReadiness();
 }
 
@@ -176,9 +191,44 @@
              { "catalog_revision", serverFollower_->Revision() },
              { "backend_servers", directory->Servers().size() } });
   trafficThread_.Post([this, directory] { traffic_->SetDirectory(directory); });
+  PublishKnownVersions();
   ReportReadiness();
 }
 
+void
+Gateway::PublishKnownVersions()
+{
+  trafficThread_.Post(
+    [this,
+     known = KnownVersions{ configurationFollower_->NewestChange(),
+                            serverFollower_->NewestChange() }] {
+      traffic_->SetKnownVersions(known);
+    });
+}
+
+void
+Gateway::OnNewerVersions(const KnownVersions& aKnown)
+{
+  heard_.configuration = std::max(heard_.configuration, aKnown.configuration);
+  heard_.directory = std::max(heard_.directory, aKnown.directory);
+  if (!catchUpTimer_.isActive()) {
+    // Backend servers are read a little later than they change.
+    const auto gather = std::chrono::duration_cast<milliseconds>(
+      settings_.drainTime / kGatherParts);
+    catchUpTimer_.start(
+      heard_.configuration > configurationFollower_->NewestChange()
+        ? kCatchUpTime
+        : kCatchUpTime + gather);
+  }
+}
+
+void
+Gateway::CatchUp()
+{
+  configurationFollower_->CatchUp(heard_.configuration);
+  serverFollower_->CatchUp(heard_.directory);
+}
+
 void
 Gateway::ReportReadiness()
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -46,6 +46,9 @@
   bool Start(std::string& aReason);
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
+  void PublishKnownVersions();
+  void OnNewerVersions(const KnownVersions& aKnown);
+  void CatchUp();
   void CheckStopped();
   void ReportReadiness();
   std::string FormatMetrics() const;
@@ -66,6 +69,9 @@
   std::shared_ptr<const RoutingTable> routing_;
   std::uint64_t rejectedRevision_ = 0;
   bool wasReady_ = false;
+  // What peers know beyond this host.
+  KnownVersions heard_;
+  QTimer catchUpTimer_;
 
   WorkerThread trafficThread_{ "traffic" };
   std::unique_ptr<TrafficRuntime> traffic_;
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -48,14 +48,11 @@
     Refuse(*aExchange, terms, kUnavailable, "no-configuration");
     return nullptr;
   }
-  const auto host = head.fields.Find("Host");
-  if (!host) {
+  if (!head.fields.Find("Host")) {
     Refuse(*aExchange, terms, kBadRequest, "no-host");
     return nullptr;
   }
-  const std::string_view path =
-    std::string_view(head.target).substr(0, head.target.find('?'));
-  const Route* route = context_.routing->Find(*host, path);
+  const Route* route = FindRoute(head);
   if (route == nullptr) {
     Refuse(*aExchange, terms, kNotFound, "no-route");
     return nullptr;
@@ -66,6 +63,24 @@
   return session;
 }
 
+bool
+GatewayService::MayRunAhead(const HttpRequestHead& aHead)
+{
+  const Route* route = FindRoute(aHead);
+  return route != nullptr && route->isIdempotent;
+}
+
+const Route*
+GatewayService::FindRoute(const HttpRequestHead& aHead) const
+{
+  if (context_.routing == nullptr) {
+    return nullptr;
+  }
+  const std::string_view path =
+    std::string_view(aHead.target).substr(0, aHead.target.find('?'));
+  return context_.routing->Find(aHead.fields.Find("Host").value_or(""), path);
+}
+
 void
 GatewayService::Refuse(HttpServerExchange& aExchange,
                        const CallerTerms& aTerms,
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -18,8 +18,11 @@
 
   std::shared_ptr<HttpRequestObserver> OnRequest(
     std::shared_ptr<HttpServerExchange> aExchange) override;
+  bool MayRunAhead(const HttpRequestHead& aHead) override;
 
 private:
+  // The route of a request, or null.
+  const Route* FindRoute(const HttpRequestHead& aHead) const;
   void Refuse(HttpServerExchange& aExchange,
               const CallerTerms& aTerms,
               int aStatus,
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -101,6 +101,19 @@
   service_->SetDirectory(std::move(aDirectory));
 }
 
+void
+TrafficRuntime::SetKnownVersions(const KnownVersions& aKnown)
+{
+  selection_->SetKnownVersions(aKnown);
+}
+
+void
+TrafficRuntime::SetNewerVersionsHandler(
+  SelectionService::VersionsHandler aHandler)
+{
+  selection_->SetNewerVersionsHandler(std::move(aHandler));
+}
+
 void
 TrafficRuntime::SetHosts(std::vector<PeerHost> aHosts)
 {
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -20,6 +20,9 @@
 
   void SetRouting(const std::shared_ptr<const RoutingTable>& aRouting);
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
+  void SetKnownVersions(const KnownVersions& aKnown);
+  // aHandler is called on the traffic thread.
+  void SetNewerVersionsHandler(SelectionService::VersionsHandler aHandler);
   void SetHosts(std::vector<PeerHost> aHosts);
 
   // Responses end their connections from now on.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -4,6 +4,12 @@
 
 namespace filbertbeam {
 
+bool
+HttpApplication::MayRunAhead(const HttpRequestHead&)
+{
+  return false;
+}
+
 std::unique_ptr<HttpServer>
 HttpServer::Create(const Endpoint& aEndpoint,
                    const HttpServerLimits& aLimits,
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -26,6 +26,8 @@
   std::size_t highWatermark = 256 * 1024;
   std::size_t lowWatermark = 64 * 1024;
   int connections = 4096;
+  // Requests of one connection that run at the same time.
+  std::size_t overlappingRequests = 8;
 };
 
 // Decides what answers a request.
@@ -39,6 +41,12 @@
   // during this call.
   virtual std::shared_ptr<HttpRequestObserver> OnRequest(
     std::shared_ptr<HttpServerExchange> aExchange) = 0;
+
+  // Whether a request that was sent before the response to the one before it
+  // may start now. Its response still waits for its turn. A caller sends such a
+  // request again when an earlier response ends the connection, so only
+  // requests that may run more than once should start early.
+  virtual bool MayRunAhead(const HttpRequestHead& aHead);
 };
 
 // An HTTP/1.1 server on the event loop of the thread that creates it.
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -99,7 +99,7 @@
     Close();
     return;
   }
-  if (exchange_ == nullptr) {
+  if (exchanges_.empty()) {
     if (isHeadStarted_) {
       if (aNow - headBegin_ >= limits_.headTimeout) {
         Refuse(408, "the request head did not arrive in time");
@@ -109,14 +109,15 @@
     }
     return;
   }
+  const TcpServerExchange::Progress& last = exchanges_.back()->State();
   // With a full read buffer, Qt does not watch the socket, and a caller that
   // went away would keep its request queued.
-  if (socket_->bytesAvailable() >= kReadBufferBytes && !isFinished_ &&
+  if (socket_->bytesAvailable() >= kReadBufferBytes && !last.isFinished &&
       HasPeerEnded(*socket_)) {
     Close();
     return;
   }
-  if (isRequestEnded_ || isBodyPaused_ || isFinished_) {
+  if (last.isRequestEnded || last.isBodyPaused || last.isFinished) {
     requestProgress_.Reset();
   } else if (!requestProgress_.Check(
                aNow, limits_.bodyGrace, limits_.bodyRate)) {
@@ -130,7 +131,7 @@
   isStopping_ = true;
   Process();
   // A request that is on its way in the socket is still answered.
-  if (phase_ == Phase::Open && exchange_ == nullptr && !isHeadStarted_ &&
+  if (phase_ == Phase::Open && exchanges_.empty() && !isHeadStarted_ &&
       ProbeSocket(*socket_) != SocketCondition::HasInput) {
     Close();
   }
@@ -169,22 +170,31 @@
   if (phase_ == Phase::Closed) {
     return false;
   }
-  if (exchange_ != nullptr &&
-      (isRequestEnded_ || isBodyPaused_ || isFinished_)) {
+  if (IsReadingHeld()) {
     return false;
   }
+  if (isHeadHeld_) {
+    isHeadHeld_ = false;
+    return HandleHead();
+  }
   std::size_t consumed = 0;
   const HttpParseStep step = parser_.Parse(Input(), consumed);
   switch (step) {
     case HttpParseStep::NeedMore:
       Consume(consumed);
-      if (exchange_ == nullptr && !isHeadStarted_ && !Input().empty()) {
+      if ((exchanges_.empty() || exchanges_.back()->State().isRequestEnded) &&
+          !isHeadStarted_ && !Input().empty()) {
         isHeadStarted_ = true;
         headBegin_ = Now();
       }
       return ReadMore();
     case HttpParseStep::Head:
       Consume(consumed);
+      if (!exchanges_.empty() && !application_.MayRunAhead(parser_.Head())) {
+        isHeadHeld_ = true;
+        isHeadStarted_ = false;
+        return false;
+      }
       return HandleHead();
     case HttpParseStep::Body:
       HandleBody();
@@ -201,30 +211,50 @@
   return false;
 }
 
+bool
+HttpServerConnection::IsReadingHeld() const
+{
+  if (exchanges_.empty()) {
+    return false;
+  }
+  const TcpServerExchange::Progress& last = exchanges_.back()->State();
+  if (!last.isRequestEnded) {
+    return last.isBodyPaused || last.isFinished;
+  }
+  // What follows a response that ends the connection is not read, and neither
+  // is what follows a request that asks for the end of the connection.
+  return isHeadHeld_ || isLastResponse_ || closesAfterResponse_ ||
+         isStopping_ || !last.keepsAlive ||
+         exchanges_.size() >= limits_.overlappingRequests;
+}
+
 bool
 HttpServerConnection::HandleHead()
 {
   isHeadStarted_ = false;
-  isRequestEnded_ = !HasBody(parser_.Head());
-  isBodyPaused_ = false;
-  isContinueDue_ = parser_.ExpectsContinue() && !isRequestEnded_;
-  isHeadSent_ = false;
-  isFinished_ = false;
-  isAboveHigh_ = false;
+  isAboveHigh_ = isAboveHigh_ && !exchanges_.empty();
   requestProgress_.Reset();
-  exchange_ = std::make_shared<TcpServerExchange>(
+  const auto exchange = std::make_shared<TcpServerExchange>(
     weak_from_this(), parser_.Head(), peer_);
-  auto observer = application_.OnRequest(exchange_);
-  if (exchange_ == nullptr) {
+  TcpServerExchange::Progress& state = exchange->State();
+  state.isRequestEnded = !HasBody(parser_.Head());
+  state.isContinueDue = parser_.ExpectsContinue() && !state.isRequestEnded;
+  state.keepsAlive = parser_.KeepAlive();
+  if (state.isRequestEnded) {
+    parser_.Reset();
+  }
+  exchanges_.push_back(exchange);
+  auto observer = application_.OnRequest(exchange);
+  if (exchanges_.empty() || exchanges_.back() != exchange) {
     return true;
   }
-  observer_ = std::move(observer);
-  if (isRequestEnded_ && observer_ != nullptr && !isFinished_ &&
+  state.observer = std::move(observer);
+  if (state.isRequestEnded && state.observer != nullptr && !state.isFinished &&
       phase_ == Phase::Open) {
-    const auto current = observer_;
+    const auto current = state.observer;
     current->OnRequestEnd();
   }
-  SendContinueIfDue();
+  SendContinueIfDue(*exchange);
   return true;
 }
 
@@ -232,7 +262,10 @@
 HttpServerConnection::HandleBody()
 {
   requestProgress_.AddBytes(parser_.Body().size());
-  if (const auto observer = observer_) {
+  if (exchanges_.empty()) {
+    return;
+  }
+  if (const auto observer = exchanges_.back()->State().observer) {
     observer->OnRequestBody(parser_.Body());
   }
 }
@@ -240,8 +273,13 @@
 void
 HttpServerConnection::HandleEnd()
 {
-  isRequestEnded_ = true;
-  if (const auto observer = observer_) {
+  if (exchanges_.empty()) {
+    return;
+  }
+  TcpServerExchange::Progress& state = exchanges_.back()->State();
+  state.isRequestEnded = true;
+  parser_.Reset();
+  if (const auto observer = state.observer) {
     observer->OnRequestEnd();
   }
 }
@@ -286,124 +324,158 @@
 }
 
 void
-HttpServerConnection::PauseRequestBody()
+HttpServerConnection::PauseRequestBody(TcpServerExchange& aExchange)
 {
-  isBodyPaused_ = true;
+  aExchange.State().isBodyPaused = true;
 }
 
 void
-HttpServerConnection::ResumeRequestBody()
+HttpServerConnection::ResumeRequestBody(TcpServerExchange& aExchange)
 {
-  if (!isBodyPaused_) {
+  if (!std::exchange(aExchange.State().isBodyPaused, false)) {
     return;
   }
-  isBodyPaused_ = false;
-  SendContinueIfDue();
+  SendContinueIfDue(aExchange);
   // Queued, so that body events do not come during a call of the application.
   QMetaObject::invokeMethod(
     &context_, [this] { Process(); }, Qt::QueuedConnection);
 }
 
 void
-HttpServerConnection::SendContinueIfDue()
+HttpServerConnection::SendContinueIfDue(TcpServerExchange& aExchange)
 {
-  if (!isContinueDue_ || isBodyPaused_ || isHeadSent_ ||
+  TcpServerExchange::Progress& state = aExchange.State();
+  if (!state.isContinueDue || state.isBodyPaused || state.isHeadSent ||
       phase_ != Phase::Open) {
     return;
   }
-  isContinueDue_ = false;
-  Write(kContinue);
+  state.isContinueDue = false;
+  Write(aExchange, kContinue);
 }
 
 void
-HttpServerConnection::SendHead(const HttpResponseHead& aHead)
+HttpServerConnection::SendHead(TcpServerExchange& aExchange,
+                               const HttpResponseHead& aHead)
 {
-  if (phase_ != Phase::Open || exchange_ == nullptr || isHeadSent_) {
+  TcpServerExchange::Progress& state = aExchange.State();
+  if (phase_ != Phase::Open || state.isHeadSent) {
     return;
   }
   // An interim response would be taken for the whole response here.
   if (aHead.status < 200) {
-    Abort();
+    Abort(aExchange);
     return;
   }
-  // Without its whole body read, the next request cannot be found.
-  keepsAlive_ = parser_.KeepAlive() && !isStopping_ && !closesAfterResponse_ &&
-                isRequestEnded_;
-  const bool isHeadRequest = exchange_->Request().method == "HEAD";
+  // Requests that run already are answered before the connection ends. Without
+  // its whole body read, the next request cannot be found.
+  const bool isLast = exchanges_.back().get() == &aExchange;
+  const bool endsConnection =
+    !state.keepsAlive || !state.isRequestEnded ||
+    (isLast && (isStopping_ || closesAfterResponse_));
+  state.keepsAlive = !endsConnection;
+  isLastResponse_ = isLastResponse_ || endsConnection;
+  const bool isHeadRequest = aExchange.Request().method == "HEAD";
   std::string reason;
   const auto head =
-    WriteResponseHead(aHead, { keepsAlive_, isHeadRequest }, reason);
+    WriteResponseHead(aHead, { state.keepsAlive, isHeadRequest }, reason);
   if (!head) {
-    Abort();
+    Abort(aExchange);
     return;
   }
-  isHeadSent_ = true;
-  isBodiless_ = IsBodilessResponse(aHead.status, isHeadRequest);
-  framing_ = aHead.framing == BodyFraming::UntilClose ? BodyFraming::Chunked
-                                                      : aHead.framing;
-  bodyBytesLeft_ = framing_ == BodyFraming::Length ? aHead.contentLength : 0;
-  Write(*head);
+  state.isHeadSent = true;
+  state.isBodiless = IsBodilessResponse(aHead.status, isHeadRequest);
+  state.framing = aHead.framing == BodyFraming::UntilClose
+                    ? BodyFraming::Chunked
+                    : aHead.framing;
+  state.bodyBytesLeft =
+    state.framing == BodyFraming::Length ? aHead.contentLength : 0;
+  Write(aExchange, *head);
 }
 
 void
-HttpServerConnection::SendBody(ByteView aBytes)
+HttpServerConnection::SendBody(TcpServerExchange& aExchange, ByteView aBytes)
 {
-  if (phase_ != Phase::Open || !isHeadSent_ || isFinished_ || isBodiless_ ||
-      aBytes.empty()) {
+  TcpServerExchange::Progress& state = aExchange.State();
+  if (phase_ != Phase::Open || !state.isHeadSent || state.isFinished ||
+      state.isBodiless || aBytes.empty()) {
     return;
   }
   const std::string_view bytes(aBytes.data(), aBytes.size());
-  if (framing_ == BodyFraming::Chunked) {
-    Write(WriteChunkBegin(bytes.size()));
-    Write(bytes);
-    Write(kChunkEnd);
+  if (state.framing == BodyFraming::Chunked) {
+    Write(aExchange, WriteChunkBegin(bytes.size()));
+    Write(aExchange, bytes);
+    Write(aExchange, kChunkEnd);
     return;
   }
-  if (bytes.size() > bodyBytesLeft_) {
-    Abort();
+  if (bytes.size() > state.bodyBytesLeft) {
+    Abort(aExchange);
     return;
   }
-  bodyBytesLeft_ -= bytes.size();
-  Write(bytes);
+  state.bodyBytesLeft -= bytes.size();
+  Write(aExchange, bytes);
 }
 
 void
-HttpServerConnection::Finish()
+HttpServerConnection::Finish(TcpServerExchange& aExchange)
 {
-  if (phase_ != Phase::Open || exchange_ == nullptr || isFinished_) {
+  TcpServerExchange::Progress& state = aExchange.State();
+  if (phase_ != Phase::Open || state.isFinished) {
     return;
   }
-  if (!isHeadSent_ || (!isBodiless_ && bodyBytesLeft_ > 0)) {
-    Abort();
+  if (!state.isHeadSent || (!state.isBodiless && state.bodyBytesLeft > 0)) {
+    Abort(aExchange);
     return;
   }
-  if (!isBodiless_ && framing_ == BodyFraming::Chunked) {
-    Write(kLastChunk);
+  if (!state.isBodiless && state.framing == BodyFraming::Chunked) {
+    Write(aExchange, kLastChunk);
   }
-  isFinished_ = true;
-  if (socket_->bytesToWrite() == 0) {
+  state.isFinished = true;
+  if (IsFront(aExchange) && socket_->bytesToWrite() == 0) {
     QMetaObject::invokeMethod(
       &context_, [this] { CompleteIfWritten(); }, Qt::QueuedConnection);
   }
 }
 
 void
-HttpServerConnection::Abort()
+HttpServerConnection::Abort(TcpServerExchange&)
 {
-  if (phase_ != Phase::Open || exchange_ == nullptr) {
+  if (phase_ != Phase::Open) {
     return;
   }
   Close();
 }
 
+bool
+HttpServerConnection::IsFront(const TcpServerExchange& aExchange) const
+{
+  return !exchanges_.empty() && exchanges_.front().get() == &aExchange;
+}
+
 std::size_t
 HttpServerConnection::UnsentBytes() const
 {
   return static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
+std::size_t
+HttpServerConnection::UnsentBytes(const TcpServerExchange& aExchange) const
+{
+  return IsFront(aExchange) ? UnsentBytes() : aExchange.State().waiting.size();
+}
+
 void
-HttpServerConnection::Write(std::string_view aBytes)
+HttpServerConnection::Write(TcpServerExchange& aExchange,
+                            std::string_view aBytes)
+{
+  if (!IsFront(aExchange)) {
+    aExchange.State().waiting += aBytes;
+    return;
+  }
+  WriteToSocket(aBytes);
+}
+
+void
+HttpServerConnection::WriteToSocket(std::string_view aBytes)
 {
   socket_->write(aBytes.data(), static_cast<qint64>(aBytes.size()));
   isAboveHigh_ = isAboveHigh_ || UnsentBytes() >= limits_.highWatermark;
@@ -418,16 +490,16 @@
     BeginLingerIfWritten();
     return;
   }
-  if (phase_ != Phase::Open) {
+  if (phase_ != Phase::Open || exchanges_.empty()) {
     return;
   }
-  if (isFinished_) {
+  if (exchanges_.front()->State().isFinished) {
     CompleteIfWritten();
     return;
   }
   if (isAboveHigh_ && UnsentBytes() <= limits_.lowWatermark) {
     isAboveHigh_ = false;
-    if (const auto observer = observer_) {
+    if (const auto observer = exchanges_.front()->State().observer) {
       observer->OnResponseWritable();
     }
   }
@@ -436,8 +508,8 @@
 void
 HttpServerConnection::CompleteIfWritten()
 {
-  if (phase_ == Phase::Open && exchange_ != nullptr && isFinished_ &&
-      socket_->bytesToWrite() == 0) {
+  if (phase_ == Phase::Open && !exchanges_.empty() &&
+      exchanges_.front()->State().isFinished && socket_->bytesToWrite() == 0) {
     CompleteExchange();
   }
 }
@@ -446,20 +518,30 @@
 HttpServerConnection::CompleteExchange()
 {
   const auto self = shared_from_this();
-  exchange_->Detach();
-  exchange_.reset();
-  const auto observer = std::exchange(observer_, nullptr);
-  if (keepsAlive_ && isRequestEnded_) {
-    parser_.Reset();
+  const auto exchange = exchanges_.front();
+  const TcpServerExchange::Progress& state = exchange->State();
+  const auto observer = std::exchange(exchange->State().observer, nullptr);
+  exchange->Detach();
+  exchanges_.pop_front();
+  if (state.keepsAlive && state.isRequestEnded) {
     idleSince_ = Now();
+    if (isHeadStarted_) {
+      // The rest of the head may not have been read for the exchanges before.
+      headBegin_ = idleSince_;
+    }
   } else {
     phase_ = Phase::Closing;
+    NotifyExchangesClosed();
     BeginLingerIfWritten();
   }
   if (observer != nullptr) {
     observer->OnRequestClosed(true);
   }
-  if (phase_ == Phase::Open && isStopping_ && Input().empty() &&
+  if (phase_ == Phase::Open && !exchanges_.empty()) {
+    BeginNextResponse();
+  }
+  if (phase_ == Phase::Open && isStopping_ && exchanges_.empty() &&
+      !isHeadHeld_ && Input().empty() &&
       ProbeSocket(*socket_) != SocketCondition::HasInput) {
     Close();
     return;
@@ -467,20 +549,51 @@
   Process();
 }
 
+void
+HttpServerConnection::BeginNextResponse()
+{
+  TcpServerExchange::Progress& state = exchanges_.front()->State();
+  const std::string waiting = std::exchange(state.waiting, {});
+  if (!waiting.empty()) {
+    WriteToSocket(waiting);
+  }
+  if (state.isFinished && socket_->bytesToWrite() == 0) {
+    QMetaObject::invokeMethod(
+      &context_, [this] { CompleteIfWritten(); }, Qt::QueuedConnection);
+  }
+}
+
+void
+HttpServerConnection::NotifyExchangesClosed()
+{
+  for (const auto& exchange : std::exchange(exchanges_, {})) {
+    exchange->Detach();
+    if (const auto observer =
+          std::exchange(exchange->State().observer, nullptr)) {
+      observer->OnRequestClosed(false);
+    }
+  }
+}
+
 void
 HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
 {
   const auto self = shared_from_this();
-  const bool wasSeen = exchange_ != nullptr;
-  if (wasSeen && isHeadSent_) {
+  // The response belongs to the request that is arriving; while others before
+  // it are not answered, it would be taken for one of theirs.
+  const bool isArriving =
+    !exchanges_.empty() && !exchanges_.back()->State().isRequestEnded;
+  const std::size_t before = exchanges_.size() - (isArriving ? 1 : 0);
+  if (before > 0 || (isArriving && exchanges_.back()->State().isHeadSent)) {
     Close();
     return;
   }
-  const bool isHeadRequest = wasSeen && exchange_->Request().method == "HEAD";
+  const bool isHeadRequest =
+    isArriving && exchanges_.back()->Request().method == "HEAD";
   ProblemDetails problem;
   problem.status = aStatus;
   problem.detail = aReason;
-  problem.outcome = wasSeen ? "unknown" : "not-run";
+  problem.outcome = isArriving ? "unknown" : "not-run";
   HttpResponseHead head = ProblemHead(problem);
   problem.title = head.reason;
   const std::string body = ProblemBody(problem);
@@ -490,16 +603,10 @@
   const auto bytes = WriteResponseHead(head, { false, isHeadRequest }, reason);
   phase_ = Phase::Closing;
   lingerUntil_ = Now() + kLingerTime;
-  if (wasSeen) {
-    exchange_->Detach();
-    exchange_.reset();
-    if (const auto observer = std::exchange(observer_, nullptr)) {
-      observer->OnRequestClosed(false);
-    }
-  }
-  Write(*bytes);
+  NotifyExchangesClosed();
+  WriteToSocket(*bytes);
   if (!isHeadRequest) {
-    Write(body);
+    WriteToSocket(body);
   }
   DiscardInput();
 }
@@ -535,8 +642,8 @@
   phase_ = Phase::Closed;
   socket_->disconnect(&context_);
   socket_->abort();
-  if (exchange_ != nullptr) {
-    exchange_->Detach();
+  for (const auto& exchange : exchanges_) {
+    exchange->Detach();
   }
 }
 
@@ -546,10 +653,7 @@
   if (std::exchange(isClosedNotified_, true)) {
     return;
   }
-  exchange_.reset();
-  if (const auto observer = std::exchange(observer_, nullptr)) {
-    observer->OnRequestClosed(false);
-  }
+  NotifyExchangesClosed();
   if (const auto onClosed = std::exchange(onClosed_, nullptr)) {
     onClosed(*this);
   }
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -8,14 +8,16 @@
 #include <QObject>
 #include <QTcpSocket>
 
+#include <deque>
 #include <functional>
 
 namespace filbertbeam {
 
 class TcpServerExchange;
 
-// One connection of a caller: reads requests one after another, runs one
-// exchange at a time and writes its response.
+// One connection of a caller: reads requests one after another and writes their
+// responses in the same order. Requests that the application allows run ahead
+// of the responses before theirs.
 class HttpServerConnection final
   : public std::enable_shared_from_this<HttpServerConnection>
 {
@@ -43,16 +45,16 @@
   void StopAfterExchange();
   // Closes at once.
   void Shutdown();
-  bool HasExchange() const { return exchange_ != nullptr; }
-
-  // The calls of the exchange.
-  void PauseRequestBody();
-  void ResumeRequestBody();
-  void SendHead(const HttpResponseHead& aHead);
-  void SendBody(ByteView aBytes);
-  void Finish();
-  void Abort();
-  std::size_t UnsentBytes() const;
+  bool HasExchange() const { return !exchanges_.empty(); }
+
+  // The calls of the exchanges.
+  void PauseRequestBody(TcpServerExchange& aExchange);
+  void ResumeRequestBody(TcpServerExchange& aExchange);
+  void SendHead(TcpServerExchange& aExchange, const HttpResponseHead& aHead);
+  void SendBody(TcpServerExchange& aExchange, ByteView aBytes);
+  void Finish(TcpServerExchange& aExchange);
+  void Abort(TcpServerExchange& aExchange);
+  std::size_t UnsentBytes(const TcpServerExchange& aExchange) const;
 
 private:
   enum class Phase
@@ -69,6 +71,8 @@
 
   void Process();
   bool Step();
+  // True while the next request has to wait for the exchanges before it.
+  bool IsReadingHeld() const;
   bool HandleHead();
   void HandleBody();
   void HandleEnd();
@@ -77,13 +81,18 @@
   void Consume(std::size_t aBytes);
   void DiscardInput();
 
-  void Write(std::string_view aBytes);
+  bool IsFront(const TcpServerExchange& aExchange) const;
+  std::size_t UnsentBytes() const;
+  void Write(TcpServerExchange& aExchange, std::string_view aBytes);
+  void WriteToSocket(std::string_view aBytes);
   void OnBytesWritten(qint64 aBytes);
   void CompleteIfWritten();
   void CompleteExchange();
+  void BeginNextResponse();
   // Answers bad input with a problem response and closes.
   void Refuse(int aStatus, std::string_view aReason);
-  void SendContinueIfDue();
+  void SendContinueIfDue(TcpServerExchange& aExchange);
+  void NotifyExchangesClosed();
   void BeginLingerIfWritten();
   void Close();
   void CloseSocket();
@@ -114,18 +123,14 @@
   Instant lingerUntil_;
   std::size_t lingerBytes_ = 0;
 
-  std::shared_ptr<TcpServerExchange> exchange_;
-  std::shared_ptr<HttpRequestObserver> observer_;
-  bool isRequestEnded_ = false;
-  bool isBodyPaused_ = false;
-  bool isContinueDue_ = false;
-  bool isHeadSent_ = false;
-  bool isFinished_ = false;
-  bool isBodiless_ = false;
-  bool keepsAlive_ = true;
+  // In the order of their requests; the response of the first is being sent,
+  // and the request of the last may still be arriving.
+  std::deque<std::shared_ptr<TcpServerExchange>> exchanges_;
+  // The next request's head has arrived and waits for the exchanges before it.
+  bool isHeadHeld_ = false;
+  // A response that ends the connection is being sent.
+  bool isLastResponse_ = false;
   bool isAboveHigh_ = false;
-  BodyFraming framing_ = BodyFraming::None;
-  std::uint64_t bodyBytesLeft_ = 0;
   ProgressWindow requestProgress_;
   ProgressWindow responseProgress_;
 };
--- a/src/http/TcpServerExchange.cpp
+++ b/src/http/TcpServerExchange.cpp
@@ -18,7 +18,7 @@
 TcpServerExchange::PauseRequestBody()
 {
   if (const auto connection = connection_.lock()) {
-    connection->PauseRequestBody();
+    connection->PauseRequestBody(*this);
   }
 }
 
@@ -26,7 +26,7 @@
 TcpServerExchange::ResumeRequestBody()
 {
   if (const auto connection = connection_.lock()) {
-    connection->ResumeRequestBody();
+    connection->ResumeRequestBody(*this);
   }
 }
 
@@ -34,7 +34,7 @@
 TcpServerExchange::SendHead(const HttpResponseHead& aHead)
 {
   if (const auto connection = connection_.lock()) {
-    connection->SendHead(aHead);
+    connection->SendHead(*this, aHead);
   }
 }
 
@@ -42,7 +42,7 @@
 TcpServerExchange::SendBody(ByteView aBytes)
 {
   if (const auto connection = connection_.lock()) {
-    connection->SendBody(aBytes);
+    connection->SendBody(*this, aBytes);
   }
 }
 
@@ -50,7 +50,7 @@
 TcpServerExchange::Finish()
 {
   if (const auto connection = connection_.lock()) {
-    connection->Finish();
+    connection->Finish(*this);
   }
 }
 
@@ -58,7 +58,7 @@
 TcpServerExchange::Abort()
 {
   if (const auto connection = connection_.lock()) {
-    connection->Abort();
+    connection->Abort(*this);
   }
 }
 
@@ -66,7 +66,7 @@
 TcpServerExchange::UnsentBytes() const
 {
   const auto connection = connection_.lock();
-  return connection ? connection->UnsentBytes() : 0;
+  return connection ? connection->UnsentBytes(*this) : 0;
 }
 
 } // namespace filbertbeam
--- a/src/http/TcpServerExchange.h
+++ b/src/http/TcpServerExchange.h
@@ -6,8 +6,8 @@
 
 class HttpServerConnection;
 
-// The exchange that runs on a connection. Once it is closed, its calls have no
-// effect.
+// One exchange of a connection, with what the connection keeps about it. Once it
+// is closed, its calls have no effect.
 class TcpServerExchange final : public HttpServerExchange
 {
 public:
@@ -28,10 +28,31 @@
   // Separates the exchange from its connection.
   void Detach() { connection_.reset(); }
 
+  // The connection's side of the exchange.
+  struct Progress
+  {
+    std::shared_ptr<HttpRequestObserver> observer;
+    bool isRequestEnded = false;
+    bool isBodyPaused = false;
+    bool isContinueDue = false;
+    bool isHeadSent = false;
+    bool isFinished = false;
+    bool isBodiless = false;
+    // What the request says; then, whether the connection stays open.
+    bool keepsAlive = true;
+    BodyFraming framing = BodyFraming::None;
+    std::uint64_t bodyBytesLeft = 0;
+    // Response bytes that wait for the responses before it.
+    std::string waiting;
+  };
+  Progress& State() { return progress_; }
+  const Progress& State() const { return progress_; }
+
 private:
   std::weak_ptr<HttpServerConnection> connection_;
   HttpRequestHead request_;
   Endpoint peer_;
+  Progress progress_;
 };
 
 } // namespace filbertbeam
