--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -32,6 +32,15 @@
 constexpr milliseconds kRotationTime{ 1'000 };
 // Requests from other domains keep up the rotation only after this.
 constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
+// A server that had episodes before loses a request that cannot be repeated in
+// each further one. While few requests fail, it waits this much longer for each
+// remembered episode.
+constexpr double kRotationPerEpisode = 1.0;
+constexpr double kMaxRotationFactor = 4.0;
+constexpr double kFewFailing = 0.06;
+constexpr milliseconds kFailingMemory{ 1'000 }; // half-life
+// So that a few requests alone do not count as a large share.
+constexpr double kFailingBase = 4;
 constexpr double kRotationCost = -10'000;
 constexpr double kMaxSickForRotation = 0.4;
 constexpr double kMaxSickForIdempotentRotation = 0.7;
@@ -76,6 +85,15 @@
   return aRequest.service + '/' + aRequest.route;
 }
 
+// What it says about a server that it has not answered for aAge.
+double
+AgeEvidence(const LatencyModel& aModel, Duration aAge)
+{
+  return std::clamp(std::log(kSickHolds / aModel.Survival(aAge)),
+                    0.0,
+                    kMaxAttemptEvidence);
+}
+
 // Early enough that a second attempt still meets the objective, but not before
 // most healthy servers would have answered.
 Duration
@@ -115,6 +133,7 @@
       server = {};
       server.startedAt = record.startedAt;
     }
+    server.slots = record.slots;
   }
 }
 
@@ -166,7 +185,10 @@
                        Instant aNow)
 {
   const std::string latencyClass = LatencyClass(aRequest);
-  ModelOf(latencyClass, aRequest.latencyObjective);
+  const LatencyModel& model = ModelOf(latencyClass, aRequest.latencyObjective);
+  ServerState& server = servers_[aServer];
+  const auto queued = std::max<std::int64_t>(
+    static_cast<std::int64_t>(server.pending.size()) - server.slots + 1, 0);
   const std::uint64_t ticket = ++nextTicket_;
   tickets_.emplace(ticket,
                    PendingAttempt{ aRequest.service,
@@ -174,8 +196,8 @@
                                    aRequest.host,
                                    latencyClass,
                                    aNow,
+                                   aNow + model.Mean() * queued / server.slots,
                                    aNow + aRequest.remaining + kReportGrace });
-  ServerState& server = servers_[aServer];
   server.pending.push_back(ticket);
   server.chosenAt = aNow;
   return ticket;
@@ -203,12 +225,31 @@
                                Instant aNow)
 {
   const bool isNear = aRecord.domain == aRequest.domain;
+  ServiceState& service = ServiceOf(aRequest.service);
+  const double patience =
+    aRequest.isIdempotent || FailingShare(service, aNow) > kFewFailing
+      ? 1.0
+      : std::min(1.0 + kRotationPerEpisode *
+                         aServer.health.RememberedEpisodes(aNow),
+                 kMaxRotationFactor);
   const double limit =
     aRequest.isIdempotent ? kMaxSickForIdempotentRotation : kMaxSickForRotation;
   return aRequest.purpose == AttemptPurpose::First && aSick < limit &&
          (isNear || !aRequest.hasLargeResponses) &&
-         aNow - aServer.chosenAt >
-           (isNear ? kRotationTime : kOtherDomainRotationTime);
+         Milliseconds(aNow - aServer.chosenAt) >
+           (isNear ? kRotationTime : kOtherDomainRotationTime) * patience;
+}
+
+double
+BackendSelector::FailingShare(ServiceState& aService, Instant aNow)
+{
+  const double factor = std::exp2(-Milliseconds(aNow - aService.fadedAt) /
+                                  Milliseconds(kFailingMemory));
+  aService.succeeded *= factor;
+  aService.failed *= factor;
+  aService.fadedAt = aNow;
+  return aService.failed /
+         (aService.succeeded + aService.failed + kFailingBase);
 }
 
 double
@@ -258,7 +299,8 @@
       aRequest.avoided.end()) {
     cost += objective * kAvoidedObjectives;
   }
-  if (busy < slots && IsRotationDue(aRequest, aRecord, aServer, sick, aNow)) {
+  if (busy < slots &&
+      IsRotationDue(aRequest, aRecord, aServer, sick, aNow)) {
     cost += kRotationCost;
   }
   return cost + kJitter * random_.Uniform();
@@ -277,10 +319,7 @@
     if (model == models_.end()) {
       continue;
     }
-    const double survival =
-      model->second.Survival(aNow - attempt->second.sentAt);
-    evidence +=
-      std::clamp(std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+    evidence += AgeEvidence(model->second, aNow - attempt->second.startAt);
   }
   return std::min(evidence, kMaxPendingEvidence);
 }
@@ -305,7 +344,15 @@
   if (aResult == AttemptResult::Unused || model == models_.end()) {
     return;
   }
-  const Duration latency = aNow - attempt.sentAt;
+  ServiceState& service = ServiceOf(attempt.service);
+  FailingShare(service, aNow);
+  if (aResult == AttemptResult::Answered) {
+    service.succeeded += 1;
+  } else if (aResult != AttemptResult::Abandoned) {
+    service.failed += 1;
+  }
+  // Without the time that it waited behind others.
+  const Duration latency = std::max(aNow - attempt.startAt, Duration::zero());
   const double survival = model->second.Survival(latency);
   if (aResult == AttemptResult::Answered) {
     // A very late response is a sign of a slow server rather than a good one.
@@ -324,8 +371,7 @@
   double evidence = LogLikelihoodOf(aResult);
   if (aResult == AttemptResult::Abandoned ||
       aResult == AttemptResult::NoResponse) {
-    const double age =
-      std::clamp(std::log(kSickHolds / survival), 0.0, kMaxAttemptEvidence);
+    const double age = AgeEvidence(model->second, latency);
     evidence = aResult == AttemptResult::Abandoned ? age * kAbandonedWeight
                                                    : std::max(evidence, age);
   }
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -50,6 +50,8 @@
     std::string host;
     std::string latencyClass;
     Instant sentAt;
+    // When the server can have begun with it, after those before it.
+    Instant startAt;
     Instant dropAt;
   };
 
@@ -59,6 +61,7 @@
     ServerHealth health;
     // Tickets of the attempts under way.
     std::vector<std::uint64_t> pending;
+    int slots = 1;
     // Ratio of its latencies to those of its service.
     double slowness = 1;
     Instant chosenAt;
@@ -76,10 +79,16 @@
     {
     }
     RepeatBudget budget;
+    // Attempts that ended lately, fading, by whether they failed.
+    double succeeded = 0;
+    double failed = 0;
+    Instant fadedAt;
   };
 
   LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
   ServiceState& ServiceOf(const std::string& aService);
+  // Share of the service's requests that are failing now, from 0 to 1.
+  static double FailingShare(ServiceState& aService, Instant aNow);
   // Log likelihood of the ages of the attempts under way at aServer.
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
   double ExpectedCost(const SelectionRequest& aRequest,
@@ -89,11 +98,11 @@
                       Instant aNow);
   // Share of the budget that the attempt must leave.
   double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
-  static bool IsRotationDue(const SelectionRequest& aRequest,
-                            const BackendServerRecord& aRecord,
-                            const ServerState& aServer,
-                            double aSick,
-                            Instant aNow);
+  bool IsRotationDue(const SelectionRequest& aRequest,
+                     const BackendServerRecord& aRecord,
+                     const ServerState& aServer,
+                     double aSick,
+                     Instant aNow);
   static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
 
   RepeatBudgetLimits budgetLimits_;
--- a/src/balancing/ServerHealth.cpp
+++ b/src/balancing/ServerHealth.cpp
@@ -70,11 +70,17 @@
   }
   isInEpisode_ = true;
   suspectedAt_ = aNow;
-  episodes_ = episodes_ * HalfLife(aNow - episodesAt_, kEpisodeMemory) + 1;
+  episodes_ = RememberedEpisodes(aNow) + 1;
   episodesAt_ = aNow;
   return true;
 }
 
+double
+ServerHealth::RememberedEpisodes(Instant aNow) const
+{
+  return episodes_ * HalfLife(aNow - episodesAt_, kEpisodeMemory);
+}
+
 double
 ServerHealth::Evidence(Instant aNow) const
 {
@@ -86,9 +92,8 @@
 double
 ServerHealth::Prior(Instant aNow) const
 {
-  const double episodes =
-    episodes_ * HalfLife(aNow - episodesAt_, kEpisodeMemory);
-  return kPrior + std::min(episodes * kPerEpisode, kMaxHistory);
+  return kPrior +
+         std::min(RememberedEpisodes(aNow) * kPerEpisode, kMaxHistory);
 }
 
 double
--- a/src/balancing/ServerHealth.h
+++ b/src/balancing/ServerHealth.h
@@ -24,7 +24,8 @@
   // Counts an episode when the belief has become strong since the last one.
   // Returns true when it did.
   bool UpdateEpisode(double aPending, Instant aNow);
-  bool IsInEpisode() const { return isInEpisode_; }
+  // Episodes, less those that fade from memory.
+  double RememberedEpisodes(Instant aNow) const;
 
 private:
   double Evidence(Instant aNow) const;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -10,9 +10,10 @@
 
 using std::chrono::milliseconds;
 
-// A quarter of the time that a leaving backend server grants: a series of
-// changes costs few calls, and there is time left for a slow answer.
-constexpr int kGatherParts = 5;
+// The part of the time that a leaving backend server grants in which changes are
+// gathered: a series of changes then costs few calls, and there is time left
+// for a slow answer.
+constexpr int kGatherParts = 2;
 // Backend servers are back this long after the catalog's return, if they live.
 constexpr milliseconds kReturnTime{ 2'000 };
 
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -18,10 +18,10 @@
 
 // Of the repeats that all hosts may spend together: the owner of a service
 // takes most of them; the rest is for hosts that cannot reach it.
-constexpr double kOwnerRatioShare = 0.75;
-constexpr double kOwnerBurstShare = 0.5;
+constexpr double kOwnerRatioShare = 0.9;
+constexpr double kOwnerBurstShare = 0.7;
 constexpr double kOwnRatioShare = 0.5;
-constexpr double kOwnBurst = 0.5;
+constexpr double kOwnBurst = 0.3;
 
 SelectionServiceSettings
 SelectionSettings(const GatewaySettings& aSettings)
