--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -48,6 +48,10 @@
 constexpr double kBusyLatencies = 0.12;
 // Servers that are slower than this, by mean latencies, are chosen less.
 constexpr double kTolerableSlowness = 1.25;
+// Cost of a queue, in mean latencies, before and for each slot's worth of
+// requests: what waits there is lost when the server turns sick.
+constexpr double kQueueBase = 0.4;
+constexpr double kQueueFactor = 1.6;
 // Cost of a server whose slots are all but one in use, in mean latencies:
 // servers slow down when they are nearly full.
 constexpr double kNearlyFull = 0.12;
@@ -281,7 +285,8 @@
     sick * objective *
     (aRequest.isIdempotent ? kIdempotentFailureObjectives : kFailureObjectives);
   if (busy >= slots) {
-    cost += mean * aServer.slowness * (busy - slots + 1) / slots;
+    cost += mean * aServer.slowness *
+            (kQueueBase + kQueueFactor * (busy - slots + 1) / slots);
   }
   if (busy + 1 >= slots) {
     cost += mean * kNearlyFull;
