--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -93,9 +93,8 @@
 double
 AgeEvidence(const LatencyModel& aModel, Duration aAge)
 {
-  return std::clamp(std::log(kSickHolds / aModel.Survival(aAge)),
-                    0.0,
-                    kMaxAttemptEvidence);
+  return std::clamp(
+    std::log(kSickHolds / aModel.Survival(aAge)), 0.0, kMaxAttemptEvidence);
 }
 
 // Early enough that a second attempt still meets the objective, but not before
@@ -304,8 +303,7 @@
       aRequest.avoided.end()) {
     cost += objective * kAvoidedObjectives;
   }
-  if (busy < slots &&
-      IsRotationDue(aRequest, aRecord, aServer, sick, aNow)) {
+  if (busy < slots && IsRotationDue(aRequest, aRecord, aServer, sick, aNow)) {
     cost += kRotationCost;
   }
   return cost + kJitter * random_.Uniform();
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -200,11 +200,10 @@
 SelectionService::OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk)
 {
   OnHeard(aAsk.request.host, aSender);
-  socket_->Send(aSender,
-                EncodeSelectionMessage(SelectionAnswer{
-                  aAsk.call,
-                  owned_.Select(aAsk.request, clock_.Now()),
-                  known_ }));
+  socket_->Send(
+    aSender,
+    EncodeSelectionMessage(SelectionAnswer{
+      aAsk.call, owned_.Select(aAsk.request, clock_.Now()), known_ }));
   OnVersions(aAsk.known);
 }
 
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -69,8 +69,8 @@
 
   // Tells hosts that are new to this one that it is there.
   void SetHosts(std::vector<PeerHost> aHosts);
-  // Sent along with every message, so that a host whose own watch of the catalog
-  // is broken learns that it is behind.
+  // Sent along with every message, so that a host whose own watch of the
+  // catalog is broken learns that it is behind.
   void SetKnownVersions(const KnownVersions& aKnown) { known_ = aKnown; }
   using VersionsHandler = std::function<void(const KnownVersions&)>;
   // Called when a peer knows a newer version than this host.
--- a/src/balancing/ServerHealth.cpp
+++ b/src/balancing/ServerHealth.cpp
@@ -92,8 +92,7 @@
 double
 ServerHealth::Prior(Instant aNow) const
 {
-  return kPrior +
-         std::min(RememberedEpisodes(aNow) * kPerEpisode, kMaxHistory);
+  return kPrior + std::min(RememberedEpisodes(aNow) * kPerEpisode, kMaxHistory);
 }
 
 double
--- /dev/null
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -0,0 +1,183 @@
+#include "balancing/SelectionService.h"
+#include "base/SeededRandom.h"
+#include "base/SystemClock.h"
+#include "http/tests/support/EventLoop.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+
+struct Host
+{
+  explicit Host(const std::string& aName)
+    : name(aName)
+  {
+    SelectionServiceSettings settings;
+    settings.host = aName;
+    settings.domain = "piarco";
+    settings.listen = { kLoopback, 0 };
+    settings.ownerBudget = { 0.2, 10, 10s };
+    settings.ownBudget = { 0.1, 1, 10s };
+    std::string reason;
+    service = SelectionService::Create(settings, clock, random, reason);
+    BOOST_TEST_REQUIRE(service != nullptr, reason);
+    BackendServerRecord record;
+    record.id = "server";
+    record.service = "permits";
+    record.domain = "piarco";
+    service->SetDirectory(std::make_shared<BackendDirectory>(
+      1, std::vector<BackendServerRecord>{ record }));
+  }
+
+  PeerHost Address() const { return { name, service->LocalEndpoint() }; }
+
+  SelectionOutcome Select()
+  {
+    std::optional<SelectionOutcome> outcome;
+    SelectionRequest request;
+    request.service = "permits";
+    request.route = "approve";
+    request.latencyObjective = 1s;
+    request.remaining = 2s;
+    service->Select(
+      request, [&](const SelectionOutcome& aOutcome) { outcome = aOutcome; });
+    BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }));
+    return *outcome;
+  }
+
+  std::string name;
+  SystemClock clock;
+  SeededRandom random{ 1 };
+  std::unique_ptr<SelectionService> service;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SharedSelection)
+
+BOOST_AUTO_TEST_CASE(AHostAloneOwnsEveryService)
+{
+  Host host("one");
+  const SelectionOutcome outcome = host.Select();
+  BOOST_TEST(outcome.source == "self");
+  BOOST_TEST(outcome.result.selection->backendServer == "server");
+}
+
+BOOST_AUTO_TEST_CASE(HostsAgreeOnTheOwner)
+{
+  Host one("one");
+  Host two("two");
+  const std::vector<PeerHost> hosts{ one.Address(), two.Address() };
+  one.service->SetHosts(hosts);
+  two.service->SetHosts(hosts);
+  const std::string_view first = one.Select().source;
+  const std::string_view second = two.Select().source;
+  BOOST_TEST((first == "owner") != (second == "owner"));
+  BOOST_TEST((first == "self") != (second == "self"));
+}
+
+// Guards against requests that wait for an owner that died.
+BOOST_AUTO_TEST_CASE(AnOwnerThatDoesNotAnswerIsPassedOver)
+{
+  Host one("one");
+  Host two("two");
+  const bool isOwnerOne = [&] {
+    one.service->SetHosts({ one.Address(), two.Address() });
+    return one.Select().source == "self";
+  }();
+  Host& asker = isOwnerOne ? two : one;
+  Host& owner = isOwnerOne ? one : two;
+  asker.service->SetHosts({ one.Address(), two.Address() });
+  const PeerHost address = owner.Address();
+  BOOST_TEST(asker.Select().source == "owner");
+  owner.service.reset();
+  const auto begin = std::chrono::steady_clock::now();
+  BOOST_TEST(asker.Select().source == "alone");
+  BOOST_TEST(asker.Select().source == "alone");
+  BOOST_TEST((std::chrono::steady_clock::now() - begin < 1s));
+  // After two missed answers the next host is the owner: the asker itself.
+  BOOST_TEST(asker.Select().source == "self");
+}
+
+// Guards against hosts whose own watch of the catalog is broken.
+BOOST_AUTO_TEST_CASE(AHostLearnsThatAPeerKnowsANewerVersion)
+{
+  Host one("one");
+  Host two("two");
+  const std::vector<PeerHost> hosts{ one.Address(), two.Address() };
+  one.service->SetHosts(hosts);
+  two.service->SetHosts(hosts);
+  std::uint64_t heard = 0;
+  one.service->SetKnownVersions({ 5, 5 });
+  two.service->SetKnownVersions({ 7, 5 });
+  const auto handler = [&](const KnownVersions& aKnown) {
+    heard = aKnown.configuration;
+  };
+  one.service->SetNewerVersionsHandler(handler);
+  two.service->SetNewerVersionsHandler([](const KnownVersions&) {
+    BOOST_ERROR("the newer host heard of something newer");
+  });
+  one.Select();
+  two.Select();
+  BOOST_TEST(WaitUntil([&] { return heard == 7; }));
+}
+
+// Guards against a host that joins later and stays unknown to the others.
+BOOST_AUTO_TEST_CASE(AHostMakesItselfKnownToThoseThatItFinds)
+{
+  Host old("old");
+  Host fresh("fresh");
+  fresh.service->SetHosts({ old.Address() });
+  BOOST_TEST(WaitUntil([&] {
+    return (old.Select().source == "owner") !=
+           (fresh.Select().source == "owner");
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE(Messages)
+
+BOOST_AUTO_TEST_CASE(AreReadAsTheyWereWritten)
+{
+  SelectionAsk ask;
+  ask.call = 9;
+  ask.request.service = "permits";
+  ask.request.route = "approve";
+  ask.request.purpose = AttemptPurpose::Hedge;
+  ask.request.isIdempotent = true;
+  ask.request.remaining = 250ms;
+  ask.request.excluded = { "a", "b" };
+  ask.known = { 3, 4 };
+  const auto message = DecodeSelectionMessage(EncodeSelectionMessage(ask));
+  BOOST_TEST_REQUIRE(message.has_value());
+  const auto& read = std::get<SelectionAsk>(*message);
+  BOOST_TEST(read.call == 9U);
+  BOOST_TEST(read.request.route == "approve");
+  BOOST_TEST((read.request.purpose == AttemptPurpose::Hedge));
+  BOOST_TEST((read.request.remaining == Duration(250ms)));
+  BOOST_TEST(read.request.excluded.size() == 2U);
+  BOOST_TEST(read.known.directory == 4U);
+}
+
+// Guards against datagrams of strangers, and of other versions.
+BOOST_AUTO_TEST_CASE(ThatAreNoneAreRefused)
+{
+  const std::string whole =
+    EncodeSelectionMessage(SelectionReport{ 4, AttemptResult::Broken });
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    BOOST_TEST(!DecodeSelectionMessage(ByteView(whole).first(size)));
+  }
+  BOOST_TEST(!DecodeSelectionMessage(std::string_view(whole + "x")));
+  BOOST_TEST(!DecodeSelectionMessage(std::string_view("\x84\x02\x03\x04\x05")));
+  BOOST_TEST(
+    !DecodeSelectionMessage(std::string_view("\x84\x01\x03\x04\x18\x63")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -60,13 +60,12 @@
     listingRevision_ = 0;
   }
   callTimer_.stop();
-  catalog_.List(settings_.collection,
-                aAfter,
-                [this, call = ++call_](CatalogPage aPage) {
-                  if (call == call_) {
-                    OnPage(std::move(aPage));
-                  }
-                });
+  catalog_.List(
+    settings_.collection, aAfter, [this, call = ++call_](CatalogPage aPage) {
+      if (call == call_) {
+        OnPage(std::move(aPage));
+      }
+    });
 }
 
 void
@@ -140,11 +139,10 @@
 void
 CatalogFollower::Watch()
 {
-  catalog_.Watch(
-    settings_.collection,
-    revision_,
-    kWatchWait,
-    [this, call = ++call_](CatalogChanges aChanges) {
+  catalog_.Watch(settings_.collection,
+                 revision_,
+                 kWatchWait,
+                 [this, call = ++call_](CatalogChanges aChanges) {
                    if (call == call_) {
                      OnChanges(std::move(aChanges));
                    }
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -43,9 +43,9 @@
 
   void Start();
 
-  // Reads the collection again at once, for a peer knows a newer change; a watch
-  // that waits on a broken connection would bring it late. Does nothing when
-  // the newest change that was read is not older than aRevision, or for an
+  // Reads the collection again at once, for a peer knows a newer change; a
+  // watch that waits on a broken connection would bring it late. Does nothing
+  // when the newest change that was read is not older than aRevision, or for an
   // aRevision that it was called for before.
   void CatchUp(std::uint64_t aRevision);
 
--- /dev/null
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -0,0 +1,229 @@
+#include "base/SeededRandom.h"
+#include "base/SystemClock.h"
+#include "catalog/CatalogFollower.h"
+#include "http/tests/support/EventLoop.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+CatalogObject
+Object(std::string aName, std::uint64_t aRevision)
+{
+  CatalogObject object;
+  object.name = std::move(aName);
+  object.revision = aRevision;
+  return object;
+}
+
+CatalogPage
+Page(std::vector<CatalogObject> aObjects, std::uint64_t aRevision)
+{
+  CatalogPage page;
+  page.objects = std::move(aObjects);
+  page.revision = aRevision;
+  return page;
+}
+
+CatalogChanges
+Changes(std::vector<CatalogEvent> aEvents, std::uint64_t aRevision)
+{
+  CatalogChanges changes;
+  changes.events = std::move(aEvents);
+  changes.revision = aRevision;
+  return changes;
+}
+
+template<typename Answer>
+Answer
+Failure(CatalogError aError)
+{
+  Answer answer;
+  answer.failure = { aError, "played by the test" };
+  return answer;
+}
+
+// Calls wait until the test answers them.
+class FakeCatalog final : public ObjectCatalog
+{
+public:
+  void List(Collection,
+            std::string_view aAfter,
+            PageCallback aCallback) override
+  {
+    after = aAfter;
+    lists.push_back(std::move(aCallback));
+  }
+  void Watch(Collection,
+             std::uint64_t aRevision,
+             std::chrono::milliseconds,
+             ChangesCallback aCallback) override
+  {
+    watched = aRevision;
+    watches.push_back(std::move(aCallback));
+  }
+  void Put(Collection,
+           std::string_view,
+           const QJsonObject&,
+           WriteCallback) override
+  {
+  }
+  void Remove(Collection, std::string_view, WriteCallback) override {}
+
+  void AnswerList(CatalogPage aPage)
+  {
+    BOOST_TEST_REQUIRE(WaitUntil([&] { return !lists.empty(); }));
+    const PageCallback callback = std::move(lists.front());
+    lists.pop_front();
+    callback(std::move(aPage));
+  }
+  void AnswerWatch(CatalogChanges aChanges)
+  {
+    BOOST_TEST_REQUIRE(WaitUntil([&] { return !watches.empty(); }));
+    const ChangesCallback callback = std::move(watches.front());
+    watches.pop_front();
+    callback(std::move(aChanges));
+  }
+
+  std::deque<PageCallback> lists;
+  std::deque<ChangesCallback> watches;
+  std::string after;
+  std::uint64_t watched = 0;
+};
+
+struct FollowerFixture
+{
+  explicit FollowerFixture(std::chrono::milliseconds aReturnTime = 200ms)
+    : follower(catalog,
+               { Collection::BackendServers, "test", 0ms, aReturnTime },
+               clock,
+               random,
+               [this](const CatalogFollower::Objects& aObjects) {
+                 names.clear();
+                 for (const auto& [name, object] : aObjects) {
+                   names += name + " ";
+                 }
+               })
+  {
+    follower.Start();
+  }
+
+  SystemClock clock;
+  SeededRandom random{ 1 };
+  FakeCatalog catalog;
+  std::string names;
+  CatalogFollower follower;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FollowingACatalog, FollowerFixture)
+
+BOOST_AUTO_TEST_CASE(ListsAllPagesAndThenWatches)
+{
+  BOOST_TEST(!follower.IsComplete());
+  CatalogPage first = Page({ Object("a", 3), Object("b", 4) }, 10);
+  first.hasMore = true;
+  catalog.AnswerList(first);
+  BOOST_TEST(!follower.IsComplete());
+  BOOST_TEST(catalog.after == "b");
+  catalog.AnswerList(Page({ Object("c", 5) }, 12));
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(names == "a b c ");
+  // From the first page, so that nothing between the pages is missed.
+  BOOST_TEST(catalog.watched == 10U);
+  catalog.AnswerWatch(
+    Changes({ { Object("d", 13), false }, { Object("a", 14), true } }, 14));
+  BOOST_TEST(names == "b c d ");
+  BOOST_TEST(WaitUntil([&] { return catalog.watched == 14; }));
+}
+
+// Guards against an older form of an object that replaces a newer one.
+BOOST_AUTO_TEST_CASE(IgnoresEventsThatAreOlderThanWhatItKnows)
+{
+  catalog.AnswerList(Page({ Object("a", 9) }, 9));
+  catalog.AnswerWatch(Changes({ { Object("a", 5), true } }, 9));
+  BOOST_TEST(names == "a ");
+}
+
+BOOST_AUTO_TEST_SUITE(WhileTheCatalogFails)
+
+BOOST_AUTO_TEST_CASE(KeepsWhatItHasAndTriesAgain)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  BOOST_TEST(!follower.IsReachable());
+  BOOST_TEST(names == "a ");
+  catalog.AnswerWatch(Changes({ { Object("b", 4), false } }, 4));
+  BOOST_TEST(follower.IsReachable());
+  BOOST_TEST(names == "a b ");
+}
+
+BOOST_AUTO_TEST_CASE(ListsAgainWhenTheHistoryIsGone)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
+  catalog.AnswerList(Failure<CatalogPage>(CatalogError::Unavailable));
+  catalog.AnswerList(Page({ Object("b", 8) }, 9));
+  BOOST_TEST(names.find("b ") != std::string::npos);
+  BOOST_TEST(catalog.watched == 9U);
+}
+
+// Guards against servers that are taken as gone although only the catalog was
+// away: their entries lapse meanwhile and come back.
+BOOST_AUTO_TEST_CASE(KeepsEntriesThatLapsedUntilTheyHadTimeToReturn)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  catalog.AnswerWatch(
+    Changes({ { Object("a", 5), true }, { Object("b", 6), true } }, 6));
+  BOOST_TEST(names == "a b ");
+  catalog.AnswerWatch(Changes({ { Object("a", 7), false } }, 7));
+  BOOST_TEST(WaitUntil([&] { return names == "a "; }));
+}
+
+// Guards against a leaving server that is kept in calm times.
+BOOST_AUTO_TEST_CASE(DropsEntriesAtOnceOtherwise)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  catalog.AnswerWatch(Changes({ { Object("a", 5), true } }, 5));
+  BOOST_TEST(names == "b ");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAPeerKnowsMore)
+
+// Guards against a watch on a connection that is broken without notice.
+BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.CatchUp(8);
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 8) }, 8));
+  BOOST_TEST(names == "a b ");
+  BOOST_TEST(follower.NewestChange() == 8U);
+  // The answer of the old watch counts no longer.
+  catalog.AnswerWatch(Changes({ { Object("b", 9), true } }, 9));
+  BOOST_TEST(names == "a b ");
+}
+
+// Guards against a list for every message of a peer.
+BOOST_AUTO_TEST_CASE(ListsOnceForEachRevision)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.CatchUp(3);
+  BOOST_TEST(catalog.lists.empty());
+  follower.CatchUp(8);
+  follower.CatchUp(8);
+  BOOST_TEST(catalog.lists.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -10,9 +10,9 @@
 
 using std::chrono::milliseconds;
 
-// The part of the time that a leaving backend server grants in which changes are
-// gathered: a series of changes then costs few calls, and there is time left
-// for a slow answer.
+// The part of the time that a leaving backend server grants in which changes
+// are gathered: a series of changes then costs few calls, and there is time
+// left for a slow answer.
 constexpr int kGatherParts = 2;
 // Backend servers are back this long after the catalog's return, if they live.
 constexpr milliseconds kReturnTime{ 2'000 };
@@ -216,10 +216,10 @@
     // Backend servers are read a little later than they change.
     const auto gather = std::chrono::duration_cast<milliseconds>(
       settings_.drainTime / kGatherParts);
-    catchUpTimer_.start(
-      heard_.configuration > configurationFollower_->NewestChange()
-        ? kCatchUpTime
-        : kCatchUpTime + gather);
+    catchUpTimer_.start(heard_.configuration >
+                            configurationFollower_->NewestChange()
+                          ? kCatchUpTime
+                          : kCatchUpTime + gather);
   }
 }
 
--- /dev/null
+++ b/src/gateway/tests/GatewayFixture.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "base/SeededRandom.h"
+#include "base/SystemClock.h"
+#include "gateway/GatewayService.h"
+#include "http/tests/support/EventLoop.h"
+#include "http/tests/support/FakeHttp.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertbeam::testing {
+
+// Header fields of the tests' own.
+class TestDialect final : public ExchangeDialect
+{
+public:
+  CallerTerms ReadCaller(const HttpRequestHead& aHead) const override
+  {
+    CallerTerms terms;
+    terms.requestId = aHead.fields.Find("Id").value_or("");
+    if (const auto patience = aHead.fields.Find("Patience")) {
+      terms.patience =
+        std::chrono::milliseconds(std::atoi(std::string(*patience).c_str()));
+    }
+    return terms;
+  }
+  void WriteAttempt(HttpRequestHead& aHead,
+                    std::string_view aServer,
+                    Duration aRemaining) const override
+  {
+    aHead.fields.Set("Server-Id", aServer);
+    aHead.fields.Set(
+      "Patience",
+      std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining)
+          .count()));
+  }
+  ReplyTerms ReadReply(const HttpResponseHead& aHead) const override
+  {
+    ReplyTerms terms;
+    terms.requestId = aHead.fields.Find("Id").value_or("");
+    terms.isNotExecuted = aHead.fields.Find("Not-Run").has_value();
+    terms.isSigned = aHead.fields.Find("Proof").has_value();
+    return terms;
+  }
+  void WriteOwnResponse(HttpResponseHead& aHead,
+                        std::string_view aRequestId) const override
+  {
+    aHead.fields.Set("Id", aRequestId);
+  }
+};
+
+// A host that owns every service, before fake backend servers; the test plays
+// the callers and the servers.
+struct GatewayFixture
+{
+  GatewayFixture()
+  {
+    SelectionServiceSettings settings;
+    settings.host = "host";
+    settings.domain = "piarco";
+    settings.listen = { "127.0.0.1", 0 };
+    settings.ownerBudget = { 0.2, 20, std::chrono::seconds(10) };
+    std::string reason;
+    selection = SelectionService::Create(settings, clock, random, reason);
+    BOOST_TEST_REQUIRE(selection != nullptr, reason);
+    service = std::make_unique<GatewayService>(
+      GatewayContext{ client,
+                      *selection,
+                      dialect,
+                      metrics,
+                      clock,
+                      WeightedSplit(random),
+                      {},
+                      nullptr,
+                      std::make_shared<BackendDirectory>(
+                        0, std::vector<BackendServerRecord>()) });
+  }
+
+  static Route MakeRoute(std::string aPrefix, bool aIsIdempotent)
+  {
+    Route route;
+    route.name = aPrefix;
+    route.host = "h";
+    route.pathPrefix = std::move(aPrefix);
+    route.isIdempotent = aIsIdempotent;
+    route.timeout = std::chrono::milliseconds(2'000);
+    route.latencyObjective = std::chrono::milliseconds(400);
+    route.maxAttempts = 2;
+    route.targets = { { "permits", 1 } };
+    return route;
+  }
+
+  void SetRoutes(std::uint64_t aVersion, std::vector<Route> aRoutes)
+  {
+    std::string reason;
+    const auto table =
+      RoutingTable::Create(aVersion, std::move(aRoutes), {}, reason);
+    BOOST_TEST_REQUIRE(table != nullptr, reason);
+    service->SetRouting(table);
+  }
+
+  void SetServers(int aCount, int aDraining = 0)
+  {
+    std::vector<BackendServerRecord> records;
+    for (int i = 0; i < aCount; ++i) {
+      BackendServerRecord record;
+      record.id = "server-" + std::to_string(i);
+      record.service = "permits";
+      record.domain = "piarco";
+      record.address = { "127.0.0.1", static_cast<std::uint16_t>(9000 + i) };
+      record.slots = 4;
+      record.isDraining = i < aDraining;
+      records.push_back(record);
+    }
+    service->SetDirectory(std::make_shared<BackendDirectory>(1, records));
+  }
+
+  // Two routes, "/safe/" and "/once/", before three servers.
+  void SetUsual()
+  {
+    SetRoutes(1, { MakeRoute("/safe/", true), MakeRoute("/once/", false) });
+    SetServers(3);
+  }
+
+  std::shared_ptr<FakeServerExchange> Request(const std::string& aTarget,
+                                              int aPatience = 2'000,
+                                              const std::string& aBody = "")
+  {
+    HttpRequestHead head;
+    head.method = aBody.empty() ? "GET" : "POST";
+    head.target = aTarget;
+    head.fields.Add("Host", "h");
+    head.fields.Add("Id", "request-1");
+    head.fields.Add("Patience", std::to_string(aPatience));
+    auto exchange = std::make_shared<FakeServerExchange>(head);
+    observer = service->OnRequest(exchange);
+    if (observer) {
+      if (!aBody.empty()) {
+        observer->OnRequestBody(aBody);
+      }
+      observer->OnRequestEnd();
+    }
+    return exchange;
+  }
+
+  static HttpResponseHead Reply(int aStatus, bool aIsSigned = true)
+  {
+    HttpResponseHead head;
+    head.status = aStatus;
+    head.fields.Add("Id", "request-1");
+    if (aIsSigned) {
+      head.fields.Add("Proof", "x");
+    }
+    return head;
+  }
+
+  static HttpResponseHead NotRun()
+  {
+    HttpResponseHead head = Reply(503, false);
+    head.fields.Add("Not-Run", "1");
+    return head;
+  }
+
+  SystemClock clock;
+  SeededRandom random{ 5 };
+  FakeHttpClient client;
+  TestDialect dialect;
+  GatewayMetrics metrics;
+  std::unique_ptr<SelectionService> selection;
+  std::unique_ptr<GatewayService> service;
+  std::shared_ptr<HttpRequestObserver> observer;
+};
+
+} // namespace filbertbeam::testing
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -369,9 +369,8 @@
   // Requests that run already are answered before the connection ends. Without
   // its whole body read, the next request cannot be found.
   const bool isLast = exchanges_.back().get() == &aExchange;
-  const bool endsConnection =
-    !state.keepsAlive || !state.isRequestEnded ||
-    (isLast && (isStopping_ || closesAfterResponse_));
+  const bool endsConnection = !state.keepsAlive || !state.isRequestEnded ||
+                              (isLast && (isStopping_ || closesAfterResponse_));
   state.keepsAlive = !endsConnection;
   isLastResponse_ = isLastResponse_ || endsConnection;
   const bool isHeadRequest = aExchange.Request().method == "HEAD";
--- a/src/http/TcpServerExchange.h
+++ b/src/http/TcpServerExchange.h
@@ -6,8 +6,8 @@
 
 class HttpServerConnection;
 
-// One exchange of a connection, with what the connection keeps about it. Once it
-// is closed, its calls have no effect.
+// One exchange of a connection, with what the connection keeps about it. Once
+// it is closed, its calls have no effect.
 class TcpServerExchange final : public HttpServerExchange
 {
 public:
--- /dev/null
+++ b/src/http/tests/TestHttpPipelining.cpp
@@ -0,0 +1,152 @@
+#include "http/tests/support/EventLoop.h"
+#include "http/tests/support/RawPeers.h"
+#include "http/tests/support/RecordingApplication.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+std::string
+Get(std::string_view aTarget, std::string_view aFields = "")
+{
+  return "GET " + std::string(aTarget) + " HTTP/1.1\r\nHost: h\r\n" +
+         std::string(aFields) + "\r\n";
+}
+
+// Requests wait until the test answers them.
+struct PipelineFixture : ServerFixture
+{
+  PipelineFixture()
+    : caller(server->Port())
+  {
+    application.onEnd = {};
+  }
+
+  bool WaitForRequests(std::size_t aCount)
+  {
+    return WaitUntil([&] { return application.sessions.size() == aCount; });
+  }
+  RecordingSession& Session(std::size_t aIndex)
+  {
+    return *application.sessions[aIndex];
+  }
+
+  RawConnection caller;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http)
+
+BOOST_FIXTURE_TEST_SUITE(RequestsSentAhead, PipelineFixture)
+
+// Guards against responses that leave in the order in which they are ready.
+BOOST_AUTO_TEST_CASE(RunAtOnceAndAreAnsweredInOrder)
+{
+  caller.Send(Get("/ahead/1") + Get("/ahead/2") + Get("/ahead/3"));
+  BOOST_TEST_REQUIRE(WaitForRequests(3));
+  Session(2).Answer("third");
+  Session(1).Answer("second");
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(caller.received.empty());
+  Session(0).Answer("first");
+  BOOST_TEST(WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 3; }));
+  const auto first = caller.received.find("first");
+  const auto second = caller.received.find("second");
+  const auto third = caller.received.find("third");
+  BOOST_TEST(first < second);
+  BOOST_TEST(second < third);
+  BOOST_TEST(WaitUntil([&] { return Session(2).closes == 1; }));
+  BOOST_TEST(Session(2).isComplete);
+}
+
+// Guards against a request that must not run twice and runs before it is known
+// whether its caller has to send it again.
+BOOST_AUTO_TEST_CASE(WaitForTheirTurnUnlessTheyMayRunAhead)
+{
+  caller.Send(Get("/ahead/1") + Get("/once") + Get("/ahead/2"));
+  BOOST_TEST_REQUIRE(WaitForRequests(1));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(application.sessions.size() == 1U);
+  Session(0).Answer("first");
+  BOOST_TEST_REQUIRE(WaitForRequests(3));
+  Session(2).Answer("third");
+  Session(1).Answer("second");
+  BOOST_TEST(WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 3; }));
+}
+
+// Guards against requests of one caller that take all memory.
+BOOST_AUTO_TEST_CASE(AreBoundedInNumber)
+{
+  const std::size_t most = HttpServerLimits{}.overlappingRequests;
+  std::string requests;
+  for (std::size_t i = 0; i < most + 5; ++i) {
+    requests += Get("/ahead");
+  }
+  caller.Send(requests);
+  BOOST_TEST_REQUIRE(WaitForRequests(most));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(application.sessions.size() == most);
+  Session(0).Answer("x");
+  BOOST_TEST(WaitForRequests(most + 1));
+}
+
+// Guards against requests that run already and are cut by the end of an earlier
+// response's connection.
+BOOST_AUTO_TEST_CASE(AreAnsweredBeforeAStopEndsTheConnection)
+{
+  caller.Send(Get("/ahead/1") + Get("/ahead/2"));
+  BOOST_TEST_REQUIRE(WaitForRequests(2));
+  server->CloseAfterResponses();
+  caller.Send(Get("/ahead/3"));
+  Session(0).Answer("first");
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(caller.Count("Connection: close") == 0);
+  Session(1).Answer("second");
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(caller.Count("HTTP/1.1 200") == 2);
+  BOOST_TEST(caller.Count("Connection: close") == 1);
+  BOOST_TEST(application.sessions.size() == 2U);
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_AUTO_TEST_CASE(EndTogetherWhenTheCallerLeaves)
+{
+  caller.Send(Get("/ahead/1") + Get("/ahead/2"));
+  BOOST_TEST_REQUIRE(WaitForRequests(2));
+  caller.Socket().abort();
+  BOOST_TEST(WaitUntil(
+    [&] { return Session(0).closes == 1 && Session(1).closes == 1; }));
+  BOOST_TEST(!Session(0).isComplete);
+  BOOST_TEST(!Session(1).isComplete);
+}
+
+// Guards against a refusal that is taken for the response of another request.
+BOOST_AUTO_TEST_CASE(AreNotAnsweredByTheRefusalOfALaterOne)
+{
+  caller.Send(Get("/ahead/1") + "no request\r\n\r\n");
+  BOOST_TEST_REQUIRE(WaitForRequests(1));
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(caller.Count("HTTP/1.1 400") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against connections that a stopping host never gets rid of.
+BOOST_FIXTURE_TEST_CASE(AStoppingServerStillTakesNewConnections,
+                        PipelineFixture)
+{
+  server->CloseAfterResponses();
+  RawConnection late(server->Port());
+  late.Send(Get("/late"));
+  BOOST_TEST_REQUIRE(WaitForRequests(1));
+  Session(0).Answer("served");
+  BOOST_TEST(WaitUntil([&] { return late.isClosed; }));
+  BOOST_TEST(late.Count("Connection: close") == 1);
+  BOOST_TEST(late.Count("served") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/http/tests/support/RecordingApplication.h
+++ b/src/http/tests/support/RecordingApplication.h
@@ -84,6 +84,11 @@
     return session;
   }
 
+  bool MayRunAhead(const HttpRequestHead& aHead) override
+  {
+    return aHead.target.starts_with("/ahead");
+  }
+
   std::function<void(RecordingSession&)> onRequest;
   std::function<void(RecordingSession&)> onEnd =
     [](RecordingSession& aSession) {
--- a/src/routing/WeightedSplit.cpp
+++ b/src/routing/WeightedSplit.cpp
@@ -1,5 +1,7 @@
 #include "routing/WeightedSplit.h"
 
+#include <cmath>
+
 namespace filbertbeam {
 
 namespace {
@@ -7,6 +9,10 @@
 // Progress of routes that are gone is dropped above this number.
 constexpr std::size_t kMaxRememberedRoutes = 32'768;
 
+// The golden ratio's fraction: any run of positions this far apart is spread
+// evenly, whatever its length.
+constexpr double kStep = 0.618033988749895;
+
 } // namespace
 
 WeightedSplit::WeightedSplit(Random& aRandom)
@@ -28,28 +34,25 @@
     sum += target.weight;
   }
   Progress& progress = routes_[aRoute.host + aRoute.pathPrefix];
-  if (progress.version != aVersion ||
-      progress.credits.size() != aRoute.targets.size()) {
-    progress.version = aVersion;
-    progress.credits.clear();
-    // Hosts start at different places of the cycle. Otherwise many hosts with
-    // few requests each would all send their first to the same service.
-    for (const RouteTarget& target : aRoute.targets) {
-      progress.credits.push_back(random_.Uniform() * sum -
-                                 (sum - target.weight) / 2);
-    }
+  if (progress.version != aVersion) {
+    // Hosts begin at different places, so that many hosts with few requests
+    // each keep the weights together.
+    progress = { aVersion, random_.Uniform() };
   }
-  std::size_t best = aRoute.targets.size();
-  for (std::size_t i = 0; i < aRoute.targets.size(); ++i) {
-    progress.credits[i] += aRoute.targets[i].weight;
-    if (aRoute.targets[i].weight > 0 &&
-        (best == aRoute.targets.size() ||
-         progress.credits[i] > progress.credits[best])) {
-      best = i;
+  double left = progress.position * sum;
+  progress.position = std::fmod(progress.position + kStep, 1.0);
+  const RouteTarget* chosen = nullptr;
+  for (const RouteTarget& target : aRoute.targets) {
+    if (target.weight <= 0) {
+      continue;
+    }
+    chosen = &target;
+    if (left < target.weight) {
+      break;
     }
+    left -= target.weight;
   }
-  progress.credits[best] -= sum;
-  return aRoute.targets[best].service;
+  return chosen->service;
 }
 
 } // namespace filbertbeam
--- a/src/routing/WeightedSplit.h
+++ b/src/routing/WeightedSplit.h
@@ -5,7 +5,6 @@
 
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace filbertbeam {
 
@@ -24,8 +23,9 @@
   struct Progress
   {
     std::uint64_t version = 0;
-    // Credit of each target; the one with most credit is next.
-    std::vector<double> credits;
+    // Where the next request falls on the targets' weights, laid side by side
+    // and scaled to 1.
+    double position = 0;
   };
 
   Random& random_;
