--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -122,6 +122,15 @@
 {
 }
 
+void
+BackendSelector::SetBudget(const RepeatBudgetLimits& aBudget)
+{
+  budgetLimits_ = aBudget;
+  for (auto& [name, service] : services_) {
+    service.budget.SetLimits(aBudget);
+  }
+}
+
 void
 BackendSelector::SetDirectory(
   std::shared_ptr<const BackendDirectory> aDirectory)
@@ -263,16 +272,16 @@
                               Instant aNow)
 {
   const double pendingEvidence = PendingEvidence(aServer, aNow);
+  const double sick = aServer.health.SickProbability(pendingEvidence, aNow);
   if (aServer.health.UpdateEpisode(pendingEvidence, aNow)) {
-    LogEvent(
-      LogLevel::Info,
-      "backend_server_suspected",
-      { { "server", aRecord.id },
-        { "service", aRecord.service },
-        { "pending", aServer.pending.size() },
-        { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) } });
+    LogEvent(LogLevel::Info,
+             "backend_server_suspected",
+             { { "server", aRecord.id },
+               { "service", aRecord.service },
+               { "pending", aServer.pending.size() },
+               { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) },
+               { "probability", fmt::format("{:.2f}", sick) } });
   }
-  const double sick = aServer.health.SickProbability(pendingEvidence, aNow);
   const double objective = Milliseconds(aRequest.latencyObjective).count();
   const double mean = Milliseconds(aModel.Mean()).count();
   const double slots = std::max(aRecord.slots, 1);
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -24,6 +24,7 @@
 public:
   BackendSelector(const RepeatBudgetLimits& aBudget, Random& aRandom);
 
+  void SetBudget(const RepeatBudgetLimits& aBudget);
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
 
   SelectionResult Select(const SelectionRequest& aRequest, Instant aNow);
--- a/src/balancing/RepeatBudget.h
+++ b/src/balancing/RepeatBudget.h
@@ -23,6 +23,8 @@
 public:
   explicit RepeatBudget(const RepeatBudgetLimits& aLimits);
 
+  // What was spent under the former limits counts.
+  void SetLimits(const RepeatBudgetLimits& aLimits) { limits_ = aLimits; }
   void OnRequest(Instant aNow);
   // Takes one repeat; false when none is left above aReserve, a share from 0 to
   // 1 of what a window allows.
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -83,6 +83,14 @@
   own_.SetDirectory(aDirectory);
 }
 
+void
+SelectionService::SetBudgets(const RepeatBudgetLimits& aOwnerBudget,
+                             const RepeatBudgetLimits& aOwnBudget)
+{
+  owned_.SetBudget(aOwnerBudget);
+  own_.SetBudget(aOwnBudget);
+}
+
 const PeerHost*
 SelectionService::OwnerOf(const std::string& aService)
 {
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -69,6 +69,8 @@
 
   // Tells hosts that are new to this one that it is there.
   void SetHosts(std::vector<PeerHost> aHosts);
+  void SetBudgets(const RepeatBudgetLimits& aOwnerBudget,
+                  const RepeatBudgetLimits& aOwnBudget);
   // Sent along with every message, so that a host whose own watch of the
   // catalog is broken learns that it is behind.
   void SetKnownVersions(const KnownVersions& aKnown) { known_ = aKnown; }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -244,6 +244,22 @@
              { "version", routing_ ? routing_->Version() : 0 } });
 }
 
+void
+Gateway::ApplySettings(const GatewaySettings& aSettings)
+{
+  GatewaySettings applied = settings_;
+  applied.stopTime = aSettings.stopTime;
+  applied.repeatRatio = aSettings.repeatRatio;
+  applied.repeatBurst = aSettings.repeatBurst;
+  applied.repeatWindow = aSettings.repeatWindow;
+  LogEvent(LogLevel::Info,
+           "settings_applied",
+           { { "changed", applied != settings_ },
+             { "needs_restart", applied != aSettings } });
+  settings_ = applied;
+  trafficThread_.Post([this, applied] { traffic_->SetRepeatLimits(applied); });
+}
+
 void
 Gateway::Stop(std::function<void()> aStopped)
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -31,6 +31,9 @@
   // Knows its configuration and the backend servers, and is not stopping.
   bool IsReady() const;
 
+  // Times and limits take force at once; other changes at the next start.
+  void ApplySettings(const GatewaySettings& aSettings);
+
   // Takes no new callers, finishes what runs and then calls aStopped.
   void Stop(std::function<void()> aStopped);
 
@@ -53,7 +56,7 @@
   void ReportReadiness();
   std::string FormatMetrics() const;
 
-  const GatewaySettings settings_;
+  GatewaySettings settings_;
   ObjectCatalog& catalog_;
   const CatalogCodec& codec_;
   const ExchangeDialect& dialect_;
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -233,7 +233,6 @@
                                                         context_.clock.Now());
   running_.push_back(attempt);
   triedServers_.push_back(aServer.id);
-  lastServer_ = aServer.id;
   lastSource_ = aOutcome.source;
   context_.metrics.Count(GatewayCounter::Attempts);
   if (aPurpose == AttemptPurpose::Repeat) {
@@ -558,7 +557,7 @@
              { "version", routing_->Version() },
              { "service", service_ },
              { "directory", context_.directory->Revision() },
-             { "server", lastServer_ },
+             { "servers", fmt::format("{}", fmt::join(triedServers_, ",")) },
              { "chosen_by", lastSource_ },
              { "attempts", sentAttempts_ },
              { "unreachable", unreachable_ },
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -100,7 +100,6 @@
   std::optional<HttpResponseHead> failureHead_;
   std::string failureBody_;
 
-  std::string lastServer_;
   std::string_view lastSource_ = "none";
   QTimer deadlineTimer_;
   QTimer hedgeTimer_;
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -23,6 +23,22 @@
 constexpr double kOwnRatioShare = 0.5;
 constexpr double kOwnBurst = 0.3;
 
+RepeatBudgetLimits
+OwnerBudget(const GatewaySettings& aSettings)
+{
+  return { aSettings.repeatRatio * kOwnerRatioShare,
+           aSettings.repeatBurst * kOwnerBurstShare,
+           aSettings.repeatWindow };
+}
+
+RepeatBudgetLimits
+OwnBudget(const GatewaySettings& aSettings)
+{
+  return { aSettings.repeatRatio * kOwnRatioShare,
+           kOwnBurst,
+           aSettings.repeatWindow };
+}
+
 SelectionServiceSettings
 SelectionSettings(const GatewaySettings& aSettings)
 {
@@ -30,12 +46,8 @@
   settings.host = aSettings.host;
   settings.domain = aSettings.domain;
   settings.listen = aSettings.peer;
-  settings.ownerBudget = { aSettings.repeatRatio * kOwnerRatioShare,
-                           aSettings.repeatBurst * kOwnerBurstShare,
-                           aSettings.repeatWindow };
-  settings.ownBudget = { aSettings.repeatRatio * kOwnRatioShare,
-                         kOwnBurst,
-                         aSettings.repeatWindow };
+  settings.ownerBudget = OwnerBudget(aSettings);
+  settings.ownBudget = OwnBudget(aSettings);
   return settings;
 }
 
@@ -101,6 +113,12 @@
   service_->SetDirectory(std::move(aDirectory));
 }
 
+void
+TrafficRuntime::SetRepeatLimits(const GatewaySettings& aSettings)
+{
+  selection_->SetBudgets(OwnerBudget(aSettings), OwnBudget(aSettings));
+}
+
 void
 TrafficRuntime::SetKnownVersions(const KnownVersions& aKnown)
 {
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -20,6 +20,8 @@
 
   void SetRouting(const std::shared_ptr<const RoutingTable>& aRouting);
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
+  // Takes the limits of repeats from aSettings.
+  void SetRepeatLimits(const GatewaySettings& aSettings);
   void SetKnownVersions(const KnownVersions& aKnown);
   // aHandler is called on the traffic thread.
   void SetNewerVersionsHandler(SelectionService::VersionsHandler aHandler);
