--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -68,6 +68,24 @@
     });
 }
 
+void
+CatalogFollower::Adopt(Objects aObjects)
+{
+  if (isComplete_) {
+    return;
+  }
+  LogEvent(
+    LogLevel::Info,
+    "catalog_adopted_from_peer",
+    { { "collection", settings_.name }, { "objects", aObjects.size() } });
+  objects_ = std::move(aObjects);
+  isComplete_ = true;
+  // What is missing in the first list may have lapsed while the catalog was
+  // away.
+  wasAway_ = true;
+  Notify();
+}
+
 void
 CatalogFollower::CatchUp(std::uint64_t aRevision)
 {
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -49,6 +49,11 @@
   // aRevision that it was called for before.
   void CatchUp(std::uint64_t aRevision);
 
+  // Takes what a peer has read, until the catalog answers. Does nothing once
+  // the collection was read.
+  void Adopt(Objects aObjects);
+  const Objects& Known() const { return objects_; }
+
   // Revision of the newest change that was read.
   std::uint64_t NewestChange() const { return newestChange_; }
 
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -200,6 +200,23 @@
 
 BOOST_AUTO_TEST_SUITE(WhenAPeerKnowsMore)
 
+// Guards against a host that starts while the catalog is away and knows nothing
+// although its peers do.
+BOOST_AUTO_TEST_CASE(TakesWhatThePeerHasUntilTheCatalogAnswers)
+{
+  CatalogFollower::Objects objects;
+  objects.emplace("a", Object("a", 3));
+  follower.Adopt(objects);
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(names == "a ");
+  catalog.AnswerList(Failure<CatalogPage>(CatalogError::Unavailable));
+  BOOST_TEST(names == "a ");
+  catalog.AnswerList(Page({ Object("b", 8) }, 9));
+  BOOST_TEST(names.ends_with("b "));
+  follower.Adopt(objects);
+  BOOST_TEST(WaitUntil([&] { return names == "b "; }));
+}
+
 // Guards against a watch on a connection that is broken without notice.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -21,6 +21,10 @@
 // time.
 constexpr milliseconds kCatchUpTime{ 250 };
 
+// A catalog that is there has answered by then.
+constexpr milliseconds kAskPeersInterval{ 500 };
+constexpr milliseconds kPeerAnswerTime{ 400 };
+
 // After the signal to stop, the balancer still sends connections for as long as
 // it takes it to miss two readiness checks, one a second.
 constexpr milliseconds kLeavingTime{ 2'600 };
@@ -44,6 +48,7 @@
   , directoryBuilder_(aCodec, clock_)
 {
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
+  askPeersTimer_.callOnTimeout([this] { AskPeers(); });
   catchUpTimer_.setSingleShot(true);
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
 }
@@ -103,6 +108,30 @@
   if (!metricsServer_) {
     return false;
   }
+  snapshotServer_ = ProbeServer::Create(
+    settings_.snapshot,
+    [this] {
+      if (!IsReady()) {
+        return ProbeAnswer{ kUnavailable, "not ready\n" };
+      }
+      return ProbeAnswer{ kOk,
+                          EncodePeerSnapshot({ configurationFollower_->Known(),
+                                               serverFollower_->Known(),
+                                               registry_->Known() }) };
+    },
+    aReason);
+  if (!snapshotServer_) {
+    return false;
+  }
+  if (!settings_.peerSnapshots.empty()) {
+    PlatformClientLimits limits;
+    limits.callTimeout = kPeerAnswerTime;
+    peers_ = PlatformClient::Create(settings_.peerSnapshots, limits, aReason);
+    if (!peers_) {
+      return false;
+    }
+    askPeersTimer_.start(kAskPeersInterval);
+  }
   configurationFollower_ = std::make_unique<CatalogFollower>(
     catalog_,
     CatalogFollowerSettings{
@@ -196,6 +225,40 @@
   ReportReadiness();
 }
 
+void
+Gateway::AskPeers()
+{
+  if (IsReady() || stopped_) {
+    askPeersTimer_.stop();
+    return;
+  }
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = "/";
+  peers_->Call(std::move(head),
+               {},
+               milliseconds(0),
+               [this](const PlatformReply& aReply) { OnPeerAnswer(aReply); });
+}
+
+void
+Gateway::OnPeerAnswer(const PlatformReply& aReply)
+{
+  if (aReply.status != kOk || IsReady()) {
+    return;
+  }
+  std::optional<PeerSnapshot> snapshot = DecodePeerSnapshot(aReply.body);
+  if (!snapshot) {
+    LogEvent(LogLevel::Warning,
+             "peer_snapshot_malformed",
+             { { "bytes", aReply.body.size() } });
+    return;
+  }
+  registry_->Adopt(std::move(snapshot->hosts));
+  serverFollower_->Adopt(std::move(snapshot->backendServers));
+  configurationFollower_->Adopt(std::move(snapshot->configuration));
+}
+
 void
 Gateway::PublishKnownVersions()
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -5,8 +5,10 @@
 #include "catalog/CatalogFollower.h"
 #include "gateway/DirectoryBuilder.h"
 #include "gateway/HostRegistry.h"
+#include "gateway/PeerSnapshot.h"
 #include "gateway/ProbeServer.h"
 #include "gateway/TrafficRuntime.h"
+#include "store/PlatformClient.h"
 
 #include <atomic>
 
@@ -39,6 +41,7 @@
 
   std::uint16_t FrontPort() const { return frontPort_; }
   std::uint16_t ReadinessPort() const { return readiness_->Port(); }
+  std::uint16_t SnapshotPort() const { return snapshotServer_->Port(); }
 
 private:
   Gateway(const GatewaySettings& aSettings,
@@ -52,6 +55,9 @@
   void PublishKnownVersions();
   void OnNewerVersions(const KnownVersions& aKnown);
   void CatchUp();
+  // Asks a peer for what it knows while the catalog does not answer.
+  void AskPeers();
+  void OnPeerAnswer(const PlatformReply& aReply);
   void CheckStopped();
   void ReportReadiness();
   std::string FormatMetrics() const;
@@ -69,6 +75,10 @@
   std::unique_ptr<HostRegistry> registry_;
   std::unique_ptr<ProbeServer> readiness_;
   std::unique_ptr<ProbeServer> metricsServer_;
+  std::unique_ptr<ProbeServer> snapshotServer_;
+  // Null where no peers are named.
+  std::unique_ptr<PlatformClient> peers_;
+  QTimer askPeersTimer_;
   std::shared_ptr<const RoutingTable> routing_;
   std::uint64_t rejectedRevision_ = 0;
   bool wasReady_ = false;
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -24,7 +24,7 @@
 constexpr int kMaxUnreachable = 4;
 // A server in the same deployment accepts a connection within a few round
 // trips; after this it is taken as unreachable and another one is tried.
-constexpr milliseconds kConnectTime{ 300 };
+constexpr milliseconds kConnectTime{ 180 };
 // With less time left, a further attempt cannot be answered in time.
 constexpr milliseconds kMinAttemptTime{ 20 };
 constexpr milliseconds kRetryAfter{ 150 };
@@ -493,7 +493,7 @@
 GatewaySession::AttemptPointer
 GatewaySession::EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult)
 {
-  const AttemptPointer attempt = aAttempt.shared_from_this();
+  AttemptPointer attempt = aAttempt.shared_from_this();
   std::erase(running_, attempt);
   context_.metrics.RecordAttempt(context_.clock.Now() - attempt->StartedAt());
   context_.selection.Finish(attempt->Handle(), aResult);
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace filbertbeam {
 
@@ -20,6 +21,10 @@
   Endpoint readiness;
   // For datagrams between hosts.
   Endpoint peer;
+  // For peers that start while the catalog is away; without a port, none.
+  Endpoint snapshot;
+  // The snapshot addresses of some peers; they may be stale.
+  std::vector<Endpoint> peerSnapshots;
   // For metrics.
   Endpoint metrics;
   Endpoint catalog;
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -58,6 +58,15 @@
   listTimer_.start(kFirstList);
 }
 
+void
+HostRegistry::Adopt(std::vector<PeerHost> aHosts)
+{
+  if (known_.empty()) {
+    known_ = std::move(aHosts);
+    onHosts_(known_);
+  }
+}
+
 void
 HostRegistry::Register()
 {
@@ -111,8 +120,9 @@
     return;
   }
   LogEvent(LogLevel::Info, "hosts_listed", { { "hosts", hosts_.size() } });
-  onHosts_(std::move(hosts_));
+  known_ = std::move(hosts_);
   hosts_.clear();
+  onHosts_(known_);
   listTimer_.start(kListInterval);
 }
 
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -23,6 +23,10 @@
 
   void Start();
 
+  // Takes the hosts that a peer knows, until the first list.
+  void Adopt(std::vector<PeerHost> aHosts);
+  const std::vector<PeerHost>& Known() const { return known_; }
+
 private:
   void Register();
   void List(const std::string& aAfter);
@@ -32,7 +36,9 @@
   const PeerHost self_;
   Random& random_;
   Handler onHosts_;
+  // Of the list that is being read, and of the last one.
   std::vector<PeerHost> hosts_;
+  std::vector<PeerHost> known_;
   QTimer registerTimer_;
   QTimer listTimer_;
 };
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -79,7 +79,7 @@
 // against "not run" without that proof.
 BOOST_AUTO_TEST_CASE(IsSentAgainOnlyWithProofThatItDidNotRun)
 {
-  const auto respond = [](HttpResponseHead aHead) {
+  const auto respond = [](const HttpResponseHead& aHead) {
     return [aHead](FakeClientExchange& aSent) { aSent.Respond(aHead, "x"); };
   };
   HttpResponseHead encoded = Reply(200);
