--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -81,6 +81,9 @@
 constexpr double kSlownessWeight = 0.12;
 constexpr double kMaxSlowness = 8;
 constexpr milliseconds kShortestHedge{ 60 };
+// A server that ended without notice is found within about this time by the
+// requests of all hosts.
+constexpr milliseconds kConfirmedTime{ 600 };
 constexpr milliseconds kRetryAfter{ 150 };
 
 std::string
@@ -186,7 +189,8 @@
   }
   return { Selection{ Track(aRequest, best->id, aNow),
                       best->id,
-                      HedgeTime(model, aRequest.latencyObjective) },
+                      HedgeTime(model, aRequest.latencyObjective),
+                      aNow - servers_[best->id].answeredAt < kConfirmedTime },
            {},
            {} };
 }
@@ -360,6 +364,7 @@
   FailingShare(service, aNow);
   if (aResult == AttemptResult::Answered) {
     service.succeeded += 1;
+    server.answeredAt = aNow;
   } else if (aResult != AttemptResult::Abandoned) {
     service.failed += 1;
   }
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -66,6 +66,7 @@
     // Ratio of its latencies to those of its service.
     double slowness = 1;
     Instant chosenAt;
+    Instant answeredAt;
     // Last bad report, to tell a broken path of one host from a sick server.
     std::string badReporter;
     Instant badReportAt;
--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -50,6 +50,9 @@
   // An idempotent request that is not answered by then may be sent to a second
   // server.
   Duration hedgeAfter{};
+  // The server has answered a request lately, so an idle connection to it is
+  // likely to work.
+  bool isConfirmed = false;
 };
 
 struct SelectionResult
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -85,13 +85,14 @@
 Append(QCborStreamWriter& aWriter, const SelectionAnswer& aAnswer)
 {
   const Selection selection = aAnswer.result.selection.value_or(Selection{});
-  aWriter.startArray(10);
+  aWriter.startArray(11);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kAnswer));
   aWriter.append(static_cast<quint64>(aAnswer.call));
   aWriter.append(static_cast<quint64>(selection.ticket));
   AppendText(aWriter, selection.backendServer);
   AppendDuration(aWriter, selection.hedgeAfter);
+  aWriter.append(selection.isConfirmed);
   AppendText(aWriter, aAnswer.result.reason);
   AppendDuration(aWriter, aAnswer.result.retryAfter);
   AppendVersions(aWriter, aAnswer.known);
@@ -177,6 +178,7 @@
   selection.ticket = aInput.ReadUnsigned(kMaxTicket);
   selection.backendServer = aInput.ReadText(kMaxNameBytes);
   selection.hedgeAfter = ReadDuration(aInput);
+  selection.isConfirmed = aInput.ReadBool();
   answer.result.reason = aInput.ReadText(kMaxNameBytes);
   answer.result.retryAfter = ReadDuration(aInput);
   answer.known = ReadVersions(aInput);
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -244,6 +244,10 @@
     context_.metrics.Count(GatewayCounter::ChosenAlone);
   }
   HttpClientOptions options;
+  // A request on an idle connection to a server that ended without notice is
+  // lost; on a new one it is found not to have been sent.
+  options.freshConnection =
+    !route_.isIdempotent && !aOutcome.result.selection->isConfirmed;
   options.connectTimeout =
     std::min(kConnectTime, std::chrono::ceil<milliseconds>(Remaining()));
   ++sentAttempts_;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -169,6 +169,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a request that is lost on an idle connection to a server that
+// has ended without notice.
+BOOST_FIXTURE_TEST_CASE(TakesANewConnectionUnlessItsServerAnsweredLately,
+                        GatewayFixture)
+{
+  SetUsual();
+  SetServers(1);
+  Request("/once/1");
+  BOOST_TEST(client.Last().options.freshConnection);
+  client.Last().Respond(Reply(200));
+  Request("/once/2");
+  BOOST_TEST(!client.Last().options.freshConnection);
+  client.Last().Respond(Reply(200));
+  RunFor(std::chrono::milliseconds(700));
+  Request("/once/3");
+  BOOST_TEST(client.Last().options.freshConnection);
+  Request("/safe/1");
+  BOOST_TEST(!client.Last().options.freshConnection);
+}
+
 BOOST_AUTO_TEST_SUITE(ThatMayRunAgain)
 
 BOOST_AUTO_TEST_CASE(IsSentToAnotherServerAfterAFailure)
