--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -196,21 +196,10 @@
   keepAlive_ = parser_->keep_alive();
   idleTimeout_ = ReadIdleTimeout(head_.fields);
   if (head_.framing == BodyFraming::None && !parser_->is_done()) {
+    // A body without a length ends with its connection, whether the server
+    // announces that or not (RFC 9112, 6.3). One that is never ended is given
+    // up at the request's time limit.
     head_.framing = BodyFraming::UntilClose;
-    // A server that keeps the connection open would never end this body.
-    bool announcesClose = parser_->httpVersion < 11;
-    for (const HttpField& field : head_.fields.All()) {
-      if (EqualsIgnoringCase(field.name, "Connection")) {
-        for (const std::string_view option : SplitList(field.value)) {
-          announcesClose =
-            announcesClose || EqualsIgnoringCase(option, "close");
-        }
-      }
-    }
-    if (!announcesClose) {
-      Fail("the response has neither a length nor Connection: close");
-      return false;
-    }
     keepAlive_ = false;
   }
   RemoveConnectionFields(head_.fields);
