--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -17,6 +17,8 @@
 // hosts that failed together do not come back together.
 constexpr milliseconds kFirstRetry{ 100 };
 constexpr milliseconds kLongestRetry{ 800 };
+// A list that a peer's word asked for has been answered or given up by then.
+constexpr milliseconds kCatchUpInterval{ 1'200 };
 
 } // namespace
 
@@ -89,8 +91,9 @@
 void
 CatalogFollower::CatchUp(std::uint64_t aRevision)
 {
-  if (aRevision <= newestChange_ || aRevision <= caughtUpTo_ ||
-      revision_ == 0) {
+  const Instant now = clock_.Now();
+  if (aRevision <= std::max(newestChange_, listedRevision_) || revision_ == 0 ||
+      now - caughtUpAt_ < kCatchUpInterval) {
     return;
   }
   LogEvent(LogLevel::Info,
@@ -98,7 +101,7 @@
            { { "collection", settings_.name },
              { "newest_change", newestChange_ },
              { "peer", aRevision } });
-  caughtUpTo_ = aRevision;
+  caughtUpAt_ = now;
   List({});
 }
 
@@ -130,6 +133,7 @@
 CatalogFollower::CompleteList()
 {
   revision_ = std::max<std::uint64_t>(listingRevision_, 1);
+  listedRevision_ = listingRevision_;
   if (wasAway_ && settings_.returnTime.count() > 0) {
     for (const auto& [name, object] : objects_) {
       if (!listing_.contains(name)) {
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -45,8 +45,7 @@
 
   // Reads the collection again at once, for a peer knows a newer change; a
   // watch that waits on a broken connection would bring it late. Does nothing
-  // when the newest change that was read is not older than aRevision, or for an
-  // aRevision that it was called for before.
+  // when the change of aRevision was read, or while it is being read.
   void CatchUp(std::uint64_t aRevision);
 
   // Takes what a peer has read, until the catalog answers. Does nothing once
@@ -86,7 +85,10 @@
   std::uint64_t listingRevision_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t newestChange_ = 0;
-  std::uint64_t caughtUpTo_ = 0;
+  // The last complete list shows all changes up to this revision.
+  std::uint64_t listedRevision_ = 0;
+  // When CatchUp last read the collection.
+  Instant caughtUpAt_;
   std::uint64_t call_ = 0;
   bool isComplete_ = false;
   // Whether the catalog was away since the last complete list.
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -231,16 +231,31 @@
 }
 
 // Guards against a list for every message of a peer.
-BOOST_AUTO_TEST_CASE(ListsOnceForEachRevision)
+BOOST_AUTO_TEST_CASE(ListsOnceForAChange)
 {
-  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  catalog.AnswerList(Page({ Object("a", 3) }, 5));
   follower.CatchUp(3);
+  // Deleted objects are not listed, but the list shows that they are gone.
+  follower.CatchUp(5);
   BOOST_TEST(catalog.lists.empty());
   follower.CatchUp(8);
   follower.CatchUp(8);
   BOOST_TEST(catalog.lists.size() == 1U);
 }
 
+// Guards against a host that stays behind because the list that a peer's word
+// asked for had no answer, and its watch waits on a broken connection again.
+BOOST_AUTO_TEST_CASE(ListsAgainWhenTheListFailed)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.CatchUp(8);
+  catalog.AnswerList(Failure<CatalogPage>(CatalogError::Unavailable));
+  BOOST_TEST(WaitUntil([&] {
+    follower.CatchUp(8);
+    return !catalog.lists.empty();
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
