--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -32,6 +32,7 @@
 constexpr milliseconds kRotationTime{ 1'000 };
 // Requests from other domains keep up the rotation only after this.
 constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
+constexpr double kRotationCost = -10'000;
 // A server that had episodes before loses a request that cannot be repeated in
 // each further one. While few requests fail, it waits this much longer for each
 // remembered episode.
@@ -41,7 +42,6 @@
 constexpr milliseconds kFailingMemory{ 1'000 }; // half-life
 // So that a few requests alone do not count as a large share.
 constexpr double kFailingBase = 4;
-constexpr double kRotationCost = -10'000;
 constexpr double kMaxSickForRotation = 0.4;
 constexpr double kMaxSickForIdempotentRotation = 0.7;
 // Cost of each request under way, in mean latencies of a whole server.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -333,6 +333,7 @@
   stoppingSince_ = clock_.Now();
   LogEvent(LogLevel::Info, "stopping", { { "host", settings_.host } });
   ReportReadiness();
+  registry_->Unregister();
   trafficThread_.Post([this] { traffic_->BeginStop(); });
   stopTimer_.start(kStopCheckInterval);
 }
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -108,7 +108,6 @@
   if (isDone_) {
     return;
   }
-  bodyBytes_ += aBytes.size();
   if (isBodyStreamed_ && !running_.empty()) {
     running_.front()->SendBody(aBytes);
     if (running_.front()->UnsentBytes() > kMaxUnsentBody) {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -80,7 +80,6 @@
   const Instant deadline_;
 
   std::string body_;
-  std::uint64_t bodyBytes_ = 0;
   bool isBodyComplete_ = false;
   // The body is too large to be kept for another attempt.
   bool isBodyStreamed_ = false;
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -58,6 +58,21 @@
   listTimer_.start(kFirstList);
 }
 
+void
+HostRegistry::Unregister()
+{
+  registerTimer_.stop();
+  listTimer_.stop();
+  catalog_.Remove(
+    Collection::Hosts, self_.name, [](const CatalogFailure& aFailure) {
+      if (aFailure.error != CatalogError::None) {
+        LogEvent(LogLevel::Warning,
+                 "host_not_unregistered",
+                 { { "reason", aFailure.reason } });
+      }
+    });
+}
+
 void
 HostRegistry::Adopt(std::vector<PeerHost> aHosts)
 {
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -8,9 +8,9 @@
 
 namespace filbertbeam {
 
-// Writes this host into the catalog and finds the others there. Hosts that are
-// gone stay in the list until their entries are removed; asking them is cheap
-// and stops after a few missed answers.
+// Writes this host into the catalog and finds the others there. Hosts that
+// ended without notice stay in the list; asking them is cheap and stops after a
+// few missed answers.
 class HostRegistry
 {
 public:
@@ -23,6 +23,10 @@
 
   void Start();
 
+  // Takes this host out of the catalog. A failure leaves an entry that costs
+  // the others a few unanswered messages.
+  void Unregister();
+
   // Takes the hosts that a peer knows, until the first list.
   void Adopt(std::vector<PeerHost> aHosts);
   const std::vector<PeerHost>& Known() const { return known_; }
