Http, gateway, platform: Parse endpoints in one place; drop what stood twice

- ParseEndpoint moves from the daemon to src/http with its test; the command-line tool, the settings file and the catalog codec call it instead of copies.
- A choice that cannot be used, and no choice, take the same path; before, an unusable hedge would have been answered while the first attempt ran.
- Accessors without a caller are gone.
A new test covers the host's own check for draining; it fails without the check.

--- a/src/cli/ToolSettings.cpp
+++ b/src/cli/ToolSettings.cpp
@@ -1,16 +1,16 @@
 #include "cli/ToolSettings.h"
 
+#include "http/EndpointText.h"
+
 #include <gflags/gflags.h>
 
 #include <QFile>
-#include <QHostAddress>
 #include <QStringList>
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdlib>
 #include <unistd.h>
 #include <utility>
@@ -62,28 +62,6 @@
   }
 }
 
-std::optional<Endpoint>
-ReadEndpoint(const std::string& aText)
-{
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  Endpoint endpoint;
-  endpoint.address = aText.substr(0, colon);
-  if (endpoint.address.starts_with('[') && endpoint.address.ends_with(']')) {
-    endpoint.address = endpoint.address.substr(1, endpoint.address.size() - 2);
-  }
-  const char* begin = aText.data() + colon + 1;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(begin, end, endpoint.port);
-  if (parsed.ec != std::errc() || parsed.ptr != end || endpoint.port == 0 ||
-      QHostAddress(QString::fromStdString(endpoint.address)).isNull()) {
-    return std::nullopt;
-  }
-  return endpoint;
-}
-
 // Fills one text and one endpoint for each part of a list.
 void
 ReadEndpoints(Findings& aFindings,
@@ -96,8 +74,9 @@
     QString::fromStdString(aText).split(',', Qt::SkipEmptyParts);
   for (const QString& part : parts) {
     const std::string text = part.trimmed().toStdString();
-    const std::optional<Endpoint> endpoint = ReadEndpoint(text);
-    if (!endpoint) {
+    std::string reason;
+    const std::optional<Endpoint> endpoint = ParseEndpoint(text, reason);
+    if (!endpoint || endpoint->port == 0) {
       aFindings.Add(
         { aFlag, 0, "", fmt::format("\"{}\" is not IP:PORT", text) });
       continue;
--- a/src/daemon/DaemonSettings.h
+++ b/src/daemon/DaemonSettings.h
@@ -33,8 +33,4 @@
                                               Findings& aFindings);
 };
 
-// "address:port" with an IP address; brackets around an IPv6 address.
-std::optional<Endpoint>
-ParseEndpoint(std::string_view aText, std::string& aReason);
-
 } // namespace filbertbeam
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -59,7 +59,6 @@
   std::size_t UnsentBytes() const;
   const HttpResponseHead& Head() const { return head_; }
   std::string& Body() { return body_; }
-  bool IsStreaming() const { return isStreaming_; }
   void PauseResponse();
   void ResumeResponse();
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -40,7 +40,6 @@
   void Stop(std::function<void()> aStopped);
 
   std::uint16_t FrontPort() const { return frontPort_; }
-  std::uint16_t ReadinessPort() const { return readiness_->Port(); }
   std::uint16_t SnapshotPort() const { return snapshotServer_->Port(); }
 
 private:
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -179,19 +179,7 @@
     return;
   }
   if (!aOutcome.result.selection) {
-    if (!running_.empty()) {
-      // The owner allows a hedge sooner when the server is under suspicion.
-      if (aPurpose == AttemptPurpose::Hedge) {
-        hedgeTimer_.start(kHedgeInterval);
-      }
-      return;
-    }
-    if (aPurpose == AttemptPurpose::Hedge) {
-      // The first attempt has failed meanwhile.
-      TryAgainOrAnswer(AttemptPurpose::Repeat, aOutcome.result.reason);
-    } else {
-      AnswerWithoutSuccess(aOutcome.result.reason, aOutcome.result.retryAfter);
-    }
+    OnNoSelection(aPurpose, aOutcome.result.reason, aOutcome.result.retryAfter);
     return;
   }
   const BackendServerRecord* server =
@@ -206,12 +194,33 @@
         context_.selection.SelectAlone(MakeSelectionRequest(aPurpose)));
       return;
     }
-    AnswerWithoutSuccess("no-backend-server", kRetryAfter);
+    OnNoSelection(aPurpose, "no-backend-server", kRetryAfter);
     return;
   }
   StartAttempt(*server, aOutcome, aPurpose);
 }
 
+void
+GatewaySession::OnNoSelection(AttemptPurpose aPurpose,
+                              std::string_view aReason,
+                              Duration aRetryAfter)
+{
+  const bool isHedge = aPurpose == AttemptPurpose::Hedge;
+  if (!running_.empty()) {
+    // The owner allows a hedge sooner when the server is under suspicion.
+    if (isHedge) {
+      hedgeTimer_.start(kHedgeInterval);
+    }
+    return;
+  }
+  if (isHedge) {
+    // The first attempt has failed meanwhile.
+    TryAgainOrAnswer(AttemptPurpose::Repeat, aReason);
+  } else {
+    AnswerWithoutSuccess(aReason, aRetryAfter);
+  }
+}
+
 void
 GatewaySession::StartAttempt(const BackendServerRecord& aServer,
                              const SelectionOutcome& aOutcome,
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -49,6 +49,9 @@
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
   void RequestSelection(AttemptPurpose aPurpose);
   void OnSelection(AttemptPurpose aPurpose, const SelectionOutcome& aOutcome);
+  void OnNoSelection(AttemptPurpose aPurpose,
+                     std::string_view aReason,
+                     Duration aRetryAfter);
   void StartAttempt(const BackendServerRecord& aServer,
                     const SelectionOutcome& aOutcome,
                     AttemptPurpose aPurpose);
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -1,6 +1,7 @@
 #include "gateway/HostRegistry.h"
 
 #include "base/Log.h"
+#include "gateway/EndpointJson.h"
 
 namespace filbertbeam {
 
@@ -8,9 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char* kAddressField = "address";
-constexpr const char* kPortField = "port";
-
 constexpr milliseconds kRegisterRetry{ 500 };
 // Hosts that start together are all registered after about a second. Later
 // ones make themselves known to those they find.
@@ -18,21 +16,6 @@
 constexpr milliseconds kListInterval{ 60'000 };
 constexpr milliseconds kListRetry{ 1'000 };
 
-std::optional<PeerHost>
-ReadHost(const CatalogObject& aObject)
-{
-  PeerHost host;
-  host.name = aObject.name;
-  host.address.address =
-    aObject.content.value(kAddressField).toString().toStdString();
-  const int port = aObject.content.value(kPortField).toInt();
-  host.address.port = static_cast<std::uint16_t>(port);
-  if (host.address.address.empty() || port <= 0 || port > 0xFFFF) {
-    return std::nullopt;
-  }
-  return host;
-}
-
 } // namespace
 
 HostRegistry::HostRegistry(ObjectCatalog& aCatalog,
@@ -85,12 +68,9 @@
 void
 HostRegistry::Register()
 {
-  QJsonObject content;
-  content[kAddressField] = QString::fromStdString(self_.address.address);
-  content[kPortField] = self_.address.port;
   catalog_.Put(Collection::Hosts,
                self_.name,
-               content,
+               EndpointToJson(self_.address),
                [this](const CatalogFailure& aFailure) {
                  if (aFailure.error == CatalogError::None) {
                    return;
@@ -126,8 +106,8 @@
     return;
   }
   for (const CatalogObject& object : aPage.objects) {
-    if (const auto host = ReadHost(object)) {
-      hosts_.push_back(*host);
+    if (const auto address = EndpointFromJson(object.content)) {
+      hosts_.push_back({ object.name, *address });
     }
   }
   if (aPage.hasMore && !aPage.objects.empty()) {
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -1,5 +1,7 @@
 #include "gateway/PeerSnapshot.h"
 
+#include "gateway/EndpointJson.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 
@@ -14,8 +16,6 @@
 constexpr const char* kRevision = "revision";
 constexpr const char* kContent = "content";
 constexpr const char* kStatus = "status";
-constexpr const char* kAddress = "address";
-constexpr const char* kPort = "port";
 
 QJsonArray
 ObjectsToJson(const CatalogFollower::Objects& aObjects)
@@ -53,10 +53,9 @@
 {
   QJsonArray hosts;
   for (const PeerHost& host : aSnapshot.hosts) {
-    hosts.append(
-      QJsonObject{ { kName, QString::fromStdString(host.name) },
-                   { kAddress, QString::fromStdString(host.address.address) },
-                   { kPort, host.address.port } });
+    QJsonObject item = EndpointToJson(host.address);
+    item[kName] = QString::fromStdString(host.name);
+    hosts.append(item);
   }
   const QJsonObject snapshot{
     { kConfiguration, ObjectsToJson(aSnapshot.configuration) },
@@ -80,11 +79,9 @@
     return std::nullopt;
   }
   for (const QJsonValue item : json[kHosts].toArray()) {
-    const int port = item[kPort].toInt();
-    if (port > 0 && port <= 0xFFFF) {
-      snapshot.hosts.push_back({ item[kName].toString().toStdString(),
-                                 { item[kAddress].toString().toStdString(),
-                                   static_cast<std::uint16_t>(port) } });
+    if (const auto address = EndpointFromJson(item.toObject())) {
+      snapshot.hosts.push_back(
+        { item[kName].toString().toStdString(), *address });
     }
   }
   return snapshot;
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Digest.h"
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "gateway/GatewayService.h"
@@ -77,6 +78,27 @@
                         0, std::vector<BackendServerRecord>()) });
   }
 
+  // Another host, which owns the service of the routes.
+  std::unique_ptr<SelectionService> StartOwner()
+  {
+    const std::uint64_t key = StableHash("permits");
+    SelectionServiceSettings settings;
+    settings.domain = "piarco";
+    settings.listen = { "127.0.0.1", 0 };
+    for (int i = 0; settings.host.empty(); ++i) {
+      const std::string name = "owner-" + std::to_string(i);
+      if (StableHash(name, key) > StableHash("host", key)) {
+        settings.host = name;
+      }
+    }
+    std::string reason;
+    auto owner = SelectionService::Create(settings, clock, random, reason);
+    if (owner) {
+      selection->SetHosts({ { settings.host, owner->LocalEndpoint() } });
+    }
+    return owner;
+  }
+
   static Route MakeRoute(std::string aPrefix, bool aIsIdempotent)
   {
     Route route;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -53,6 +53,31 @@
   BOOST_TEST(client.exchanges.empty());
 }
 
+// Guards against an owner that does not know yet that a server leaves: the host
+// that sends has the last word.
+BOOST_AUTO_TEST_CASE(IsNotSentToAServerThatOnlyTheOwnerTakesForReady)
+{
+  SetUsual();
+  SetServers(1);
+  const auto owner = StartOwner();
+  BOOST_TEST_REQUIRE(owner != nullptr);
+  BackendServerRecord record;
+  record.id = "server-0";
+  record.service = "permits";
+  record.domain = "piarco";
+  owner->SetDirectory(std::make_shared<BackendDirectory>(
+    1, std::vector<BackendServerRecord>{ record }));
+  Request("/once/1");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return client.exchanges.size() == 1; }));
+  SetServers(1, 1);
+  const auto caller = Request("/once/2");
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; }));
+  BOOST_TEST(caller->response.status == 503);
+  BOOST_TEST(client.exchanges.size() == 1U);
+  BOOST_TEST(metrics.Format().find("unusable_choices_total 1\n") !=
+             std::string::npos);
+}
+
 // Guards against a host that returns to routes it has left.
 BOOST_AUTO_TEST_CASE(NeverFindsARouteOfAnOlderConfiguration)
 {
