Balancing: Rotate to every server without suspicion alike

What fails is known to the owner only when its time is over, so the share cannot guard the floor. The longer wait goes, and with it the share. Ruled out: the fallback without an owner and the directory. The new test fails with the longer wait (a server with three episodes).

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -33,15 +33,6 @@
 // Requests from other domains keep up the rotation only after this.
 constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
 constexpr double kRotationCost = -10'000;
-// A server that had episodes before loses a request that cannot be repeated in
-// each further one. While few requests fail, it waits this much longer for each
-// remembered episode.
-constexpr double kRotationPerEpisode = 1.0;
-constexpr double kMaxRotationFactor = 4.0;
-constexpr double kFewFailing = 0.06;
-constexpr milliseconds kFailingMemory{ 1'000 }; // half-life
-// So that a few requests alone do not count as a large share.
-constexpr double kFailingBase = 4;
 constexpr double kMaxSickForRotation = 0.4;
 constexpr double kMaxSickForIdempotentRotation = 0.7;
 // Cost of each request under way, in mean latencies of a whole server.
@@ -129,8 +120,8 @@
 BackendSelector::SetBudget(const RepeatBudgetLimits& aBudget)
 {
   budgetLimits_ = aBudget;
-  for (auto& [name, service] : services_) {
-    service.budget.SetLimits(aBudget);
+  for (auto& [service, budget] : budgets_) {
+    budget.SetLimits(aBudget);
   }
 }
 
@@ -156,9 +147,10 @@
 BackendSelector::Select(const SelectionRequest& aRequest, Instant aNow)
 {
   DropOverdue(aNow);
-  ServiceState& service = ServiceOf(aRequest.service);
+  RepeatBudget& budget =
+    budgets_.try_emplace(aRequest.service, budgetLimits_).first->second;
   if (aRequest.purpose == AttemptPurpose::First) {
-    service.budget.OnRequest(aNow);
+    budget.OnRequest(aNow);
   }
   LatencyModel& model =
     ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
@@ -183,8 +175,7 @@
   }
   const bool isRepeat = aRequest.purpose == AttemptPurpose::Repeat ||
                         aRequest.purpose == AttemptPurpose::Hedge;
-  if (isRepeat &&
-      !service.budget.TryRepeat(RepeatReserve(aRequest, aNow), aNow)) {
+  if (isRepeat && !budget.TryRepeat(RepeatReserve(aRequest, aNow), aNow)) {
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
   return { Selection{ Track(aRequest, best->id, aNow),
@@ -207,8 +198,7 @@
     static_cast<std::int64_t>(server.pending.size()) - server.slots + 1, 0);
   const std::uint64_t ticket = ++nextTicket_;
   tickets_.emplace(ticket,
-                   PendingAttempt{ aRequest.service,
-                                   aServer,
+                   PendingAttempt{ aServer,
                                    aRequest.host,
                                    latencyClass,
                                    aNow,
@@ -241,31 +231,12 @@
                                Instant aNow)
 {
   const bool isNear = aRecord.domain == aRequest.domain;
-  ServiceState& service = ServiceOf(aRequest.service);
-  const double patience =
-    aRequest.isIdempotent || FailingShare(service, aNow) > kFewFailing
-      ? 1.0
-      : std::min(1.0 + kRotationPerEpisode *
-                         aServer.health.RememberedEpisodes(aNow),
-                 kMaxRotationFactor);
   const double limit =
     aRequest.isIdempotent ? kMaxSickForIdempotentRotation : kMaxSickForRotation;
   return aRequest.purpose == AttemptPurpose::First && aSick < limit &&
          (isNear || !aRequest.hasLargeResponses) &&
-         Milliseconds(aNow - aServer.chosenAt) >
-           (isNear ? kRotationTime : kOtherDomainRotationTime) * patience;
-}
-
-double
-BackendSelector::FailingShare(ServiceState& aService, Instant aNow)
-{
-  const double factor = std::exp2(-Milliseconds(aNow - aService.fadedAt) /
-                                  Milliseconds(kFailingMemory));
-  aService.succeeded *= factor;
-  aService.failed *= factor;
-  aService.fadedAt = aNow;
-  return aService.failed /
-         (aService.succeeded + aService.failed + kFailingBase);
+         aNow - aServer.chosenAt >
+           (isNear ? kRotationTime : kOtherDomainRotationTime);
 }
 
 double
@@ -360,13 +331,8 @@
   if (aResult == AttemptResult::Unused || model == models_.end()) {
     return;
   }
-  ServiceState& service = ServiceOf(attempt.service);
-  FailingShare(service, aNow);
   if (aResult == AttemptResult::Answered) {
-    service.succeeded += 1;
     server.answeredAt = aNow;
-  } else if (aResult != AttemptResult::Abandoned) {
-    service.failed += 1;
   }
   // Without the time that it waited behind others.
   const Duration latency = std::max(aNow - attempt.startAt, Duration::zero());
@@ -437,12 +403,6 @@
   return models_.try_emplace(aClass, aObjective).first->second;
 }
 
-BackendSelector::ServiceState&
-BackendSelector::ServiceOf(const std::string& aService)
-{
-  return services_.try_emplace(aService, budgetLimits_).first->second;
-}
-
 void
 BackendSelector::RemovePending(ServerState& aServer, std::uint64_t aTicket)
 {
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -46,7 +46,6 @@
 private:
   struct PendingAttempt
   {
-    std::string service;
     std::string server;
     std::string host;
     std::string latencyClass;
@@ -74,23 +73,7 @@
     Instant fullUntil;
   };
 
-  struct ServiceState
-  {
-    explicit ServiceState(const RepeatBudgetLimits& aBudget)
-      : budget(aBudget)
-    {
-    }
-    RepeatBudget budget;
-    // Attempts that ended lately, fading, by whether they failed.
-    double succeeded = 0;
-    double failed = 0;
-    Instant fadedAt;
-  };
-
   LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
-  ServiceState& ServiceOf(const std::string& aService);
-  // Share of the service's requests that are failing now, from 0 to 1.
-  static double FailingShare(ServiceState& aService, Instant aNow);
   // Log likelihood of the ages of the attempts under way at aServer.
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
   double ExpectedCost(const SelectionRequest& aRequest,
@@ -100,18 +83,19 @@
                       Instant aNow);
   // Share of the budget that the attempt must leave.
   double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
-  bool IsRotationDue(const SelectionRequest& aRequest,
-                     const BackendServerRecord& aRecord,
-                     const ServerState& aServer,
-                     double aSick,
-                     Instant aNow);
+  static bool IsRotationDue(const SelectionRequest& aRequest,
+                            const BackendServerRecord& aRecord,
+                            const ServerState& aServer,
+                            double aSick,
+                            Instant aNow);
   static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
 
   RepeatBudgetLimits budgetLimits_;
   Random& random_;
   std::shared_ptr<const BackendDirectory> directory_;
   std::unordered_map<std::string, ServerState> servers_;
-  std::unordered_map<std::string, ServiceState> services_;
+  // By service.
+  std::unordered_map<std::string, RepeatBudget> budgets_;
   std::unordered_map<std::string, LatencyModel> models_;
   // Ordered by age: tickets grow.
   std::map<std::uint64_t, PendingAttempt> tickets_;
--- a/src/balancing/ServerHealth.h
+++ b/src/balancing/ServerHealth.h
@@ -24,11 +24,11 @@
   // Counts an episode when the belief has become strong since the last one.
   // Returns true when it did.
   bool UpdateEpisode(double aPending, Instant aNow);
-  // Episodes, less those that fade from memory.
-  double RememberedEpisodes(Instant aNow) const;
 
 private:
   double Evidence(Instant aNow) const;
+  // Episodes, less those that fade from memory.
+  double RememberedEpisodes(Instant aNow) const;
   double Prior(Instant aNow) const;
 
   double evidence_ = 0;
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -132,6 +132,35 @@
   BOOST_TEST(served > 3);
 }
 
+// Guards against servers that had episodes and then wait so long for work that
+// a service falls below its floor.
+BOOST_AUTO_TEST_CASE(AServerWithEpisodesGetsWorkWithinTwoSecondsOnceItIsWell)
+{
+  for (int i = 0; i < 100; ++i) {
+    ServeOne();
+  }
+  const std::string sick = ServeOne();
+  for (int episode = 0; episode < 3; ++episode) {
+    for (int i = 0; i < 120; ++i) {
+      ServeOne({ sick });
+    }
+    for (int i = 0; i < 400; ++i) {
+      ServeOne();
+    }
+  }
+  Instant last = clock.Now();
+  Duration longest{};
+  for (int i = 0; i < 400; ++i) {
+    const Instant now = clock.Now();
+    if (ServeOne() == sick) {
+      longest = std::max(longest, now - last);
+      last = now;
+    }
+  }
+  BOOST_TEST((longest > Duration::zero()));
+  BOOST_TEST((std::max(longest, clock.Now() - last) <= Duration(2s)));
+}
+
 BOOST_AUTO_TEST_SUITE(KeepsAway)
 
 BOOST_AUTO_TEST_CASE(FromDrainingServers)
