Slots: Let a silent server among narrow peers weigh as much as elsewhere

Cause: the decision allows a ratio of 1.4 to the peers, while samples are clipped at 3 spreads. Where the peers' latency is nearly constant (spread 0.2), a sample at the clip counts 1.1 instead of 2.5, and the black hole got a fourth request, 2 s after the third, before its score reached 15. Ruled out: trials (none had started), load (it failed on an idle machine). The smallest spread is 0.3 now.

--- a/src/slots/OutlierDetector.cpp
+++ b/src/slots/OutlierDetector.cpp
@@ -36,9 +36,11 @@
 // ratio of 1.4 to the peers, since hardware differs by that much.
 constexpr double kAllowedExcess = 0.5;
 const double kAllowedLogRatio = std::log(1.4);
-// Smallest spread of log latency; services with nearly constant latency would
-// otherwise report differences of a few percent.
-constexpr double kMinimumSpread = 0.15;
+// Smallest spread of log latency. kAllowedLogRatio is a fixed ratio, the clip
+// a number of spreads: at 0.15, a sample at the clip is 1.6 times the median
+// and a quarter of it counts, so that a silent server took four requests to
+// find; at 0.3, it is 2.5 times the median and five eighths count.
+constexpr double kMinimumSpread = 0.3;
 // Interquartile range of a normal distribution in standard deviations.
 constexpr double kInterquartileRange = 1.349;
 
--- /dev/null
+++ b/src/slots/tests/TestOutlierDetector.cpp
@@ -0,0 +1,89 @@
+#include "slots/OutlierDetector.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ServerId kSilentServer = 0;
+constexpr ServerId kPeers = 3;
+
+// Servers that answer in a nearly constant time, beside one that is silent.
+struct NarrowShard
+{
+  explicit NarrowShard(DetectionPreference aPreference)
+    : detector(aPreference)
+  {
+    for (ServerId id = 0; id <= kPeers; ++id) {
+      detector.Add(id);
+    }
+    for (int i = 0; i < 40; ++i) {
+      now += 10ms;
+      for (ServerId id = 1; id <= kPeers; ++id) {
+        detector.OnLatency(id, 20ms + std::chrono::microseconds(50 * i), now);
+      }
+    }
+  }
+
+  // One request that the silent server holds for two seconds: every sample
+  // that its age gives, as the scheduler takes them. The peers go on.
+  void HoldOneRequest()
+  {
+    const std::optional<Duration> tail = detector.Tail(kSilentServer, now);
+    BOOST_REQUIRE(tail.has_value());
+    const Instant sentAt = now;
+    Duration age = *tail;
+    for (int i = 0; i < detector.MaxUnansweredSamples() && age < 2s; ++i) {
+      now = sentAt + age;
+      detector.OnUnanswered(kSilentServer, age, now);
+      for (ServerId id = 1; id <= kPeers; ++id) {
+        detector.OnLatency(id, 20ms, now);
+        detector.OnLatency(id, 21ms, now);
+      }
+      age *= detector.UnansweredAgeFactor();
+    }
+    now = sentAt + 2s;
+  }
+
+  OutlierDetector detector;
+  Instant now;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OutlierDetection)
+
+BOOST_AUTO_TEST_SUITE(AmongPeersOfNearlyConstantLatency)
+
+// Guards against a scale so fine that silence for seconds weighs no more than
+// one and a half times the usual latency: the silent server of a shard with
+// little traffic then kept getting one request after the other.
+BOOST_AUTO_TEST_CASE(TwoRequestsHeldAreEnoughToFindASilentServer)
+{
+  NarrowShard shard(DetectionPreference::Detection);
+  shard.HoldOneRequest();
+  BOOST_TEST(!shard.detector.Judge(kSilentServer, shard.now));
+  shard.HoldOneRequest();
+  BOOST_TEST(shard.detector.Judge(kSilentServer, shard.now).has_value());
+}
+
+// Guards against a wider scale that hides a server of half the speed.
+BOOST_AUTO_TEST_CASE(AServerOfHalfTheSpeedIsFoundAfterTwentySamples)
+{
+  NarrowShard shard(DetectionPreference::Detection);
+  for (int i = 0; i < 20; ++i) {
+    shard.now += 20ms;
+    shard.detector.OnLatency(kSilentServer, 42ms, shard.now);
+    for (ServerId id = 1; id <= kPeers; ++id) {
+      shard.detector.OnLatency(id, 20ms, shard.now);
+      shard.detector.OnLatency(id, 21ms, shard.now);
+    }
+  }
+  BOOST_TEST(shard.detector.Judge(kSilentServer, shard.now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
