Store, daemon: Keep objects and hosts in the platform's metadata store

filbertbeamd and filbertbeam spoke a store protocol of their own making, so they could not run on the users' platform; the stand-in of that protocol and its client go. CatalogObjectStore and CatalogHostList keep what they need in an ObjectCatalog, whose only implementation over the wire is platform/StoreCatalog. Hosts write themselves into the list, mark the entry when they leave and take it out when they stop; DeadHostSweep removes those of hosts that ended without notice, since the store expires nothing. Values are 750,000 bytes at most, since the platform's objects are 1 MiB and hold them in base64. The contract tests run against the published protocol; versions are now revisions of the whole store, so they compare versions instead of naming 1 and 2. The store's stand-in gains late writes, rates and controls.

--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -12,15 +12,22 @@
 
 namespace filbertbeam {
 
-// The collections that a host reads or writes.
+// The collections that the programs read or write.
 enum class Collection
 {
   // The operator's routes; one object.
   Configuration,
   // What backend servers say of themselves.
   BackendServers,
-  // The hosts of this system; written by the hosts.
+  // The hosts of the gateway; written by the hosts.
   Hosts,
+  // The hosts that run filbertbeamd; written by the hosts.
+  Members,
+  // Objects of an ObjectStore that change with the configuration.
+  Objects,
+  // Objects of an ObjectStore that change with requests. Apart from the
+  // others, so that watches do not wake for each request.
+  Claims,
 };
 
 struct CatalogObject
@@ -53,6 +60,8 @@
   Unavailable,
   // The catalog refused the call for now, for example for its rate.
   Refused,
+  // The call itself is at fault, for example its object is too large.
+  Invalid,
 };
 
 struct CatalogFailure
@@ -60,6 +69,14 @@
   CatalogError error = CatalogError::None;
   // For logs.
   std::string reason;
+  // With Unavailable: no byte of the call left this process.
+  bool isUnsent = false;
+};
+
+struct CatalogEntry
+{
+  CatalogFailure failure;
+  CatalogObject object;
 };
 
 struct CatalogPage
@@ -86,6 +103,7 @@
 public:
   using PageCallback = std::function<void(CatalogPage)>;
   using ChangesCallback = std::function<void(CatalogChanges)>;
+  using EntryCallback = std::function<void(CatalogEntry)>;
   using WriteCallback = std::function<void(const CatalogFailure&)>;
 
   virtual ~ObjectCatalog() = default;
@@ -99,6 +117,22 @@
                      std::uint64_t aRevision,
                      std::chrono::milliseconds aWait,
                      ChangesCallback aCallback) = 0;
+  virtual void Read(Collection aCollection,
+                    std::string_view aName,
+                    EntryCallback aCallback) = 0;
+  // Creates an object that must not exist yet; Conflict otherwise. Answers
+  // with the object as written.
+  virtual void Create(Collection aCollection,
+                      std::string_view aName,
+                      const QJsonObject& aContent,
+                      EntryCallback aCallback) = 0;
+  // Replaces the content of an object that must have aRevision; Conflict
+  // otherwise, NotFound when there is none.
+  virtual void Replace(Collection aCollection,
+                       std::string_view aName,
+                       const QJsonObject& aContent,
+                       std::uint64_t aRevision,
+                       EntryCallback aCallback) = 0;
   // Creates the object, or replaces its content whatever its revision.
   virtual void Put(Collection aCollection,
                    std::string_view aName,
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -68,6 +68,20 @@
     watched = aRevision;
     watches.push_back(std::move(aCallback));
   }
+  void Read(Collection, std::string_view, EntryCallback) override {}
+  void Create(Collection,
+              std::string_view,
+              const QJsonObject&,
+              EntryCallback) override
+  {
+  }
+  void Replace(Collection,
+               std::string_view,
+               const QJsonObject&,
+               std::uint64_t,
+               EntryCallback) override
+  {
+  }
   void Put(Collection,
            std::string_view,
            const QJsonObject&,
--- a/src/cli/program/Main.cpp
+++ b/src/cli/program/Main.cpp
@@ -4,7 +4,8 @@
 #include "cli/Commands.h"
 #include "cli/HttpAdminEndpoint.h"
 #include "cli/ToolSettings.h"
-#include "store/HttpObjectStore.h"
+#include "platform/StoreCatalog.h"
+#include "store/CatalogObjectStore.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
@@ -42,12 +43,13 @@
   std::unique_ptr<ObjectStore> store;
   if (!settings->platform.empty()) {
     std::string reason;
-    store = HttpObjectStore::Create(
-      settings->platform, PlatformClientLimits{}, reason);
-    if (!store) {
+    std::unique_ptr<ObjectCatalog> catalog = StoreCatalog::Create(
+      settings->platform, StoreCatalog::DefaultLimits(), reason);
+    if (!catalog) {
       std::cerr << "--platform: " << reason << '\n';
       return kExitUsage;
     }
+    store = std::make_unique<CatalogObjectStore>(std::move(catalog));
   }
   std::unique_ptr<AdminEndpoint> admin;
   if (!settings->admin.empty() && !settings->operatorToken.empty()) {
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -10,13 +10,19 @@
 
 namespace {
 
-// At 1,300 hosts this is 260 reads per second of the platform's 2,000.
-constexpr std::chrono::seconds kHostListInterval{ 5 };
-
 // A host that cannot learn of others serves alone after this time; its
 // backend servers then shed what is too much.
 constexpr std::chrono::seconds kMaxWaitForMembers{ 10 };
 
+ListedHost
+EntryOf(const Member& aSelf)
+{
+  return {
+    aSelf.host,       aSelf.region,       aSelf.domain, aSelf.relay.address,
+    aSelf.relay.port, aSelf.control.port, false
+  };
+}
+
 } // namespace
 
 ControlPlane::ControlPlane(const Member& aSelf,
@@ -27,12 +33,16 @@
                            EventSink& aEvents,
                            ControlPlaneObserver& aObserver)
   : self_(aSelf.host)
-  , hostList_(aHostList)
   , channel_(aChannel)
   , clock_(aClock)
   , events_(aEvents)
   , observer_(aObserver)
   , heartbeats_(aSelf, aClock, aRandom)
+  , hostList_(
+      aHostList,
+      EntryOf(aSelf),
+      aRandom,
+      [this](const std::vector<ListedHost>& aHosts) { OnHosts(aHosts); })
   , coordinator_(ShareCoordinator::Create())
 {
   channel_.SetReceiver(ControlMessageType::Heartbeat,
@@ -55,7 +65,6 @@
                        });
   heartbeatTimer_.setTimerType(Qt::PreciseTimer);
   heartbeatTimer_.callOnTimeout([this] { OnTick(); });
-  hostListTimer_.callOnTimeout([this] { FetchHosts(); });
   demandTimer_.callOnTimeout([this] { observer_.OnDemandsWanted(); });
 }
 
@@ -63,10 +72,9 @@
 ControlPlane::Start()
 {
   startedAt_ = clock_.Now();
-  FetchHosts();
+  hostList_.Start();
   OnTick();
   heartbeatTimer_.start(kHeartbeatTickInterval);
-  hostListTimer_.start(kHostListInterval);
   demandTimer_.start(kDemandReportInterval);
 }
 
@@ -82,10 +90,17 @@
 ControlPlane::StartLeaving()
 {
   heartbeats_.StartLeaving();
+  hostList_.StartLeaving();
   // Partners should not wait for the next regular heartbeat.
   OnTick();
 }
 
+void
+ControlPlane::Unregister(std::function<void()> aDone)
+{
+  hostList_.Unregister(std::move(aDone));
+}
+
 bool
 ControlPlane::IsViewUsable()
 {
@@ -160,23 +175,6 @@
   return isChanged;
 }
 
-void
-ControlPlane::FetchHosts()
-{
-  hostList_.Fetch([this](const StoreResult<std::vector<ListedHost>>& aResult) {
-    const bool isAway = !aResult.value.has_value();
-    if (isAway != isHostListAway_) {
-      LogEvent(isAway ? LogLevel::Warning : LogLevel::Info,
-               isAway ? "host_list_unavailable" : "host_list_available",
-               { { "reason", aResult.reason } });
-      isHostListAway_ = isAway;
-    }
-    if (!isAway) {
-      OnHosts(*aResult.value);
-    }
-  });
-}
-
 void
 ControlPlane::OnHosts(const std::vector<ListedHost>& aHosts)
 {
@@ -191,6 +189,10 @@
     }
   }
   observer_.OnLeavingAddresses(leaving);
+  for (const std::string& host :
+       deadHosts_.TakeExpired(aHosts, *publishedView_, clock_.Now())) {
+    hostList_.Remove(host);
+  }
 }
 
 void
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -4,11 +4,12 @@
 #include "base/EventSink.h"
 #include "base/Random.h"
 #include "configuration/Configuration.h"
+#include "daemon/DeadHostSweep.h"
+#include "daemon/HostListFollower.h"
 #include "limits/ShareCoordinator.h"
 #include "membership/ControlChannel.h"
 #include "membership/HeartbeatProtocol.h"
 #include "membership/MembershipView.h"
-#include "store/HostList.h"
 
 #include <QTimer>
 
@@ -29,7 +30,7 @@
   virtual ~ControlPlaneObserver() = default;
 
   virtual void OnView(std::shared_ptr<const MembershipView> aView) = 0;
-  // Addresses that the platform's host list reports as leaving.
+  // Addresses that the list of hosts reports as leaving.
   virtual void OnLeavingAddresses(const std::set<std::string>& aAddresses) = 0;
   virtual void OnRevisionHeard(std::uint64_t aRevision,
                                const Member& aSource) = 0;
@@ -54,6 +55,8 @@
   void Start();
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void StartLeaving();
+  // Takes this host out of the list of hosts, then calls aDone.
+  void Unregister(std::function<void()> aDone);
 
   // Reports the demands of this entry host to the homes of the customers.
   void SendDemands(std::span<const CustomerDemand> aDemands);
@@ -67,27 +70,25 @@
 private:
   void OnTick();
   void PublishView();
-  void FetchHosts();
   void OnHosts(const std::vector<ListedHost>& aHosts);
   void OnDemandReport(const ControlSender& aSender, ByteView aPayload);
   // True when a host joined or changed its state.
   bool LogStateChanges(const MembershipView& aView);
 
   const std::string self_;
-  HostList& hostList_;
   ControlChannel& channel_;
   const Clock& clock_;
   EventSink& events_;
   ControlPlaneObserver& observer_;
   HeartbeatProtocol heartbeats_;
+  HostListFollower hostList_;
+  DeadHostSweep deadHosts_;
   std::unique_ptr<ShareCoordinator> coordinator_;
   std::shared_ptr<const MembershipView> publishedView_;
   std::map<std::string, HostState, std::less<>> knownStates_;
-  bool isHostListAway_ = false;
   bool isHostListKnown_ = false;
   Instant startedAt_;
   QTimer heartbeatTimer_;
-  QTimer hostListTimer_;
   QTimer demandTimer_;
 };
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,8 +4,8 @@
 #include "daemon/PeerConfigurationSource.h"
 #include "daemon/RelayAuthentication.h"
 #include "membership/UdpControlChannel.h"
-#include "store/HttpHostList.h"
-#include "store/HttpObjectStore.h"
+#include "store/CatalogHostList.h"
+#include "store/CatalogObjectStore.h"
 
 #include <QDateTime>
 #include <QJsonArray>
@@ -116,26 +116,28 @@
 }
 
 std::unique_ptr<Daemon>
-Daemon::Create(const DaemonSettings& aSettings, std::string& aReason)
+Daemon::Create(const DaemonSettings& aSettings,
+               const CatalogFactory& aOpenCatalog,
+               std::string& aReason)
 {
   std::unique_ptr<Daemon> daemon(new Daemon(aSettings));
-  if (!daemon->Start(aReason)) {
+  if (!daemon->Start(aOpenCatalog, aReason)) {
     return nullptr;
   }
   return daemon;
 }
 
 bool
-Daemon::Start(std::string& aReason)
+Daemon::Start(const CatalogFactory& aOpenCatalog, std::string& aReason)
 {
   client_ = HttpClient::Create(HttpClientLimits{});
-  store_ = HttpObjectStore::Create(
-    settings_.platform, PlatformClientLimits{}, aReason);
-  hostList_ =
-    HttpHostList::Create(settings_.platform, PlatformClientLimits{}, aReason);
-  if (!store_ || !hostList_) {
+  std::unique_ptr<ObjectCatalog> forObjects = aOpenCatalog(aReason);
+  std::unique_ptr<ObjectCatalog> forHosts = aOpenCatalog(aReason);
+  if (!forObjects || !forHosts) {
     return false;
   }
+  store_ = std::make_unique<CatalogObjectStore>(std::move(forObjects));
+  hostList_ = std::make_unique<CatalogHostList>(std::move(forHosts));
   sealer_ = CreateRelaySealer(settings_, incarnation_, clock_);
   ControlChannelSettings channel;
   channel.self = { settings_.host, incarnation_ };
@@ -153,8 +155,19 @@
     return false;
   }
   entryThread_.Run([&] {
+    std::unique_ptr<ObjectCatalog> forClaims = aOpenCatalog(aReason);
+    if (!forClaims) {
+      return;
+    }
     entry_ = EntryRuntime::Create(
-      settings_, incarnation_, clock_, journal_, metrics_, *sealer_, aReason);
+      settings_,
+      incarnation_,
+      clock_,
+      journal_,
+      metrics_,
+      *sealer_,
+      std::make_unique<CatalogObjectStore>(std::move(forClaims)),
+      aReason);
   });
   if (!entry_) {
     return false;
@@ -338,7 +351,7 @@
     { { "host", settings_.host },
       { "pending_claims", pendingClaims },
       { "ms", std::chrono::duration_cast<milliseconds>(elapsed).count() } });
-  stopped_();
+  controlPlane_->Unregister(stopped_);
 }
 
 bool
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "base/WorkerThread.h"
+#include "catalog/ObjectCatalog.h"
 #include "configuration/BackgroundWork.h"
 #include "configuration/ConfigurationFollower.h"
 #include "daemon/AdminServer.h"
@@ -28,8 +29,14 @@
   , public AdminModel
 {
 public:
+  // Opens the store for the calling thread; null, with a reason, when its
+  // address is no address.
+  using CatalogFactory =
+    std::function<std::unique_ptr<ObjectCatalog>(std::string& aReason)>;
+
   // Returns null and fills aReason when an address cannot be bound.
   static std::unique_ptr<Daemon> Create(const DaemonSettings& aSettings,
+                                        const CatalogFactory& aOpenCatalog,
                                         std::string& aReason);
   ~Daemon() override;
 
@@ -51,7 +58,7 @@
 
 private:
   explicit Daemon(const DaemonSettings& aSettings);
-  bool Start(std::string& aReason);
+  bool Start(const CatalogFactory& aOpenCatalog, std::string& aReason);
   void OnConfiguration(const ConfigurationFollower::InForce& aInForce);
   void UpdateWatcher(const MembershipView& aView);
   void CheckStopped();
--- a/src/daemon/EntryRuntime.cpp
+++ b/src/daemon/EntryRuntime.cpp
@@ -1,7 +1,5 @@
 #include "daemon/EntryRuntime.h"
 
-#include "store/HttpObjectStore.h"
-
 #include <utility>
 
 namespace filbertbeam {
@@ -45,20 +43,16 @@
                      EventSink& aEvents,
                      EntryMetrics& aMetrics,
                      RelaySealer& aSealer,
+                     std::unique_ptr<ObjectStore> aStore,
                      std::string& aReason)
 {
-  std::unique_ptr<ObjectStore> store = HttpObjectStore::Create(
-    aSettings.platform, PlatformClientLimits{}, aReason);
-  if (!store) {
-    return nullptr;
-  }
   std::unique_ptr<EntryRuntime> runtime(new EntryRuntime(aSettings,
                                                          aIncarnation,
                                                          aClock,
                                                          aEvents,
                                                          aMetrics,
                                                          aSealer,
-                                                         std::move(store)));
+                                                         std::move(aStore)));
   runtime->server_ = HttpServer::Create(
     aSettings.caller, HttpServerLimits{}, *runtime->service_, aReason);
   return runtime->server_ ? std::move(runtime) : nullptr;
--- a/src/daemon/EntryRuntime.h
+++ b/src/daemon/EntryRuntime.h
@@ -22,13 +22,15 @@
 public:
   // References have to outlive the runtime. Returns null and fills aReason
   // when the address cannot be bound.
-  static std::unique_ptr<EntryRuntime> Create(const DaemonSettings& aSettings,
-                                              std::uint64_t aIncarnation,
-                                              const Clock& aClock,
-                                              EventSink& aEvents,
-                                              EntryMetrics& aMetrics,
-                                              RelaySealer& aSealer,
-                                              std::string& aReason);
+  static std::unique_ptr<EntryRuntime> Create(
+    const DaemonSettings& aSettings,
+    std::uint64_t aIncarnation,
+    const Clock& aClock,
+    EventSink& aEvents,
+    EntryMetrics& aMetrics,
+    RelaySealer& aSealer,
+    std::unique_ptr<ObjectStore> aStore,
+    std::string& aReason);
 
   EntryService& Service() { return *service_; }
   CustomerLimiter& Limiter() { return *limiter_; }
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,6 +1,7 @@
 #include "base/Log.h"
 #include "base/SignalWatcher.h"
 #include "daemon/Daemon.h"
+#include "platform/StoreCatalog.h"
 
 #include <QCoreApplication>
 
@@ -30,8 +31,12 @@
   QCoreApplication application(argc, argv);
   std::string reason;
   const std::unique_ptr<SignalWatcher> signals = SignalWatcher::Create(reason);
+  const auto openCatalog = [&settings](std::string& aReason) {
+    return StoreCatalog::Create(
+      settings->platform, StoreCatalog::DefaultLimits(), aReason);
+  };
   std::unique_ptr<Daemon> daemon =
-    signals ? Daemon::Create(*settings, reason) : nullptr;
+    signals ? Daemon::Create(*settings, openCatalog, reason) : nullptr;
   if (!daemon) {
     LogEvent(LogLevel::Error, "cannot_start", { { "reason", reason } });
     return kExitCannotStart;
--- /dev/null
+++ b/src/daemon/tests/TestDeadHostSweep.cpp
@@ -0,0 +1,98 @@
+#include "daemon/DeadHostSweep.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace filbertbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> kHosts = { "a", "b", "c" };
+
+std::vector<ListedHost>
+Listed()
+{
+  std::vector<ListedHost> hosts;
+  for (const std::string& host : kHosts) {
+    hosts.push_back({ host, "region", "domain", "127.0.0.1", 1, 2, false });
+  }
+  return hosts;
+}
+
+// The fleet as aSelf sees it, with host c in aState.
+std::shared_ptr<const MembershipView>
+ViewOf(std::string_view aSelf, HostState aState, bool aIsIsolated = false)
+{
+  std::vector<Member> members;
+  for (const std::string& host : kHosts) {
+    Member member;
+    member.host = host;
+    member.region = "region";
+    member.domain = "domain";
+    member.incarnation = 1;
+    member.state = host == "c" ? aState : HostState::Live;
+    members.push_back(member);
+  }
+  return MembershipView::Create(aSelf, std::move(members), aIsIsolated);
+}
+
+// How many of the hosts a and b name c as expired after aTime.
+int
+Removals(HostState aState, Duration aTime, bool aIsIsolated = false)
+{
+  int removals = 0;
+  for (const std::string_view self : { "a", "b" }) {
+    const auto view = ViewOf(self, aState, aIsIsolated);
+    DeadHostSweep sweep;
+    BOOST_TEST(sweep.TakeExpired(Listed(), *view, Instant{}).empty());
+    const auto expired = sweep.TakeExpired(Listed(), *view, Instant{} + aTime);
+    removals += static_cast<int>(std::ranges::count(expired, "c"));
+    BOOST_TEST(expired.size() <= 1U);
+  }
+  return removals;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EntriesOfDeadHosts)
+
+// Guards against a list that grows with every host that ends without notice,
+// and against every host of the fleet writing when one ends.
+BOOST_AUTO_TEST_CASE(AreRemovedByOneHost)
+{
+  BOOST_TEST(Removals(HostState::Unreachable, kDeadHostLifetime) == 1);
+}
+
+// Guards against the removal of hosts that restart, leave or live.
+BOOST_AUTO_TEST_CASE(StayWhileTheHostMayReturn)
+{
+  BOOST_TEST(Removals(HostState::Unreachable, kDeadHostLifetime - 1s) == 0);
+  BOOST_TEST(Removals(HostState::Live, kDeadHostLifetime) == 0);
+  BOOST_TEST(Removals(HostState::Leaving, kDeadHostLifetime) == 0);
+}
+
+// Guards against a host that is cut off and removes everybody else.
+BOOST_AUTO_TEST_CASE(StayWhereTheObserverIsIsolated)
+{
+  BOOST_TEST(Removals(HostState::Unreachable, kDeadHostLifetime, true) == 0);
+}
+
+// Guards against a host behind a long cut whose entry is written and removed
+// at every read of the list.
+BOOST_AUTO_TEST_CASE(AreNamedAgainOnlyAfterTheSameTime)
+{
+  int removals = 0;
+  for (const std::string_view self : { "a", "b" }) {
+    const auto view = ViewOf(self, HostState::Unreachable);
+    DeadHostSweep sweep;
+    for (auto age = 0s; age <= 2 * kDeadHostLifetime; age += 5s) {
+      removals += static_cast<int>(
+        sweep.TakeExpired(Listed(), *view, Instant{} + age).size());
+    }
+  }
+  BOOST_TEST(removals == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/store/HttpObjectStore.h
+++ b/src/store/CatalogObjectStore.h
@@ -1,22 +1,20 @@
 #pragma once
 
+#include "catalog/ObjectCatalog.h"
 #include "store/ObjectStore.h"
-#include "store/PlatformClient.h"
+
+#include <QObject>
+
+#include <memory>
 
 namespace filbertbeam {
 
-// The platform's object store over HTTP (docs/platform-protocol.md). Sends
-// every call once.
-class HttpObjectStore final : public ObjectStore
+// Keeps objects in a catalog. The versions are the catalog's revisions, so
+// they grow over all objects.
+class CatalogObjectStore final : public ObjectStore
 {
 public:
-  // Null, with a reason, when the endpoints are at fault.
-  static std::unique_ptr<HttpObjectStore> Create(
-    std::vector<Endpoint> aEndpoints,
-    const PlatformClientLimits& aLimits,
-    std::string& aReason);
-
-  explicit HttpObjectStore(std::unique_ptr<PlatformClient> aClient);
+  explicit CatalogObjectStore(std::unique_ptr<ObjectCatalog> aCatalog);
 
   void Get(std::string_view aKey, ObjectCallback aCallback) override;
   void Create(std::string_view aKey,
@@ -26,6 +24,8 @@
               std::string_view aValue,
               std::uint64_t aExpectedVersion,
               VersionCallback aCallback) override;
+  // One call while the catalog remembers the changes since aAfterVersion, and
+  // another to read the object when the time is over.
   void Watch(std::string_view aKey,
              std::uint64_t aAfterVersion,
              std::chrono::milliseconds aTimeout,
@@ -33,19 +33,15 @@
   void List(std::string_view aPrefix, ListCallback aCallback) override;
 
 private:
-  void Read(std::string_view aKey,
-            std::string_view aQuery,
-            std::chrono::milliseconds aExtraTime,
-            ObjectCallback aCallback);
-  void Write(std::string_view aKey,
-             std::string_view aValue,
-             const HttpField& aCondition,
-             VersionCallback aCallback);
+  class WatchCall;
+  class ListCall;
+
   template<typename Value>
   void Refuse(std::string_view aReason,
               std::function<void(const StoreResult<Value>&)> aCallback);
 
-  std::unique_ptr<PlatformClient> client_;
+  std::unique_ptr<ObjectCatalog> catalog_;
+  QObject context_;
 };
 
 } // namespace filbertbeam
--- a/src/store/ListedHostJson.cpp
+++ b/src/store/ListedHostJson.cpp
@@ -34,8 +34,7 @@
 QJsonObject
 ListedHostToJson(const ListedHost& aHost)
 {
-  return { { "host", QString::fromStdString(aHost.host) },
-           { "region", QString::fromStdString(aHost.region) },
+  return { { "region", QString::fromStdString(aHost.region) },
            { "domain", QString::fromStdString(aHost.domain) },
            { "address", QString::fromStdString(aHost.address) },
            { "relay_port", aHost.relayPort },
@@ -44,12 +43,12 @@
 }
 
 std::optional<ListedHost>
-ListedHostFromJson(const QJsonObject& aObject)
+ListedHostFromJson(std::string_view aHost, const QJsonObject& aObject)
 {
   ListedHost host;
+  host.host = aHost;
   const QJsonValue leaving = aObject.value("leaving");
-  if (!ReadText(aObject, "host", host.host) ||
-      !ReadText(aObject, "region", host.region) ||
+  if (!ReadText(aObject, "region", host.region) ||
       !ReadText(aObject, "domain", host.domain) ||
       !ReadText(aObject, "address", host.address) ||
       !ReadPort(aObject, "relay_port", host.relayPort) ||
--- a/src/store/ListedHostJson.h
+++ b/src/store/ListedHostJson.h
@@ -6,13 +6,13 @@
 
 namespace filbertbeam {
 
-// A host as the platform's API writes it.
+// A host's entry without its name, which is the name of the entry.
 QJsonObject
 ListedHostToJson(const ListedHost& aHost);
 
 // Null when a field is missing or of the wrong type. "leaving" and the ports
 // may be left out.
 std::optional<ListedHost>
-ListedHostFromJson(const QJsonObject& aObject);
+ListedHostFromJson(std::string_view aHost, const QJsonObject& aObject);
 
 } // namespace filbertbeam
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -15,7 +15,7 @@
 {
   std::string key;
   std::string value;
-  // Grows with every write of the object, from 1.
+  // Grows with every write of the object; above 0.
   std::uint64_t version = 0;
 };
 
@@ -43,8 +43,9 @@
   bool isUnsent = false;
 };
 
-// Values above this size are refused as Invalid.
-inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
+// Values above this size are refused as Invalid. The platform takes objects of
+// 1 MiB; a value takes four thirds of its size there.
+inline constexpr std::size_t kMaxObjectBytes = 750'000;
 // Keys above this length are refused as Invalid.
 inline constexpr std::size_t kMaxObjectKeyBytes = 512;
 
--- a/src/store/StoredObjects.cpp
+++ b/src/store/StoredObjects.cpp
@@ -88,7 +88,7 @@
   }
   const StoredObject object{ std::string(aKey),
                              std::string(aValue),
-                             version + 1 };
+                             ++revision_ };
   objects_.insert_or_assign(object.key, object);
   for (const auto& [number, listener] : listeners_) {
     listener(object);
--- a/src/store/StoredObjects.h
+++ b/src/store/StoredObjects.h
@@ -32,6 +32,8 @@
                                    std::uint64_t aExpectedVersion);
 
   std::map<std::string, StoredObject, std::less<>> objects_;
+  // Grows with every write of any object, like the platform's.
+  std::uint64_t revision_ = 0;
   std::map<int, Listener> listeners_;
   int nextListener_ = 1;
 };
--- a/src/store/tests/TestMemoryObjectStore.cpp
+++ b/src/store/tests/TestMemoryObjectStore.cpp
@@ -50,6 +50,24 @@
   BOOST_TEST(seen->value->value == "far");
 }
 
+// Guards against figures of store load that miss or double calls.
+BOOST_AUTO_TEST_CASE(CallsAreCountedByKind)
+{
+  MemoryObjectStore store;
+  const auto created = AwaitCreate(store, "key", "");
+  const auto updated = AwaitUpdate(store, "key", "", *created.value);
+  AwaitUpdate(store, "key", "", *created.value);
+  AwaitGet(store, "key");
+  AwaitWatch(store, "key", *updated.value, milliseconds(30));
+  AwaitList(store, "");
+  const StoreCallCounts& counts = store.Counts();
+  BOOST_TEST(counts.creates == 1U);
+  BOOST_TEST(counts.updates == 2U);
+  BOOST_TEST(counts.gets == 1U);
+  BOOST_TEST(counts.watches == 1U);
+  BOOST_TEST(counts.lists == 1U);
+}
+
 // Guards against a callback into a caller after its store was destroyed.
 BOOST_AUTO_TEST_CASE(ADestroyedStoreAnswersNothing)
 {
--- /dev/null
+++ b/src/store/tests/support/CatalogStoreFixture.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "platform/StoreCatalog.h"
+#include "platform/standin/StoreStandIn.h"
+#include "store/CatalogObjectStore.h"
+#include "store/MemoryObjectStore.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace filbertbeam {
+
+// The contract suite against the platform's published protocol.
+struct CatalogStoreFixture
+{
+  CatalogStoreFixture()
+  {
+    std::string reason;
+    standIn = StoreStandIn::Create({ "127.0.0.1", 0 }, reason);
+    BOOST_REQUIRE_MESSAGE(standIn != nullptr, reason);
+    store = Connect();
+  }
+
+  std::unique_ptr<ObjectCatalog> OpenCatalog() const
+  {
+    std::string reason;
+    auto catalog = StoreCatalog::Create({ { "127.0.0.1", standIn->Port() } },
+                                        StoreCatalog::DefaultLimits(),
+                                        reason);
+    BOOST_REQUIRE_MESSAGE(catalog != nullptr, reason);
+    return catalog;
+  }
+  std::unique_ptr<CatalogObjectStore> Connect() const
+  {
+    return std::make_unique<CatalogObjectStore>(OpenCatalog());
+  }
+
+  ObjectStore& Store() { return *store; }
+  void SetFaults(const StoreFaults& aFaults)
+  {
+    StoreStandInFaults faults;
+    faults.isAway = aFaults.isAway;
+    faults.delay = aFaults.delay;
+    faults.answerDelay = aFaults.answerDelay;
+    faults.lostWriteAnswers = aFaults.loseWriteAnswers;
+    faults.lateWrites = aFaults.lateWrites;
+    standIn->SetFaults(faults);
+  }
+  StoreCallCounts Counts() { return standIn->Counts(); }
+
+  std::unique_ptr<StoreStandIn> standIn;
+  std::unique_ptr<CatalogObjectStore> store;
+};
+
+} // namespace filbertbeam
