Daemon: Follow the list of hosts by watch

The list was read every 5 s; with 1,300 hosts in pages of about 500 that is 780 reads a second. A damaged entry is now passed over with a log line instead of hiding the list: heartbeats keep the host while it lives, and an entry of another writer must not cost the others.

--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -14,6 +14,9 @@
 // backend servers then shed what is too much.
 constexpr std::chrono::seconds kMaxWaitForMembers{ 10 };
 
+// Short against kDeadHostLifetime.
+constexpr std::chrono::seconds kSweepInterval{ 60 };
+
 ListedHost
 EntryOf(const Member& aSelf)
 {
@@ -26,7 +29,7 @@
 } // namespace
 
 ControlPlane::ControlPlane(const Member& aSelf,
-                           HostList& aHostList,
+                           ObjectCatalog& aCatalog,
                            ControlChannel& aChannel,
                            const Clock& aClock,
                            Random& aRandom,
@@ -39,8 +42,9 @@
   , observer_(aObserver)
   , heartbeats_(aSelf, aClock, aRandom)
   , hostList_(
-      aHostList,
+      aCatalog,
       EntryOf(aSelf),
+      aClock,
       aRandom,
       [this](const std::vector<ListedHost>& aHosts) { OnHosts(aHosts); })
   , coordinator_(ShareCoordinator::Create())
@@ -65,6 +69,7 @@
                        });
   heartbeatTimer_.setTimerType(Qt::PreciseTimer);
   heartbeatTimer_.callOnTimeout([this] { OnTick(); });
+  sweepTimer_.callOnTimeout([this] { RemoveDeadHosts(); });
   demandTimer_.callOnTimeout([this] { observer_.OnDemandsWanted(); });
 }
 
@@ -76,6 +81,7 @@
   OnTick();
   heartbeatTimer_.start(kHeartbeatTickInterval);
   demandTimer_.start(kDemandReportInterval);
+  sweepTimer_.start(kSweepInterval);
 }
 
 void
@@ -189,8 +195,13 @@
     }
   }
   observer_.OnLeavingAddresses(leaving);
-  for (const std::string& host :
-       deadHosts_.TakeExpired(aHosts, *publishedView_, clock_.Now())) {
+}
+
+void
+ControlPlane::RemoveDeadHosts()
+{
+  for (const std::string& host : deadHosts_.TakeExpired(
+         hostList_.Hosts(), *heartbeats_.View(), clock_.Now())) {
     hostList_.Remove(host);
   }
 }
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -45,7 +45,7 @@
 public:
   // All references have to outlive the object.
   ControlPlane(const Member& aSelf,
-               HostList& aHostList,
+               ObjectCatalog& aCatalog,
                ControlChannel& aChannel,
                const Clock& aClock,
                Random& aRandom,
@@ -71,6 +71,7 @@
   void OnTick();
   void PublishView();
   void OnHosts(const std::vector<ListedHost>& aHosts);
+  void RemoveDeadHosts();
   void OnDemandReport(const ControlSender& aSender, ByteView aPayload);
   // True when a host joined or changed its state.
   bool LogStateChanges(const MembershipView& aView);
@@ -90,6 +91,7 @@
   Instant startedAt_;
   QTimer heartbeatTimer_;
   QTimer demandTimer_;
+  QTimer sweepTimer_;
 };
 
 } // namespace filbertbeam
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,7 +4,6 @@
 #include "daemon/PeerConfigurationSource.h"
 #include "daemon/RelayAuthentication.h"
 #include "membership/UdpControlChannel.h"
-#include "store/CatalogHostList.h"
 #include "store/CatalogObjectStore.h"
 
 #include <QDateTime>
@@ -132,12 +131,11 @@
 {
   client_ = HttpClient::Create(HttpClientLimits{});
   std::unique_ptr<ObjectCatalog> forObjects = aOpenCatalog(aReason);
-  std::unique_ptr<ObjectCatalog> forHosts = aOpenCatalog(aReason);
-  if (!forObjects || !forHosts) {
+  hostCatalog_ = aOpenCatalog(aReason);
+  if (!forObjects || !hostCatalog_) {
     return false;
   }
   store_ = std::make_unique<CatalogObjectStore>(std::move(forObjects));
-  hostList_ = std::make_unique<CatalogHostList>(std::move(forHosts));
   sealer_ = CreateRelaySealer(settings_, incarnation_, clock_);
   ControlChannelSettings channel;
   channel.self = { settings_.host, incarnation_ };
@@ -189,7 +187,7 @@
     });
   controlPlane_ =
     std::make_unique<ControlPlane>(SelfOf(settings_, incarnation_),
-                                   *hostList_,
+                                   *hostCatalog_,
                                    *channel_,
                                    clock_,
                                    random_,
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -72,7 +72,7 @@
 
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<ObjectStore> store_;
-  std::unique_ptr<HostList> hostList_;
+  std::unique_ptr<ObjectCatalog> hostCatalog_;
   std::unique_ptr<RelaySealer> sealer_;
   std::unique_ptr<ControlChannel> channel_;
   // Joining 80,000 contracts takes longer than heartbeats may be late.
--- a/src/daemon/DeadHostSweep.h
+++ b/src/daemon/DeadHostSweep.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "membership/ListedHost.h"
 #include "membership/MembershipView.h"
-#include "store/HostList.h"
 
 #include <map>
 #include <span>
--- a/src/daemon/HostListFollower.cpp
+++ b/src/daemon/HostListFollower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/HostListFollower.h"
 
 #include "base/Log.h"
+#include "membership/ListedHostJson.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,46 +13,36 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRegisterRetry{ 500 };
-// Hosts that start together are all in the list after about a second.
-constexpr milliseconds kSecondFetch{ 1'200 };
-// At 1,300 hosts this is 260 reads per second of the platform's 2,000.
-constexpr milliseconds kFetchInterval{ 5'000 };
+// Hosts that start together cost each of the others one call.
+constexpr milliseconds kGatherTime{ 500 };
 
 } // namespace
 
-HostListFollower::HostListFollower(HostList& aHostList,
+HostListFollower::HostListFollower(ObjectCatalog& aCatalog,
                                    ListedHost aSelf,
+                                   const Clock& aClock,
                                    Random& aRandom,
                                    Handler aOnHosts)
-  : hostList_(aHostList)
+  : catalog_(aCatalog)
   , self_(std::move(aSelf))
   , random_(aRandom)
   , onHosts_(std::move(aOnHosts))
+  , follower_(
+      aCatalog,
+      { Collection::Members, "members", kGatherTime, milliseconds(0) },
+      aClock,
+      aRandom,
+      [this](const CatalogFollower::Objects& aObjects) { OnObjects(aObjects); })
 {
   registerTimer_.setSingleShot(true);
   registerTimer_.callOnTimeout([this] { Register(); });
-  fetchTimer_.callOnTimeout([this] {
-    fetchTimer_.start(kFetchInterval);
-    Fetch();
-  });
 }
 
 void
 HostListFollower::Start()
 {
   Register();
-  Fetch();
-  fetchTimer_.start(kSecondFetch);
-}
-
-void
-HostListFollower::Remove(const std::string& aHost)
-{
-  hostList_.Remove(aHost, [aHost](const std::optional<std::string>& aFailure) {
-    LogEvent(aFailure ? LogLevel::Warning : LogLevel::Info,
-             aFailure ? "dead_host_not_removed" : "dead_host_removed",
-             { { "host", aHost }, { "reason", aFailure.value_or("") } });
-  });
+  follower_.Start();
 }
 
 void
@@ -66,66 +57,82 @@
 {
   isUnregistered_ = true;
   registerTimer_.stop();
-  fetchTimer_.stop();
-  hostList_.Remove(
-    self_.host,
-    [done = std::move(aDone)](const std::optional<std::string>& aFailure) {
-      if (aFailure) {
-        LogEvent(LogLevel::Warning,
-                 "host_not_unregistered",
-                 { { "reason", *aFailure } });
-      }
-      done();
-    });
+  catalog_.Remove(Collection::Members,
+                  self_.host,
+                  [done = std::move(aDone)](const CatalogFailure& aFailure) {
+                    if (aFailure.error != CatalogError::None) {
+                      LogEvent(LogLevel::Warning,
+                               "host_not_unregistered",
+                               { { "reason", aFailure.reason } });
+                    }
+                    done();
+                  });
 }
 
 void
-HostListFollower::Register()
+HostListFollower::Remove(const std::string& aHost)
 {
-  registerTimer_.stop();
-  hostList_.Write(self_, [this](const std::optional<std::string>& aFailure) {
-    if (!aFailure || isUnregistered_) {
-      return;
-    }
-    LogEvent(
-      LogLevel::Warning, "host_not_registered", { { "reason", *aFailure } });
-    registerTimer_.start(
-      kRegisterRetry + milliseconds(random_.Below(
-                         static_cast<std::uint64_t>(kRegisterRetry.count()))));
-  });
+  catalog_.Remove(
+    Collection::Members, aHost, [aHost](const CatalogFailure& aFailure) {
+      const bool isRemoved = aFailure.error == CatalogError::None;
+      LogEvent(isRemoved ? LogLevel::Info : LogLevel::Warning,
+               isRemoved ? "dead_host_removed" : "dead_host_not_removed",
+               { { "host", aHost }, { "reason", aFailure.reason } });
+    });
 }
 
 void
-HostListFollower::Fetch()
+HostListFollower::Register()
 {
-  hostList_.Fetch([this](const StoreResult<std::vector<ListedHost>>& aResult) {
-    const bool isAway = !aResult.value.has_value();
-    if (isAway_.value_or(false) != isAway) {
-      LogEvent(isAway ? LogLevel::Warning : LogLevel::Info,
-               isAway ? "host_list_unavailable" : "host_list_available",
-               { { "reason", aResult.reason } });
-    }
-    isAway_ = isAway;
-    if (!isAway && !isUnregistered_) {
-      OnHosts(*aResult.value);
-    }
-  });
+  registerTimer_.stop();
+  isWriting_ = true;
+  catalog_.Put(Collection::Members,
+               self_.host,
+               ListedHostToJson(self_),
+               [this](const CatalogFailure& aFailure) {
+                 isWriting_ = false;
+                 if (aFailure.error == CatalogError::None || isUnregistered_) {
+                   return;
+                 }
+                 LogEvent(LogLevel::Warning,
+                          "host_not_registered",
+                          { { "reason", aFailure.reason } });
+                 registerTimer_.start(
+                   kRegisterRetry +
+                   milliseconds(random_.Below(
+                     static_cast<std::uint64_t>(kRegisterRetry.count()))));
+               });
 }
 
 void
-HostListFollower::OnHosts(std::vector<ListedHost> aHosts)
+HostListFollower::OnObjects(const CatalogFollower::Objects& aObjects)
 {
-  const auto own = std::ranges::find(aHosts, self_.host, &ListedHost::host);
+  if (isUnregistered_) {
+    return;
+  }
+  hosts_.clear();
+  for (const auto& [name, object] : aObjects) {
+    auto host = ListedHostFromJson(name, object.content);
+    if (!host) {
+      // Heartbeats keep a host whose entry is damaged while it lives.
+      LogEvent(LogLevel::Warning, "host_entry_malformed", { { "host", name } });
+      continue;
+    }
+    hosts_.push_back(std::move(*host));
+  }
+  const auto own = std::ranges::find(hosts_, self_.host, &ListedHost::host);
+  const bool isAsWritten = own != hosts_.end() && *own == self_;
+  if (own == hosts_.end()) {
+    hosts_.push_back(self_);
+  } else {
+    *own = self_;
+  }
   // The entry may be of an earlier process of this host, or another host may
   // have taken it for one that ended.
-  if (own == aHosts.end()) {
-    aHosts.push_back(self_);
-    Register();
-  } else if (*own != self_) {
-    *own = self_;
+  if (!isAsWritten && !isWriting_ && !registerTimer_.isActive()) {
     Register();
   }
-  onHosts_(aHosts);
+  onHosts_(hosts_);
 }
 
 } // namespace filbertbeam
--- a/src/daemon/HostListFollower.h
+++ b/src/daemon/HostListFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/Random.h"
-#include "store/HostList.h"
+#include "catalog/CatalogFollower.h"
+#include "membership/ListedHost.h"
 
 #include <QTimer>
 
@@ -11,42 +11,47 @@
 
 namespace filbertbeam {
 
-// Keeps this host's entry in the list of hosts and reads the others' there.
+// Keeps this host's entry in the list of hosts and follows the others' there.
 class HostListFollower
 {
 public:
-  // Takes the list as last read, in which this host's own entry is as written.
+  // Takes the list after each change. This host's own entry in it is as
+  // written.
   using Handler = std::function<void(const std::vector<ListedHost>&)>;
 
   // References have to outlive the object.
-  HostListFollower(HostList& aHostList,
+  HostListFollower(ObjectCatalog& aCatalog,
                    ListedHost aSelf,
+                   const Clock& aClock,
                    Random& aRandom,
                    Handler aOnHosts);
 
   void Start();
-  // Takes the entry of another host, one that is dead, out of the list.
-  void Remove(const std::string& aHost);
   // Marks the entry, for hosts that hear of this one only through the list.
   void StartLeaving();
   // Takes the entry out of the list; aDone is called whether that succeeds or
   // not. Nothing is written afterwards.
   void Unregister(std::function<void()> aDone);
+  // Takes the entry of another host, one that is dead, out of the list.
+  void Remove(const std::string& aHost);
+
+  // The list as last read.
+  const std::vector<ListedHost>& Hosts() const { return hosts_; }
 
 private:
   void Register();
-  void Fetch();
-  void OnHosts(std::vector<ListedHost> aHosts);
+  void OnObjects(const CatalogFollower::Objects& aObjects);
 
-  HostList& hostList_;
+  ObjectCatalog& catalog_;
   ListedHost self_;
   Random& random_;
   Handler onHosts_;
-  // Null before the first answer.
-  std::optional<bool> isAway_;
+  std::vector<ListedHost> hosts_;
+  // While the entry is being written, the list does not show it yet.
+  bool isWriting_ = false;
   bool isUnregistered_ = false;
   QTimer registerTimer_;
-  QTimer fetchTimer_;
+  CatalogFollower follower_;
 };
 
 } // namespace filbertbeam
--- a/src/membership/HeartbeatProtocol.h
+++ b/src/membership/HeartbeatProtocol.h
@@ -4,9 +4,9 @@
 #include "base/Random.h"
 #include "membership/ControlChannel.h"
 #include "membership/HeartbeatCodec.h"
+#include "membership/ListedHost.h"
 #include "membership/MembershipView.h"
 #include "membership/PartnerRing.h"
-#include "store/HostList.h"
 
 #include <deque>
 #include <map>
@@ -60,7 +60,7 @@
 
   std::uint64_t Incarnation() const;
 
-  // The platform's host list, as last read. It adds candidates and leaving
+  // The list of hosts, as last read. It adds candidates and leaving
   // marks; a host that it no longer names stays until it is unreachable.
   // Entries without control port are other machines.
   void SetListedHosts(std::span<const ListedHost> aHosts);
--- a/src/store/ListedHostJson.cpp
+++ b/src/membership/ListedHostJson.cpp
@@ -1,4 +1,4 @@
-#include "store/ListedHostJson.h"
+#include "membership/ListedHostJson.h"
 
 #include <limits>
 
--- a/src/store/ListedHostJson.h
+++ b/src/membership/ListedHostJson.h
@@ -1,9 +1,12 @@
 #pragma once
 
-#include "store/HostList.h"
+#include "membership/ListedHost.h"
 
 #include <QJsonObject>
 
+#include <optional>
+#include <string_view>
+
 namespace filbertbeam {
 
 // A host's entry without its name, which is the name of the entry.
--- a/src/owner/OwnerService.h
+++ b/src/owner/OwnerService.h
@@ -57,7 +57,7 @@
 
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   void SetView(std::shared_ptr<const MembershipView> aView);
-  // Addresses that the platform's host list reports as leaving.
+  // Addresses that the list of hosts reports as leaving.
   void SetLeavingAddresses(std::set<std::string> aAddresses);
 
   // From a grace period after this call on, relayed requests are refused as
