--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr qint64 kReadBufferBytes = 64 * 1024;
-constexpr std::size_t kReadBytes = 16 * 1024;
 // Responses to earlier requests that may come before the one that is due.
 constexpr int kMaxSkippedResponses = 4;
 // A server that states when it closes idle connections is not sent a request
@@ -62,7 +60,7 @@
 HttpClientConnection::Connect(std::chrono::milliseconds aTimeout)
 {
   socket_->setProxy(QNetworkProxy::NoProxy);
-  socket_->setReadBufferSize(kReadBufferBytes);
+  socket_->setReadBufferSize(HttpInputBuffer::kSocketBytes);
   QObject::connect(
     socket_, &QTcpSocket::connected, &receiver_, [this] { OnConnected(); });
   QObject::connect(
@@ -90,7 +88,8 @@
 HttpClientConnection::IsUsable() const
 {
   return state_ == State::Connected && exchange_ == nullptr &&
-         Input().empty() && ProbeSocket(*socket_) == SocketCondition::Quiet;
+         input_.Bytes().empty() &&
+         ProbeSocket(*socket_) == SocketCondition::Quiet;
 }
 
 std::shared_ptr<TcpClientExchange>
@@ -287,10 +286,7 @@
   isOrderlyEnd_ = endWatch_ != nullptr && endWatch_->HasEndedInOrder();
   endReason_ = socket_->errorString().toStdString();
   // What arrived before the end is kept; it is at most one read buffer.
-  const QByteArray rest = socket_->readAll();
-  input_.erase(0, inputBegin_);
-  inputBegin_ = 0;
-  input_.append(rest.constData(), static_cast<std::size_t>(rest.size()));
+  input_.ReadRestOf(*socket_);
   state_ = State::Ended;
   // Nothing more may be sent: the count of bytes sent is final from here on.
   socket_->disconnect(&receiver_);
@@ -337,10 +333,10 @@
     return false;
   }
   std::size_t consumed = 0;
-  const HttpParseStep step = parser_.Parse(Input(), consumed);
+  const HttpParseStep step = parser_.Parse(input_.Bytes(), consumed);
   if (step == HttpParseStep::NeedMore) {
-    inputBegin_ += consumed;
-    if (ReadMore()) {
+    input_.Consume(consumed);
+    if (state_ == State::Connected && input_.ReadFrom(*socket_)) {
       return true;
     }
     if (state_ != State::Ended) {
@@ -358,7 +354,7 @@
   const auto observer = observer_;
   switch (step) {
     case HttpParseStep::Head:
-      inputBegin_ += consumed;
+      input_.Consume(consumed);
       if (sentBytes_ == 0) {
         Fail(HttpFailureKind::Malformed,
              "a response arrived before the request was sent");
@@ -383,10 +379,10 @@
       if (!isSkipping_) {
         observer->OnResponseBody(parser_.Body());
       }
-      inputBegin_ += consumed;
+      input_.Consume(consumed);
       return true;
     case HttpParseStep::End:
-      inputBegin_ += consumed;
+      input_.Consume(consumed);
       if (isSkipping_) {
         SkipResponse();
         return exchange_ != nullptr;
@@ -402,27 +398,6 @@
   return false;
 }
 
-bool
-HttpClientConnection::ReadMore()
-{
-  if (state_ != State::Connected || socket_->bytesAvailable() == 0) {
-    return false;
-  }
-  input_.erase(0, inputBegin_);
-  inputBegin_ = 0;
-  const std::size_t size = input_.size();
-  input_.resize(size + kReadBytes);
-  const qint64 count = socket_->read(input_.data() + size, kReadBytes);
-  input_.resize(size + (count > 0 ? static_cast<std::size_t>(count) : 0));
-  return count > 0;
-}
-
-ByteView
-HttpClientConnection::Input() const
-{
-  return ByteView(input_).subspan(inputBegin_);
-}
-
 void
 HttpClientConnection::Write(std::string_view aBytes)
 {
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/HttpClient.h"
+#include "http/HttpInputBuffer.h"
 #include "http/HttpResponseParser.h"
 #include "http/SocketDuplicate.h"
 
@@ -78,8 +79,6 @@
   void OnTimeout();
   void Process();
   bool Step();
-  bool ReadMore();
-  ByteView Input() const;
   void Write(std::string_view aBytes);
   void CompleteExchange();
   void SkipResponse();
@@ -121,8 +120,7 @@
   int skippedResponses_ = 0;
   std::string method_;
 
-  std::string input_;
-  std::size_t inputBegin_ = 0;
+  HttpInputBuffer input_;
   HttpResponseParser parser_;
 };
 
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr qint64 kReadBufferBytes = 64 * 1024;
-constexpr std::size_t kReadBytes = 16 * 1024;
 // What a caller may still send after a response that ends its connection.
 constexpr std::chrono::seconds kLingerTime{ 2 };
 constexpr std::size_t kLingerBytes = 8 * 1024 * 1024;
@@ -64,7 +62,7 @@
 void
 HttpServerConnection::Start()
 {
-  socket_->setReadBufferSize(kReadBufferBytes);
+  socket_->setReadBufferSize(HttpInputBuffer::kSocketBytes);
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   QObject::connect(
     socket_, &QTcpSocket::readyRead, &context_, [this] { Process(); });
@@ -112,8 +110,8 @@
   const TcpServerExchange::Progress& last = exchanges_.back()->State();
   // With a full read buffer, Qt does not watch the socket, and a caller that
   // went away would keep its request queued.
-  if (socket_->bytesAvailable() >= kReadBufferBytes && !last.isFinished &&
-      HasPeerEnded(*socket_)) {
+  if (socket_->bytesAvailable() >= HttpInputBuffer::kSocketBytes &&
+      !last.isFinished && HasPeerEnded(*socket_)) {
     Close();
     return;
   }
@@ -178,18 +176,18 @@
     return HandleHead();
   }
   std::size_t consumed = 0;
-  const HttpParseStep step = parser_.Parse(Input(), consumed);
+  const HttpParseStep step = parser_.Parse(input_.Bytes(), consumed);
   switch (step) {
     case HttpParseStep::NeedMore:
-      Consume(consumed);
+      input_.Consume(consumed);
       if ((exchanges_.empty() || exchanges_.back()->State().isRequestEnded) &&
-          !isHeadStarted_ && !Input().empty()) {
+          !isHeadStarted_ && !input_.Bytes().empty()) {
         isHeadStarted_ = true;
         headBegin_ = Now();
       }
-      return ReadMore();
+      return input_.ReadFrom(*socket_);
     case HttpParseStep::Head:
-      Consume(consumed);
+      input_.Consume(consumed);
       if (!exchanges_.empty() && !application_.MayRunAhead(parser_.Head())) {
         isHeadHeld_ = true;
         isHeadStarted_ = false;
@@ -198,10 +196,10 @@
       return HandleHead();
     case HttpParseStep::Body:
       HandleBody();
-      Consume(consumed);
+      input_.Consume(consumed);
       return true;
     case HttpParseStep::End:
-      Consume(consumed);
+      input_.Consume(consumed);
       HandleEnd();
       return true;
     case HttpParseStep::Failed:
@@ -284,38 +282,10 @@
   }
 }
 
-bool
-HttpServerConnection::ReadMore()
-{
-  if (socket_->bytesAvailable() == 0) {
-    return false;
-  }
-  input_.erase(0, inputBegin_);
-  inputBegin_ = 0;
-  const std::size_t size = input_.size();
-  input_.resize(size + kReadBytes);
-  const qint64 count = socket_->read(input_.data() + size, kReadBytes);
-  input_.resize(size + (count > 0 ? static_cast<std::size_t>(count) : 0));
-  return count > 0;
-}
-
-ByteView
-HttpServerConnection::Input() const
-{
-  return ByteView(input_).subspan(inputBegin_);
-}
-
-void
-HttpServerConnection::Consume(std::size_t aBytes)
-{
-  inputBegin_ += aBytes;
-}
-
 void
 HttpServerConnection::DiscardInput()
 {
-  input_.clear();
-  inputBegin_ = 0;
+  input_.Clear();
   lingerBytes_ +=
     static_cast<std::size_t>(socket_->skip(socket_->bytesAvailable()));
   if (lingerBytes_ > kLingerBytes) {
@@ -540,7 +510,7 @@
     BeginNextResponse();
   }
   if (phase_ == Phase::Open && isStopping_ && exchanges_.empty() &&
-      !isHeadHeld_ && Input().empty() &&
+      !isHeadHeld_ && input_.Bytes().empty() &&
       ProbeSocket(*socket_) != SocketCondition::HasInput) {
     Close();
     return;
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "http/HttpInputBuffer.h"
 #include "http/HttpRequestParser.h"
 #include "http/HttpServer.h"
 #include "http/ProgressWindow.h"
@@ -76,9 +77,6 @@
   bool HandleHead();
   void HandleBody();
   void HandleEnd();
-  bool ReadMore();
-  ByteView Input() const;
-  void Consume(std::size_t aBytes);
   void DiscardInput();
 
   bool IsFront(const TcpServerExchange& aExchange) const;
@@ -113,8 +111,7 @@
   bool closesAfterResponse_ = false;
   bool isClosedNotified_ = false;
 
-  std::string input_;
-  std::size_t inputBegin_ = 0;
+  HttpInputBuffer input_;
   HttpRequestParser parser_;
   // The head is arriving since headBegin_.
   bool isHeadStarted_ = false;
