Catalog: Keep a host's own entry in one class

The gateway's HostRegistry and the daemon's HostListFollower each wrote, tried again and removed their entry. EntryRegistration does it for both; the gateway writes its entry again when the list no longer shows it.

--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -1,6 +1,7 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "catalog/CatalogFollower.h"
+#include "catalog/tests/support/CatalogStub.h"
 #include "http/tests/support/EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
@@ -50,7 +51,7 @@
 }
 
 // Calls wait until the test answers them.
-class FakeCatalog final : public ObjectCatalog
+class FakeCatalog final : public CatalogStub
 {
 public:
   void List(Collection,
@@ -68,27 +69,6 @@
     watched = aRevision;
     watches.push_back(std::move(aCallback));
   }
-  void Read(Collection, std::string_view, EntryCallback) override {}
-  void Create(Collection,
-              std::string_view,
-              const QJsonObject&,
-              EntryCallback) override
-  {
-  }
-  void Replace(Collection,
-               std::string_view,
-               const QJsonObject&,
-               std::uint64_t,
-               EntryCallback) override
-  {
-  }
-  void Put(Collection,
-           std::string_view,
-           const QJsonObject&,
-           WriteCallback) override
-  {
-  }
-  void Remove(Collection, std::string_view, WriteCallback) override {}
 
   void AnswerList(CatalogPage aPage)
   {
--- /dev/null
+++ b/src/catalog/tests/support/CatalogStub.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "catalog/ObjectCatalog.h"
+
+namespace filbertbeam::testing {
+
+// Never answers; tests override the calls that they are about.
+class CatalogStub : public ObjectCatalog
+{
+public:
+  void List(Collection, std::string_view, PageCallback) override {}
+  void Watch(Collection,
+             std::uint64_t,
+             std::chrono::milliseconds,
+             ChangesCallback) override
+  {
+  }
+  void Read(Collection, std::string_view, EntryCallback) override {}
+  void Create(Collection,
+              std::string_view,
+              const QJsonObject&,
+              EntryCallback) override
+  {
+  }
+  void Replace(Collection,
+               std::string_view,
+               const QJsonObject&,
+               std::uint64_t,
+               EntryCallback) override
+  {
+  }
+  void Put(Collection,
+           std::string_view,
+           const QJsonObject&,
+           WriteCallback) override
+  {
+  }
+  void Remove(Collection, std::string_view, WriteCallback) override {}
+};
+
+} // namespace filbertbeam::testing
--- a/src/daemon/HostListFollower.cpp
+++ b/src/daemon/HostListFollower.cpp
@@ -12,7 +12,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRegisterRetry{ 500 };
 // Hosts that start together cost each of the others one call.
 constexpr milliseconds kGatherTime{ 500 };
 
@@ -25,7 +24,7 @@
                                    Handler aOnHosts)
   : catalog_(aCatalog)
   , self_(std::move(aSelf))
-  , random_(aRandom)
+  , registration_(aCatalog, Collection::Members, self_.host, aRandom)
   , onHosts_(std::move(aOnHosts))
   , follower_(
       aCatalog,
@@ -34,14 +33,12 @@
       aRandom,
       [this](const CatalogFollower::Objects& aObjects) { OnObjects(aObjects); })
 {
-  registerTimer_.setSingleShot(true);
-  registerTimer_.callOnTimeout([this] { Register(); });
 }
 
 void
 HostListFollower::Start()
 {
-  Register();
+  registration_.Write(ListedHostToJson(self_));
   follower_.Start();
 }
 
@@ -49,24 +46,13 @@
 HostListFollower::StartLeaving()
 {
   self_.isLeaving = true;
-  Register();
+  registration_.Write(ListedHostToJson(self_));
 }
 
 void
 HostListFollower::Unregister(std::function<void()> aDone)
 {
-  isUnregistered_ = true;
-  registerTimer_.stop();
-  catalog_.Remove(Collection::Members,
-                  self_.host,
-                  [done = std::move(aDone)](const CatalogFailure& aFailure) {
-                    if (aFailure.error != CatalogError::None) {
-                      LogEvent(LogLevel::Warning,
-                               "host_not_unregistered",
-                               { { "reason", aFailure.reason } });
-                    }
-                    done();
-                  });
+  registration_.Remove(std::move(aDone));
 }
 
 void
@@ -81,33 +67,10 @@
     });
 }
 
-void
-HostListFollower::Register()
-{
-  registerTimer_.stop();
-  isWriting_ = true;
-  catalog_.Put(Collection::Members,
-               self_.host,
-               ListedHostToJson(self_),
-               [this](const CatalogFailure& aFailure) {
-                 isWriting_ = false;
-                 if (aFailure.error == CatalogError::None || isUnregistered_) {
-                   return;
-                 }
-                 LogEvent(LogLevel::Warning,
-                          "host_not_registered",
-                          { { "reason", aFailure.reason } });
-                 registerTimer_.start(
-                   kRegisterRetry +
-                   milliseconds(random_.Below(
-                     static_cast<std::uint64_t>(kRegisterRetry.count()))));
-               });
-}
-
 void
 HostListFollower::OnObjects(const CatalogFollower::Objects& aObjects)
 {
-  if (isUnregistered_) {
+  if (registration_.IsRemoved()) {
     return;
   }
   hosts_.clear();
@@ -129,8 +92,8 @@
   }
   // The entry may be of an earlier process of this host, or another host may
   // have taken it for one that ended.
-  if (!isAsWritten && !isWriting_ && !registerTimer_.isActive()) {
-    Register();
+  if (!isAsWritten && !registration_.IsWriting()) {
+    registration_.Write(ListedHostToJson(self_));
   }
   onHosts_(hosts_);
 }
--- a/src/daemon/HostListFollower.h
+++ b/src/daemon/HostListFollower.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "catalog/CatalogFollower.h"
+#include "catalog/EntryRegistration.h"
 #include "membership/ListedHost.h"
 
-#include <QTimer>
-
 #include <functional>
 #include <string>
 #include <vector>
@@ -39,18 +38,13 @@
   const std::vector<ListedHost>& Hosts() const { return hosts_; }
 
 private:
-  void Register();
   void OnObjects(const CatalogFollower::Objects& aObjects);
 
   ObjectCatalog& catalog_;
   ListedHost self_;
-  Random& random_;
+  EntryRegistration registration_;
   Handler onHosts_;
   std::vector<ListedHost> hosts_;
-  // While the entry is being written, the list does not show it yet.
-  bool isWriting_ = false;
-  bool isUnregistered_ = false;
-  QTimer registerTimer_;
   CatalogFollower follower_;
 };
 
--- a/src/daemon/tests/TestHostListFollower.cpp
+++ b/src/daemon/tests/TestHostListFollower.cpp
@@ -1,5 +1,6 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
+#include "catalog/tests/support/CatalogStub.h"
 #include "daemon/HostListFollower.h"
 #include "http/tests/support/EventLoop.h"
 #include "membership/ListedHostJson.h"
@@ -16,7 +17,7 @@
 namespace {
 
 // One collection that answers at once, but for watches.
-class FakeCatalog final : public ObjectCatalog
+class FakeCatalog final : public CatalogStub
 {
 public:
   void List(Collection, std::string_view, PageCallback aCallback) override
@@ -36,20 +37,6 @@
   {
     watches.push_back(std::move(aCallback));
   }
-  void Read(Collection, std::string_view, EntryCallback) override {}
-  void Create(Collection,
-              std::string_view,
-              const QJsonObject&,
-              EntryCallback) override
-  {
-  }
-  void Replace(Collection,
-               std::string_view,
-               const QJsonObject&,
-               std::uint64_t,
-               EntryCallback) override
-  {
-  }
   void Put(Collection,
            std::string_view aName,
            const QJsonObject& aContent,
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -3,13 +3,14 @@
 #include "base/Log.h"
 #include "gateway/EndpointJson.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRegisterRetry{ 500 };
 // Hosts that start together are all registered after about a second. Later
 // ones make themselves known to those they find.
 constexpr milliseconds kFirstList{ 1'200 };
@@ -25,35 +26,25 @@
   : catalog_(aCatalog)
   , self_(std::move(aSelf))
   , random_(aRandom)
+  , registration_(aCatalog, Collection::Hosts, self_.name, aRandom)
   , onHosts_(std::move(aOnHosts))
 {
-  for (QTimer* timer : { &registerTimer_, &listTimer_ }) {
-    timer->setSingleShot(true);
-  }
-  registerTimer_.callOnTimeout([this] { Register(); });
+  listTimer_.setSingleShot(true);
   listTimer_.callOnTimeout([this] { List({}); });
 }
 
 void
 HostRegistry::Start()
 {
-  Register();
+  registration_.Write(EndpointToJson(self_.address));
   listTimer_.start(kFirstList);
 }
 
 void
 HostRegistry::Unregister()
 {
-  registerTimer_.stop();
   listTimer_.stop();
-  catalog_.Remove(
-    Collection::Hosts, self_.name, [](const CatalogFailure& aFailure) {
-      if (aFailure.error != CatalogError::None) {
-        LogEvent(LogLevel::Warning,
-                 "host_not_unregistered",
-                 { { "reason", aFailure.reason } });
-      }
-    });
+  registration_.Remove([] {});
 }
 
 void
@@ -65,26 +56,6 @@
   }
 }
 
-void
-HostRegistry::Register()
-{
-  catalog_.Put(Collection::Hosts,
-               self_.name,
-               EndpointToJson(self_.address),
-               [this](const CatalogFailure& aFailure) {
-                 if (aFailure.error == CatalogError::None) {
-                   return;
-                 }
-                 LogEvent(LogLevel::Warning,
-                          "host_not_registered",
-                          { { "reason", aFailure.reason } });
-                 registerTimer_.start(
-                   kRegisterRetry +
-                   milliseconds(random_.Below(
-                     static_cast<std::uint64_t>(kRegisterRetry.count()))));
-               });
-}
-
 void
 HostRegistry::List(const std::string& aAfter)
 {
@@ -115,6 +86,14 @@
     return;
   }
   LogEvent(LogLevel::Info, "hosts_listed", { { "hosts", hosts_.size() } });
+  const bool isListed =
+    std::ranges::any_of(hosts_, [this](const PeerHost& aHost) {
+      return aHost.name == self_.name && aHost.address == self_.address;
+    });
+  // Something else took the entry out, or wrote another.
+  if (!isListed && !registration_.IsWriting()) {
+    registration_.Write(EndpointToJson(self_.address));
+  }
   known_ = std::move(hosts_);
   hosts_.clear();
   onHosts_(known_);
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "balancing/SelectionService.h"
-#include "base/Random.h"
-#include "catalog/ObjectCatalog.h"
+#include "catalog/EntryRegistration.h"
 
 #include <QTimer>
 
@@ -32,18 +31,17 @@
   const std::vector<PeerHost>& Known() const { return known_; }
 
 private:
-  void Register();
   void List(const std::string& aAfter);
   void OnPage(const CatalogPage& aPage);
 
   ObjectCatalog& catalog_;
   const PeerHost self_;
   Random& random_;
+  EntryRegistration registration_;
   Handler onHosts_;
   // Of the list that is being read, and of the last one.
   std::vector<PeerHost> hosts_;
   std::vector<PeerHost> known_;
-  QTimer registerTimer_;
   QTimer listTimer_;
 };
 
