Membership, http: Use no proxy for datagrams and listening

Cause: QUdpSocket::bind and QTcpServer::listen ask the system for a proxy unless one is set. ThreadSanitizer showed the lookup, which runs in a thread of libproxy, at each start; with a proxy in the environment, datagrams between hosts went to it (new test, failed before: connection to proxy refused). Connections to backend servers had it set already. The server's listen did not fail with such a proxy, so it has no test of its own.

--- a/src/http/TcpHttpServer.cpp
+++ b/src/http/TcpHttpServer.cpp
@@ -5,6 +5,7 @@
 #include "http/ProblemDetails.h"
 
 #include <QHostAddress>
+#include <QNetworkProxy>
 #include <QTcpSocket>
 
 #include <algorithm>
@@ -95,6 +96,8 @@
     lastReason_ = "not an IP address: " + aEndpoint.address;
     return false;
   }
+  // Otherwise Qt asks the system for a proxy first, in a thread of its own.
+  server_.setProxy(QNetworkProxy::NoProxy);
   if (!server_.listen(address, aEndpoint.port)) {
     lastReason_ = server_.errorString().toStdString();
     return false;
--- a/src/membership/DatagramSocket.cpp
+++ b/src/membership/DatagramSocket.cpp
@@ -1,6 +1,7 @@
 #include "membership/DatagramSocket.h"
 
 #include <QHostAddress>
+#include <QNetworkProxy>
 
 namespace filbertbeam {
 
@@ -20,6 +21,9 @@
     aReason = "not an IP address: " + aListen.address;
     return nullptr;
   }
+  // Otherwise Qt asks the system for a proxy, in a thread of its own, and sends
+  // through one that the environment names.
+  socket->socket_.setProxy(QNetworkProxy::NoProxy);
   if (!socket->socket_.bind(address, aListen.port)) {
     aReason = socket->socket_.errorString().toStdString();
     return nullptr;
