--- a/src/configuration/ConfigurationReader.h
+++ b/src/configuration/ConfigurationReader.h
@@ -2,6 +2,7 @@
 
 #include "base/Findings.h"
 #include "configuration/Configuration.h"
+#include "configuration/JsonField.h"
 
 #include <optional>
 #include <string>
@@ -19,8 +20,6 @@
 public:
   // Upper limits of what a file may state.
   static constexpr std::size_t kMaxFileBytes = 64ULL * 1024 * 1024;
-  static constexpr std::size_t kMaxNameLength = 128;
-  static constexpr std::size_t kMaxPathPrefixLength = 1024;
   static constexpr double kMinFloor = 0.5;
   // Ten times the target peak of the whole fleet: no fleet can keep a greater
   // promise to one customer.
@@ -39,8 +38,6 @@
   const Findings& Faults() const { return findings_; }
 
 private:
-  class Scope;
-
   struct Place
   {
     int source = 0;
@@ -58,16 +55,18 @@
   };
   using Places = std::unordered_map<std::string, Place>;
 
-  void ReadService(const Scope& aScope);
-  void ReadBackendServer(const Scope& aScope, Service& aService);
-  void ReadRoute(const Scope& aScope);
-  void ReadContract(const Scope& aScope);
-  void ReadKeys(const Scope& aScope, Contract& aContract);
-  void CheckUnique(const Scope& aScope,
+  void ReadService(const JsonField& aObject);
+  void ReadBackendServer(const JsonField& aObject, Service& aService);
+  void ReadRoute(const JsonField& aObject);
+  void ReadContract(const JsonField& aObject);
+  void ReadKeys(const JsonField& aObject, Contract& aContract);
+  void CheckUnique(const JsonField& aObject,
                    Places& aPlaces,
                    const std::string& aKey,
                    std::string_view aWhat);
   void CheckReferences();
+  // Of a value in the file that is being read.
+  Place PlaceOf(const JsonField& aField) const;
   std::string FormatPlace(const Place& aPlace) const;
 
   Findings findings_;
