--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -2,14 +2,13 @@
 
 #include "base/Digest.h"
 #include "base/Log.h"
-#include "entry/RequestPath.h"
+#include "entry/RefusalReason.h"
 #include "relay/RelayFields.h"
 #include "relay/RelayRequest.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -19,13 +18,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kDefaultTimeout{ 30'000 };
-constexpr milliseconds kMaxTimeout{ 300'000 };
-
 // Bodies up to this size are kept so that they can be sent again.
 constexpr std::size_t kKeptBodyBytes = 64 * 1024;
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
-constexpr std::size_t kMaxIdempotencyKeyLength = 255;
 
 constexpr int kMaxAttempts = 4;
 
@@ -42,87 +37,18 @@
 // store does not hold callers for their whole deadline.
 constexpr milliseconds kClaimTimeout{ 2'000 };
 
-// The owner refused the signature, most likely since it was restarted and its
-// new incarnation is not known here yet.
-constexpr std::string_view kNotAuthentic = "not-authentic";
-
-constexpr std::string_view kBearerPrefix = "Bearer ";
-
 std::string
 NewRequestId(Random& aRandom)
 {
   return fmt::format("{:016x}", aRandom.Next());
 }
 
-std::optional<std::string_view>
-ApiKeyOf(const HttpFields& aFields)
-{
-  if (const auto key = aFields.Find("X-Api-Key")) {
-    return key;
-  }
-  const auto authorization = aFields.Find("Authorization");
-  if (!authorization || !authorization->starts_with(kBearerPrefix)) {
-    return std::nullopt;
-  }
-  return authorization->substr(kBearerPrefix.size());
-}
-
-// Idempotent methods of RFC 9110, section 9.2.2.
-bool
-IsIdempotentMethod(std::string_view aMethod)
-{
-  constexpr std::array<std::string_view, 6> kMethods{ "GET",     "HEAD",
-                                                      "OPTIONS", "TRACE",
-                                                      "PUT",     "DELETE" };
-  return std::ranges::find(kMethods, aMethod) != kMethods.end();
-}
-
 bool
 IsRetryableStatus(int aStatus)
 {
   return aStatus == 502 || aStatus == 503 || aStatus == 504;
 }
 
-// True for refusals that only say that this shard cannot take the request
-// now; another shard may.
-bool
-ConcernsShard(std::string_view aReason)
-{
-  return aReason == "queue-full" || aReason == "wait-exceeded" ||
-         aReason == "no-spare-slot" || aReason == "no-backend-server";
-}
-
-bool
-ConcernsOwner(std::string_view aReason)
-{
-  return aReason == "moved" || aReason == "unknown-shard" ||
-         aReason == "owner-unreachable" || aReason == "no-owner" ||
-         aReason == kNotAuthentic;
-}
-
-std::string_view
-DetailOf(std::string_view aReason)
-{
-  if (aReason == "queue-full") {
-    return "The customer has as many requests waiting as its contract allows.";
-  }
-  if (aReason == "no-spare-slot") {
-    return "The customer is above the rate that its contract promises, and no "
-           "spare capacity is free.";
-  }
-  if (aReason == "wait-exceeded" || aReason == "no-backend-server") {
-    return "No backend server of the service could take the request.";
-  }
-  if (aReason == "deadline-passed") {
-    return "The deadline of the request passed.";
-  }
-  if (ConcernsOwner(aReason)) {
-    return "The host that is responsible for the service's backend servers "
-           "cannot be reached.";
-  }
-  return {};
-}
-
 } // namespace
 
 EntrySession::EntrySession(std::shared_ptr<HttpServerExchange> aExchange,
@@ -131,7 +57,7 @@
   , exchange_(std::move(aExchange))
   , requestId_(NewRequestId(aContext.random))
   , startedAt_(aContext.clock.Now())
-  , deadline_(startedAt_ + kDefaultTimeout)
+  , deadline_(startedAt_ + kDefaultRequestTimeout)
 {
   deadlineTimer_.setSingleShot(true);
   deadlineTimer_.callOnTimeout([this] { OnDeadline(); });
@@ -143,84 +69,17 @@
 EntrySession::Start()
 {
   ++context_.metrics.requests;
-  if (!CheckHead()) {
-    return;
-  }
-  deadlineTimer_.start(std::chrono::ceil<milliseconds>(Remaining()));
-}
-
-bool
-EntrySession::CheckHead()
-{
   if (!context_.configuration || !context_.view) {
     Answer({ 503, "not-ready", Outcome::NotRun });
-    return false;
-  }
-  const HttpRequestHead& head = exchange_->Request();
-  const std::optional<std::string_view> key = ApiKeyOf(head.fields);
-  if (key) {
-    contract_ =
-      context_.configuration->FindContractByKeySha256(Sha256Hex(*key));
-  }
-  if (!contract_) {
-    Answer({ 401, "unknown-customer", Outcome::NotRun });
-    return false;
-  }
-  const std::optional<std::string_view> path = RoutablePath(head.target);
-  if (!path) {
-    Answer({ 400, "malformed-target", Outcome::NotRun });
-    return false;
-  }
-  const Route* route = context_.configuration->FindRoute(
-    HostWithoutPort(head.fields.Find("Host").value_or("")), *path);
-  service_ =
-    route ? context_.configuration->FindService(route->service) : nullptr;
-  if (!service_) {
-    Answer({ 404, "unknown-route", Outcome::NotRun });
-    return false;
-  }
-  if (std::ranges::find(contract_->services, service_->name) ==
-      contract_->services.end()) {
-    Answer({ 403, "service-not-in-contract", Outcome::NotRun });
-    return false;
-  }
-  isIdempotent_ = IsIdempotentMethod(head.method) &&
-                  std::ranges::find(route->nonIdempotentMethods, head.method) ==
-                    route->nonIdempotentMethods.end();
-  return CheckTimeout() && CheckIdempotencyKey();
-}
-
-bool
-EntrySession::CheckTimeout()
-{
-  const auto field = exchange_->Request().fields.Find(kRequestTimeoutField);
-  if (!field) {
-    return true;
-  }
-  std::int64_t timeout = 0;
-  const char* end = field->data() + field->size();
-  const auto result = std::from_chars(field->data(), end, timeout);
-  if (result.ec != std::errc() || result.ptr != end || timeout <= 0) {
-    Answer({ 400, "malformed-timeout", Outcome::NotRun });
-    return false;
-  }
-  deadline_ = startedAt_ + std::min(milliseconds(timeout), kMaxTimeout);
-  return true;
-}
-
-bool
-EntrySession::CheckIdempotencyKey()
-{
-  const auto key = exchange_->Request().fields.Find("Idempotency-Key");
-  if (!key || isIdempotent_) {
-    return true;
+    return;
   }
-  if (key->empty() || key->size() > kMaxIdempotencyKeyLength) {
-    Answer({ 400, "malformed-idempotency-key", Outcome::NotRun });
-    return false;
+  if (const auto fault = ReadRequestTerms(
+        exchange_->Request(), *context_.configuration, terms_)) {
+    Answer({ fault->status, std::string(fault->reason), Outcome::NotRun });
+    return;
   }
-  idempotencyKey_ = *key;
-  return true;
+  deadline_ = startedAt_ + terms_.timeout;
+  deadlineTimer_.start(std::chrono::ceil<milliseconds>(Remaining()));
 }
 
 void
@@ -267,14 +126,15 @@
 void
 EntrySession::Admit()
 {
-  requestClass_ = context_.limiter.Classify(*contract_, context_.clock.Now());
+  requestClass_ =
+    context_.limiter.Classify(*terms_.contract, context_.clock.Now());
   isClassified_ = true;
   if (requestClass_ == RequestClass::Excess) {
     ++context_.metrics.excessRequests;
   }
   context_.retryBudget.OnRequest(
-    service_->name, contract_->customer, context_.clock.Now());
-  if (idempotencyKey_.empty()) {
+    terms_.service->name, terms_.contract->customer, context_.clock.Now());
+  if (terms_.idempotencyKey.empty()) {
     Relay();
     return;
   }
@@ -293,8 +153,8 @@
                 : "chunked";
   }
   ClaimRequest request;
-  request.customer = contract_->customer;
-  request.idempotencyKey = idempotencyKey_;
+  request.customer = terms_.contract->customer;
+  request.idempotencyKey = terms_.idempotencyKey;
   request.fingerprint = Sha256Hex(
     fmt::format("{}\n{}\n{}", head.method, head.target, Sha256Hex(content)));
   const Instant deadline =
@@ -374,10 +234,10 @@
   head.fields.Remove("Expect");
   RelayRequest request;
   request.shard = aShard.key;
-  request.customer = contract_->customer;
-  request.promise = contract_->requestsPerSecond;
+  request.customer = terms_.contract->customer;
+  request.promise = terms_.contract->requestsPerSecond;
   request.requestClass = requestClass_;
-  request.isIdempotent = isIdempotent_;
+  request.isIdempotent = terms_.isIdempotent;
   request.remaining = std::chrono::floor<milliseconds>(Remaining());
   request.requestId = requestId_;
   WriteRelayFields(request, head.fields);
@@ -391,10 +251,10 @@
     return;
   }
   phase_ = Phase::Relaying;
-  const Shard* shard =
-    context_.selector.Choose(context_.configuration->ShardsOf(service_->name),
-                             context_.view->Self(),
-                             excludedShards_);
+  const Shard* shard = context_.selector.Choose(
+    context_.configuration->ShardsOf(terms_.service->name),
+    context_.view->Self(),
+    excludedShards_);
   const Member* owner =
     shard
       ? context_.view->OwnerOfShard(shard->key, shard->region, shard->domain)
@@ -587,7 +447,8 @@
 EntrySession::TryAgain(const Rejection& aRejection)
 {
   mayHaveRun_ = mayHaveRun_ || aRejection.outcome != Outcome::NotRun;
-  const bool isSafe = isIdempotent_ || aRejection.outcome == Outcome::NotRun;
+  const bool isSafe =
+    terms_.isIdempotent || aRejection.outcome == Outcome::NotRun;
   const bool isPossible = isBodyKept_ && isBodyComplete_ && !isCallerGone_ &&
                           aRejection.reason != "deadline-passed" &&
                           Remaining() > kRetryDelay;
@@ -601,10 +462,11 @@
     excludedShards_.insert(attempt_->Shard());
   }
   const std::size_t shards =
-    context_.configuration->ShardsOf(service_->name).size();
+    context_.configuration->ShardsOf(terms_.service->name).size();
   if (attempts_ >= kMaxAttempts || excludedShards_.size() >= shards ||
-      !context_.retryBudget.TryRetry(
-        service_->name, contract_->customer, context_.clock.Now())) {
+      !context_.retryBudget.TryRetry(terms_.service->name,
+                                     terms_.contract->customer,
+                                     context_.clock.Now())) {
     return false;
   }
   ++context_.metrics.retries;
@@ -624,7 +486,7 @@
   ReleaseAttempt();
   ++context_.metrics.retries;
   const std::size_t shards =
-    context_.configuration->ShardsOf(service_->name).size();
+    context_.configuration->ShardsOf(terms_.service->name).size();
   if (excludedShards_.size() < shards) {
     Relay();
     return true;
@@ -642,7 +504,7 @@
 {
   // The connection may still work, so a request that must not run twice waits
   // on for its answer.
-  if (!isIdempotent_ || phase_ != Phase::Relaying ||
+  if (!terms_.isIdempotent || phase_ != Phase::Relaying ||
       attempt_.get() != &aAttempt) {
     return;
   }
@@ -673,7 +535,7 @@
   if (outcome == Outcome::NotRun) {
     ++context_.metrics.refusedNotRun;
     if (isClassified_ && requestClass_ == RequestClass::InContract) {
-      context_.limiter.Refund(contract_->customer, context_.clock.Now());
+      context_.limiter.Refund(terms_.contract->customer, context_.clock.Now());
     }
   } else if (outcome == Outcome::Unknown) {
     ++context_.metrics.unknownOutcomes;
@@ -701,15 +563,16 @@
                 problem.status,
                 problem.title,
                 problem.outcome);
-  if (contract_) {
-    context_.events.Record(EventSubject::Customer, contract_->customer, text);
+  if (terms_.contract) {
+    context_.events.Record(
+      EventSubject::Customer, terms_.contract->customer, text);
   }
   context_.events.Record(EventSubject::Request, requestId_, text);
   LogEvent(LogLevel::Info,
            "request_refused",
            { { "request", requestId_ },
-             { "customer", contract_ ? contract_->customer : "" },
-             { "service", service_ ? service_->name : "" },
+             { "customer", terms_.contract ? terms_.contract->customer : "" },
+             { "service", terms_.service ? terms_.service->name : "" },
              { "status", problem.status },
              { "reason", problem.title },
              { "outcome", problem.outcome } });
@@ -743,11 +606,13 @@
 void
 EntrySession::CountOutcome(bool aIsFailed)
 {
-  if (!contract_ || !service_) {
+  if (!terms_.contract || !terms_.service) {
     return;
   }
-  context_.serviceLevel.Record(
-    service_->name, contract_->customer, aIsFailed, context_.clock.Now());
+  context_.serviceLevel.Record(terms_.service->name,
+                               terms_.contract->customer,
+                               aIsFailed,
+                               context_.clock.Now());
 }
 
 void
--- a/src/entry/EntrySession.h
+++ b/src/entry/EntrySession.h
@@ -2,6 +2,7 @@
 
 #include "entry/EntryService.h"
 #include "entry/RelayAttempt.h"
+#include "entry/RequestTerms.h"
 #include "http/ProblemDetails.h"
 #include "relay/Outcome.h"
 
@@ -63,12 +64,6 @@
     Outcome outcome = Outcome::NotRun;
   };
 
-  // Fills the contract, service, deadline and idempotency; false when the
-  // request was answered with an error.
-  bool CheckHead();
-  bool CheckTimeout();
-  bool CheckIdempotencyKey();
-
   // The body is complete, or more than what is kept for retries.
   void Admit();
   void Claim();
@@ -101,10 +96,7 @@
   Instant deadline_;
   Phase phase_ = Phase::Collecting;
 
-  const Contract* contract_ = nullptr;
-  const Service* service_ = nullptr;
-  bool isIdempotent_ = false;
-  std::string idempotencyKey_;
+  RequestTerms terms_;
   RequestClass requestClass_ = RequestClass::InContract;
   bool isClassified_ = false;
 
