--- a/src/claims/tests/TestClaimRegistry.cpp
+++ b/src/claims/tests/TestClaimRegistry.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 using namespace filbertbeam;
+using namespace filbertbeam::testing;
 using std::chrono::milliseconds;
 
 namespace {
@@ -151,7 +152,7 @@
   const auto one = first.Start(kRequest);
   const auto two = second.Start(kRequest);
   const auto three = first.Start(kRequest);
-  BOOST_REQUIRE(RunUntil([&] { return *one && *two && *three; }));
+  BOOST_REQUIRE(WaitUntil([&] { return *one && *two && *three; }));
   BOOST_TEST((*one)->decision == ClaimDecision::Granted);
   BOOST_TEST((*two)->decision == ClaimDecision::Undecided);
   BOOST_TEST((*three)->decision == ClaimDecision::Undecided);
@@ -172,7 +173,7 @@
   second.memory.ResetCounts();
   const auto one = first.Start(kRequest);
   const auto two = second.Start(kRequest);
-  BOOST_REQUIRE(RunUntil([&] { return *one && *two; }));
+  BOOST_REQUIRE(WaitUntil([&] { return *one && *two; }));
   const std::multiset<ClaimDecision> decisions{ (*one)->decision,
                                                 (*two)->decision };
   BOOST_TEST(
@@ -407,9 +408,9 @@
                   clock.Now() + std::chrono::seconds(5),
                   [&](const auto& aResult) { result = aResult; });
   clock.jump = std::chrono::seconds(6);
-  BOOST_REQUIRE(RunUntil([&] { return result.has_value(); }));
+  BOOST_REQUIRE(WaitUntil([&] { return result.has_value(); }));
   BOOST_TEST(result->decision == ClaimDecision::StoreUnavailable);
-  BOOST_REQUIRE(RunUntil([&] { return registry->PendingWrites() == 0; }));
+  BOOST_REQUIRE(WaitUntil([&] { return registry->PendingWrites() == 0; }));
   BOOST_TEST(
     (ReadRecord(store.Objects(), kRequest)->state == ClaimState::Released));
 }
@@ -477,7 +478,7 @@
   RunFor(milliseconds(20));
   BOOST_TEST(!*result);
   first.memory.SetFaults({});
-  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_REQUIRE(WaitUntil([&] { return result->has_value(); }));
   BOOST_TEST((*result)->decision == ClaimDecision::Granted);
 }
 
@@ -559,7 +560,7 @@
   host.memory.SetFaults(slow);
   const std::uint64_t before = host.memory.Counts().Writes();
   BOOST_REQUIRE(
-    RunUntil([&] { return host.registry->PendingWrites() < kPending; }));
+    WaitUntil([&] { return host.registry->PendingWrites() < kPending; }));
   // One tested the store; its answer lets four more go.
   BOOST_TEST(host.memory.Counts().Writes() - before <= 1U + 4U);
   host.memory.SetFaults({});
@@ -650,7 +651,7 @@
             });
         });
       }
-      BOOST_REQUIRE(RunUntil([&] { return answers == kAttempts; }));
+      BOOST_REQUIRE(WaitUntil([&] { return answers == kAttempts; }));
       isFaulty = false;
       RunFor(milliseconds(10));
       for (const auto& host : hosts) {
--- a/src/claims/tests/TestClaimsOverHttp.cpp
+++ b/src/claims/tests/TestClaimsOverHttp.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertbeam;
+using namespace filbertbeam::testing;
 using std::chrono::milliseconds;
 
 namespace {
@@ -29,7 +30,7 @@
     aRegistry.Claim(kRequest,
                     clock.Now() + aTimeout,
                     [&](const ClaimResult& aResult) { result = aResult; });
-    BOOST_REQUIRE(RunUntil([&] { return result.has_value(); }));
+    BOOST_REQUIRE(WaitUntil([&] { return result.has_value(); }));
     return *result;
   }
 
@@ -62,7 +63,7 @@
   LoseAnswers(1);
   first->Complete(
     claim.claimId, 200, StoredResponse{ 200, "text/plain", "body" });
-  BOOST_REQUIRE(RunUntil([&] { return first->PendingWrites() == 0; }));
+  BOOST_REQUIRE(WaitUntil([&] { return first->PendingWrites() == 0; }));
   const ClaimResult again = Claim(*second);
   BOOST_TEST(again.decision == ClaimDecision::AlreadyRan);
   BOOST_REQUIRE(again.response);
@@ -79,7 +80,7 @@
              ClaimDecision::StoreUnavailable);
   BOOST_TEST(first->PendingWrites() == 1);
   SetFaults({});
-  BOOST_REQUIRE(RunUntil([&] { return first->PendingWrites() == 0; }));
+  BOOST_REQUIRE(WaitUntil([&] { return first->PendingWrites() == 0; }));
   BOOST_TEST(Claim(*second).decision == ClaimDecision::Granted);
 }
 
--- a/src/claims/tests/support/ClaimHost.h
+++ b/src/claims/tests/support/ClaimHost.h
@@ -59,13 +59,14 @@
     std::chrono::milliseconds aTimeout = std::chrono::seconds(5))
   {
     const auto result = Start(aRequest, aTimeout);
-    BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+    BOOST_REQUIRE(testing::WaitUntil([&] { return result->has_value(); }));
     return **result;
   }
 
   void AwaitSettled()
   {
-    BOOST_REQUIRE(RunUntil([&] { return registry->PendingWrites() == 0; }));
+    BOOST_REQUIRE(
+      testing::WaitUntil([&] { return registry->PendingWrites() == 0; }));
   }
 
   SystemClock clock;
--- a/src/membership/HeartbeatProtocol.h
+++ b/src/membership/HeartbeatProtocol.h
@@ -142,7 +142,6 @@
     bool isUrgent = false;
     Instant nextHeartbeat;
     Instant lastSent;
-    // Last time the link worked or was dialled anew.
     // Hosts of which the peer sent a record without details.
     std::vector<std::uint32_t> unknown;
     // Latest change first.
--- a/src/store/tests/TestMemoryObjectStore.cpp
+++ b/src/store/tests/TestMemoryObjectStore.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertbeam;
+using namespace filbertbeam::testing;
 using std::chrono::milliseconds;
 
 BOOST_AUTO_TEST_SUITE(MemoryStore)
@@ -46,7 +47,7 @@
   BOOST_TEST(refused.isUnsent);
   far.SetFaults({});
   BOOST_TEST(AwaitCreate(far, "key", "far").error == StoreError::None);
-  BOOST_REQUIRE(RunUntil([&] { return seen.has_value(); }));
+  BOOST_REQUIRE(WaitUntil([&] { return seen.has_value(); }));
   BOOST_TEST(seen->value->value == "far");
 }
 
--- a/src/store/tests/TestObjectStoreContract.cpp
+++ b/src/store/tests/TestObjectStoreContract.cpp
@@ -2,11 +2,14 @@
 #include "store/tests/support/MemoryStoreFixture.h"
 #include "store/tests/support/StoreCalls.h"
 
+#include <QElapsedTimer>
+
 #include <boost/test/unit_test.hpp>
 
 #include <tuple>
 
 using namespace filbertbeam;
+using namespace filbertbeam::testing;
 using std::chrono::milliseconds;
 
 // What every duty relies on, checked against each implementation.
@@ -170,7 +173,7 @@
   BOOST_TEST(!created);
   AwaitUpdate(store, "key", "second", version);
   AwaitCreate(store, "new", "value");
-  BOOST_REQUIRE(RunUntil([&] { return changed && created; }));
+  BOOST_REQUIRE(WaitUntil([&] { return changed && created; }));
   BOOST_TEST(changed->value->value == "second");
   BOOST_TEST(created->value->value == "value");
 }
@@ -215,7 +218,7 @@
   StoreFaults faults;
   faults.isAway = true;
   fixture.SetFaults(faults);
-  BOOST_REQUIRE(RunUntil([&] { return seen.has_value(); }));
+  BOOST_REQUIRE(WaitUntil([&] { return seen.has_value(); }));
   BOOST_TEST(seen->error == StoreError::Unavailable);
 }
 
--- a/src/store/tests/support/StoreCalls.h
+++ b/src/store/tests/support/StoreCalls.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "http/tests/support/EventLoop.h"
 #include "store/ObjectStore.h"
-#include "store/tests/support/EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,7 +20,7 @@
     *answer = aResult;
   });
   BOOST_TEST(!answer->has_value(), "the callback came during the call");
-  BOOST_REQUIRE(RunUntil([&] { return answer->has_value(); }));
+  BOOST_REQUIRE(testing::WaitUntil([&] { return answer->has_value(); }));
   return **answer;
 }
 
