--- a/src/daemon/tests/TestDeadHostSweep.cpp
+++ b/src/daemon/tests/TestDeadHostSweep.cpp
@@ -15,6 +15,7 @@
 Listed()
 {
   std::vector<ListedHost> hosts;
+  hosts.reserve(kHosts.size());
   for (const std::string& host : kHosts) {
     hosts.push_back({ host, "region", "domain", "127.0.0.1", 1, 2, false });
   }
