--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -13,6 +13,9 @@
 // A waiting watch costs one call, so it waits as long as is allowed. A broken
 // connection is found by the keep-alive probes of the catalog's client.
 constexpr milliseconds kWatchWait{ 25'000 };
+// After a failure, the first answer is due at once: a call that is lost again
+// would otherwise hide changes for the whole wait.
+constexpr milliseconds kWatchWaitAfterFailure{ 10 };
 // After a failure; doubled for each further one, and drawn at random so that
 // hosts that failed together do not come back together.
 constexpr milliseconds kFirstRetry{ 100 };
@@ -163,7 +166,7 @@
 {
   catalog_.Watch(settings_.collection,
                  revision_,
-                 kWatchWait,
+                 failures_ == 0 ? kWatchWait : kWatchWaitAfterFailure,
                  [this, call = ++call_](CatalogChanges aChanges) {
                    if (call == call_) {
                      OnChanges(std::move(aChanges));
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -63,10 +63,11 @@
   }
   void Watch(Collection,
              std::uint64_t aRevision,
-             std::chrono::milliseconds,
+             std::chrono::milliseconds aWait,
              ChangesCallback aCallback) override
   {
     watched = aRevision;
+    wait = aWait;
     watches.push_back(std::move(aCallback));
   }
 
@@ -89,6 +90,7 @@
   std::deque<ChangesCallback> watches;
   std::string after;
   std::uint64_t watched = 0;
+  std::chrono::milliseconds wait{ 0 };
 };
 
 struct FollowerFixture
@@ -159,6 +161,21 @@
   BOOST_TEST(names == "a b ");
 }
 
+// Guards against a watch that is sent on a connection which is silently broken
+// and hides changes for its whole wait: its answer is due at once.
+BOOST_AUTO_TEST_CASE(WaitsOnlyOnceTheCatalogHasAnswered)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  const std::chrono::milliseconds longest = catalog.wait;
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.wait.count() < 100);
+  catalog.AnswerWatch(Changes({}, 3));
+  BOOST_TEST(follower.IsReachable());
+  BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.wait.count() == longest.count());
+}
+
 BOOST_AUTO_TEST_CASE(ListsAgainWhenTheHistoryIsGone)
 {
   catalog.AnswerList(Page({ Object("a", 3) }, 3));
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -35,7 +35,8 @@
 };
 
 // Calls of the platform's HTTP API, each sent once to one endpoint. After a
-// failure, later calls go to the next endpoint.
+// failure, later calls go to the next endpoint, and to none on a connection
+// from before it.
 class PlatformClient
 {
 public:
