Store: Take the closing of idle connections after a failure back

So single packets to the store are lost and sent again by TCP, on fresh connections as on idle ones; closing idle ones gains nothing and costs connects.

--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -113,9 +113,6 @@
     const HttpClientOptions& aOptions,
     std::shared_ptr<HttpResponseObserver> aObserver) = 0;
 
-  // Closes the connections to aServer that no exchange uses.
-  virtual void CloseIdle(const Endpoint& aServer) = 0;
-
   virtual int OpenConnections(const Endpoint& aServer) const = 0;
 };
 
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -26,7 +26,6 @@
     const HttpClientOptions& aOptions,
     std::shared_ptr<HttpResponseObserver> aObserver) override;
 
-  void CloseIdle(const Endpoint& aServer) override;
   int OpenConnections(const Endpoint& aServer) const override;
 
 private:
--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -119,7 +119,6 @@
       aServer, aHead, aOptions, std::move(aObserver)));
     return exchanges.back();
   }
-  void CloseIdle(const Endpoint&) override {}
   int OpenConnections(const Endpoint&) const override { return 0; }
 
   FakeClientExchange& Last() { return *exchanges.back(); }
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -230,12 +230,6 @@
 {
   // Keeps the call alive while its own function runs.
   const auto call = calls_.extract(aCall);
-  if (aReply.status == 0) {
-    // What broke this connection may have broken others without a sign.
-    for (const Endpoint& endpoint : endpoints_) {
-      client_->CloseIdle(endpoint);
-    }
-  }
   aCallback(aReply);
 }
 
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -35,8 +35,7 @@
 };
 
 // Calls of the platform's HTTP API, each sent once to one endpoint. After a
-// failure, later calls go to the next endpoint, and to none on a connection
-// from before it.
+// failure, later calls go to the next endpoint.
 class PlatformClient
 {
 public:
