Entry, daemon: Follow the view in force when a request is sent again

Cause of the red fleet_path (ServesBothDeploymentsThroughEveryHost, one 503): two faults. A host called itself ready by the heartbeat protocol's newest view, up to a tick before its traffic threads had it; and a session kept the view it began with, so its retries over 3 s all went to an owner whose process was not known in that view, and were refused as not authentic. Ruled out: replayed or late heads (the owner's log says 'for another owner or another run of it'), the new list of hosts by itself (it only makes the time before the first heartbeat more common). Both faults have a test without processes that failed before.

--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -113,19 +113,16 @@
   if (clock_.Now() - startedAt_ > kMaxWaitForMembers) {
     return true;
   }
-  const std::shared_ptr<const MembershipView> view = heartbeats_.View();
+  if (!publishedView_) {
+    return false;
+  }
   const auto isKnown = [](const Member& aMember) {
     return aMember.state != HostState::Live || aMember.incarnation != 0;
   };
-  const bool hasPeers = view->Members().size() > 1;
+  const auto members = publishedView_->Members();
+  const bool hasPeers = members.size() > 1;
   return (isHostListKnown_ || hasPeers) &&
-         std::ranges::all_of(view->Members(), isKnown);
-}
-
-std::shared_ptr<const MembershipView>
-ControlPlane::View()
-{
-  return heartbeats_.View();
+         std::ranges::all_of(members, isKnown);
 }
 
 void
@@ -201,7 +198,7 @@
 ControlPlane::RemoveDeadHosts()
 {
   for (const std::string& host : deadHosts_.TakeExpired(
-         hostList_.Hosts(), *heartbeats_.View(), clock_.Now())) {
+         hostList_.Hosts(), *publishedView_, clock_.Now())) {
     hostList_.Remove(host);
   }
 }
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -61,7 +61,11 @@
   // Reports the demands of this entry host to the homes of the customers.
   void SendDemands(std::span<const CustomerDemand> aDemands);
 
-  std::shared_ptr<const MembershipView> View();
+  // The view that the observer has; null before Start.
+  const std::shared_ptr<const MembershipView>& View() const
+  {
+    return publishedView_;
+  }
   // False shortly after the start, while the incarnations of other hosts are
   // not known: they would refuse this host's requests.
   bool IsViewUsable();
--- /dev/null
+++ b/src/daemon/tests/TestControlPlane.cpp
@@ -0,0 +1,127 @@
+#include "base/ManualClock.h"
+#include "base/SeededRandom.h"
+#include "catalog/tests/support/CatalogStub.h"
+#include "daemon/ControlPlane.h"
+#include "membership/HeartbeatProtocol.h"
+#include "membership/ListedHostJson.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+Member
+Host(const char* aName, std::uint16_t aPort, std::uint64_t aIncarnation)
+{
+  Member member;
+  member.host = aName;
+  member.region = "region";
+  member.domain = "domain";
+  member.incarnation = aIncarnation;
+  member.relay = { "127.0.0.1", aPort };
+  member.control = { "127.0.0.1", static_cast<std::uint16_t>(aPort + 1) };
+  return member;
+}
+
+const Member kSelf = Host("self", 1, 11);
+const Member kPeer = Host("peer", 3, 22);
+
+// Shows both hosts.
+class TwoHostList final : public CatalogStub
+{
+public:
+  void List(Collection, std::string_view, PageCallback aCallback) override
+  {
+    CatalogPage page;
+    page.revision = 1;
+    for (const Member& host : { kPeer, kSelf }) {
+      page.objects.push_back({ host.host,
+                               1,
+                               ListedHostToJson({ host.host,
+                                                  host.region,
+                                                  host.domain,
+                                                  host.relay.address,
+                                                  host.relay.port,
+                                                  host.control.port,
+                                                  false }),
+                               {} });
+    }
+    aCallback(std::move(page));
+  }
+};
+
+// Keeps the receivers, so that a test can play the peer.
+class PlayedChannel final : public ControlChannel
+{
+public:
+  void Send(const Endpoint&, ControlMessageType, ByteView) override {}
+  void SetReceiver(ControlMessageType aType, Receiver aReceiver) override
+  {
+    receivers[aType] = std::move(aReceiver);
+  }
+
+  std::map<ControlMessageType, Receiver> receivers;
+};
+
+class NoEvents final : public EventSink
+{
+public:
+  void Record(EventSubject, std::string_view, std::string_view) override {}
+};
+
+class ViewObserver final : public ControlPlaneObserver
+{
+public:
+  void OnView(std::shared_ptr<const MembershipView> aView) override
+  {
+    view = std::move(aView);
+  }
+  void OnLeavingAddresses(const std::set<std::string>&) override {}
+  void OnRevisionHeard(std::uint64_t, const Member&) override {}
+  void OnShares(std::vector<ShareGrant>) override {}
+  void OnDemandsWanted() override {}
+
+  std::shared_ptr<const MembershipView> view;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheControlPlane)
+
+// Guards against a host that calls itself ready by a view which its traffic
+// threads do not have yet: they would sign requests for an unknown process of
+// the owner and be refused.
+BOOST_AUTO_TEST_CASE(IsReadyOnlyByTheViewThatIsInForce)
+{
+  ManualClock clock;
+  SeededRandom random{ 1 };
+  TwoHostList list;
+  PlayedChannel channel;
+  NoEvents events;
+  ViewObserver observer;
+  ControlPlane plane(kSelf, list, channel, clock, random, events, observer);
+  plane.Start();
+  BOOST_TEST(!plane.IsViewUsable());
+
+  HeartbeatProtocol peer(kPeer, clock, random);
+  const ListedHost self{ "self", "region", "domain", "127.0.0.1", 1, 2, false };
+  peer.SetListedHosts(std::span(&self, 1));
+  std::vector<OutgoingHeartbeat> heartbeats;
+  for (int tick = 0; tick < 100 && heartbeats.empty(); ++tick) {
+    clock.Advance(kHeartbeatTickInterval);
+    heartbeats = peer.Tick();
+  }
+  BOOST_REQUIRE(!heartbeats.empty());
+  channel.receivers.at(ControlMessageType::Heartbeat)(
+    { "peer", kPeer.incarnation }, heartbeats.front().payload);
+  const Member* const inForce = observer.view->Find("peer");
+  BOOST_REQUIRE(inForce != nullptr);
+  BOOST_TEST(plane.IsViewUsable() == (inForce->incarnation != 0));
+  BOOST_TEST(plane.View() == observer.view);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/entry/EntryService.cpp
+++ b/src/entry/EntryService.cpp
@@ -22,8 +22,8 @@
 EntryService::SetView(std::shared_ptr<const MembershipView> aView)
 {
   context_.limiter.SetLiveHosts(aView->LiveCount());
-  context_.view = std::move(aView);
-  context_.activeRelays.OnView(*context_.view);
+  context_.fleet->view = std::move(aView);
+  context_.activeRelays.OnView(*context_.fleet->view);
 }
 
 std::shared_ptr<HttpRequestObserver>
--- a/src/entry/EntryService.h
+++ b/src/entry/EntryService.h
@@ -20,6 +20,14 @@
 
 namespace filbertbeam {
 
+// What changes under sessions while they run. A session keeps the
+// configuration that it began with, and follows the view of the fleet: a retry
+// may have to wait for another owner.
+struct CurrentFleet
+{
+  std::shared_ptr<const MembershipView> view;
+};
+
 // What sessions of callers share. All references outlive the entry service.
 struct EntryContext
 {
@@ -36,7 +44,7 @@
   const Clock& clock;
   Random& random;
   std::shared_ptr<const Configuration> configuration = nullptr;
-  std::shared_ptr<const MembershipView> view = nullptr;
+  std::shared_ptr<CurrentFleet> fleet = std::make_shared<CurrentFleet>();
 };
 
 // The endpoint for callers. Works on the thread that creates it.
--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -69,7 +69,7 @@
 EntrySession::Start()
 {
   ++context_.metrics.requests;
-  if (!context_.configuration || !context_.view) {
+  if (!context_.configuration || !context_.fleet->view) {
     Answer({ 503, "not-ready", Outcome::NotRun });
     return;
   }
@@ -251,14 +251,14 @@
     return;
   }
   phase_ = Phase::Relaying;
+  const MembershipView& view = *context_.fleet->view;
   const Shard* shard = context_.selector.Choose(
     context_.configuration->ShardsOf(terms_.service->name),
-    context_.view->Self(),
+    view.Self(),
     excludedShards_);
   const Member* owner =
-    shard
-      ? context_.view->OwnerOfShard(shard->key, shard->region, shard->domain)
-      : nullptr;
+    shard ? view.OwnerOfShard(shard->key, shard->region, shard->domain)
+          : nullptr;
   if (!shard || !owner) {
     Answer({ 503, shard ? "no-owner" : "no-backend-server", Outcome::NotRun });
     return;
--- a/src/entry/tests/EntryFixture.h
+++ b/src/entry/tests/EntryFixture.h
@@ -96,16 +96,18 @@
   return Configuration::Create(1, content);
 }
 
+// The hosts listen at aFirstPort and the one after it.
 inline std::shared_ptr<const MembershipView>
-TwoHostView()
+TwoHostView(std::uint16_t aFirstPort = 1001)
 {
   std::vector<Member> members(2);
   members[0].host = "entry-1";
   members[0].domain = "piarco";
-  members[0].relay = { "127.0.0.1", 1001 };
+  members[0].relay = { "127.0.0.1", aFirstPort };
   members[1].host = "entry-2";
   members[1].domain = "chaguanas";
-  members[1].relay = { "127.0.0.1", 1002 };
+  members[1].relay = { "127.0.0.1",
+                       static_cast<std::uint16_t>(aFirstPort + 1) };
   for (Member& member : members) {
     member.region = "tt-north";
     member.incarnation = 1;
--- a/src/entry/tests/TestEntrySession.cpp
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -1,4 +1,5 @@
 #include "EntryFixture.h"
+#include "EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -276,6 +277,22 @@
   BOOST_TEST(Says(*exchange, 504, "unknown"));
 }
 
+// Guards against retries that wait for a new view of the fleet and then go by
+// the one from before: a request that came in just before the view changed was
+// refused by every owner for seconds.
+BOOST_AUTO_TEST_CASE(ByTheViewThatIsInForceThen)
+{
+  Send(Head("GET", "/permits/7"));
+  for (std::size_t shard = 1; shard <= 2; ++shard) {
+    BOOST_REQUIRE(client.exchanges.size() == shard);
+    BOOST_TEST(client.Last().server.port < 2001);
+    client.Last().Respond(Refusal(403, "not-authentic", "not-run"));
+  }
+  service.SetView(TwoHostView(2001));
+  BOOST_REQUIRE(WaitUntil([&] { return client.exchanges.size() == 3U; }));
+  BOOST_TEST(client.Last().server.port >= 2001);
+}
+
 // Guards against retries that multiply the load of an outage.
 BOOST_AUTO_TEST_CASE(WithinABudget)
 {
