--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "base/Log.h"
+#include "base/MetricText.h"
 #include "daemon/PeerConfigurationSource.h"
 #include "daemon/RelayAuthentication.h"
 #include "membership/UdpControlChannel.h"
@@ -362,12 +363,14 @@
 Daemon::Metrics()
 {
   std::string text = metrics_.Format();
-  text += fmt::format("# TYPE filbertbeam_configuration_revision gauge\n"
-                      "filbertbeam_configuration_revision {}\n",
-                      configuration_ ? configuration_->Revision() : 0);
-  text += fmt::format("# TYPE filbertbeam_live_hosts gauge\n"
-                      "filbertbeam_live_hosts {}\n",
-                      controlPlane_->View()->LiveCount());
+  AppendMetric(text,
+               "gauge",
+               "filbertbeam_configuration_revision",
+               configuration_ ? configuration_->Revision() : 0);
+  AppendMetric(text,
+               "gauge",
+               "filbertbeam_live_hosts",
+               controlPlane_->View()->LiveCount());
   return text;
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,8 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "base/Log.h"
-
-#include <fmt/format.h>
+#include "base/MetricText.h"
 
 namespace filbertbeam {
 
@@ -141,12 +140,12 @@
     [this](const CatalogFollower::Objects& aObjects) {
       OnConfiguration(aObjects);
     });
-  const auto gather = std::chrono::duration_cast<milliseconds>(
-    settings_.drainTime / kGatherParts);
   serverFollower_ = std::make_unique<CatalogFollower>(
     catalog_,
-    CatalogFollowerSettings{
-      Collection::BackendServers, "backend-servers", gather, kReturnTime },
+    CatalogFollowerSettings{ Collection::BackendServers,
+                             "backend-servers",
+                             GatherTime(),
+                             kReturnTime },
     clock_,
     random_,
     [this](const CatalogFollower::Objects& aObjects) {
@@ -171,6 +170,13 @@
   return true;
 }
 
+milliseconds
+Gateway::GatherTime() const
+{
+  return std::chrono::duration_cast<milliseconds>(settings_.drainTime /
+                                                  kGatherParts);
+}
+
 bool
 Gateway::IsReady() const
 {
@@ -277,12 +283,10 @@
   heard_.directory = std::max(heard_.directory, aKnown.directory);
   if (!catchUpTimer_.isActive()) {
     // Backend servers are read a little later than they change.
-    const auto gather = std::chrono::duration_cast<milliseconds>(
-      settings_.drainTime / kGatherParts);
     catchUpTimer_.start(heard_.configuration >
                             configurationFollower_->NewestChange()
                           ? kCatchUpTime
-                          : kCatchUpTime + gather);
+                          : kCatchUpTime + GatherTime());
   }
 }
 
@@ -370,13 +374,13 @@
 {
   std::string text = metrics_.Format();
   const auto gauge = [&text](std::string_view aName, auto aValue) {
-    text += fmt::format(
-      "# TYPE filbertbeam_{0} gauge\nfilbertbeam_{0} {1}\n", aName, aValue);
+    AppendMetric(text, "gauge", aName, aValue);
   };
-  gauge("ready", IsReady() ? 1 : 0);
-  gauge("configuration_version", routing_ ? routing_->Version() : 0);
-  gauge("directory_catalog_revision", serverFollower_->Revision());
-  gauge("catalog_reachable",
+  gauge("filbertbeam_ready", IsReady() ? 1 : 0);
+  gauge("filbertbeam_configuration_version",
+        routing_ ? routing_->Version() : 0);
+  gauge("filbertbeam_directory_catalog_revision", serverFollower_->Revision());
+  gauge("filbertbeam_catalog_reachable",
         serverFollower_->IsReachable() && configurationFollower_->IsReachable()
           ? 1
           : 0);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -49,6 +49,8 @@
           const ExchangeDialect& aDialect);
 
   bool Start(std::string& aReason);
+  // For which changes of backend servers are gathered.
+  std::chrono::milliseconds GatherTime() const;
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
--- a/src/gateway/GatewayMetrics.cpp
+++ b/src/gateway/GatewayMetrics.cpp
@@ -1,6 +1,6 @@
 #include "gateway/GatewayMetrics.h"
 
-#include <fmt/format.h>
+#include "base/MetricText.h"
 
 namespace filbertbeam {
 
@@ -27,10 +27,10 @@
 {
   std::string text;
   for (std::size_t i = 0; i < kCounters; ++i) {
-    text += fmt::format("# TYPE filbertbeam_{0}_total counter\n"
-                        "filbertbeam_{0}_total {1}\n",
-                        kNames[i],
-                        counters_[i].load(std::memory_order_relaxed));
+    AppendMetric(text,
+                 "counter",
+                 fmt::format("filbertbeam_{}_total", kNames[i]),
+                 counters_[i].load(std::memory_order_relaxed));
   }
   text += latency_.Format("filbertbeam_request_seconds");
   text += attempts_.Format("filbertbeam_attempt_seconds");
