Base, http: Lower case, tokens and the host of a Host field in one place

Three copies of ASCII lower case, two of the HTTP token and two of a host without its port become one each. Routes of the gateway now cut a host without brackets at its first colon instead of its last, which differs only for a malformed Host field with several colons.

--- a/src/configuration/Configuration.cpp
+++ b/src/configuration/Configuration.cpp
@@ -1,5 +1,6 @@
 #include "configuration/Configuration.h"
 
+#include "base/AsciiText.h"
 #include "configuration/ShardFloors.h"
 
 #include <fmt/format.h>
@@ -64,24 +65,6 @@
   return nullptr;
 }
 
-bool
-IsUpperCaseLetter(char aCharacter)
-{
-  return aCharacter >= 'A' && aCharacter <= 'Z';
-}
-
-std::string
-LowerCase(std::string_view aText)
-{
-  std::string text(aText);
-  for (char& character : text) {
-    if (IsUpperCaseLetter(character)) {
-      character = static_cast<char>(character - 'A' + 'a');
-    }
-  }
-  return text;
-}
-
 // Fills the shards of each domain in the order of the file. The shard of a
 // backend server thus depends only on those before it, so that adding or
 // removing one at the end moves no other one to another owner. All shards of a
--- a/src/configuration/ConfigurationReader.cpp
+++ b/src/configuration/ConfigurationReader.cpp
@@ -1,5 +1,6 @@
 #include "configuration/ConfigurationReader.h"
 
+#include "base/AsciiText.h"
 #include "base/Digest.h"
 #include "configuration/ConfigurationText.h"
 #include "configuration/Suggestion.h"
@@ -20,16 +21,6 @@
 
 constexpr std::size_t kSha256Digits = 64;
 
-void
-MakeLowerCase(std::string& aText)
-{
-  for (char& character : aText) {
-    if (character >= 'A' && character <= 'Z') {
-      character = static_cast<char>(character - 'A' + 'a');
-    }
-  }
-}
-
 } // namespace
 
 void
@@ -245,7 +236,7 @@
   bool isHostValid = true;
   if (const auto field = aObject.Optional("host")) {
     route.host = field->String().value_or("");
-    MakeLowerCase(route.host);
+    route.host = LowerCase(route.host);
     isHostValid = IsRouteHost(route.host);
     if (!isHostValid) {
       field->Fault("must be a host name without port, or empty for every host");
@@ -348,7 +339,7 @@
     if (!key) {
       return;
     }
-    MakeLowerCase(*key);
+    *key = LowerCase(*key);
     // The message does not repeat the text, which may be the API key itself.
     if (key->size() != kSha256Digits ||
         key->find_first_not_of("0123456789abcdef") != std::string::npos) {
--- a/src/configuration/ConfigurationText.cpp
+++ b/src/configuration/ConfigurationText.cpp
@@ -1,5 +1,7 @@
 #include "configuration/ConfigurationText.h"
 
+#include "http/ConnectionFields.h"
+
 #include <QHostAddress>
 
 #include <fmt/format.h>
@@ -34,12 +36,7 @@
 bool
 IsToken(std::string_view aText)
 {
-  constexpr std::string_view kSymbols = "!#$%&'*+-.^_`|~";
-  return !aText.empty() &&
-         std::all_of(aText.begin(), aText.end(), [&](char aCharacter) {
-           return IsLetterOrDigit(aCharacter) ||
-                  kSymbols.find(aCharacter) != std::string_view::npos;
-         });
+  return !aText.empty() && std::ranges::all_of(aText, IsTokenCharacter);
 }
 
 bool
--- a/src/entry/RequestPath.h
+++ b/src/entry/RequestPath.h
@@ -11,8 +11,4 @@
 std::optional<std::string_view>
 RoutablePath(std::string_view aTarget);
 
-// The host of a Host field without its port.
-std::string_view
-HostWithoutPort(std::string_view aHostField);
-
 } // namespace filbertbeam
--- a/src/entry/RequestTerms.cpp
+++ b/src/entry/RequestTerms.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Digest.h"
 #include "entry/RequestPath.h"
+#include "http/HostField.h"
 #include "relay/RelayFields.h"
 
 #include <algorithm>
--- a/src/routing/RoutingTable.cpp
+++ b/src/routing/RoutingTable.cpp
@@ -1,5 +1,8 @@
 #include "routing/RoutingTable.h"
 
+#include "base/AsciiText.h"
+#include "http/HostField.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -8,23 +11,11 @@
 
 namespace {
 
+// Hosts compare without case and port.
 std::string
 NormalizeHost(std::string_view aHost)
 {
-  // A bracketed IPv6 literal keeps its colons.
-  const auto bracket = aHost.rfind(']');
-  const auto colon = aHost.rfind(':');
-  if (colon != std::string_view::npos &&
-      (bracket == std::string_view::npos || colon > bracket)) {
-    aHost = aHost.substr(0, colon);
-  }
-  std::string host(aHost);
-  std::ranges::transform(host, host.begin(), [](char aLetter) {
-    return aLetter >= 'A' && aLetter <= 'Z'
-             ? static_cast<char>(aLetter - 'A' + 'a')
-             : aLetter;
-  });
-  return host;
+  return LowerCase(HostWithoutPort(aHost));
 }
 
 // No reason when the route can be served.
