--- a/src/http/EndpointText.cpp
+++ b/src/http/EndpointText.cpp
@@ -6,6 +6,18 @@
 
 namespace filbertbeam {
 
+std::optional<std::uint16_t>
+ParsePort(std::string_view aText)
+{
+  std::uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, port);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return port;
+}
+
 std::optional<Endpoint>
 ParseEndpoint(std::string_view aText, std::string& aReason)
 {
@@ -22,15 +34,12 @@
   if (address.starts_with('[') && address.ends_with(']')) {
     address = address.substr(1, address.size() - 2);
   }
-  const std::string_view portText = aText.substr(colon + 1);
-  Endpoint endpoint;
-  const char* end = portText.data() + portText.size();
-  const auto result = std::from_chars(portText.data(), end, endpoint.port);
-  if (result.ec != std::errc() || result.ptr != end) {
+  const auto port = ParsePort(aText.substr(colon + 1));
+  if (!port) {
     aReason = "has a malformed port; write IP:PORT";
     return std::nullopt;
   }
-  endpoint.address = std::string(address);
+  const Endpoint endpoint{ std::string(address), *port };
   if (QHostAddress(QString::fromStdString(endpoint.address)).isNull()) {
     aReason = "has no IP address; write IP:PORT";
     return std::nullopt;
