Store, platform: Say faults and answers once

CatalogObjectStore names an invalid key and a value that is too large apart again, as before its move. PlatformClient::Post had lost its last caller.

--- a/src/store/CatalogObjectStore.cpp
+++ b/src/store/CatalogObjectStore.cpp
@@ -55,6 +55,16 @@
   return { {}, ErrorOf(aFailure.error), aFailure.reason, aFailure.isUnsent };
 }
 
+// Empty for what can be written.
+std::string_view
+FaultOf(std::string_view aKey, std::string_view aValue)
+{
+  if (!IsValidObjectKey(aKey)) {
+    return "invalid key";
+  }
+  return aValue.size() > kMaxObjectBytes ? "the value is too large" : "";
+}
+
 // aReplaced is the version that this value replaces: a write that would change
 // nothing otherwise gets a version of its own as well.
 QJsonObject
@@ -297,8 +307,8 @@
                            std::string_view aValue,
                            VersionCallback aCallback)
 {
-  if (!IsValidObjectKey(aKey) || aValue.size() > kMaxObjectBytes) {
-    Refuse("invalid key, or a value that is too large", std::move(aCallback));
+  if (const auto fault = FaultOf(aKey, aValue); !fault.empty()) {
+    Refuse(fault, std::move(aCallback));
     return;
   }
   catalog_->Create(
@@ -316,8 +326,8 @@
                            std::uint64_t aExpectedVersion,
                            VersionCallback aCallback)
 {
-  if (!IsValidObjectKey(aKey) || aValue.size() > kMaxObjectBytes) {
-    Refuse("invalid key, or a value that is too large", std::move(aCallback));
+  if (const auto fault = FaultOf(aKey, aValue); !fault.empty()) {
+    Refuse(fault, std::move(aCallback));
     return;
   }
   if (aExpectedVersion == 0) {
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -216,13 +216,6 @@
               limits_.callTimeout + aExtraTime);
 }
 
-void
-PlatformClient::Post(std::function<void()> aCallback)
-{
-  QMetaObject::invokeMethod(
-    &context_, std::move(aCallback), Qt::QueuedConnection);
-}
-
 void
 PlatformClient::OnFinished(std::uint64_t aCall,
                            const Callback& aCallback,
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -2,8 +2,6 @@
 
 #include "http/HttpClient.h"
 
-#include <QObject>
-
 #include <functional>
 #include <unordered_map>
 #include <vector>
@@ -62,9 +60,6 @@
             std::chrono::milliseconds aExtraTime,
             Callback aCallback);
 
-  // Calls aCallback from the event loop, unless this is destroyed before.
-  void Post(std::function<void()> aCallback);
-
 private:
   class PendingCall;
 
@@ -78,7 +73,6 @@
   std::size_t current_ = 0;
   std::uint64_t nextCall_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<PendingCall>> calls_;
-  QObject context_;
 };
 
 } // namespace filbertbeam
