Balancing, gateway: Mark own choices, name the proof of a response

A choice of this host as owner was told apart by comparing its address with the socket's for every finished attempt. The proof of a success stood twice.

--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -125,7 +125,7 @@
     outcome.source = "self";
     if (outcome.result.selection) {
       outcome.handle.localTicket = outcome.result.selection->ticket;
-      outcome.handle.owner = LocalEndpoint();
+      outcome.handle.isOwn = true;
     }
     aCallback(outcome);
     return;
@@ -158,16 +158,13 @@
 void
 SelectionService::Finish(const SelectionHandle& aHandle, AttemptResult aResult)
 {
-  const Instant now = clock_.Now();
   if (aHandle.ownerTicket != 0) {
     socket_->Send(
       aHandle.owner,
       EncodeSelectionMessage(SelectionReport{ aHandle.ownerTicket, aResult }));
-  } else if (aHandle.owner == LocalEndpoint()) {
-    owned_.Finish(aHandle.localTicket, aResult, now);
-    return;
   }
-  own_.Finish(aHandle.localTicket, aResult, now);
+  BackendSelector& selector = aHandle.isOwn ? owned_ : own_;
+  selector.Finish(aHandle.localTicket, aResult, clock_.Now());
 }
 
 void
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -33,10 +33,13 @@
 // Names an attempt until its report.
 struct SelectionHandle
 {
-  // The owner that chose, or no address when this host did.
+  // Another host that chose as the owner of the service, with its ticket; 0
+  // when this host chose.
   Endpoint owner;
   std::uint64_t ownerTicket = 0;
   std::uint64_t localTicket = 0;
+  // This host chose as the owner of the service.
+  bool isOwn = false;
 };
 
 struct SelectionOutcome
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -48,6 +48,14 @@
          aStatus == kTooManyRequests || aStatus == kUnavailable;
 }
 
+// True when a success is surely its server's answer: signed, and without an
+// encoding, which no caller asks for.
+bool
+IsProven(const HttpResponseHead& aHead, const ReplyTerms& aTerms)
+{
+  return aTerms.isSigned && !aHead.fields.Find("Content-Encoding");
+}
+
 // Callers that state no patience wait as long as the route allows.
 Duration
 TimeAllowed(const Route& aRoute, const CallerTerms& aTerms)
@@ -371,15 +379,12 @@
     return;
   }
   mayHaveRun_ = true;
-  const bool isForeign =
-    IsSuccess(head.status) &&
-    (!terms.isSigned || head.fields.Find("Content-Encoding"));
-  if (isForeign) {
+  if (IsSuccess(head.status) && !IsProven(head, terms)) {
     EndAttempt(aAttempt, AttemptResult::Broken);
     TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-response");
     return;
   }
-  if (IsSuccess(head.status) || head.status < 500) {
+  if (head.status < 500) {
     if (PromisesNotRun(head.status)) {
       EndAttempt(aAttempt, AttemptResult::Failed);
       TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-refusal");
@@ -438,9 +443,8 @@
 GatewaySession::OnAttemptLarge(BackendAttempt& aAttempt)
 {
   const HttpResponseHead& head = aAttempt.Head();
-  const ReplyTerms terms = context_.dialect.ReadReply(head);
-  if (isDone_ || !IsSuccess(head.status) || !terms.isSigned ||
-      head.fields.Find("Content-Encoding")) {
+  if (isDone_ || !IsSuccess(head.status) ||
+      !IsProven(head, context_.dialect.ReadReply(head))) {
     mayHaveRun_ = true;
     EndAttempt(aAttempt, AttemptResult::Broken);
     TryAgainOrAnswer(AttemptPurpose::Repeat, "unproven-response");
