--- /dev/null
+++ b/src/base/tests/support/NoEvents.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "base/EventSink.h"
+
+#include <string_view>
+
+namespace filbertbeam::testing {
+
+// Drops what it is told.
+class NoEvents final : public EventSink
+{
+public:
+  void Record(EventSubject, std::string_view, std::string_view) override {}
+};
+
+} // namespace filbertbeam::testing
--- a/src/daemon/tests/TestControlPlane.cpp
+++ b/src/daemon/tests/TestControlPlane.cpp
@@ -1,3 +1,5 @@
+#include "NoEvents.h"
+
 #include "base/ManualClock.h"
 #include "base/SeededRandom.h"
 #include "catalog/tests/support/CatalogStub.h"
@@ -67,12 +69,6 @@
   std::map<ControlMessageType, Receiver> receivers;
 };
 
-class NoEvents final : public EventSink
-{
-public:
-  void Record(EventSubject, std::string_view, std::string_view) override {}
-};
-
 class ViewObserver final : public ControlPlaneObserver
 {
 public:
--- a/src/entry/tests/EntryFixture.h
+++ b/src/entry/tests/EntryFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakeHttp.h"
+#include "NoEvents.h"
 
 #include "base/Digest.h"
 #include "base/ManualClock.h"
@@ -60,12 +61,6 @@
   void Seal(HttpRequestHead&, const Member&) override {}
 };
 
-class NoEvents final : public EventSink
-{
-public:
-  void Record(EventSubject, std::string_view, std::string_view) override {}
-};
-
 // The permit service of the Authority on a host in piarco, with one owner in
 // each of two domains.
 inline std::shared_ptr<const Configuration>
--- a/src/owner/tests/TestOwnerService.cpp
+++ b/src/owner/tests/TestOwnerService.cpp
@@ -1,4 +1,5 @@
 #include "FakeHttp.h"
+#include "NoEvents.h"
 
 #include "base/ManualClock.h"
 #include "base/SeededRandom.h"
@@ -33,12 +34,6 @@
   void Answer(HttpServerExchange&) override {}
 };
 
-class NoEvents final : public EventSink
-{
-public:
-  void Record(EventSubject, std::string_view, std::string_view) override {}
-};
-
 // Lets the decisions that are queued on the event loop happen.
 void
 RunEventLoop()
