Store: Test that an update with the same value is a new version

The platform's store gives a PUT that changes nothing no new revision, so the writer of a claim could not tell its own write from another's.

--- a/src/store/tests/TestObjectStoreContract.cpp
+++ b/src/store/tests/TestObjectStoreContract.cpp
@@ -80,6 +80,25 @@
   BOOST_TEST(AwaitGet(fixture.Store(), "key").value->value == "second");
 }
 
+// Guards against a write that leaves the version as it was, so that its writer
+// cannot tell whether it or another one holds the object.
+BOOST_AUTO_TEST_CASE_TEMPLATE(AnUpdateWithTheSameValueIsANewVersion,
+                              Fixture,
+                              Stores)
+{
+  Fixture fixture;
+  const auto created = AwaitCreate(fixture.Store(), "key", "value");
+  BOOST_REQUIRE(created.value);
+  const auto first =
+    AwaitUpdate(fixture.Store(), "key", "value", *created.value);
+  BOOST_REQUIRE(first.value);
+  BOOST_TEST(*first.value > *created.value);
+  const auto second =
+    AwaitUpdate(fixture.Store(), "key", "value", *first.value);
+  BOOST_REQUIRE(second.value);
+  BOOST_TEST(*second.value > *first.value);
+}
+
 // Guards against an update that creates an object.
 BOOST_AUTO_TEST_CASE_TEMPLATE(AnUpdateOfAnAbsentObjectConflicts,
                               Fixture,
