Gateway, catalog: Take newer copies from a peer while the catalog turns a host away

Cause: a host that the store refuses while it serves others heard from its peers that they know a newer configuration, but only read the store again, so it served the old one for as long as it was refused. Change: a host that is behind asks the peer that told it, half a second after the store has not helped, and takes its copy where that is newer. Entries in the list of hosts name the address for this. Entries of other writers with an address that is no IP address are passed over.

--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -209,15 +209,16 @@
     aSender,
     EncodeSelectionMessage(SelectionAnswer{
       aAsk.call, owned_.Select(aAsk.request, clock_.Now()), known_ }));
-  OnVersions(aAsk.known);
+  OnVersions(aAsk.known, aSender);
 }
 
 void
-SelectionService::OnVersions(const KnownVersions& aKnown)
+SelectionService::OnVersions(const KnownVersions& aKnown,
+                             const Endpoint& aSender)
 {
   if (onNewerVersions_ && (aKnown.configuration > known_.configuration ||
                            aKnown.directory > known_.directory)) {
-    onNewerVersions_(aKnown);
+    onNewerVersions_(aKnown, aSender);
   }
 }
 
@@ -225,7 +226,7 @@
 SelectionService::OnAnswer(const Endpoint& aSender,
                            const SelectionAnswer& aAnswer)
 {
-  OnVersions(aAnswer.known);
+  OnVersions(aAnswer.known, aSender);
   const auto node = asks_.extract(aAnswer.call);
   if (node.empty()) {
     // The request was served without this answer.
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -15,7 +15,12 @@
 struct PeerHost
 {
   std::string name;
+  // For datagrams.
   Endpoint address;
+  // Where it tells what it has read from the catalog; without a port, unknown.
+  Endpoint snapshot = {};
+
+  bool operator==(const PeerHost&) const = default;
 };
 
 struct SelectionServiceSettings
@@ -77,7 +82,8 @@
   // Sent along with every message, so that a host whose own watch of the
   // catalog is broken learns that it is behind.
   void SetKnownVersions(const KnownVersions& aKnown) { known_ = aKnown; }
-  using VersionsHandler = std::function<void(const KnownVersions&)>;
+  using VersionsHandler =
+    std::function<void(const KnownVersions&, const Endpoint& aSender)>;
   // Called when a peer knows a newer version than this host.
   void SetNewerVersionsHandler(VersionsHandler aHandler)
   {
@@ -117,7 +123,7 @@
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   // A message of a peer shows that it is alive, and where.
   void OnHeard(const std::string& aHost, const Endpoint& aAddress);
-  void OnVersions(const KnownVersions& aKnown);
+  void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -116,16 +116,21 @@
   std::uint64_t heard = 0;
   one.service->SetKnownVersions({ 5, 5 });
   two.service->SetKnownVersions({ 7, 5 });
-  const auto handler = [&](const KnownVersions& aKnown) {
+  Endpoint teller;
+  const auto handler = [&](const KnownVersions& aKnown,
+                           const Endpoint& aSender) {
     heard = aKnown.configuration;
+    teller = aSender;
   };
   one.service->SetNewerVersionsHandler(handler);
-  two.service->SetNewerVersionsHandler([](const KnownVersions&) {
-    BOOST_ERROR("the newer host heard of something newer");
-  });
+  two.service->SetNewerVersionsHandler(
+    [](const KnownVersions&, const Endpoint&) {
+      BOOST_ERROR("the newer host heard of something newer");
+    });
   one.Select();
   two.Select();
   BOOST_TEST(WaitUntil([&] { return heard == 7; }));
+  BOOST_TEST((teller == two.Address().address));
 }
 
 // Guards against a host that joins later and stays unknown to the others.
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -74,16 +74,19 @@
 }
 
 void
-CatalogFollower::Adopt(Objects aObjects)
+CatalogFollower::Adopt(CatalogCopy aCopy)
 {
-  if (isComplete_) {
+  if (isComplete_ && Knows(aCopy.newestChange)) {
     return;
   }
-  LogEvent(
-    LogLevel::Info,
-    "catalog_adopted_from_peer",
-    { { "collection", settings_.name }, { "objects", aObjects.size() } });
-  objects_ = std::move(aObjects);
+  LogEvent(LogLevel::Info,
+           "catalog_adopted_from_peer",
+           { { "collection", settings_.name },
+             { "objects", aCopy.objects.size() },
+             { "newest_change", newestChange_ },
+             { "peer", aCopy.newestChange } });
+  objects_ = std::move(aCopy.objects);
+  newestChange_ = std::max(newestChange_, aCopy.newestChange);
   isComplete_ = true;
   // What is missing in the first list may have lapsed while the catalog was
   // away.
@@ -91,11 +94,17 @@
   Notify();
 }
 
+bool
+CatalogFollower::Knows(std::uint64_t aRevision) const
+{
+  return aRevision <= std::max(newestChange_, listedRevision_);
+}
+
 void
 CatalogFollower::CatchUp(std::uint64_t aRevision)
 {
   const Instant now = clock_.Now();
-  if (aRevision <= std::max(newestChange_, listedRevision_) || revision_ == 0 ||
+  if (Knows(aRevision) || revision_ == 0 ||
       now - caughtUpAt_ < kCatchUpInterval) {
     return;
   }
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -24,12 +24,20 @@
   std::chrono::milliseconds returnTime{ 0 };
 };
 
+// What a host has read of a collection.
+struct CatalogCopy
+{
+  std::map<std::string, CatalogObject, std::less<>> objects;
+  // Revision of the newest change that was read, deletions included.
+  std::uint64_t newestChange = 0;
+};
+
 // Keeps a copy of one collection: lists it, then watches it, and lists again
 // when the history is gone. Goes on with what it has while the catalog is away.
 class CatalogFollower
 {
 public:
-  using Objects = std::map<std::string, CatalogObject, std::less<>>;
+  using Objects = decltype(CatalogCopy::objects);
   // Called after each change of the copy.
   using ChangeHandler = std::function<void(const Objects&)>;
 
@@ -48,13 +56,15 @@
   // when the change of aRevision was read, or while it is being read.
   void CatchUp(std::uint64_t aRevision);
 
-  // Takes what a peer has read, until the catalog answers. Does nothing once
-  // the collection was read.
-  void Adopt(Objects aObjects);
-  const Objects& Known() const { return objects_; }
+  // Takes what a peer has read, where that is newer than this copy or nothing
+  // was read yet. The catalog replaces it as soon as it answers.
+  void Adopt(CatalogCopy aCopy);
+  CatalogCopy Copy() const { return { objects_, newestChange_ }; }
 
   // Revision of the newest change that was read.
   std::uint64_t NewestChange() const { return newestChange_; }
+  // True when the copy shows the change of aRevision.
+  bool Knows(std::uint64_t aRevision) const;
 
   // True once the whole collection was read.
   bool IsComplete() const { return isComplete_; }
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -215,19 +215,46 @@
 // although its peers do.
 BOOST_AUTO_TEST_CASE(TakesWhatThePeerHasUntilTheCatalogAnswers)
 {
-  CatalogFollower::Objects objects;
-  objects.emplace("a", Object("a", 3));
-  follower.Adopt(objects);
+  CatalogCopy copy;
+  copy.objects.emplace("a", Object("a", 3));
+  copy.newestChange = 3;
+  follower.Adopt(copy);
   BOOST_TEST(follower.IsComplete());
   BOOST_TEST(names == "a ");
   catalog.AnswerList(Failure<CatalogPage>(CatalogError::Unavailable));
   BOOST_TEST(names == "a ");
   catalog.AnswerList(Page({ Object("b", 8) }, 9));
   BOOST_TEST(names.ends_with("b "));
-  follower.Adopt(objects);
+  follower.Adopt(copy);
   BOOST_TEST(WaitUntil([&] { return names == "b "; }));
 }
 
+// Guards against a host that stays behind its peers for as long as the catalog
+// turns it away.
+BOOST_AUTO_TEST_CASE(TakesWhatIsNewerWhileTheCatalogFails)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  CatalogCopy copy;
+  copy.objects.emplace("a", Object("a", 7));
+  copy.newestChange = 8;
+  BOOST_TEST(!follower.Knows(8));
+  follower.Adopt(copy);
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Knows(8));
+  // Of an older peer.
+  copy.objects.emplace("c", Object("c", 6));
+  copy.newestChange = 7;
+  follower.Adopt(copy);
+  BOOST_TEST(names == "a ");
+  // The catalog's own changes follow; those that the peer knew change nothing.
+  catalog.AnswerWatch(Changes({ { Object("a", 7), false },
+                                { Object("b", 8), true },
+                                { Object("d", 9), false } },
+                              9));
+  BOOST_TEST(names == "a d ");
+}
+
 // Guards against a watch on a connection that is broken without notice.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
--- a/src/gateway/EndpointJson.cpp
+++ b/src/gateway/EndpointJson.cpp
@@ -1,5 +1,7 @@
 #include "gateway/EndpointJson.h"
 
+#include <QHostAddress>
+
 namespace filbertbeam {
 
 namespace {
@@ -19,12 +21,13 @@
 std::optional<Endpoint>
 EndpointFromJson(const QJsonObject& aObject)
 {
-  const std::string address = aObject.value(kAddress).toString().toStdString();
+  const QString address = aObject.value(kAddress).toString();
   const int port = aObject.value(kPort).toInt();
-  if (address.empty() || port <= 0 || port > 0xFFFF) {
+  // Anything but an IP address would be looked up as a name.
+  if (QHostAddress(address).isNull() || port <= 0 || port > 0xFFFF) {
     return std::nullopt;
   }
-  return Endpoint{ address, static_cast<std::uint16_t>(port) };
+  return Endpoint{ address.toStdString(), static_cast<std::uint16_t>(port) };
 }
 
 } // namespace filbertbeam
--- a/src/gateway/EndpointJson.h
+++ b/src/gateway/EndpointJson.h
@@ -12,7 +12,7 @@
 QJsonObject
 EndpointToJson(const Endpoint& aEndpoint);
 
-// Nothing when the object holds no address and port.
+// Nothing when the object holds no IP address and port.
 std::optional<Endpoint>
 EndpointFromJson(const QJsonObject& aObject);
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -3,6 +3,8 @@
 #include "base/Log.h"
 #include "base/MetricText.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
@@ -20,10 +22,6 @@
 // time.
 constexpr milliseconds kCatchUpTime{ 250 };
 
-// A catalog that is there has answered by then.
-constexpr milliseconds kAskPeersInterval{ 500 };
-constexpr milliseconds kPeerAnswerTime{ 400 };
-
 // After the signal to stop, the balancer still sends connections for as long as
 // it takes it to miss two readiness checks, one a second.
 constexpr milliseconds kLeavingTime{ 2'600 };
@@ -47,7 +45,6 @@
   , directoryBuilder_(aCodec, clock_)
 {
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
-  askPeersTimer_.callOnTimeout([this] { AskPeers(); });
   catchUpTimer_.setSingleShot(true);
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
 }
@@ -72,18 +69,22 @@
 bool
 Gateway::Start(std::string& aReason)
 {
+  Endpoint peerAddress;
   trafficThread_.Run([&] {
     traffic_ =
       TrafficRuntime::Create(settings_, dialect_, metrics_, clock_, aReason);
-    if (traffic_) {
-      traffic_->SetNewerVersionsHandler([this](const KnownVersions& aKnown) {
+    if (!traffic_) {
+      return;
+    }
+    traffic_->SetNewerVersionsHandler(
+      [this](const KnownVersions& aKnown, const Endpoint& aSender) {
         QMetaObject::invokeMethod(
           &catchUpTimer_,
-          [this, aKnown] { OnNewerVersions(aKnown); },
+          [this, aKnown, aSender] { OnNewerVersions(aKnown, aSender); },
           Qt::QueuedConnection);
       });
-    }
-    frontPort_ = traffic_ ? traffic_->FrontPort() : std::uint16_t(0);
+    frontPort_ = traffic_->FrontPort();
+    peerAddress = traffic_->PeerAddress();
   });
   if (!traffic_) {
     return false;
@@ -114,23 +115,18 @@
         return ProbeAnswer{ kUnavailable, "not ready\n" };
       }
       return ProbeAnswer{ kOk,
-                          EncodePeerSnapshot({ configurationFollower_->Known(),
-                                               serverFollower_->Known(),
+                          EncodePeerSnapshot({ configurationFollower_->Copy(),
+                                               serverFollower_->Copy(),
                                                registry_->Known() }) };
     },
     aReason);
   if (!snapshotServer_) {
     return false;
   }
-  if (!settings_.peerSnapshots.empty()) {
-    PlatformClientLimits limits;
-    limits.callTimeout = kPeerAnswerTime;
-    peers_ = PlatformClient::Create(settings_.peerSnapshots, limits, aReason);
-    if (!peers_) {
-      return false;
-    }
-    askPeersTimer_.start(kAskPeersInterval);
-  }
+  peers_ = std::make_unique<PeerSnapshotClient>(
+    settings_.peerSnapshots,
+    [this] { return NeedsPeers(); },
+    [this](PeerSnapshot aSnapshot) { Adopt(std::move(aSnapshot)); });
   configurationFollower_ = std::make_unique<CatalogFollower>(
     catalog_,
     CatalogFollowerSettings{
@@ -153,7 +149,9 @@
     });
   registry_ = std::make_unique<HostRegistry>(
     catalog_,
-    PeerHost{ settings_.host, settings_.peer },
+    PeerHost{ settings_.host,
+              peerAddress,
+              { settings_.snapshot.address, snapshotServer_->Port() } },
     random_,
     [this](std::vector<PeerHost> aHosts) {
       trafficThread_.Post(
@@ -167,6 +165,7 @@
   configurationFollower_->Start();
   serverFollower_->Start();
   registry_->Start();
+  peers_->Start();
   return true;
 }
 
@@ -231,38 +230,22 @@
   ReportReadiness();
 }
 
-void
-Gateway::AskPeers()
+bool
+Gateway::NeedsPeers() const
 {
-  if (IsReady() || stopped_) {
-    askPeersTimer_.stop();
-    return;
+  if (stopped_) {
+    return false;
   }
-  HttpRequestHead head;
-  head.method = "GET";
-  head.target = "/";
-  peers_->Call(std::move(head),
-               {},
-               milliseconds(0),
-               [this](const PlatformReply& aReply) { OnPeerAnswer(aReply); });
+  return !IsReady() || !configurationFollower_->Knows(heard_.configuration) ||
+         !serverFollower_->Knows(heard_.directory);
 }
 
 void
-Gateway::OnPeerAnswer(const PlatformReply& aReply)
+Gateway::Adopt(PeerSnapshot aSnapshot)
 {
-  if (aReply.status != kOk || IsReady()) {
-    return;
-  }
-  std::optional<PeerSnapshot> snapshot = DecodePeerSnapshot(aReply.body);
-  if (!snapshot) {
-    LogEvent(LogLevel::Warning,
-             "peer_snapshot_malformed",
-             { { "bytes", aReply.body.size() } });
-    return;
-  }
-  registry_->Adopt(std::move(snapshot->hosts));
-  serverFollower_->Adopt(std::move(snapshot->backendServers));
-  configurationFollower_->Adopt(std::move(snapshot->configuration));
+  registry_->Adopt(std::move(aSnapshot.hosts));
+  serverFollower_->Adopt(std::move(aSnapshot.backendServers));
+  configurationFollower_->Adopt(std::move(aSnapshot.configuration));
 }
 
 void
@@ -277,8 +260,13 @@
 }
 
 void
-Gateway::OnNewerVersions(const KnownVersions& aKnown)
+Gateway::OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender)
 {
+  const auto& hosts = registry_->Known();
+  const auto sender = std::ranges::find(hosts, aSender, &PeerHost::address);
+  if (sender != hosts.end() && sender->snapshot.port != 0) {
+    peers_->Prefer(sender->snapshot);
+  }
   heard_.configuration = std::max(heard_.configuration, aKnown.configuration);
   heard_.directory = std::max(heard_.directory, aKnown.directory);
   if (!catchUpTimer_.isActive()) {
@@ -295,6 +283,8 @@
 {
   configurationFollower_->CatchUp(heard_.configuration);
   serverFollower_->CatchUp(heard_.directory);
+  // Where the catalog turns this host away and serves others.
+  peers_->Start();
 }
 
 void
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -5,10 +5,9 @@
 #include "catalog/CatalogFollower.h"
 #include "gateway/DirectoryBuilder.h"
 #include "gateway/HostRegistry.h"
-#include "gateway/PeerSnapshot.h"
+#include "gateway/PeerSnapshotClient.h"
 #include "gateway/ProbeServer.h"
 #include "gateway/TrafficRuntime.h"
-#include "store/PlatformClient.h"
 
 #include <atomic>
 
@@ -54,11 +53,11 @@
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
-  void OnNewerVersions(const KnownVersions& aKnown);
+  void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void CatchUp();
-  // Asks a peer for what it knows while the catalog does not answer.
-  void AskPeers();
-  void OnPeerAnswer(const PlatformReply& aReply);
+  // True while peers can tell what the catalog has not told yet.
+  bool NeedsPeers() const;
+  void Adopt(PeerSnapshot aSnapshot);
   void CheckStopped();
   void ReportReadiness();
   std::string FormatMetrics() const;
@@ -77,9 +76,7 @@
   std::unique_ptr<ProbeServer> readiness_;
   std::unique_ptr<ProbeServer> metricsServer_;
   std::unique_ptr<ProbeServer> snapshotServer_;
-  // Null where no peers are named.
-  std::unique_ptr<PlatformClient> peers_;
-  QTimer askPeersTimer_;
+  std::unique_ptr<PeerSnapshotClient> peers_;
   std::shared_ptr<const RoutingTable> routing_;
   std::uint64_t rejectedRevision_ = 0;
   bool wasReady_ = false;
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -1,7 +1,7 @@
 #include "gateway/HostRegistry.h"
 
 #include "base/Log.h"
-#include "gateway/EndpointJson.h"
+#include "gateway/PeerSnapshot.h"
 
 #include <algorithm>
 
@@ -36,7 +36,7 @@
 void
 HostRegistry::Start()
 {
-  registration_.Write(EndpointToJson(self_.address));
+  registration_.Write(PeerHostToJson(self_));
   listTimer_.start(kFirstList);
 }
 
@@ -71,14 +71,17 @@
 HostRegistry::OnPage(const CatalogPage& aPage)
 {
   if (aPage.failure.error != CatalogError::None) {
+    LogEvent(LogLevel::Warning,
+             "hosts_not_listed",
+             { { "reason", aPage.failure.reason } });
     listTimer_.start(kListRetry +
                      milliseconds(random_.Below(
                        static_cast<std::uint64_t>(kListRetry.count()))));
     return;
   }
   for (const CatalogObject& object : aPage.objects) {
-    if (const auto address = EndpointFromJson(object.content)) {
-      hosts_.push_back({ object.name, *address });
+    if (auto host = PeerHostFromJson(object.name, object.content)) {
+      hosts_.push_back(std::move(*host));
     }
   }
   if (aPage.hasMore && !aPage.objects.empty()) {
@@ -86,13 +89,10 @@
     return;
   }
   LogEvent(LogLevel::Info, "hosts_listed", { { "hosts", hosts_.size() } });
-  const bool isListed =
-    std::ranges::any_of(hosts_, [this](const PeerHost& aHost) {
-      return aHost.name == self_.name && aHost.address == self_.address;
-    });
+  const bool isListed = std::ranges::find(hosts_, self_) != hosts_.end();
   // Something else took the entry out, or wrote another.
   if (!isListed && !registration_.IsWriting()) {
-    registration_.Write(EndpointToJson(self_.address));
+    registration_.Write(PeerHostToJson(self_));
   }
   known_ = std::move(hosts_);
   hosts_.clear();
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -16,6 +16,9 @@
 constexpr const char* kRevision = "revision";
 constexpr const char* kContent = "content";
 constexpr const char* kStatus = "status";
+constexpr const char* kObjects = "objects";
+constexpr const char* kNewestChange = "newest_change";
+constexpr const char* kSnapshot = "snapshot";
 
 QJsonArray
 ObjectsToJson(const CatalogFollower::Objects& aObjects)
@@ -46,20 +49,55 @@
   return objects;
 }
 
+QJsonObject
+CopyToJson(const CatalogCopy& aCopy)
+{
+  return { { kNewestChange, static_cast<qint64>(aCopy.newestChange) },
+           { kObjects, ObjectsToJson(aCopy.objects) } };
+}
+
+CatalogCopy
+CopyFromJson(const QJsonObject& aObject)
+{
+  return { ObjectsFromJson(aObject[kObjects].toArray()),
+           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()) };
+}
+
 } // namespace
 
+QJsonObject
+PeerHostToJson(const PeerHost& aHost)
+{
+  QJsonObject object = EndpointToJson(aHost.address);
+  object[kSnapshot] = EndpointToJson(aHost.snapshot);
+  return object;
+}
+
+std::optional<PeerHost>
+PeerHostFromJson(const std::string& aName, const QJsonObject& aObject)
+{
+  const auto address = EndpointFromJson(aObject);
+  if (!address) {
+    return std::nullopt;
+  }
+  return PeerHost{ aName,
+                   *address,
+                   EndpointFromJson(aObject[kSnapshot].toObject())
+                     .value_or(Endpoint{}) };
+}
+
 std::string
 EncodePeerSnapshot(const PeerSnapshot& aSnapshot)
 {
   QJsonArray hosts;
   for (const PeerHost& host : aSnapshot.hosts) {
-    QJsonObject item = EndpointToJson(host.address);
+    QJsonObject item = PeerHostToJson(host);
     item[kName] = QString::fromStdString(host.name);
     hosts.append(item);
   }
   const QJsonObject snapshot{
-    { kConfiguration, ObjectsToJson(aSnapshot.configuration) },
-    { kBackendServers, ObjectsToJson(aSnapshot.backendServers) },
+    { kConfiguration, CopyToJson(aSnapshot.configuration) },
+    { kBackendServers, CopyToJson(aSnapshot.backendServers) },
     { kHosts, hosts }
   };
   return QJsonDocument(snapshot).toJson(QJsonDocument::Compact).toStdString();
@@ -73,15 +111,15 @@
       QByteArray(aText.data(), static_cast<qsizetype>(aText.size())))
       .object();
   PeerSnapshot snapshot;
-  snapshot.configuration = ObjectsFromJson(json[kConfiguration].toArray());
-  snapshot.backendServers = ObjectsFromJson(json[kBackendServers].toArray());
-  if (snapshot.configuration.empty()) {
+  snapshot.configuration = CopyFromJson(json[kConfiguration].toObject());
+  snapshot.backendServers = CopyFromJson(json[kBackendServers].toObject());
+  if (snapshot.configuration.objects.empty()) {
     return std::nullopt;
   }
   for (const QJsonValue item : json[kHosts].toArray()) {
-    if (const auto address = EndpointFromJson(item.toObject())) {
-      snapshot.hosts.push_back(
-        { item[kName].toString().toStdString(), *address });
+    const std::string name = item[kName].toString().toStdString();
+    if (auto host = PeerHostFromJson(name, item.toObject())) {
+      snapshot.hosts.push_back(std::move(*host));
     }
   }
   return snapshot;
--- a/src/gateway/PeerSnapshot.h
+++ b/src/gateway/PeerSnapshot.h
@@ -9,15 +9,23 @@
 
 namespace filbertbeam {
 
-// What a host has read from the catalog, for a peer that starts while the
-// catalog is away.
+// What a host has read from the catalog, for a peer that the catalog does not
+// answer.
 struct PeerSnapshot
 {
-  CatalogFollower::Objects configuration;
-  CatalogFollower::Objects backendServers;
+  CatalogCopy configuration;
+  CatalogCopy backendServers;
   std::vector<PeerHost> hosts;
 };
 
+// How a host describes itself in the catalog and in snapshots.
+QJsonObject
+PeerHostToJson(const PeerHost& aHost);
+
+// Nothing when the object holds no address.
+std::optional<PeerHost>
+PeerHostFromJson(const std::string& aName, const QJsonObject& aObject);
+
 // JSON text.
 std::string
 EncodePeerSnapshot(const PeerSnapshot& aSnapshot);
--- /dev/null
+++ b/src/gateway/PeerSnapshotClient.cpp
@@ -0,0 +1,99 @@
+#include "gateway/PeerSnapshotClient.h"
+
+#include "base/Log.h"
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A catalog that is there has answered by then.
+constexpr milliseconds kAskInterval{ 500 };
+constexpr milliseconds kAnswerTime{ 400 };
+
+constexpr int kOk = 200;
+
+PlatformClientLimits
+ClientLimits()
+{
+  PlatformClientLimits limits;
+  limits.callTimeout = kAnswerTime;
+  return limits;
+}
+
+} // namespace
+
+PeerSnapshotClient::PeerSnapshotClient(std::vector<Endpoint> aSeeds,
+                                       IsNeeded aIsNeeded,
+                                       Handler aOnSnapshot)
+  : seeds_(std::move(aSeeds))
+  , isNeeded_(std::move(aIsNeeded))
+  , onSnapshot_(std::move(aOnSnapshot))
+  , client_(seeds_, ClientLimits())
+{
+  timer_.callOnTimeout([this] { Ask(); });
+}
+
+void
+PeerSnapshotClient::Start()
+{
+  if (!timer_.isActive()) {
+    timer_.start(kAskInterval);
+  }
+}
+
+void
+PeerSnapshotClient::Prefer(const Endpoint& aPeer)
+{
+  if (aPeer == preferred_) {
+    return;
+  }
+  preferred_ = aPeer;
+  std::vector<Endpoint> endpoints{ aPeer };
+  endpoints.insert(endpoints.end(), seeds_.begin(), seeds_.end());
+  client_.SetEndpoints(std::move(endpoints));
+}
+
+void
+PeerSnapshotClient::Ask()
+{
+  if (!isNeeded_()) {
+    timer_.stop();
+    return;
+  }
+  if (seeds_.empty() && preferred_.port == 0) {
+    return;
+  }
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = "/";
+  client_.Call(std::move(head),
+               {},
+               milliseconds(0),
+               [this](const PlatformReply& aReply) { OnAnswer(aReply); });
+}
+
+void
+PeerSnapshotClient::OnAnswer(const PlatformReply& aReply)
+{
+  if (!isNeeded_()) {
+    return;
+  }
+  if (aReply.status != kOk) {
+    LogEvent(LogLevel::Info,
+             "peer_snapshot_failed",
+             { { "status", aReply.status }, { "reason", aReply.reason } });
+    return;
+  }
+  std::optional<PeerSnapshot> snapshot = DecodePeerSnapshot(aReply.body);
+  if (!snapshot) {
+    LogEvent(LogLevel::Warning,
+             "peer_snapshot_malformed",
+             { { "bytes", aReply.body.size() } });
+    return;
+  }
+  onSnapshot_(std::move(*snapshot));
+}
+
+} // namespace filbertbeam
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -32,6 +32,8 @@
   void StopAccepting() { server_->StopAccepting(); }
   int RunningExchanges() const { return server_->RunningExchanges(); }
   std::uint16_t FrontPort() const { return server_->Port(); }
+  // For the datagrams of other hosts.
+  Endpoint PeerAddress() const { return selection_->LocalEndpoint(); }
 
 private:
   TrafficRuntime() = default;
--- a/src/gateway/tests/TestHostRegistry.cpp
+++ b/src/gateway/tests/TestHostRegistry.cpp
@@ -1,7 +1,7 @@
 #include "base/SeededRandom.h"
 #include "catalog/tests/support/CatalogStub.h"
-#include "gateway/EndpointJson.h"
 #include "gateway/HostRegistry.h"
+#include "gateway/PeerSnapshot.h"
 #include "http/tests/support/EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
@@ -35,7 +35,7 @@
   int writes = 0;
 };
 
-const PeerHost kSelf{ "self", { "127.0.0.1", 7200 } };
+const PeerHost kSelf{ "self", { "127.0.0.1", 7200 }, { "127.0.0.1", 7300 } };
 
 struct RegistryFixture
 {
@@ -66,7 +66,7 @@
 // Guards against a call to the store for each list that shows the entry.
 BOOST_AUTO_TEST_CASE(IsWrittenOnceWhereTheListShowsIt)
 {
-  list.listed.push_back({ "self", 1, EndpointToJson(kSelf.address), {} });
+  list.listed.push_back({ "self", 1, PeerHostToJson(kSelf), {} });
   ReadList();
   BOOST_TEST(list.writes == 1);
 }
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -180,6 +180,13 @@
   }
 }
 
+void
+PlatformClient::SetEndpoints(std::vector<Endpoint> aEndpoints)
+{
+  endpoints_ = std::move(aEndpoints);
+  current_ = 0;
+}
+
 void
 PlatformClient::Call(HttpRequestHead aHead,
                      std::string_view aBody,
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -53,6 +53,9 @@
   PlatformClient(const PlatformClient&) = delete;
   PlatformClient& operator=(const PlatformClient&) = delete;
 
+  // Later calls go to aEndpoints, beginning with the first.
+  void SetEndpoints(std::vector<Endpoint> aEndpoints);
+
   // The callback comes from the event loop, exactly once unless this is
   // destroyed before. aExtraTime is added to the time limit of the call.
   void Call(HttpRequestHead aHead,
