Gateway: Remove the entries of hosts that ended without notice

Cause: the list of the gateway's hosts expires nothing, and a host asks only the owners of services for anything, so nobody knew which of the others had ended. Change: with each list (60 s) a host greets one other at random and those that left a greeting unanswered; an entry that was silent for ten minutes is removed, by filbertbeamd's function for that. Not by a host that hears nobody.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -113,10 +113,11 @@
 void
 Append(QCborStreamWriter& aWriter, const SelectionHello& aHello)
 {
-  aWriter.startArray(3);
+  aWriter.startArray(4);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHello));
   AppendText(aWriter, aHello.host);
+  aWriter.append(aHello.isAnswerWanted);
   aWriter.endArray();
 }
 
@@ -198,6 +199,15 @@
   return report;
 }
 
+SelectionHello
+ReadHello(CborInput& aInput)
+{
+  SelectionHello hello;
+  hello.host = aInput.ReadText(kMaxNameBytes);
+  hello.isAnswerWanted = aInput.ReadBool();
+  return hello;
+}
+
 } // namespace
 
 std::string
@@ -229,7 +239,7 @@
       message = ReadReport(input);
       break;
     case kHello:
-      message = SelectionHello{ input.ReadText(kMaxNameBytes) };
+      message = ReadHello(input);
       break;
     default:
       return std::nullopt;
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -39,10 +39,12 @@
   AttemptResult result = AttemptResult::Unused;
 };
 
-// A host has started, or found the receiver anew. Its address is the sender's.
+// A host lives. Its address is the sender's.
 struct SelectionHello
 {
   std::string host;
+  // The receiver is to say the same.
+  bool isAnswerWanted = false;
 };
 
 using SelectionMessage =
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -75,6 +75,16 @@
   });
 }
 
+void
+SelectionService::Greet(std::span<const PeerHost> aHosts)
+{
+  for (const PeerHost& host : aHosts) {
+    socket_->Send(
+      host.address,
+      EncodeSelectionMessage(SelectionHello{ settings_.host, true }));
+  }
+}
+
 void
 SelectionService::SetDirectory(
   const std::shared_ptr<const BackendDirectory>& aDirectory)
@@ -185,7 +195,20 @@
   } else if (const auto* report = std::get_if<SelectionReport>(&*message)) {
     owned_.Finish(report->ticket, report->result, clock_.Now());
   } else if (const auto* hello = std::get_if<SelectionHello>(&*message)) {
-    OnHeard(hello->host, aSender);
+    OnHello(aSender, *hello);
+  }
+}
+
+void
+SelectionService::OnHello(const Endpoint& aSender, const SelectionHello& aHello)
+{
+  OnHeard(aHello.host, aSender);
+  if (aHello.isAnswerWanted) {
+    socket_->Send(aSender,
+                  EncodeSelectionMessage(SelectionHello{ settings_.host }));
+  }
+  if (onGreeting_) {
+    onGreeting_(aHello.host);
   }
 }
 
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 
 namespace filbertbeam {
 
@@ -77,6 +78,14 @@
 
   // Tells hosts that are new to this one that it is there.
   void SetHosts(std::vector<PeerHost> aHosts);
+  // Asks aHosts for a sign of life.
+  void Greet(std::span<const PeerHost> aHosts);
+  using GreetingHandler = std::function<void(const std::string& aHost)>;
+  // Called when a host gave a sign of life by itself or when it was greeted.
+  void SetGreetingHandler(GreetingHandler aHandler)
+  {
+    onGreeting_ = std::move(aHandler);
+  }
   void SetBudgets(const RepeatBudgetLimits& aOwnerBudget,
                   const RepeatBudgetLimits& aOwnBudget);
   // Sent along with every message, so that a host whose own watch of the
@@ -124,6 +133,7 @@
   // A message of a peer shows that it is alive, and where.
   void OnHeard(const std::string& aHost, const Endpoint& aAddress);
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
+  void OnHello(const Endpoint& aSender, const SelectionHello& aHello);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
@@ -142,6 +152,7 @@
   std::uint64_t nextCall_ = 1;
   KnownVersions known_;
   VersionsHandler onNewerVersions_;
+  GreetingHandler onGreeting_;
   QTimer timer_;
 };
 
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -145,6 +145,24 @@
   }));
 }
 
+// Guards against hosts that live and are taken for dead, or the reverse.
+BOOST_AUTO_TEST_CASE(AHostThatLivesAnswersAGreeting)
+{
+  Host one("one");
+  Host two("two");
+  std::string heard;
+  one.service->SetGreetingHandler(
+    [&](const std::string& aHost) { heard = aHost; });
+  const std::vector<PeerHost> hosts{ two.Address() };
+  one.service->Greet(hosts);
+  BOOST_TEST(WaitUntil([&] { return heard == "two"; }));
+  heard.clear();
+  two.service.reset();
+  one.service->Greet(hosts);
+  RunFor(100ms);
+  BOOST_TEST(heard.empty());
+}
+
 BOOST_AUTO_TEST_SUITE(Messages)
 
 BOOST_AUTO_TEST_CASE(AreReadAsTheyWereWritten)
--- a/src/daemon/DeadHostSweep.cpp
+++ b/src/daemon/DeadHostSweep.cpp
@@ -1,5 +1,7 @@
 #include "daemon/DeadHostSweep.h"
 
+#include "catalog/DeadHostEntry.h"
+
 #include <utility>
 
 namespace filbertbeam {
--- a/src/daemon/DeadHostSweep.h
+++ b/src/daemon/DeadHostSweep.h
@@ -29,8 +29,4 @@
   std::map<std::string, Instant, std::less<>> unreachableSince_;
 };
 
-// Longer than a restart of a machine and than cuts between failure domains
-// usually take; a host that comes back costs two writes.
-inline constexpr std::chrono::minutes kDeadHostLifetime{ 10 };
-
 } // namespace filbertbeam
--- a/src/daemon/HostListFollower.cpp
+++ b/src/daemon/HostListFollower.cpp
@@ -1,6 +1,7 @@
 #include "daemon/HostListFollower.h"
 
 #include "base/Log.h"
+#include "catalog/DeadHostEntry.h"
 #include "membership/ListedHostJson.h"
 
 #include <algorithm>
@@ -58,13 +59,7 @@
 void
 HostListFollower::Remove(const std::string& aHost)
 {
-  catalog_.Remove(
-    Collection::Members, aHost, [aHost](const CatalogFailure& aFailure) {
-      const bool isRemoved = aFailure.error == CatalogError::None;
-      LogEvent(isRemoved ? LogLevel::Info : LogLevel::Warning,
-               isRemoved ? "dead_host_removed" : "dead_host_not_removed",
-               { { "host", aHost }, { "reason", aFailure.reason } });
-    });
+  RemoveDeadHostEntry(catalog_, Collection::Members, aHost);
 }
 
 void
--- a/src/daemon/tests/TestDeadHostSweep.cpp
+++ b/src/daemon/tests/TestDeadHostSweep.cpp
@@ -1,3 +1,4 @@
+#include "catalog/DeadHostEntry.h"
 #include "daemon/DeadHostSweep.h"
 
 #include <boost/test/unit_test.hpp>
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -83,6 +83,12 @@
           [this, aKnown, aSender] { OnNewerVersions(aKnown, aSender); },
           Qt::QueuedConnection);
       });
+    traffic_->SetGreetingHandler([this](const std::string& aHost) {
+      QMetaObject::invokeMethod(
+        &catchUpTimer_,
+        [this, aHost] { registry_->OnHeard(aHost); },
+        Qt::QueuedConnection);
+    });
     frontPort_ = traffic_->FrontPort();
     peerAddress = traffic_->PeerAddress();
   });
@@ -152,10 +158,15 @@
     PeerHost{ settings_.host,
               peerAddress,
               { settings_.snapshot.address, snapshotServer_->Port() } },
+    clock_,
     random_,
     [this](std::vector<PeerHost> aHosts) {
       trafficThread_.Post(
         [this, hosts = std::move(aHosts)] { traffic_->SetHosts(hosts); });
+    },
+    [this](std::vector<PeerHost> aHosts) {
+      trafficThread_.Post(
+        [this, hosts = std::move(aHosts)] { traffic_->Greet(hosts); });
     });
   LogEvent(LogLevel::Info,
            "started",
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -1,6 +1,7 @@
 #include "gateway/HostRegistry.h"
 
 #include "base/Log.h"
+#include "catalog/DeadHostEntry.h"
 #include "gateway/PeerSnapshot.h"
 
 #include <algorithm>
@@ -21,13 +22,18 @@
 
 HostRegistry::HostRegistry(ObjectCatalog& aCatalog,
                            PeerHost aSelf,
+                           const Clock& aClock,
                            Random& aRandom,
-                           Handler aOnHosts)
+                           Handler aOnHosts,
+                           Handler aGreet)
   : catalog_(aCatalog)
   , self_(std::move(aSelf))
+  , clock_(aClock)
   , random_(aRandom)
   , registration_(aCatalog, Collection::Hosts, self_.name, aRandom)
+  , silentPeers_(self_.name, aRandom)
   , onHosts_(std::move(aOnHosts))
+  , greet_(std::move(aGreet))
 {
   listTimer_.setSingleShot(true);
   listTimer_.callOnTimeout([this] { List({}); });
@@ -97,7 +103,21 @@
   known_ = std::move(hosts_);
   hosts_.clear();
   onHosts_(known_);
+  RemoveDeadHosts();
+  greet_(silentPeers_.BeginRound(known_, clock_.Now()));
   listTimer_.start(kListInterval);
 }
 
+void
+HostRegistry::RemoveDeadHosts()
+{
+  for (const std::string& host : silentPeers_.TakeExpired(clock_.Now())) {
+    const bool isListed =
+      std::ranges::find(known_, host, &PeerHost::name) != known_.end();
+    if (isListed) {
+      RemoveDeadHostEntry(catalog_, Collection::Hosts, host);
+    }
+  }
+}
+
 } // namespace filbertbeam
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -80,10 +80,11 @@
   if (!address) {
     return std::nullopt;
   }
-  return PeerHost{ aName,
-                   *address,
-                   EndpointFromJson(aObject[kSnapshot].toObject())
-                     .value_or(Endpoint{}) };
+  return PeerHost{
+    aName,
+    *address,
+    EndpointFromJson(aObject[kSnapshot].toObject()).value_or(Endpoint{})
+  };
 }
 
 std::string
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -132,6 +132,12 @@
   selection_->SetNewerVersionsHandler(std::move(aHandler));
 }
 
+void
+TrafficRuntime::SetGreetingHandler(SelectionService::GreetingHandler aHandler)
+{
+  selection_->SetGreetingHandler(std::move(aHandler));
+}
+
 void
 TrafficRuntime::SetHosts(std::vector<PeerHost> aHosts)
 {
--- a/src/gateway/tests/TestHostRegistry.cpp
+++ b/src/gateway/tests/TestHostRegistry.cpp
@@ -1,4 +1,5 @@
 #include "base/SeededRandom.h"
+#include "base/SystemClock.h"
 #include "catalog/tests/support/CatalogStub.h"
 #include "gateway/HostRegistry.h"
 #include "gateway/PeerSnapshot.h"
@@ -49,7 +50,10 @@
 
   FixedList list;
   SeededRandom random{ 1 };
-  HostRegistry registry{ list, kSelf, random, [](const auto&) {} };
+  SystemClock clock;
+  HostRegistry registry{
+    list, kSelf, clock, random, [](const auto&) {}, [](const auto&) {}
+  };
 };
 
 } // namespace
