--- a/src/membership/HeartbeatProtocol.cpp
+++ b/src/membership/HeartbeatProtocol.cpp
@@ -22,10 +22,6 @@
 // list is older or newer, are answered, so that their links work.
 constexpr std::size_t kMaxGuests = 4;
 
-// Records passed on in each heartbeat though nothing changed, so that members
-// that missed a change converge: 40 s on average at 1,300 members.
-constexpr std::size_t kRefreshedRecords = 2;
-
 // Above this size, a change of nothing but the revision waits for the refresh:
 // 1,700 changes a day of 1,300 hosts, each sent 14 times, would take 15 KB/s.
 constexpr std::size_t kMaxMembersForwardingRevisions = 256;
@@ -44,11 +40,6 @@
 // Largest heartbeat with its sealed header; it holds 20 updates.
 constexpr std::size_t kMaxHeartbeatBytes = 1'200;
 
-// A host that is neither listed nor reachable is forgotten after this time. It
-// exceeds the time by which host lists and views of two hosts differ.
-constexpr std::chrono::seconds kForgetTime{ 60 };
-constexpr std::chrono::minutes kTombstoneLifetime{ 10 };
-
 // Below this allowance, heartbeats carry few records that are not urgent: what
 // a starting fleet exchanges must not use up the bytes for reports.
 constexpr std::size_t kSpareAllowance = HeartbeatProtocol::kByteBurst * 2 / 3;
@@ -69,8 +60,9 @@
   : clock_(aClock)
   , random_(aRandom)
   , selfId_(HostId(aSelf.host))
+  , composer_(members_, links_, selfId_)
 {
-  Entry& self = AddEntry(
+  MemberEntry& self = AddMember(
     { aSelf.host, aSelf.region, aSelf.domain, aSelf.relay, aSelf.control });
   self.record.incarnation = aSelf.incarnation;
   while (self.record.incarnation == 0) {
@@ -92,56 +84,31 @@
 std::uint64_t
 HeartbeatProtocol::Incarnation() const
 {
-  return FindEntry(selfId_)->record.incarnation;
-}
-
-HeartbeatProtocol::Entry*
-HeartbeatProtocol::FindEntry(std::uint64_t aId)
-{
-  const auto found = indexes_.find(aId);
-  return found == indexes_.end() ? nullptr : &entries_[found->second];
-}
-
-const HeartbeatProtocol::Entry*
-HeartbeatProtocol::FindEntry(std::uint64_t aId) const
-{
-  const auto found = indexes_.find(aId);
-  return found == indexes_.end() ? nullptr : &entries_[found->second];
+  return Self().record.incarnation;
 }
 
-HeartbeatProtocol::Entry&
-HeartbeatProtocol::AddEntry(HostDetails aDetails)
+MemberEntry&
+HeartbeatProtocol::AddMember(HostDetails aDetails)
 {
-  Entry entry;
-  entry.id = HostId(aDetails.host);
-  entry.details = std::move(aDetails);
-  entry.record.id = entry.id;
-  entry.unlistedSince = clock_.Now();
-  entry.unreachableSince = clock_.Now();
-  indexes_[entry.id] = static_cast<std::uint32_t>(entries_.size());
-  entries_.push_back(std::move(entry));
-  isRingStale_ = true;
-  isVerdictStale_ = true;
-  isViewStale_ = true;
-  return entries_.back();
+  OnMembersChanged();
+  return members_.Add(std::move(aDetails), clock_.Now());
 }
 
 void
-HeartbeatProtocol::RemoveEntries(const std::vector<std::uint64_t>& aIds)
+HeartbeatProtocol::OnMembersRemoved(std::span<const std::uint64_t> aIds)
 {
   if (aIds.empty()) {
     return;
   }
-  std::erase_if(entries_, [&](const Entry& aEntry) {
-    return std::find(aIds.begin(), aIds.end(), aEntry.id) != aIds.end();
-  });
   for (const std::uint64_t id : aIds) {
     links_.erase(id);
   }
-  indexes_.clear();
-  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
-    indexes_[entries_[i].id] = i;
-  }
+  OnMembersChanged();
+}
+
+void
+HeartbeatProtocol::OnMembersChanged()
+{
   isRingStale_ = true;
   isVerdictStale_ = true;
   isViewStale_ = true;
@@ -164,10 +131,10 @@
                          host->domain,
                          { host->address, host->relayPort },
                          { host->address, host->controlPort } };
-    tombstones_.erase(id);
-    Entry* entry = FindEntry(id);
+    members_.Recall(id);
+    MemberEntry* entry = members_.Find(id);
     if (entry == nullptr) {
-      entry = &AddEntry(details);
+      entry = &AddMember(details);
     } else if (entry->record.version == 0 && entry->details != details) {
       // What a host says about itself is newer than the list.
       entry->details = details;
@@ -183,7 +150,7 @@
   }
 
   std::vector<std::uint64_t> removed;
-  for (Entry& entry : entries_) {
+  for (MemberEntry& entry : members_.Entries()) {
     if (!entry.isListed || listed.contains(entry.id)) {
       continue;
     }
@@ -196,9 +163,10 @@
       removed.push_back(entry.id);
     }
   }
-  RemoveEntries(removed);
+  members_.Remove(removed);
+  OnMembersRemoved(removed);
 
-  if (!hasList_ && entries_.size() > 1) {
+  if (!hasList_ && members_.Size() > 1) {
     hasList_ = true;
     isPresuming_ = true;
     presumeUntil_ = now + RecordExchangeTime();
@@ -209,7 +177,7 @@
 void
 HeartbeatProtocol::SetConfigurationRevision(std::uint64_t aRevision)
 {
-  Entry& self = *FindEntry(selfId_);
+  MemberEntry& self = Self();
   if (self.record.configurationRevision != aRevision) {
     self.record.configurationRevision = aRevision;
     BumpOwnVersion(false);
@@ -226,7 +194,7 @@
 void
 HeartbeatProtocol::UpdateOwnLeaving()
 {
-  Entry& self = *FindEntry(selfId_);
+  MemberEntry& self = Self();
   const bool isLeaving = isLeaving_ || self.isListedLeaving;
   if (self.record.isLeaving != isLeaving) {
     self.record.isLeaving = isLeaving;
@@ -241,7 +209,7 @@
   for (auto& [id, link] : links_) {
     link.isUrgent = link.isUrgent || aIsUrgent;
   }
-  MemberRecord& record = FindEntry(selfId_)->record;
+  MemberRecord& record = Self().record;
   record.version = std::min(record.version + 1, HeartbeatCodec::kMaxVersion);
   isViewStale_ = true;
 }
@@ -250,7 +218,7 @@
 HeartbeatProtocol::RecordExchangeTime() const
 {
   return kRecordExchangeBase +
-         kRecordExchangePerMember * static_cast<std::int64_t>(entries_.size());
+         kRecordExchangePerMember * static_cast<std::int64_t>(members_.Size());
 }
 
 void
@@ -262,8 +230,8 @@
   isRingStale_ = false;
   isVerdictStale_ = true;
   std::vector<PartnerRing::Place> places;
-  places.reserve(entries_.size());
-  for (const Entry& entry : entries_) {
+  places.reserve(members_.Size());
+  for (const MemberEntry& entry : members_.Entries()) {
     places.push_back(
       { entry.details.host, entry.details.region, entry.details.domain });
   }
@@ -272,8 +240,9 @@
   for (auto& [id, link] : links_) {
     link.isPartner = false;
   }
-  for (const std::uint32_t index : ring_.PartnersOf(indexes_.at(selfId_))) {
-    AddLink(entries_[index].id, true);
+  for (const std::uint32_t index :
+       ring_.PartnersOf(members_.IndexOf(selfId_))) {
+    AddLink(members_.Entries()[index].id, true);
   }
 }
 
@@ -281,7 +250,7 @@
 HeartbeatProtocol::AddLink(std::uint64_t aPeer, bool aIsPartner)
 {
   const auto [position, isNew] = links_.try_emplace(aPeer);
-  Link& link = position->second;
+  HeartbeatLink& link = position->second;
   link.isPartner = aIsPartner;
   if (!isNew) {
     return;
@@ -289,7 +258,7 @@
   const Instant now = clock_.Now();
   link.graceUntil = now + kLinkGrace;
   link.wantsRecordsUntil = now + RecordExchangeTime();
-  link.refreshCursor = random_.Below(entries_.size());
+  link.refreshCursor = random_.Below(members_.Size());
   // Spreads the heartbeats of the links over the interval.
   link.nextHeartbeat =
     now + Duration(static_cast<std::int64_t>(random_.Below(
@@ -299,7 +268,7 @@
 void
 HeartbeatProtocol::MergeRecordOfSelf(const MemberRecord& aRecord)
 {
-  MemberRecord& own = FindEntry(selfId_)->record;
+  MemberRecord& own = Self().record;
   // A leaving process does not argue with the one that replaces it.
   if (own.isLeaving || aRecord.version < own.version || aRecord == own) {
     return;
@@ -319,12 +288,10 @@
     MergeRecordOfSelf(record);
     return;
   }
-  const auto tombstone = tombstones_.find(aRecord.id);
-  if (tombstone != tombstones_.end() &&
-      aRecord.version <= tombstone->second.version) {
+  if (members_.IsOfForgotten(aRecord)) {
     return;
   }
-  Entry* entry = FindEntry(aRecord.id);
+  MemberEntry* entry = members_.Find(aRecord.id);
   if (entry == nullptr) {
     if (!aRecord.details) {
       const auto link = links_.find(aFrom);
@@ -334,7 +301,7 @@
       }
       return;
     }
-    entry = &AddEntry(*aRecord.details);
+    entry = &AddMember(*aRecord.details);
   }
   if (entry->details.host.empty() ||
       (aRecord.details && aRecord.details->host != entry->details.host)) {
@@ -344,9 +311,7 @@
   const auto sender = links_.find(aFrom);
   if (sender != links_.end() && aRecord.version >= known.version) {
     // The sender has it already.
-    std::erase_if(sender->second.pending, [&](const PendingUpdate& aEach) {
-      return aEach.id == aRecord.id;
-    });
+    sender->second.Drop(aRecord.id);
   }
   if (aRecord.version <= known.version) {
     // A host that speaks with an old version is told what is known of it, so
@@ -383,7 +348,7 @@
   known.details.reset();
   isVerdictStale_ = true;
   isViewStale_ = true;
-  if (!isRevisionOnly || entries_.size() <= kMaxMembersForwardingRevisions) {
+  if (!isRevisionOnly || members_.Size() <= kMaxMembersForwardingRevisions) {
     Forward(aRecord.id, aFrom, !isFirst && !isRevisionOnly);
   }
 }
@@ -397,8 +362,7 @@
     if (peer == aExcept || peer == aId) {
       continue;
     }
-    std::erase_if(link.pending,
-                  [&](const PendingUpdate& aEach) { return aEach.id == aId; });
+    link.Drop(aId);
     // The latest change goes first: while many hosts start, a new report must
     // not wait for their records.
     link.pending.push_front({ aId, aIsUrgent, false });
@@ -419,7 +383,7 @@
   const std::uint64_t peer = heartbeat->sender.id;
   MergeRecord(heartbeat->sender, peer);
   UpdateRing();
-  if (FindEntry(peer) == nullptr) {
+  if (members_.Find(peer) == nullptr) {
     // Nothing tells where to answer; the next heartbeat has the details, since
     // this one is not confirmed.
     return true;
@@ -437,7 +401,7 @@
     AddLink(peer, false);
     found = links_.find(peer);
   }
-  Link& link = found->second;
+  HeartbeatLink& link = found->second;
   link.hasHeard = true;
   link.lastHeard = now;
   link.isHeardByPeer = std::find(heartbeat->heard.begin(),
@@ -446,11 +410,11 @@
   if (heartbeat->wantsRecords && !link.doesPeerWantRecords) {
     // Each partner of the peer starts at another place, so that together they
     // send all records once.
-    const auto partners = ring_.PartnersOf(indexes_.at(peer));
+    const auto partners = ring_.PartnersOf(members_.IndexOf(peer));
     const auto place =
-      std::find(partners.begin(), partners.end(), indexes_.at(selfId_));
+      std::find(partners.begin(), partners.end(), members_.IndexOf(selfId_));
     if (place != partners.end()) {
-      link.refreshCursor = entries_.size() *
+      link.refreshCursor = members_.Size() *
                            static_cast<std::size_t>(place - partners.begin()) /
                            partners.size();
     }
@@ -458,7 +422,7 @@
   link.doesPeerWantRecords = heartbeat->wantsRecords;
 
   for (const std::uint32_t unknown : heartbeat->unknown) {
-    for (const Entry& entry : entries_) {
+    for (const MemberEntry& entry : members_.Entries()) {
       if (ShortId(entry.id) == unknown && entry.id != peer) {
         link.pending.push_front({ entry.id, true, true });
       }
@@ -489,9 +453,8 @@
   std::vector<std::uint32_t> unheard;
   bool hasRecovered = false;
   for (auto entry = links_.begin(); entry != links_.end();) {
-    Link& link = entry->second;
-    const bool isHeard =
-      link.hasHeard && aNow - link.lastHeard <= Duration(kHeartbeatTimeout);
+    HeartbeatLink& link = entry->second;
+    const bool isHeard = link.IsHeard(aNow);
     if (!link.isPartner && !isHeard) {
       entry = links_.erase(entry);
       continue;
@@ -512,7 +475,7 @@
     ++entry;
   }
   std::sort(unheard.begin(), unheard.end());
-  MemberRecord& own = FindEntry(selfId_)->record;
+  MemberRecord& own = Self().record;
   if (own.unheardPartners != unheard) {
     own.unheardPartners = std::move(unheard);
     isVerdictStale_ = true;
@@ -524,29 +487,7 @@
 }
 
 void
-HeartbeatProtocol::ExpireEntries(Instant aNow)
-{
-  std::erase_if(tombstones_, [&](const auto& aEach) {
-    return aEach.second.expiresAt <= aNow;
-  });
-  std::vector<std::uint64_t> removed;
-  for (const Entry& entry : entries_) {
-    if (entry.id == selfId_ || entry.isListed ||
-        entry.state != HostState::Unreachable) {
-      continue;
-    }
-    const Instant since = std::max(entry.unlistedSince, entry.unreachableSince);
-    if (aNow - since >= Duration(kForgetTime)) {
-      removed.push_back(entry.id);
-      tombstones_[entry.id] = { entry.record.version,
-                                aNow + kTombstoneLifetime };
-    }
-  }
-  RemoveEntries(removed);
-}
-
-void
-HeartbeatProtocol::SetState(Entry& aEntry, HostState aState, Instant aNow)
+HeartbeatProtocol::SetState(MemberEntry& aEntry, HostState aState, Instant aNow)
 {
   if (aEntry.state == aState) {
     return;
@@ -567,7 +508,7 @@
   int counted = 0;
   int good = 0;
   for (const auto& [id, link] : links_) {
-    if (link.isPartner && !FindEntry(id)->isReported) {
+    if (link.isPartner && !members_.Find(id)->isReported) {
       ++counted;
       good += link.isGood ? 1 : 0;
     }
@@ -581,29 +522,30 @@
 }
 
 void
-HeartbeatProtocol::Judge(Instant aNow)
+HeartbeatProtocol::ApplyReports(Instant aNow)
 {
-  const std::uint32_t selfIndex = indexes_.at(selfId_);
+  const auto entries = members_.Entries();
+  const std::uint32_t selfIndex = members_.IndexOf(selfId_);
   ReachabilityJudge judge(ring_, selfIndex);
-  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
-    const auto& unheard = entries_[i].record.unheardPartners;
+  for (std::uint32_t i = 0; i < entries.size(); ++i) {
+    const auto& unheard = entries[i].record.unheardPartners;
     if (unheard.empty()) {
       continue;
     }
     for (const std::uint32_t partner : ring_.PartnersOf(i)) {
       if (std::find(unheard.begin(),
                     unheard.end(),
-                    ShortId(entries_[partner].id)) != unheard.end()) {
+                    ShortId(entries[partner].id)) != unheard.end()) {
         judge.ReportLink(i, partner);
       }
     }
   }
   const std::vector<Reachability> verdicts = judge.Judge();
-  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+  for (std::uint32_t i = 0; i < entries.size(); ++i) {
     if (i == selfIndex) {
       continue;
     }
-    Entry& entry = entries_[i];
+    MemberEntry& entry = entries[i];
     if (verdicts[i] == Reachability::Unheard) {
       if (!entry.isUnheard) {
         entry.isUnheard = true;
@@ -617,12 +559,17 @@
     entry.isReported =
       verdicts[i] != Reachability::Reachable || entry.isUnheard;
   }
-  UpdateIsolation();
+}
 
+void
+HeartbeatProtocol::Judge(Instant aNow)
+{
+  ApplyReports(aNow);
+  UpdateIsolation();
   // A host that never spoke is no owner, but a process that just started, or
   // that hears nobody, does not know who spoke.
   const bool isPresuming = isPresuming_ || isIsolated_;
-  for (Entry& entry : entries_) {
+  for (MemberEntry& entry : members_.Entries()) {
     const bool isLeaving = entry.record.isLeaving || entry.isListedLeaving;
     const bool hasSpoken = entry.record.version > 0;
     if (entry.id != selfId_ &&
@@ -655,12 +602,12 @@
   if (isVerdictStale_) {
     Judge(now);
   }
-  ExpireEntries(now);
+  OnMembersRemoved(members_.Expire(selfId_, now));
   UpdateRing();
 
   byteAllowance_ = std::min(byteAllowance_ + kBytesPerTick, kByteBurst);
   const std::size_t sealedBytes =
-    kMaxSealedOverhead + FindEntry(selfId_)->details.host.size();
+    kMaxSealedOverhead + Self().details.host.size();
   std::vector<OutgoingHeartbeat> heartbeats;
   for (auto& [id, link] : links_) {
     const bool isEarly = link.isUrgent && byteAllowance_ >= kUrgentReserve &&
@@ -679,105 +626,17 @@
     const std::size_t maxBytes =
       std::min(byteAllowance_ / kAllowanceDivisor, kMaxHeartbeatBytes);
     std::string payload =
-      Compose(id, link, maxBytes - std::min(maxBytes, sealedBytes), now);
+      composer_.Compose(id,
+                        maxBytes - std::min(maxBytes, sealedBytes),
+                        byteAllowance_ >= kSpareAllowance,
+                        now);
     byteAllowance_ -= std::min(byteAllowance_, payload.size() + sealedBytes);
-    const HostDetails& peer = FindEntry(id)->details;
+    const HostDetails& peer = members_.Find(id)->details;
     heartbeats.push_back({ peer.host, peer.control, std::move(payload) });
   }
   return heartbeats;
 }
 
-MemberRecord
-HeartbeatProtocol::WireRecord(const Entry& aEntry, bool aWithDetails)
-{
-  MemberRecord record = aEntry.record;
-  if (aWithDetails || !aEntry.isListedAsKnown) {
-    record.details = aEntry.details;
-  }
-  return record;
-}
-
-std::string
-HeartbeatProtocol::Compose(std::uint64_t aPeer,
-                           Link& aLink,
-                           std::size_t aMaxBytes,
-                           Instant aNow)
-{
-  Heartbeat heartbeat;
-  // A peer that did not confirm may not know this host yet.
-  heartbeat.sender = WireRecord(*FindEntry(selfId_), !aLink.isGood);
-  heartbeat.wantsRecords = aNow < aLink.wantsRecordsUntil;
-  for (const auto& [id, link] : links_) {
-    if (link.hasHeard && heartbeat.heard.size() < HeartbeatCodec::kMaxHeard &&
-        aNow - link.lastHeard <= Duration(kHeartbeatTimeout)) {
-      heartbeat.heard.push_back(ShortId(id));
-    }
-  }
-
-  heartbeat.unknown.swap(aLink.unknown);
-
-  // Array headers, the format version and a flag.
-  constexpr std::size_t kFixedBytes = 7;
-  constexpr std::size_t kShortIdBytes = 5;
-  std::size_t bytes =
-    kFixedBytes + HeartbeatCodec::EncodedSize(heartbeat.sender) +
-    kShortIdBytes * (heartbeat.heard.size() + heartbeat.unknown.size());
-  const auto add = [&](const Entry& aEntry, bool aWithDetails) {
-    MemberRecord record = WireRecord(aEntry, aWithDetails);
-    const std::size_t size = HeartbeatCodec::EncodedSize(record);
-    if (heartbeat.updates.size() >= HeartbeatCodec::kMaxUpdates ||
-        bytes + size > aMaxBytes) {
-      return false;
-    }
-    bytes += size;
-    heartbeat.updates.push_back(std::move(record));
-    return true;
-  };
-
-  const bool hasSpare = byteAllowance_ >= kSpareAllowance;
-  std::size_t unhurried = 0;
-  std::deque<PendingUpdate> kept;
-  bool isFull = false;
-  for (const PendingUpdate& pending : aLink.pending) {
-    const Entry* entry = FindEntry(pending.id);
-    if (entry == nullptr || entry->record.version == 0) {
-      continue;
-    }
-    const bool mayWait =
-      !pending.isUrgent && !hasSpare && unhurried >= kRefreshedRecords;
-    if (isFull || mayWait) {
-      kept.push_back(pending);
-    } else if (!add(*entry, pending.withDetails)) {
-      isFull = true;
-      kept.push_back(pending);
-    } else if (!pending.isUrgent) {
-      ++unhurried;
-    }
-  }
-  aLink.pending.swap(kept);
-
-  const std::size_t refreshed = aLink.doesPeerWantRecords && hasSpare
-                                  ? HeartbeatCodec::kMaxUpdates
-                                  : kRefreshedRecords;
-  std::size_t added = 0;
-  for (std::size_t i = 0; i < entries_.size() && added < refreshed; ++i) {
-    const Entry& entry = entries_[aLink.refreshCursor % entries_.size()];
-    const bool isSent = std::any_of(
-      heartbeat.updates.begin(),
-      heartbeat.updates.end(),
-      [&](const MemberRecord& aRecord) { return aRecord.id == entry.id; });
-    if (entry.id != selfId_ && entry.id != aPeer && entry.record.version > 0 &&
-        !isSent) {
-      if (!add(entry, false)) {
-        break;
-      }
-      ++added;
-    }
-    aLink.refreshCursor = (aLink.refreshCursor + 1) % entries_.size();
-  }
-  return HeartbeatCodec::Encode(heartbeat);
-}
-
 std::shared_ptr<const MembershipView>
 HeartbeatProtocol::View()
 {
@@ -790,8 +649,8 @@
   }
   isViewStale_ = false;
   std::vector<Member> members;
-  members.reserve(entries_.size());
-  for (const Entry& entry : entries_) {
+  members.reserve(members_.Size());
+  for (const MemberEntry& entry : members_.Entries()) {
     members.push_back({ entry.details.host,
                         entry.details.region,
                         entry.details.domain,
@@ -802,16 +661,16 @@
                         entry.record.configurationRevision });
   }
   view_ = MembershipView::Create(
-    FindEntry(selfId_)->details.host, std::move(members), isIsolated_);
+    Self().details.host, std::move(members), isIsolated_);
   return view_;
 }
 
 std::optional<ConfigurationHolder>
 HeartbeatProtocol::NewestConfiguration() const
 {
-  const Entry* newest = nullptr;
+  const MemberEntry* newest = nullptr;
   bool isNewestDirect = false;
-  for (const Entry& entry : entries_) {
+  for (const MemberEntry& entry : members_.Entries()) {
     const std::uint64_t revision = entry.record.configurationRevision;
     if (entry.id == selfId_ || revision == 0 ||
         entry.state == HostState::Unreachable) {
@@ -841,7 +700,7 @@
   std::vector<std::string> partners;
   for (const auto& [id, link] : links_) {
     if (link.isPartner) {
-      partners.push_back(FindEntry(id)->details.host);
+      partners.push_back(members_.Find(id)->details.host);
     }
   }
   return partners;
@@ -850,17 +709,12 @@
 std::size_t
 HeartbeatProtocol::MemoryBytes() const
 {
-  // Short names are stored within std::string itself.
-  std::size_t bytes = entries_.capacity() * sizeof(Entry) +
+  std::size_t bytes = members_.MemoryBytes() +
                       ring_.MemberCount() * (PartnerRing::kMaxPartners + 1) *
                         sizeof(std::uint32_t);
-  constexpr std::size_t kHashNodeBytes = 32;
-  bytes += indexes_.size() * kHashNodeBytes;
-  for (const Entry& entry : entries_) {
-    bytes += entry.record.unheardPartners.capacity() * sizeof(std::uint32_t);
-  }
   for (const auto& [id, link] : links_) {
-    bytes += sizeof(Link) + link.pending.size() * sizeof(PendingUpdate);
+    bytes +=
+      sizeof(HeartbeatLink) + link.pending.size() * sizeof(PendingUpdate);
   }
   return bytes;
 }
--- a/src/membership/HeartbeatProtocol.h
+++ b/src/membership/HeartbeatProtocol.h
@@ -4,17 +4,17 @@
 #include "base/Random.h"
 #include "membership/ControlChannel.h"
 #include "membership/HeartbeatCodec.h"
+#include "membership/HeartbeatComposer.h"
+#include "membership/HeartbeatLink.h"
 #include "membership/ListedHost.h"
+#include "membership/MemberTable.h"
 #include "membership/MembershipView.h"
 #include "membership/PartnerRing.h"
 
-#include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace filbertbeam {
@@ -23,8 +23,6 @@
 // How often Tick is called. Timeouts are noticed, and reports passed on, in
 // between the heartbeats of a link.
 inline constexpr std::chrono::milliseconds kHeartbeatTickInterval{ 100 };
-// A link without a heartbeat for this time does not work.
-inline constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1'500 };
 
 struct OutgoingHeartbeat
 {
@@ -89,69 +87,12 @@
   std::size_t MemoryBytes() const;
 
 private:
-  struct Entry
-  {
-    std::uint64_t id = 0;
-    HostDetails details;
-    // Version 0 until the host spoke; without details.
-    MemberRecord record;
-    bool isListed = false;
-    bool isListedLeaving = false;
-    // The list has the same details, so that they need not be sent.
-    bool isListedAsKnown = false;
-    Instant unlistedSince;
-    // Reports say that the host is unreachable.
-    bool isReported = false;
-    bool isUnheard = false;
-    // Version of the record when isUnheard began. The host stays unheard until
-    // it speaks with a later version.
-    std::uint64_t unheardVersion = 0;
-    Instant unheardSince;
-    HostState state = HostState::Unreachable;
-    Instant unreachableSince;
-  };
-
-  // A record that still has to be sent on a link. It is sent once, unless the
-  // peer has it by then: the other links and the refresh make up for a lost
-  // message. Twice would double the time that the reports of a lost domain
-  // take.
-  struct PendingUpdate
-  {
-    std::uint64_t id = 0;
-    bool isUrgent = false;
-    bool withDetails = false;
-  };
-
-  struct Link
-  {
-    bool isPartner = false;
-    bool hasHeard = false;
-    Instant lastHeard;
-    // The peer's last heartbeat names this host as heard.
-    bool isHeardByPeer = false;
-    // Until then a new or resumed link is not reported.
-    Instant graceUntil;
-    bool isGood = false;
-    bool isReported = false;
-    // Until then this host asks the peer for records.
-    Instant wantsRecordsUntil;
-    bool doesPeerWantRecords = false;
-    // Next index of entries_ to refresh.
-    std::size_t refreshCursor = 0;
-    // A report or a change of state waits: the next heartbeat goes early.
-    bool isUrgent = false;
-    Instant nextHeartbeat;
-    Instant lastSent;
-    // Hosts of which the peer sent a record without details.
-    std::vector<std::uint32_t> unknown;
-    // Latest change first.
-    std::deque<PendingUpdate> pending;
-  };
-
-  Entry* FindEntry(std::uint64_t aId);
-  const Entry* FindEntry(std::uint64_t aId) const;
-  Entry& AddEntry(HostDetails aDetails);
-  void RemoveEntries(const std::vector<std::uint64_t>& aIds);
+  MemberEntry& Self() { return *members_.Find(selfId_); }
+  const MemberEntry& Self() const { return *members_.Find(selfId_); }
+  MemberEntry& AddMember(HostDetails aDetails);
+  // Ends the links to members that are gone from the table.
+  void OnMembersRemoved(std::span<const std::uint64_t> aIds);
+  void OnMembersChanged();
   void UpdateRing();
 
   void MergeRecord(const MemberRecord& aRecord, std::uint64_t aFrom);
@@ -164,35 +105,22 @@
   void ResumeAfterPause(Instant aNow);
   void UpdateLinks(Instant aNow);
   void UpdateIsolation();
-  void ExpireEntries(Instant aNow);
   void Judge(Instant aNow);
-  void SetState(Entry& aEntry, HostState aState, Instant aNow);
+  // What the reports of all members say of each.
+  void ApplyReports(Instant aNow);
+  void SetState(MemberEntry& aEntry, HostState aState, Instant aNow);
 
   void AddLink(std::uint64_t aPeer, bool aIsPartner);
-  std::string Compose(std::uint64_t aPeer,
-                      Link& aLink,
-                      std::size_t aMaxBytes,
-                      Instant aNow);
-  static MemberRecord WireRecord(const Entry& aEntry, bool aWithDetails);
 
   const Clock& clock_;
   Random& random_;
   std::uint64_t selfId_;
 
-  std::vector<Entry> entries_;
-  std::unordered_map<std::uint64_t, std::uint32_t> indexes_;
+  MemberTable members_;
   PartnerRing ring_;
   bool isRingStale_ = true;
-  std::map<std::uint64_t, Link> links_;
-
-  // Versions of removed hosts, so that a record that is still passed on by
-  // others does not bring them back.
-  struct Tombstone
-  {
-    std::uint64_t version = 0;
-    Instant expiresAt;
-  };
-  std::unordered_map<std::uint64_t, Tombstone> tombstones_;
+  HeartbeatLinks links_;
+  HeartbeatComposer composer_;
 
   std::size_t byteAllowance_ = kByteBurst;
   bool isLeaving_ = false;
