--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint64_t kAnswer = 2;
 constexpr std::uint64_t kReport = 3;
 constexpr std::uint64_t kHello = 4;
+constexpr std::uint64_t kBeat = 5;
 
 constexpr std::size_t kMaxNameBytes = 256;
 // Servers that a request may exclude or avoid; keeps the datagram small.
@@ -113,14 +114,28 @@
 void
 Append(QCborStreamWriter& aWriter, const SelectionHello& aHello)
 {
-  aWriter.startArray(4);
+  aWriter.startArray(5);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHello));
   AppendText(aWriter, aHello.host);
+  AppendText(aWriter, aHello.domain);
   aWriter.append(aHello.isAnswerWanted);
   aWriter.endArray();
 }
 
+void
+Append(QCborStreamWriter& aWriter, const WatcherBeat& aBeat)
+{
+  aWriter.startArray(8);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kBeat));
+  AppendText(aWriter, aBeat.host);
+  AppendVersions(aWriter, aBeat.known);
+  AppendVersions(aWriter, aBeat.readUpTo);
+  aWriter.append(static_cast<quint64>(aBeat.snapshotPort));
+  aWriter.endArray();
+}
+
 Duration
 ReadDuration(CborInput& aInput)
 {
@@ -204,10 +219,22 @@
 {
   SelectionHello hello;
   hello.host = aInput.ReadText(kMaxNameBytes);
+  hello.domain = aInput.ReadText(kMaxNameBytes);
   hello.isAnswerWanted = aInput.ReadBool();
   return hello;
 }
 
+WatcherBeat
+ReadBeat(CborInput& aInput)
+{
+  WatcherBeat beat;
+  beat.host = aInput.ReadText(kMaxNameBytes);
+  beat.known = ReadVersions(aInput);
+  beat.readUpTo = ReadVersions(aInput);
+  beat.snapshotPort = static_cast<std::uint16_t>(aInput.ReadUnsigned(0xFFFF));
+  return beat;
+}
+
 } // namespace
 
 std::string
@@ -228,7 +255,7 @@
     return std::nullopt;
   }
   SelectionMessage message;
-  switch (input.ReadUnsigned(kHello)) {
+  switch (input.ReadUnsigned(kBeat)) {
     case kAsk:
       message = ReadAsk(input);
       break;
@@ -241,6 +268,9 @@
     case kHello:
       message = ReadHello(input);
       break;
+    case kBeat:
+      message = ReadBeat(input);
+      break;
     default:
       return std::nullopt;
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -43,12 +43,27 @@
 struct SelectionHello
 {
   std::string host;
+  std::string domain;
   // The receiver is to say the same.
   bool isAnswerWanted = false;
 };
 
-using SelectionMessage =
-  std::variant<SelectionAsk, SelectionAnswer, SelectionReport, SelectionHello>;
+// A host watches the catalog for the others of its failure domain.
+struct WatcherBeat
+{
+  std::string host;
+  KnownVersions known;
+  // It knows all changes of the catalog up to these revisions.
+  KnownVersions readUpTo;
+  // Where it tells what it has read, at the sender's address.
+  std::uint16_t snapshotPort = 0;
+};
+
+using SelectionMessage = std::variant<SelectionAsk,
+                                      SelectionAnswer,
+                                      SelectionReport,
+                                      SelectionHello,
+                                      WatcherBeat>;
 
 // One datagram, in CBOR.
 std::string
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -64,7 +64,8 @@
       });
     if (!isKnown && host.name != settings_.host) {
       socket_->Send(host.address,
-                    EncodeSelectionMessage(SelectionHello{ settings_.host }));
+                    EncodeSelectionMessage(
+                      SelectionHello{ settings_.host, settings_.domain }));
     }
   }
   hosts_ = std::move(aHosts);
@@ -79,9 +80,20 @@
 SelectionService::Greet(std::span<const PeerHost> aHosts)
 {
   for (const PeerHost& host : aHosts) {
-    socket_->Send(
-      host.address,
-      EncodeSelectionMessage(SelectionHello{ settings_.host, true }));
+    socket_->Send(host.address,
+                  EncodeSelectionMessage(
+                    SelectionHello{ settings_.host, settings_.domain, true }));
+  }
+}
+
+void
+SelectionService::SendBeat(const WatcherBeat& aBeat)
+{
+  const std::string message = EncodeSelectionMessage(aBeat);
+  for (const PeerHost& host : hosts_) {
+    if (host.domain == settings_.domain && host.name != settings_.host) {
+      socket_->Send(host.address, message);
+    }
   }
 }
 
@@ -196,16 +208,21 @@
     owned_.Finish(report->ticket, report->result, clock_.Now());
   } else if (const auto* hello = std::get_if<SelectionHello>(&*message)) {
     OnHello(aSender, *hello);
+  } else if (const auto* beat = std::get_if<WatcherBeat>(&*message)) {
+    if (onBeat_) {
+      onBeat_(*beat, aSender);
+    }
   }
 }
 
 void
 SelectionService::OnHello(const Endpoint& aSender, const SelectionHello& aHello)
 {
-  OnHeard(aHello.host, aSender);
+  OnHeard(aHello.host, aHello.domain, aSender);
   if (aHello.isAnswerWanted) {
     socket_->Send(aSender,
-                  EncodeSelectionMessage(SelectionHello{ settings_.host }));
+                  EncodeSelectionMessage(
+                    SelectionHello{ settings_.host, settings_.domain }));
   }
   if (onGreeting_) {
     onGreeting_(aHello.host);
@@ -213,12 +230,14 @@
 }
 
 void
-SelectionService::OnHeard(const std::string& aHost, const Endpoint& aAddress)
+SelectionService::OnHeard(const std::string& aHost,
+                          const std::string& aDomain,
+                          const Endpoint& aAddress)
 {
   peers_.erase(aHost);
   const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
   if (known == hosts_.end()) {
-    hosts_.push_back({ aHost, aAddress });
+    hosts_.push_back({ aHost, aDomain, aAddress });
   } else {
     known->address = aAddress;
   }
@@ -227,7 +246,7 @@
 void
 SelectionService::OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk)
 {
-  OnHeard(aAsk.request.host, aSender);
+  OnHeard(aAsk.request.host, aAsk.request.domain, aSender);
   socket_->Send(
     aSender,
     EncodeSelectionMessage(SelectionAnswer{
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -16,6 +16,7 @@
 struct PeerHost
 {
   std::string name;
+  std::string domain;
   // For datagrams.
   Endpoint address;
   // Where it tells what it has read from the catalog; without a port, unknown.
@@ -80,6 +81,11 @@
   void SetHosts(std::vector<PeerHost> aHosts);
   // Asks aHosts for a sign of life.
   void Greet(std::span<const PeerHost> aHosts);
+  // Sends aBeat to the other hosts of this failure domain.
+  void SendBeat(const WatcherBeat& aBeat);
+  using BeatHandler =
+    std::function<void(const WatcherBeat&, const Endpoint& aSender)>;
+  void SetBeatHandler(BeatHandler aHandler) { onBeat_ = std::move(aHandler); }
   using GreetingHandler = std::function<void(const std::string& aHost)>;
   // Called when a host gave a sign of life by itself or when it was greeted.
   void SetGreetingHandler(GreetingHandler aHandler)
@@ -131,7 +137,9 @@
   const PeerHost* OwnerOf(const std::string& aService);
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   // A message of a peer shows that it is alive, and where.
-  void OnHeard(const std::string& aHost, const Endpoint& aAddress);
+  void OnHeard(const std::string& aHost,
+               const std::string& aDomain,
+               const Endpoint& aAddress);
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHello(const Endpoint& aSender, const SelectionHello& aHello);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
@@ -153,6 +161,7 @@
   KnownVersions known_;
   VersionsHandler onNewerVersions_;
   GreetingHandler onGreeting_;
+  BeatHandler onBeat_;
   QTimer timer_;
 };
 
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -35,7 +35,10 @@
       1, std::vector<BackendServerRecord>{ record }));
   }
 
-  PeerHost Address() const { return { name, service->LocalEndpoint() }; }
+  PeerHost Address() const
+  {
+    return { name, "piarco", service->LocalEndpoint() };
+  }
 
   SelectionOutcome Select()
   {
@@ -187,6 +190,20 @@
   BOOST_TEST(read.known.directory == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(ABeatIsReadAsItWasWritten)
+{
+  const WatcherBeat beat{ "edge-1", { 3, 4 }, { 5, 6 }, 8382 };
+  const auto message = DecodeSelectionMessage(EncodeSelectionMessage(beat));
+  BOOST_TEST_REQUIRE(message.has_value());
+  const auto& read = std::get<WatcherBeat>(*message);
+  BOOST_TEST(read.host == "edge-1");
+  BOOST_TEST(read.known.configuration == 3U);
+  BOOST_TEST(read.known.directory == 4U);
+  BOOST_TEST(read.readUpTo.configuration == 5U);
+  BOOST_TEST(read.readUpTo.directory == 6U);
+  BOOST_TEST(read.snapshotPort == 8382);
+}
+
 // Guards against datagrams of strangers, and of other versions.
 BOOST_AUTO_TEST_CASE(ThatAreNoneAreRefused)
 {
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -44,7 +44,7 @@
     if (revision_ == 0) {
       List({});
     } else {
-      Watch();
+      Continue();
     }
   });
   missingTimer_.setSingleShot(true);
@@ -86,6 +86,8 @@
              { "newest_change", newestChange_ },
              { "peer", aCopy.newestChange } });
   objects_ = std::move(aCopy.objects);
+  history_.Reset(aCopy.newestChange);
+  peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
   isComplete_ = true;
   // What is missing in the first list may have lapsed while the catalog was
@@ -94,6 +96,74 @@
   Notify();
 }
 
+void
+CatalogFollower::SetFollowsPeer(bool aFollowsPeer)
+{
+  if (followsPeer_ == aFollowsPeer) {
+    return;
+  }
+  followsPeer_ = aFollowsPeer;
+  LogEvent(LogLevel::Info,
+           followsPeer_ ? "catalog_peer_followed" : "catalog_watched",
+           { { "collection", settings_.name }, { "revision", revision_ } });
+  if (followsPeer_) {
+    // The peer reaches the catalog.
+    OnReturned();
+  } else if (revision_ != 0) {
+    // A watch from before may wait on a connection that is broken by now.
+    Watch();
+  }
+}
+
+void
+CatalogFollower::TakeChanges(const CatalogChanges& aChanges)
+{
+  // While a list is read, there is nothing that the changes follow.
+  if (revision_ == 0) {
+    return;
+  }
+  revision_ = std::max(revision_, aChanges.revision);
+  peerRevision_ = std::max(peerRevision_, aChanges.revision);
+  if (Apply(aChanges.events)) {
+    Notify();
+  }
+}
+
+void
+CatalogFollower::OnPeerRevision(std::uint64_t aNewest, std::uint64_t aRevision)
+{
+  // Without a change that is not known here, the copy is as new as the peer's.
+  if (revision_ != 0 && Knows(aNewest)) {
+    revision_ = std::max(revision_, aRevision);
+  }
+}
+
+void
+CatalogFollower::ReadAgain(std::string_view aReason)
+{
+  LogEvent(LogLevel::Info,
+           "catalog_history_gone",
+           { { "collection", settings_.name },
+             { "revision", revision_ },
+             { "reason", aReason } });
+  revision_ = 0;
+  List({});
+}
+
+CatalogChanges
+CatalogFollower::ChangesAfter(std::uint64_t aRevision) const
+{
+  CatalogChanges changes;
+  changes.revision = revision_;
+  auto events = history_.After(aRevision);
+  if (events && revision_ != 0) {
+    changes.events = std::move(*events);
+  } else {
+    changes.failure = { CatalogError::HistoryGone, "too far behind" };
+  }
+  return changes;
+}
+
 bool
 CatalogFollower::Knows(std::uint64_t aRevision) const
 {
@@ -144,9 +214,21 @@
 void
 CatalogFollower::CompleteList()
 {
+  if (listingRevision_ < peerRevision_) {
+    // A peer was quicker, and what it said is newer.
+    listing_.clear();
+    if (revision_ == 0) {
+      List({});
+    } else {
+      Continue();
+    }
+    return;
+  }
+  const bool mayReturn = wasAway_ && settings_.returnTime.count() > 0;
+  RecordListing(mayReturn);
   revision_ = std::max<std::uint64_t>(listingRevision_, 1);
   listedRevision_ = listingRevision_;
-  if (wasAway_ && settings_.returnTime.count() > 0) {
+  if (mayReturn) {
     for (const auto& [name, object] : objects_) {
       if (!listing_.contains(name)) {
         missing_.emplace(name, object);
@@ -167,7 +249,38 @@
   isComplete_ = true;
   wasAway_ = false;
   Notify();
-  Watch();
+  Continue();
+}
+
+void
+CatalogFollower::RecordListing(bool aMayReturn)
+{
+  if (revision_ == 0 && !isComplete_) {
+    history_.Reset(listingRevision_);
+    return;
+  }
+  for (const auto& [name, object] : objects_) {
+    if (!listing_.contains(name)) {
+      CatalogEvent event{ object, true, aMayReturn };
+      event.object.revision = listingRevision_;
+      history_.Add(event);
+      newestChange_ = std::max(newestChange_, listingRevision_);
+    }
+  }
+  for (const auto& [name, object] : listing_) {
+    const auto known = objects_.find(name);
+    if (known == objects_.end() || known->second.revision < object.revision) {
+      history_.Add({ object, false, false });
+    }
+  }
+}
+
+void
+CatalogFollower::Continue()
+{
+  if (!followsPeer_) {
+    Watch();
+  }
 }
 
 void
@@ -176,32 +289,47 @@
   catalog_.Watch(settings_.collection,
                  revision_,
                  failures_ == 0 ? kWatchWait : kWatchWaitAfterFailure,
-                 [this, call = ++call_](CatalogChanges aChanges) {
+                 [this, call = ++call_](const CatalogChanges& aChanges) {
                    if (call == call_) {
-                     OnChanges(std::move(aChanges));
+                     OnChanges(aChanges);
                    }
                  });
 }
 
 void
-CatalogFollower::OnChanges(CatalogChanges aChanges)
+CatalogFollower::OnChanges(const CatalogChanges& aChanges)
 {
+  if (followsPeer_ && aChanges.failure.error != CatalogError::None) {
+    LogEvent(LogLevel::Debug,
+             "catalog_watch_ended",
+             { { "collection", settings_.name },
+               { "reason", aChanges.failure.reason } });
+    return;
+  }
   if (aChanges.failure.error == CatalogError::HistoryGone) {
-    LogEvent(LogLevel::Info,
-             "catalog_history_gone",
-             { { "collection", settings_.name }, { "revision", revision_ } });
     lastAnswer_ = clock_.Now();
-    revision_ = 0;
-    List({});
+    ReadAgain(aChanges.failure.reason);
     return;
   }
   if (!CheckAnswer(aChanges.failure)) {
     return;
   }
   revision_ = std::max(revision_, aChanges.revision);
+  if (Apply(aChanges.events)) {
+    Notify();
+  }
+  callTimer_.start(aChanges.events.empty() ? milliseconds(0)
+                                           : settings_.gatherTime);
+}
+
+bool
+CatalogFollower::Apply(const std::vector<CatalogEvent>& aEvents)
+{
   bool isChanged = false;
-  for (CatalogEvent& event : aChanges.events) {
-    const std::string name = event.object.name;
+  for (const CatalogEvent& event : aEvents) {
+    const std::string& name = event.object.name;
+    const bool mayReturn = event.isDeleted && (event.mayReturn || MayReturn());
+    history_.Add({ event.object, event.isDeleted, mayReturn });
     newestChange_ = std::max(newestChange_, event.object.revision);
     const auto known = objects_.find(name);
     if (known != objects_.end() &&
@@ -211,45 +339,51 @@
     isChanged = true;
     if (!event.isDeleted) {
       missing_.erase(name);
-      objects_.insert_or_assign(name, std::move(event.object));
+      objects_.insert_or_assign(name, event.object);
       continue;
     }
-    // Just after an outage, an entry may have lapsed only because its writer
-    // could not reach the catalog either.
-    const bool mayReturn =
-      known != objects_.end() && settings_.returnTime.count() > 0 &&
-      clock_.Now() - returnedAt_ < settings_.returnTime && wasAway_;
-    if (mayReturn) {
+    if (mayReturn && known != objects_.end()) {
       missing_.insert_or_assign(name, known->second);
       missingTimer_.start(settings_.returnTime);
     } else {
       objects_.erase(name);
     }
   }
-  if (wasAway_ && clock_.Now() - returnedAt_ >= settings_.returnTime) {
+  if (wasAway_ && !MayReturn()) {
     wasAway_ = false;
   }
-  if (isChanged) {
-    Notify();
+  return isChanged;
+}
+
+bool
+CatalogFollower::MayReturn() const
+{
+  // Just after an outage, an entry may have lapsed only because its writer
+  // could not reach the catalog either.
+  return wasAway_ && clock_.Now() - returnedAt_ < settings_.returnTime;
+}
+
+void
+CatalogFollower::OnReturned()
+{
+  if (failures_ == 0) {
+    return;
   }
-  callTimer_.start(aChanges.events.empty() ? milliseconds(0)
-                                           : settings_.gatherTime);
+  LogEvent(
+    LogLevel::Info,
+    "catalog_regained",
+    { { "collection", settings_.name },
+      { "failures", failures_ },
+      { "away_ms", std::chrono::duration_cast<milliseconds>(Age()).count() } });
+  returnedAt_ = clock_.Now();
+  failures_ = 0;
 }
 
 bool
 CatalogFollower::CheckAnswer(const CatalogFailure& aFailure)
 {
   if (aFailure.error == CatalogError::None) {
-    if (failures_ > 0) {
-      LogEvent(LogLevel::Info,
-               "catalog_regained",
-               { { "collection", settings_.name },
-                 { "failures", failures_ },
-                 { "away_ms",
-                   std::chrono::duration_cast<milliseconds>(Age()).count() } });
-      returnedAt_ = clock_.Now();
-    }
-    failures_ = 0;
+    OnReturned();
     lastAnswer_ = clock_.Now();
     return true;
   }
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Random.h"
+#include "catalog/ChangeHistory.h"
 #include "catalog/ObjectCatalog.h"
 
 #include <QTimer>
@@ -34,6 +35,7 @@
 
 // Keeps a copy of one collection: lists it, then watches it, and lists again
 // when the history is gone. Goes on with what it has while the catalog is away.
+// In place of its own watch it can follow that of a peer.
 class CatalogFollower
 {
 public:
@@ -56,6 +58,19 @@
   // when the change of aRevision was read, or while it is being read.
   void CatchUp(std::uint64_t aRevision);
 
+  // While a peer is followed, no watch is begun: the caller brings what the
+  // peer has read with TakeChanges. Otherwise a watch begins at once.
+  void SetFollowsPeer(bool aFollowsPeer);
+  // The changes after Revision that a peer has read.
+  void TakeChanges(const CatalogChanges& aChanges);
+  // A peer has read up to aRevision, and aNewest is the newest change there.
+  void OnPeerRevision(std::uint64_t aNewest, std::uint64_t aRevision);
+  // Reads the whole collection again; aReason is for the log.
+  void ReadAgain(std::string_view aReason);
+  // The changes after aRevision that this host has read; HistoryGone when it
+  // does not know all of them.
+  CatalogChanges ChangesAfter(std::uint64_t aRevision) const;
+
   // Takes what a peer has read, where that is newer than this copy or nothing
   // was read yet. The catalog replaces it as soon as it answers.
   void Adopt(CatalogCopy aCopy);
@@ -69,6 +84,7 @@
   // True once the whole collection was read.
   bool IsComplete() const { return isComplete_; }
   bool IsReachable() const { return failures_ == 0; }
+  // All changes up to here were read; 0 before the first list.
   std::uint64_t Revision() const { return revision_; }
   // Time since the last answer of the catalog, or since the start.
   Duration Age() const { return clock_.Now() - lastAnswer_; }
@@ -78,10 +94,21 @@
   void List(const std::string& aAfter);
   void OnPage(CatalogPage aPage);
   void CompleteList();
+  // Takes what the list shows into the history. With aMayReturn, the writers
+  // of what is missing may write it again.
+  void RecordListing(bool aMayReturn);
+  // Begins a watch unless a peer is followed.
+  void Continue();
   void Watch();
-  void OnChanges(CatalogChanges aChanges);
+  void OnChanges(const CatalogChanges& aChanges);
+  // Takes the changes into the copy; true when it is another one then.
+  bool Apply(const std::vector<CatalogEvent>& aEvents);
+  // True when an object that is missing now may only have lapsed while the
+  // catalog was away.
+  bool MayReturn() const;
   // Returns false after a failure, which it has handled.
   bool CheckAnswer(const CatalogFailure& aFailure);
+  void OnReturned();
   void DropAfterReturnTime();
   void Notify();
 
@@ -92,6 +119,10 @@
   ChangeHandler onChange_;
   Objects objects_;
   Objects listing_;
+  ChangeHistory history_;
+  bool followsPeer_ = false;
+  // The newest state that was taken from a peer.
+  std::uint64_t peerRevision_ = 0;
   std::uint64_t listingRevision_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t newestChange_ = 0;
--- /dev/null
+++ b/src/catalog/ChangeHistory.cpp
@@ -0,0 +1,46 @@
+#include "catalog/ChangeHistory.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+// More than change within the seconds for which a peer may be behind.
+constexpr std::size_t kMaxEvents = 512;
+
+} // namespace
+
+void
+ChangeHistory::Reset(std::uint64_t aRevision)
+{
+  events_.clear();
+  forgotten_ = aRevision;
+}
+
+void
+ChangeHistory::Add(const CatalogEvent& aEvent)
+{
+  events_.push_back(aEvent);
+  if (events_.size() > kMaxEvents) {
+    forgotten_ = std::max(forgotten_, events_.front().object.revision);
+    events_.pop_front();
+  }
+}
+
+std::optional<std::vector<CatalogEvent>>
+ChangeHistory::After(std::uint64_t aRevision) const
+{
+  if (aRevision < forgotten_) {
+    return std::nullopt;
+  }
+  std::vector<CatalogEvent> events;
+  std::ranges::copy_if(events_,
+                       std::back_inserter(events),
+                       [aRevision](const CatalogEvent& aEach) {
+                         return aEach.object.revision > aRevision;
+                       });
+  return events;
+}
+
+} // namespace filbertbeam
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -46,6 +46,9 @@
 {
   CatalogObject object;
   bool isDeleted = false;
+  // The object was missing just after the catalog was away, when its writer
+  // had no time yet to write it again. Set by followers, not by the catalog.
+  bool mayReturn = false;
 };
 
 enum class CatalogError
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -296,4 +296,130 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(FollowingAPeer)
+
+// Guards against a watch by every host of a fleet.
+BOOST_AUTO_TEST_CASE(BeginsNoWatch)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  catalog.AnswerWatch(Changes({ { Object("b", 4) } }, 4));
+  RunFor(50ms);
+  BOOST_TEST(catalog.watches.empty());
+  BOOST_TEST(names == "a b ");
+  follower.TakeChanges(
+    Changes({ { Object("c", 5) }, { Object("a", 6), true } }, 8));
+  BOOST_TEST(names == "b c ");
+  BOOST_TEST(follower.Knows(6));
+  BOOST_TEST(follower.Revision() == 8U);
+}
+
+// Guards against a host that misses what happens after its peer is lost.
+BOOST_AUTO_TEST_CASE(WatchesFromWhereThePeerWas)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  follower.TakeChanges(Changes({ { Object("b", 5) } }, 6));
+  follower.SetFollowsPeer(false);
+  BOOST_TEST(catalog.watched == 6U);
+  // The answer of the watch from before counts no longer.
+  catalog.AnswerWatch(Changes({ { Object("old", 4) } }, 4));
+  catalog.AnswerWatch(Changes({ { Object("c", 7) } }, 7));
+  BOOST_TEST(names == "a b c ");
+}
+
+// Guards against a watch that is not needed, fails and makes the host take its
+// entries for lapsed ones.
+BOOST_AUTO_TEST_CASE(IgnoresTheEndOfItsOwnWatch)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  BOOST_TEST(follower.IsReachable());
+  follower.TakeChanges(Changes({ { Object("a", 5), true } }, 5));
+  BOOST_TEST(names == "b ");
+}
+
+// Guards against servers that are dropped after an outage although their
+// entries may still return: the peer was away, this host was not.
+BOOST_AUTO_TEST_CASE(KeepsWhatMayReturnAsItsPeerDoes)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  follower.TakeChanges(Changes(
+    { { Object("a", 5), true, true }, { Object("b", 6), true, true } }, 6));
+  BOOST_TEST(names == "a b ");
+  follower.TakeChanges(Changes({ { Object("a", 7) } }, 7));
+  BOOST_TEST(WaitUntil([&] { return names == "a "; }));
+}
+
+// Guards against a list that was read before the peer's change and brings an
+// older state back.
+BOOST_AUTO_TEST_CASE(IsNotSetBackByAnOlderList)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  follower.CatchUp(9);
+  follower.TakeChanges(Changes({ { Object("b", 9) } }, 9));
+  catalog.AnswerList(Page({ Object("a", 3) }, 8));
+  BOOST_TEST(names == "a b ");
+  BOOST_TEST(follower.Revision() == 9U);
+}
+
+// Guards against a list by each host for the first change after a calm time.
+BOOST_AUTO_TEST_CASE(IsAsNewAsAPeerThatKnowsNoFurtherChange)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 3));
+  follower.OnPeerRevision(3, 20);
+  BOOST_TEST(follower.Revision() == 20U);
+  follower.OnPeerRevision(25, 30);
+  BOOST_TEST(follower.Revision() == 20U);
+}
+
+BOOST_AUTO_TEST_SUITE(IsFollowedItself)
+
+BOOST_AUTO_TEST_CASE(TellsTheChangesThatItHasRead)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 4));
+  catalog.AnswerWatch(
+    Changes({ { Object("b", 5) }, { Object("a", 6), true } }, 7));
+  const CatalogChanges all = follower.ChangesAfter(4);
+  BOOST_TEST(all.events.size() == 2U);
+  BOOST_TEST(all.events.back().isDeleted);
+  BOOST_TEST(all.revision == 7U);
+  BOOST_TEST(follower.ChangesAfter(5).events.size() == 1U);
+  // Changes before its first list are not known.
+  BOOST_TEST(
+    (follower.ChangesAfter(3).failure.error == CatalogError::HistoryGone));
+}
+
+// Guards against followers that keep a server whose removal their peer learned
+// from a list, since the history was gone.
+BOOST_AUTO_TEST_CASE(TellsWhatOnlyAListHasShown)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 4));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
+  catalog.AnswerList(Page({ Object("b", 3), Object("c", 8) }, 9));
+  BOOST_TEST(follower.NewestChange() == 9U);
+  const CatalogChanges changes = follower.ChangesAfter(4);
+  BOOST_TEST_REQUIRE(changes.events.size() == 2U);
+  BOOST_TEST(changes.events[0].object.name == "a");
+  BOOST_TEST(changes.events[0].isDeleted);
+  BOOST_TEST(!changes.events[0].mayReturn);
+  BOOST_TEST(changes.events[1].object.name == "c");
+}
+
+// Guards against followers that drop at once what may return after an outage.
+BOOST_AUTO_TEST_CASE(MarksWhatMayReturn)
+{
+  catalog.AnswerList(Page({ Object("a", 3) }, 4));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  catalog.AnswerWatch(Changes({ { Object("a", 5), true } }, 6));
+  BOOST_TEST(follower.ChangesAfter(4).events.front().mayReturn);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/catalog/tests/TestChangeHistory.cpp
@@ -0,0 +1,49 @@
+#include "catalog/ChangeHistory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+
+namespace {
+
+CatalogEvent
+Event(std::uint64_t aRevision)
+{
+  CatalogEvent event;
+  event.object.name = "object-" + std::to_string(aRevision);
+  event.object.revision = aRevision;
+  return event;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HistoryOfChanges)
+
+BOOST_AUTO_TEST_CASE(TellsWhatFollowsARevision)
+{
+  ChangeHistory history;
+  history.Reset(5);
+  for (const std::uint64_t revision : { 7, 9, 12 }) {
+    history.Add(Event(revision));
+  }
+  BOOST_TEST(history.After(5)->size() == 3U);
+  BOOST_TEST(history.After(9)->size() == 1U);
+  BOOST_TEST(history.After(9)->front().object.revision == 12U);
+  BOOST_TEST(history.After(12)->empty());
+}
+
+// Guards against a follower that misses changes which were forgotten.
+BOOST_AUTO_TEST_CASE(AdmitsWhatItHasForgotten)
+{
+  ChangeHistory history;
+  history.Reset(5);
+  BOOST_TEST(!history.After(4).has_value());
+  constexpr std::uint64_t kMany = 5'000;
+  for (std::uint64_t revision = 6; revision < kMany; ++revision) {
+    history.Add(Event(revision));
+  }
+  BOOST_TEST(!history.After(5).has_value());
+  BOOST_TEST(history.After(kMany - 10)->size() == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -14,7 +14,7 @@
 // The part of the time that a leaving backend server grants in which changes
 // are gathered: a series of changes then costs few calls, and there is time
 // left for a slow answer.
-constexpr int kGatherParts = 2;
+constexpr int kGatherParts = 4;
 // Backend servers are back this long after the catalog's return, if they live.
 constexpr milliseconds kReturnTime{ 2'000 };
 
@@ -73,31 +73,18 @@
   trafficThread_.Run([&] {
     traffic_ =
       TrafficRuntime::Create(settings_, dialect_, metrics_, clock_, aReason);
-    if (!traffic_) {
-      return;
+    if (traffic_) {
+      ConnectTraffic();
+      frontPort_ = traffic_->FrontPort();
+      peerAddress = traffic_->PeerAddress();
     }
-    traffic_->SetNewerVersionsHandler(
-      [this](const KnownVersions& aKnown, const Endpoint& aSender) {
-        QMetaObject::invokeMethod(
-          &catchUpTimer_,
-          [this, aKnown, aSender] { OnNewerVersions(aKnown, aSender); },
-          Qt::QueuedConnection);
-      });
-    traffic_->SetGreetingHandler([this](const std::string& aHost) {
-      QMetaObject::invokeMethod(
-        &catchUpTimer_,
-        [this, aHost] { registry_->OnHeard(aHost); },
-        Qt::QueuedConnection);
-    });
-    frontPort_ = traffic_->FrontPort();
-    peerAddress = traffic_->PeerAddress();
   });
   if (!traffic_) {
     return false;
   }
   readiness_ = ProbeServer::Create(
     settings_.readiness,
-    [this] {
+    [this](std::string_view) {
       return IsReady() ? ProbeAnswer{ kOk, "ready\n" }
                        : ProbeAnswer{ kUnavailable, "not ready\n" };
     },
@@ -107,7 +94,7 @@
   }
   metricsServer_ = ProbeServer::Create(
     settings_.metrics,
-    [this] {
+    [this](std::string_view) {
       return ProbeAnswer{ kOk, FormatMetrics() };
     },
     aReason);
@@ -116,15 +103,7 @@
   }
   snapshotServer_ = ProbeServer::Create(
     settings_.snapshot,
-    [this] {
-      if (!IsReady()) {
-        return ProbeAnswer{ kUnavailable, "not ready\n" };
-      }
-      return ProbeAnswer{ kOk,
-                          EncodePeerSnapshot({ configurationFollower_->Copy(),
-                                               serverFollower_->Copy(),
-                                               registry_->Known() }) };
-    },
+    [this](std::string_view aTarget) { return AnswerPeer(aTarget); },
     aReason);
   if (!snapshotServer_) {
     return false;
@@ -153,14 +132,26 @@
     [this](const CatalogFollower::Objects& aObjects) {
       OnBackendServers(aObjects);
     });
+  const PeerHost self{ settings_.host,
+                       settings_.domain,
+                       peerAddress,
+                       { settings_.snapshot.address,
+                         snapshotServer_->Port() } };
+  watchSharing_ = std::make_unique<WatchSharing>(
+    self,
+    *configurationFollower_,
+    *serverFollower_,
+    clock_,
+    [this](const WatcherBeat& aBeat) {
+      trafficThread_.Post([this, aBeat] { traffic_->SendBeat(aBeat); });
+    });
   registry_ = std::make_unique<HostRegistry>(
     catalog_,
-    PeerHost{ settings_.host,
-              peerAddress,
-              { settings_.snapshot.address, snapshotServer_->Port() } },
+    self,
     clock_,
     random_,
     [this](std::vector<PeerHost> aHosts) {
+      watchSharing_->SetHosts(aHosts);
       trafficThread_.Post(
         [this, hosts = std::move(aHosts)] { traffic_->SetHosts(hosts); });
     },
@@ -175,11 +166,52 @@
              { "domain", settings_.domain } });
   configurationFollower_->Start();
   serverFollower_->Start();
+  watchSharing_->Start();
   registry_->Start();
   peers_->Start();
   return true;
 }
 
+void
+Gateway::ConnectTraffic()
+{
+  const auto onControlThread = [this](std::function<void()> aFunction) {
+    QMetaObject::invokeMethod(
+      &catchUpTimer_, std::move(aFunction), Qt::QueuedConnection);
+  };
+  traffic_->SetNewerVersionsHandler(
+    [this, onControlThread](const KnownVersions& aKnown,
+                            const Endpoint& aSender) {
+      onControlThread(
+        [this, aKnown, aSender] { OnNewerVersions(aKnown, aSender); });
+    });
+  traffic_->SetGreetingHandler(
+    [this, onControlThread](const std::string& aHost) {
+      onControlThread([this, aHost] { registry_->OnHeard(aHost); });
+    });
+  traffic_->SetBeatHandler(
+    [this, onControlThread](const WatcherBeat& aBeat, const Endpoint& aSender) {
+      onControlThread([this, aBeat, aSender] { OnBeat(aBeat, aSender); });
+    });
+}
+
+ProbeAnswer
+Gateway::AnswerPeer(std::string_view aTarget) const
+{
+  if (!IsReady()) {
+    return { kUnavailable, "not ready\n" };
+  }
+  const auto changes =
+    PeerChangesFor(aTarget, *configurationFollower_, *serverFollower_);
+  if (changes) {
+    return { kOk, EncodePeerChanges(*changes) };
+  }
+  return { kOk,
+           EncodePeerSnapshot({ configurationFollower_->Copy(),
+                                serverFollower_->Copy(),
+                                registry_->Known() }) };
+}
+
 milliseconds
 Gateway::GatherTime() const
 {
@@ -208,7 +240,7 @@
                "configuration_rejected",
                { { "document", name },
                  { "revision", object.revision },
-                 { "in_force", routing_ ? routing_->Version() : 0 },
+                 { "in_force", ConfigurationVersion() },
                  { "reason", reason } });
       continue;
     }
@@ -268,6 +300,7 @@
                             serverFollower_->NewestChange() }] {
       traffic_->SetKnownVersions(known);
     });
+  watchSharing_->OnNewerCopy();
 }
 
 void
@@ -289,6 +322,17 @@
   }
 }
 
+void
+Gateway::OnBeat(const WatcherBeat& aBeat, const Endpoint& aSender)
+{
+  watchSharing_->OnBeat(aBeat, aSender);
+  // What the watcher is asked for usually comes before it is missed.
+  if (!configurationFollower_->Knows(aBeat.known.configuration) ||
+      !serverFollower_->Knows(aBeat.known.directory)) {
+    OnNewerVersions(aBeat.known, aSender);
+  }
+}
+
 void
 Gateway::CatchUp()
 {
@@ -306,10 +350,10 @@
     return;
   }
   wasReady_ = isReady;
-  LogEvent(LogLevel::Info,
-           isReady ? "ready" : "not_ready",
-           { { "host", settings_.host },
-             { "version", routing_ ? routing_->Version() : 0 } });
+  LogEvent(
+    LogLevel::Info,
+    isReady ? "ready" : "not_ready",
+    { { "host", settings_.host }, { "version", ConfigurationVersion() } });
 }
 
 void
@@ -338,6 +382,7 @@
   stoppingSince_ = clock_.Now();
   LogEvent(LogLevel::Info, "stopping", { { "host", settings_.host } });
   ReportReadiness();
+  watchSharing_->StopBeats();
   registry_->Unregister();
   trafficThread_.Post([this] { traffic_->BeginStop(); });
   stopTimer_.start(kStopCheckInterval);
@@ -378,8 +423,8 @@
     AppendMetric(text, "gauge", aName, aValue);
   };
   gauge("filbertbeam_ready", IsReady() ? 1 : 0);
-  gauge("filbertbeam_configuration_version",
-        routing_ ? routing_->Version() : 0);
+  gauge("filbertbeam_configuration_version", ConfigurationVersion());
+  gauge("filbertbeam_catalog_watcher", IsWatcher() ? 1 : 0);
   gauge("filbertbeam_directory_catalog_revision", serverFollower_->Revision());
   gauge("filbertbeam_catalog_reachable",
         serverFollower_->IsReachable() && configurationFollower_->IsReachable()
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/PeerSnapshotClient.h"
 #include "gateway/ProbeServer.h"
 #include "gateway/TrafficRuntime.h"
+#include "gateway/WatchSharing.h"
 
 #include <atomic>
 
@@ -38,6 +39,14 @@
   // Takes no new callers, finishes what runs and then calls aStopped.
   void Stop(std::function<void()> aStopped);
 
+  // Of the routes in force; 0 when there are none.
+  std::uint64_t ConfigurationVersion() const
+  {
+    return routing_ ? routing_->Version() : 0;
+  }
+  // Watches the catalog for other hosts of its failure domain.
+  bool IsWatcher() const { return watchSharing_->IsWatcher(); }
+
   std::uint16_t FrontPort() const { return frontPort_; }
   std::uint16_t SnapshotPort() const { return snapshotServer_->Port(); }
 
@@ -48,12 +57,16 @@
           const ExchangeDialect& aDialect);
 
   bool Start(std::string& aReason);
+  // Makes the threads hear of what peers send to the other one.
+  void ConnectTraffic();
+  ProbeAnswer AnswerPeer(std::string_view aTarget) const;
   // For which changes of backend servers are gathered.
   std::chrono::milliseconds GatherTime() const;
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
   void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
+  void OnBeat(const WatcherBeat& aBeat, const Endpoint& aSender);
   void CatchUp();
   // True while peers can tell what the catalog has not told yet.
   bool NeedsPeers() const;
@@ -72,6 +85,7 @@
   DirectoryBuilder directoryBuilder_;
   std::unique_ptr<CatalogFollower> configurationFollower_;
   std::unique_ptr<CatalogFollower> serverFollower_;
+  std::unique_ptr<WatchSharing> watchSharing_;
   std::unique_ptr<HostRegistry> registry_;
   std::unique_ptr<ProbeServer> readiness_;
   std::unique_ptr<ProbeServer> metricsServer_;
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -19,17 +19,38 @@
 constexpr const char* kObjects = "objects";
 constexpr const char* kNewestChange = "newest_change";
 constexpr const char* kSnapshot = "snapshot";
+constexpr const char* kDomain = "domain";
+constexpr const char* kAsOf = "as_of";
+constexpr const char* kEvents = "events";
+constexpr const char* kIsDeleted = "deleted";
+constexpr const char* kMayReturn = "may_return";
+
+QJsonObject
+ObjectToJson(const CatalogObject& aObject)
+{
+  return { { kName, QString::fromStdString(aObject.name) },
+           { kRevision, static_cast<qint64>(aObject.revision) },
+           { kContent, aObject.content },
+           { kStatus, aObject.status } };
+}
+
+CatalogObject
+ObjectFromJson(const QJsonObject& aItem)
+{
+  CatalogObject object;
+  object.name = aItem[kName].toString().toStdString();
+  object.revision = static_cast<std::uint64_t>(aItem[kRevision].toInteger());
+  object.content = aItem[kContent].toObject();
+  object.status = aItem[kStatus].toObject();
+  return object;
+}
 
 QJsonArray
 ObjectsToJson(const CatalogFollower::Objects& aObjects)
 {
   QJsonArray items;
   for (const auto& [name, object] : aObjects) {
-    items.append(
-      QJsonObject{ { kName, QString::fromStdString(name) },
-                   { kRevision, static_cast<qint64>(object.revision) },
-                   { kContent, object.content },
-                   { kStatus, object.status } });
+    items.append(ObjectToJson(object));
   }
   return items;
 }
@@ -39,12 +60,9 @@
 {
   CatalogFollower::Objects objects;
   for (const QJsonValue item : aItems) {
-    CatalogObject object;
-    object.name = item[kName].toString().toStdString();
-    object.revision = static_cast<std::uint64_t>(item[kRevision].toInteger());
-    object.content = item[kContent].toObject();
-    object.status = item[kStatus].toObject();
-    objects.emplace(object.name, object);
+    CatalogObject object = ObjectFromJson(item.toObject());
+    std::string name = object.name;
+    objects.emplace(std::move(name), std::move(object));
   }
   return objects;
 }
@@ -63,12 +81,49 @@
            static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()) };
 }
 
+QJsonObject
+ChangesToJson(const CatalogChanges& aChanges)
+{
+  if (aChanges.failure.error != CatalogError::None) {
+    return {};
+  }
+  QJsonArray events;
+  for (const CatalogEvent& event : aChanges.events) {
+    QJsonObject item = ObjectToJson(event.object);
+    item[kIsDeleted] = event.isDeleted;
+    item[kMayReturn] = event.mayReturn;
+    events.append(item);
+  }
+  return { { kAsOf, static_cast<qint64>(aChanges.revision) },
+           { kEvents, events } };
+}
+
+CatalogChanges
+ChangesFromJson(const QJsonObject& aObject)
+{
+  CatalogChanges changes;
+  changes.revision = static_cast<std::uint64_t>(aObject[kAsOf].toInteger());
+  if (changes.revision == 0) {
+    changes.failure = { CatalogError::HistoryGone,
+                        "the peer does not know all changes" };
+    return changes;
+  }
+  for (const QJsonValue value : aObject[kEvents].toArray()) {
+    const QJsonObject item = value.toObject();
+    changes.events.push_back({ ObjectFromJson(item),
+                               item[kIsDeleted].toBool(),
+                               item[kMayReturn].toBool() });
+  }
+  return changes;
+}
+
 } // namespace
 
 QJsonObject
 PeerHostToJson(const PeerHost& aHost)
 {
   QJsonObject object = EndpointToJson(aHost.address);
+  object[kDomain] = QString::fromStdString(aHost.domain);
   object[kSnapshot] = EndpointToJson(aHost.snapshot);
   return object;
 }
@@ -82,6 +137,7 @@
   }
   return PeerHost{
     aName,
+    aObject[kDomain].toString().toStdString(),
     *address,
     EndpointFromJson(aObject[kSnapshot].toObject()).value_or(Endpoint{})
   };
@@ -126,4 +182,28 @@
   return snapshot;
 }
 
+std::string
+EncodePeerChanges(const PeerChanges& aChanges)
+{
+  const QJsonObject changes{
+    { kConfiguration, ChangesToJson(aChanges.configuration) },
+    { kBackendServers, ChangesToJson(aChanges.backendServers) }
+  };
+  return QJsonDocument(changes).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::optional<PeerChanges>
+DecodePeerChanges(std::string_view aText)
+{
+  const QJsonObject json =
+    QJsonDocument::fromJson(
+      QByteArray(aText.data(), static_cast<qsizetype>(aText.size())))
+      .object();
+  if (!json[kConfiguration].isObject() || !json[kBackendServers].isObject()) {
+    return std::nullopt;
+  }
+  return PeerChanges{ ChangesFromJson(json[kConfiguration].toObject()),
+                      ChangesFromJson(json[kBackendServers].toObject()) };
+}
+
 } // namespace filbertbeam
--- a/src/gateway/PeerSnapshot.h
+++ b/src/gateway/PeerSnapshot.h
@@ -18,6 +18,14 @@
   std::vector<PeerHost> hosts;
 };
 
+// What a host has read since a peer did, for one that follows it. With a
+// failure where it does not know all changes.
+struct PeerChanges
+{
+  CatalogChanges configuration;
+  CatalogChanges backendServers;
+};
+
 // How a host describes itself in the catalog and in snapshots.
 QJsonObject
 PeerHostToJson(const PeerHost& aHost);
@@ -34,4 +42,11 @@
 std::optional<PeerSnapshot>
 DecodePeerSnapshot(std::string_view aText);
 
+std::string
+EncodePeerChanges(const PeerChanges& aChanges);
+
+// Nothing when the text tells of no changes.
+std::optional<PeerChanges>
+DecodePeerChanges(std::string_view aText);
+
 } // namespace filbertbeam
--- a/src/gateway/ProbeServer.cpp
+++ b/src/gateway/ProbeServer.cpp
@@ -21,7 +21,7 @@
 std::shared_ptr<HttpRequestObserver>
 ProbeServer::OnRequest(std::shared_ptr<HttpServerExchange> aExchange)
 {
-  const ProbeAnswer answer = handler_();
+  const ProbeAnswer answer = handler_(aExchange->Request().target);
   HttpResponseHead head;
   head.status = answer.status;
   head.fields.Set("Content-Type", "text/plain");
--- a/src/gateway/ProbeServer.h
+++ b/src/gateway/ProbeServer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace filbertbeam {
 
@@ -14,12 +15,13 @@
   std::string body;
 };
 
-// Answers every request on one address alike: for readiness checks and for
-// metrics.
+// Answers the requests on one address by their target alone: for readiness
+// checks, for metrics and for peers.
 class ProbeServer final : public HttpApplication
 {
 public:
-  using Handler = std::function<ProbeAnswer()>;
+  // Called with the path and query of each request.
+  using Handler = std::function<ProbeAnswer(std::string_view aTarget)>;
 
   // Null, with a reason, when the address cannot be bound.
   static std::unique_ptr<ProbeServer> Create(const Endpoint& aEndpoint,
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -132,6 +132,12 @@
   selection_->SetNewerVersionsHandler(std::move(aHandler));
 }
 
+void
+TrafficRuntime::SetBeatHandler(SelectionService::BeatHandler aHandler)
+{
+  selection_->SetBeatHandler(std::move(aHandler));
+}
+
 void
 TrafficRuntime::SetGreetingHandler(SelectionService::GreetingHandler aHandler)
 {
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -26,6 +26,9 @@
   // aHandler is called on the traffic thread.
   void SetNewerVersionsHandler(SelectionService::VersionsHandler aHandler);
   void SetHosts(std::vector<PeerHost> aHosts);
+  void SendBeat(const WatcherBeat& aBeat) { selection_->SendBeat(aBeat); }
+  // aHandler is called on the traffic thread.
+  void SetBeatHandler(SelectionService::BeatHandler aHandler);
   void Greet(std::span<const PeerHost> aHosts) { selection_->Greet(aHosts); }
   // aHandler is called on the traffic thread.
   void SetGreetingHandler(SelectionService::GreetingHandler aHandler);
--- /dev/null
+++ b/src/gateway/WatcherElection.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// What a host has to do for the hosts of its failure domain.
+struct WatcherDuty
+{
+  // Watches the catalog itself; otherwise it follows a watcher.
+  bool watches = false;
+  // Tells the others that it watches.
+  bool beats = false;
+};
+
+// Decides which hosts of a failure domain watch the catalog for the others.
+// There is no vote: each host ranks all by a hash of their names, and one that
+// hears too few watchers ranked before it takes the duty over. Hosts that
+// disagree, or hear nobody, only cost the catalog more calls.
+class WatcherElection
+{
+public:
+  explicit WatcherElection(std::string aSelf);
+
+  // The names of the other hosts of the failure domain.
+  void SetPeers(const std::vector<std::string>& aPeers);
+  void OnBeat(const std::string& aHost, Instant aNow);
+  // aHost beats but does not answer; it counts as silent until its next beat.
+  void OnUnreachable(const std::string& aHost);
+
+  WatcherDuty Decide(Instant aNow);
+
+private:
+  static std::uint64_t RankOf(const std::string& aHost);
+
+  const std::string self_;
+  // Peers that are ranked before this host; unknown before the first list.
+  std::optional<int> position_;
+  // When each watcher was last heard.
+  std::map<std::string, Instant, std::less<>> heardAt_;
+  std::optional<Instant> isShortSince_;
+};
+
+// Beats are this far apart where nothing changes.
+inline constexpr std::chrono::milliseconds kWatcherBeatInterval{ 400 };
+
+} // namespace filbertbeam
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -94,7 +94,8 @@
     std::string reason;
     auto owner = SelectionService::Create(settings, clock, random, reason);
     if (owner) {
-      selection->SetHosts({ { settings.host, owner->LocalEndpoint() } });
+      selection->SetHosts(
+        { { settings.host, settings.domain, owner->LocalEndpoint() } });
     }
     return owner;
   }
--- a/src/gateway/tests/TestHostRegistry.cpp
+++ b/src/gateway/tests/TestHostRegistry.cpp
@@ -36,7 +36,10 @@
   int writes = 0;
 };
 
-const PeerHost kSelf{ "self", { "127.0.0.1", 7200 }, { "127.0.0.1", 7300 } };
+const PeerHost kSelf{ "self",
+                      "piarco",
+                      { "127.0.0.1", 7200 },
+                      { "127.0.0.1", 7300 } };
 
 struct RegistryFixture
 {
--- a/src/gateway/tests/TestPeerSnapshot.cpp
+++ b/src/gateway/tests/TestPeerSnapshot.cpp
@@ -18,8 +18,10 @@
   object.name = "i-1";
   object.status["state"] = "ready";
   snapshot.backendServers.objects.emplace("i-1", object);
-  snapshot.hosts = { { "edge-1", { "10.1.0.18", 7200 }, { "10.1.0.18", 8382 } },
-                     { "edge-2", { "10.1.0.19", 7200 } } };
+  snapshot.hosts = {
+    { "edge-1", "a", { "10.1.0.18", 7200 }, { "10.1.0.18", 8382 } },
+    { "edge-2", "b", { "10.1.0.19", 7200 } }
+  };
   const auto read = DecodePeerSnapshot(EncodePeerSnapshot(snapshot));
   BOOST_TEST_REQUIRE(read.has_value());
   BOOST_TEST(read->configuration.objects.at("main").revision == 7U);
@@ -40,4 +42,38 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ChangesAreReadAsTheyWereWritten)
+{
+  PeerChanges changes;
+  changes.configuration.failure = { CatalogError::HistoryGone, "" };
+  changes.backendServers.revision = 12;
+  CatalogEvent event;
+  event.object.name = "i-1";
+  event.object.revision = 11;
+  event.object.content["address"] = "10.1.0.18:80";
+  event.isDeleted = true;
+  event.mayReturn = true;
+  changes.backendServers.events.push_back(event);
+  const auto read = DecodePeerChanges(EncodePeerChanges(changes));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((read->configuration.failure.error == CatalogError::HistoryGone));
+  BOOST_TEST((read->backendServers.failure.error == CatalogError::None));
+  BOOST_TEST(read->backendServers.revision == 12U);
+  const CatalogEvent& only = read->backendServers.events.at(0);
+  BOOST_TEST(only.object.name == "i-1");
+  BOOST_TEST(only.object.revision == 11U);
+  BOOST_TEST((only.object.content == event.object.content));
+  BOOST_TEST(only.isDeleted);
+  BOOST_TEST(only.mayReturn);
+}
+
+// Guards against a host that takes an error page for "nothing has changed".
+BOOST_AUTO_TEST_CASE(ChangesThatAreNoneAreRefused)
+{
+  for (const char* const text :
+       { "", "not ready\n", "[]", "{}", "{\"configuration\": {}}" }) {
+    BOOST_TEST(!DecodePeerChanges(text).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/TestSilentPeers.cpp
+++ b/src/gateway/tests/TestSilentPeers.cpp
@@ -20,6 +20,7 @@
   std::vector<PeerHost> hosts;
   for (int i = 0; i < aHosts; ++i) {
     hosts.push_back({ "host-" + std::to_string(i),
+                      "domain",
                       { "127.0.0.1", static_cast<std::uint16_t>(7000 + i) } });
   }
   return hosts;
--- /dev/null
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -0,0 +1,178 @@
+#include "gateway/WatcherElection.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <set>
+
+using namespace filbertbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kStep = kWatcherBeatInterval / 4;
+
+// The hosts of one failure domain; beats arrive at once where no cut is set.
+struct DomainFixture
+{
+  explicit DomainFixture(int aHosts = 16)
+  {
+    std::vector<std::string> names;
+    for (int i = 0; i < aHosts; ++i) {
+      names.push_back("host-" + std::to_string(i));
+    }
+    for (const std::string& name : names) {
+      elections.emplace(name, WatcherElection(name));
+    }
+    for (auto& [name, election] : elections) {
+      std::vector<std::string> peers = names;
+      std::erase(peers, name);
+      election.SetPeers(peers);
+    }
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    const Instant end = now + aTime;
+    while (now < end) {
+      now += kStep;
+      for (auto& [name, election] : elections) {
+        if (!dead.contains(name)) {
+          duties[name] = election.Decide(now);
+        }
+      }
+      for (const auto& [name, duty] : duties) {
+        if (duty.beats && !dead.contains(name)) {
+          Beat(name);
+        }
+      }
+    }
+  }
+
+  void Beat(const std::string& aWatcher)
+  {
+    for (auto& [name, election] : elections) {
+      if (name != aWatcher && !deaf.contains(name)) {
+        election.OnBeat(aWatcher, now);
+      }
+    }
+  }
+
+  std::vector<std::string> Beating() const
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [name, duty] : duties) {
+      if (duty.beats && !dead.contains(name)) {
+        hosts.push_back(name);
+      }
+    }
+    return hosts;
+  }
+
+  int Watching() const
+  {
+    int count = 0;
+    for (const auto& [name, duty] : duties) {
+      count += duty.watches && !dead.contains(name) ? 1 : 0;
+    }
+    return count;
+  }
+
+  Instant now;
+  std::map<std::string, WatcherElection> elections;
+  std::map<std::string, WatcherDuty> duties;
+  std::set<std::string> dead;
+  // Hosts that no beat reaches.
+  std::set<std::string> deaf;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WatchersOfAFailureDomain, DomainFixture)
+
+// Guards against a watch of the catalog by every host.
+BOOST_AUTO_TEST_CASE(AreTwoOfManyHosts)
+{
+  Run(4s);
+  BOOST_TEST(Beating().size() == 2U);
+  BOOST_TEST(Watching() == 2);
+}
+
+// Guards against hosts that wait for a watcher that is lost: all watch soon
+// after both are, and until two others have taken over.
+BOOST_AUTO_TEST_CASE(AreReplacedWhenTheyAreLost)
+{
+  Run(4s);
+  for (const std::string& watcher : Beating()) {
+    dead.insert(watcher);
+  }
+  Run(1'300ms);
+  BOOST_TEST(Watching() == 14);
+  Run(4s);
+  BOOST_TEST(Beating().size() == 2U);
+  BOOST_TEST(Watching() == 2);
+}
+
+// Guards against calls of every host when one of two watchers is lost.
+BOOST_AUTO_TEST_CASE(AreTwoAgainWithoutAWatchByTheRestWhenOneIsLost)
+{
+  Run(4s);
+  dead.insert(Beating().front());
+  for (int i = 0; i < 40; ++i) {
+    Run(100ms);
+    BOOST_TEST(Watching() <= 3);
+  }
+  BOOST_TEST(Beating().size() == 2U);
+}
+
+// Guards against a host that hears no watcher and does not watch itself.
+BOOST_AUTO_TEST_CASE(AreJoinedByAHostThatHearsNone)
+{
+  Run(4s);
+  std::string host;
+  for (const auto& [name, duty] : duties) {
+    host = duty.watches ? host : name;
+  }
+  deaf.insert(host);
+  Run(1'300ms);
+  BOOST_TEST(duties.at(host).watches);
+  deaf.clear();
+  Run(1s);
+  BOOST_TEST(!duties.at(host).watches);
+}
+
+// Guards against a watcher that beats and cannot be asked.
+BOOST_AUTO_TEST_CASE(CountAsSilentWhenTheyCannotBeReached)
+{
+  Run(4s);
+  std::string host;
+  for (const auto& [name, duty] : duties) {
+    host = duty.watches ? host : name;
+  }
+  for (const std::string& watcher : Beating()) {
+    elections.at(host).OnUnreachable(watcher);
+  }
+  BOOST_TEST(elections.at(host).Decide(now).watches);
+}
+
+// Guards against a fleet that starts without a list of hosts and follows
+// nobody.
+BOOST_AUTO_TEST_CASE(AreAllHostsThatDoNotKnowTheOthers)
+{
+  WatcherElection election("host");
+  for (int i = 0; i < 100; ++i) {
+    const WatcherDuty duty = election.Decide(now + i * kStep);
+    BOOST_TEST(duty.watches);
+    BOOST_TEST(!duty.beats);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(IsAHostThatIsAlone)
+{
+  WatcherElection election("host");
+  election.SetPeers({});
+  BOOST_TEST(election.Decide(now).beats);
+  BOOST_TEST(election.Decide(now).watches);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
