Gateway: Tell hosts that restart while the store is away what the others know

Change: the four first hosts of a failure domain beat also while they do not read the store, marked so; a host that knows nothing asks the sender for its copy.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -126,10 +126,11 @@
 void
 Append(QCborStreamWriter& aWriter, const WatcherBeat& aBeat)
 {
-  aWriter.startArray(8);
+  aWriter.startArray(9);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kBeat));
   AppendText(aWriter, aBeat.host);
+  aWriter.append(aBeat.isReading);
   AppendVersions(aWriter, aBeat.known);
   AppendVersions(aWriter, aBeat.readUpTo);
   aWriter.append(static_cast<quint64>(aBeat.snapshotPort));
@@ -229,6 +230,7 @@
 {
   WatcherBeat beat;
   beat.host = aInput.ReadText(kMaxNameBytes);
+  beat.isReading = aInput.ReadBool();
   beat.known = ReadVersions(aInput);
   beat.readUpTo = ReadVersions(aInput);
   beat.snapshotPort = static_cast<std::uint16_t>(aInput.ReadUnsigned(0xFFFF));
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -52,6 +52,9 @@
 struct WatcherBeat
 {
   std::string host;
+  // False while the catalog does not answer it: it can tell what it knows to
+  // one that knows nothing, but must not be followed.
+  bool isReading = true;
   KnownVersions known;
   // It knows all changes of the catalog up to these revisions.
   KnownVersions readUpTo;
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -192,11 +192,12 @@
 
 BOOST_AUTO_TEST_CASE(ABeatIsReadAsItWasWritten)
 {
-  const WatcherBeat beat{ "edge-1", { 3, 4 }, { 5, 6 }, 8382 };
+  const WatcherBeat beat{ "edge-1", false, { 3, 4 }, { 5, 6 }, 8382 };
   const auto message = DecodeSelectionMessage(EncodeSelectionMessage(beat));
   BOOST_TEST_REQUIRE(message.has_value());
   const auto& read = std::get<WatcherBeat>(*message);
   BOOST_TEST(read.host == "edge-1");
+  BOOST_TEST(!read.isReading);
   BOOST_TEST(read.known.configuration == 3U);
   BOOST_TEST(read.known.directory == 4U);
   BOOST_TEST(read.readUpTo.configuration == 5U);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -69,14 +69,13 @@
 bool
 Gateway::Start(std::string& aReason)
 {
-  Endpoint peerAddress;
   trafficThread_.Run([&] {
     traffic_ =
       TrafficRuntime::Create(settings_, dialect_, metrics_, clock_, aReason);
     if (traffic_) {
       ConnectTraffic();
       frontPort_ = traffic_->FrontPort();
-      peerAddress = traffic_->PeerAddress();
+      peerAddress_ = traffic_->PeerAddress();
     }
   });
   if (!traffic_) {
@@ -134,7 +133,7 @@
     });
   const PeerHost self{ settings_.host,
                        settings_.domain,
-                       peerAddress,
+                       peerAddress_,
                        { settings_.snapshot.address,
                          snapshotServer_->Port() } };
   watchSharing_ = std::make_unique<WatchSharing>(
@@ -326,6 +325,9 @@
 Gateway::OnBeat(const WatcherBeat& aBeat, const Endpoint& aSender)
 {
   watchSharing_->OnBeat(aBeat, aSender);
+  if (NeedsPeers()) {
+    peers_->Prefer({ aSender.address, aBeat.snapshotPort });
+  }
   // What the watcher is asked for usually comes before it is missed.
   if (!configurationFollower_->Knows(aBeat.known.configuration) ||
       !serverFollower_->Knows(aBeat.known.directory)) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -48,6 +48,8 @@
   bool IsWatcher() const { return watchSharing_->IsWatcher(); }
 
   std::uint16_t FrontPort() const { return frontPort_; }
+  // For the datagrams of other hosts.
+  const Endpoint& PeerAddress() const { return peerAddress_; }
   std::uint16_t SnapshotPort() const { return snapshotServer_->Port(); }
 
 private:
@@ -101,6 +103,7 @@
   WorkerThread trafficThread_{ "traffic" };
   std::unique_ptr<TrafficRuntime> traffic_;
   std::uint16_t frontPort_ = 0;
+  Endpoint peerAddress_;
 
   std::function<void()> stopped_;
   Instant stoppingSince_;
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -118,13 +118,13 @@
 void
 WatchSharing::OnNewerCopy()
 {
-  // A watcher that cannot read has nothing to tell, and another one takes over.
-  if (!IsWatcher() || !configuration_.IsReachable() ||
-      !servers_.IsReachable()) {
+  const bool isReading = configuration_.IsReachable() && servers_.IsReachable();
+  if (!IsWatcher() || (!isReading && !duty_.beatsInOutage)) {
     return;
   }
   lastBeat_ = clock_.Now();
   sendBeat_({ self_.name,
+              isReading,
               { configuration_.NewestChange(), servers_.NewestChange() },
               { configuration_.Revision(), servers_.Revision() },
               self_.snapshot.port });
@@ -133,6 +133,11 @@
 void
 WatchSharing::OnBeat(const WatcherBeat& aBeat, const Endpoint& aSender)
 {
+  if (!aBeat.isReading) {
+    // Another one takes over.
+    election_.OnUnreachable(aBeat.host);
+    return;
+  }
   election_.OnBeat(aBeat.host, clock_.Now());
   configuration_.OnPeerRevision(aBeat.known.configuration,
                                 aBeat.readUpTo.configuration);
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -12,6 +12,9 @@
 
 // With two, the loss of one leaves no host without word.
 constexpr int kWatchers = 2;
+// While nobody reads the catalog, every host has to watch. These tell those
+// that start what they know.
+constexpr int kOutageWatchers = 4;
 // A lost datagram is no loss of the watcher, and what a host learns after this
 // time is still in force within the bounds of a deployment.
 constexpr milliseconds kBeatTimeout{ 1'100 };
@@ -76,6 +79,7 @@
   duty.beats =
     position_ && aNow - *isShortSince_ >= kTakeoverStagger * *position_;
   duty.watches = duty.beats || heardAt_.empty();
+  duty.beatsInOutage = duty.beats && *position_ < kOutageWatchers;
   return duty;
 }
 
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -17,6 +17,8 @@
   bool watches = false;
   // Tells the others that it watches.
   bool beats = false;
+  // Beats also while it does not read the catalog, as few do then.
+  bool beatsInOutage = false;
 };
 
 // Decides which hosts of a failure domain watch the catalog for the others.
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -155,6 +155,19 @@
   BOOST_TEST(elections.at(host).Decide(now).watches);
 }
 
+// Guards against beats of every host while nobody reads the catalog: none
+// counts as a watcher then, so all of them watch.
+BOOST_AUTO_TEST_CASE(AreFewToBeatWhileNobodyReadsTheCatalog)
+{
+  std::ranges::for_each(
+    elections, [this](const auto& aItem) { deaf.insert(aItem.first); });
+  Run(6s);
+  BOOST_TEST(Watching() == 16);
+  BOOST_TEST(std::ranges::count_if(duties, [](const auto& aItem) {
+               return aItem.second.beatsInOutage;
+             }) == 4);
+}
+
 // Guards against a fleet that starts without a list of hosts and follows
 // nobody.
 BOOST_AUTO_TEST_CASE(AreAllHostsThatDoNotKnowTheOthers)
