--- a/src/gateway/tests/TestSilentPeers.cpp
+++ b/src/gateway/tests/TestSilentPeers.cpp
@@ -18,6 +18,7 @@
 Listed(int aHosts)
 {
   std::vector<PeerHost> hosts;
+  hosts.reserve(static_cast<std::size_t>(aHosts));
   for (int i = 0; i < aHosts; ++i) {
     hosts.push_back({ "host-" + std::to_string(i),
                       "domain",
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -18,6 +18,7 @@
   explicit DomainFixture(int aHosts = 16)
   {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(aHosts));
     for (int i = 0; i < aHosts; ++i) {
       names.push_back("host-" + std::to_string(i));
     }
