Balancing: Log repeats that were decided, late answers and missing reports

The logs could not tell which host granted a repeat against which account, whether an owner's answer was lost or late, or whether the reports of attempts went missing. Each is now one line with what decided it. No logic changes: RepeatBudget::Use is the sum that TryRepeat took before.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -175,7 +175,7 @@
   }
   const bool isRepeat = aRequest.purpose == AttemptPurpose::Repeat ||
                         aRequest.purpose == AttemptPurpose::Hedge;
-  if (isRepeat && !budget.TryRepeat(RepeatReserve(aRequest, aNow), aNow)) {
+  if (isRepeat && !TryRepeat(budget, aRequest, aNow)) {
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
   return { Selection{ Track(aRequest, best->id, aNow),
@@ -186,6 +186,27 @@
            {} };
 }
 
+bool
+BackendSelector::TryRepeat(RepeatBudget& aBudget,
+                           const SelectionRequest& aRequest,
+                           Instant aNow) const
+{
+  const double reserve = RepeatReserve(aRequest, aNow);
+  const bool isGranted = aBudget.TryRepeat(reserve, aNow);
+  const RepeatBudgetUse use = aBudget.Use(aNow);
+  LogEvent(LogLevel::Info,
+           "repeat_decided",
+           { { "service", aRequest.service },
+             { "for", aRequest.host },
+             { "hedge", aRequest.purpose == AttemptPurpose::Hedge },
+             { "granted", isGranted },
+             { "requests", use.requests },
+             { "repeats", use.repeats },
+             { "allowed", fmt::format("{:.1f}", use.allowed) },
+             { "reserve", fmt::format("{:.2f}", reserve) } });
+  return isGranted;
+}
+
 std::uint64_t
 BackendSelector::Track(const SelectionRequest& aRequest,
                        const std::string& aServer,
@@ -383,6 +404,10 @@
     if (server != servers_.end()) {
       RemovePending(server->second, oldest->first);
     }
+    LogEvent(
+      LogLevel::Info,
+      "attempt_report_missing",
+      { { "server", oldest->second.server }, { "host", oldest->second.host } });
     tickets_.erase(oldest);
   }
 }
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -81,6 +81,9 @@
                       ServerState& aServer,
                       const LatencyModel& aModel,
                       Instant aNow);
+  bool TryRepeat(RepeatBudget& aBudget,
+                 const SelectionRequest& aRequest,
+                 Instant aNow) const;
   // Share of the budget that the attempt must leave.
   double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
   static bool IsRotationDue(const SelectionRequest& aRequest,
--- a/src/balancing/RepeatBudget.cpp
+++ b/src/balancing/RepeatBudget.cpp
@@ -16,34 +16,46 @@
 bool
 RepeatBudget::TryRepeat(double aReserve, Instant aNow)
 {
-  Slot& current = SlotAt(aNow);
-  double requests = 0;
-  double repeats = 0;
+  const RepeatBudgetUse use = Use(aNow);
+  if (use.repeats + 1 > use.allowed * (1 - aReserve)) {
+    return false;
+  }
+  ++SlotAt(aNow).repeats;
+  return true;
+}
+
+RepeatBudgetUse
+RepeatBudget::Use(Instant aNow) const
+{
+  const std::int64_t current = NumberAt(aNow);
+  RepeatBudgetUse use;
   for (const Slot& slot : slots_) {
-    const std::int64_t age = current.number - slot.number;
+    const std::int64_t age = current - slot.number;
     if (slot.number < 0 || age > static_cast<std::int64_t>(kSlots)) {
       continue;
     }
-    repeats += slot.repeats;
+    use.repeats += slot.repeats;
     // The oldest slot may lie outside a window that ends now.
     if (age < static_cast<std::int64_t>(kSlots)) {
-      requests += slot.requests;
+      use.requests += slot.requests;
     }
   }
-  const double allowed = limits_.ratio * requests + limits_.burst;
-  if (repeats + 1 > allowed * (1 - aReserve)) {
-    return false;
-  }
-  ++current.repeats;
-  return true;
+  use.allowed = limits_.ratio * use.requests + limits_.burst;
+  return use;
 }
 
-RepeatBudget::Slot&
-RepeatBudget::SlotAt(Instant aNow)
+std::int64_t
+RepeatBudget::NumberAt(Instant aNow) const
 {
   const auto length = std::chrono::duration_cast<Duration>(limits_.window) /
                       static_cast<std::int64_t>(kSlots);
-  const std::int64_t number = aNow.time_since_epoch() / length;
+  return aNow.time_since_epoch() / length;
+}
+
+RepeatBudget::Slot&
+RepeatBudget::SlotAt(Instant aNow)
+{
+  const std::int64_t number = NumberAt(aNow);
   Slot& slot = slots_[static_cast<std::size_t>(number) % slots_.size()];
   if (slot.number != number) {
     slot = { number, 0, 0 };
--- a/src/balancing/RepeatBudget.h
+++ b/src/balancing/RepeatBudget.h
@@ -16,6 +16,15 @@
   std::chrono::seconds window{ 10 };
 };
 
+// What a window holds at one moment.
+struct RepeatBudgetUse
+{
+  double requests = 0;
+  double repeats = 0;
+  // Repeats that the window allows.
+  double allowed = 0;
+};
+
 // Bounds the attempts beyond the first of each request of one service, over any
 // window of the length given.
 class RepeatBudget
@@ -29,6 +38,7 @@
   // Takes one repeat; false when none is left above aReserve, a share from 0 to
   // 1 of what a window allows.
   bool TryRepeat(double aReserve, Instant aNow);
+  RepeatBudgetUse Use(Instant aNow) const;
 
 private:
   static constexpr std::size_t kSlots = 20;
@@ -40,6 +50,7 @@
     std::uint32_t repeats = 0;
   };
 
+  std::int64_t NumberAt(Instant aNow) const;
   Slot& SlotAt(Instant aNow);
 
   RepeatBudgetLimits limits_;
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -18,6 +18,8 @@
 constexpr int kMissesUntilDown = 2;
 constexpr milliseconds kShortestDown{ 1'000 };
 constexpr int kMaxDownDoublings = 3;
+// Asks that were not answered in time and are remembered for the log.
+constexpr std::size_t kMaxMissedAsks = 64;
 
 } // namespace
 
@@ -272,12 +274,7 @@
   const auto node = asks_.extract(aAnswer.call);
   if (node.empty()) {
     // The request was served without this answer.
-    if (aAnswer.result.selection) {
-      socket_->Send(
-        aSender,
-        EncodeSelectionMessage(SelectionReport{
-          aAnswer.result.selection->ticket, AttemptResult::Unused }));
-    }
+    OnLateAnswer(aSender, aAnswer);
     return;
   }
   const PendingAsk& ask = node.mapped();
@@ -294,6 +291,28 @@
   ask.callback(outcome);
 }
 
+void
+SelectionService::OnLateAnswer(const Endpoint& aSender,
+                               const SelectionAnswer& aAnswer)
+{
+  const auto missed = missed_.extract(aAnswer.call);
+  if (!missed.empty()) {
+    const MissedAsk& ask = missed.mapped();
+    LogEvent(
+      LogLevel::Info,
+      "owner_answer_late",
+      { { "owner", ask.owner },
+        { "ms",
+          std::chrono::duration_cast<milliseconds>(clock_.Now() - ask.askedAt)
+            .count() } });
+  }
+  if (aAnswer.result.selection) {
+    socket_->Send(aSender,
+                  EncodeSelectionMessage(SelectionReport{
+                    aAnswer.result.selection->ticket, AttemptResult::Unused }));
+  }
+}
+
 void
 SelectionService::OnAskTimeout()
 {
@@ -302,6 +321,11 @@
     const auto node = asks_.extract(asks_.begin());
     const PendingAsk& ask = node.mapped();
     OnMissedAnswer(ask.owner);
+    missed_.emplace(node.key(),
+                    MissedAsk{ ask.owner, ask.dueAt - kAnswerTime });
+    if (missed_.size() > kMaxMissedAsks) {
+      missed_.erase(missed_.begin());
+    }
     ask.callback(SelectAlone(ask.request));
   }
   ScheduleTimeout();
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -123,6 +123,13 @@
     Instant dueAt;
   };
 
+  // An ask that was served without its answer.
+  struct MissedAsk
+  {
+    std::string owner;
+    Instant askedAt;
+  };
+
   struct PeerState
   {
     int missedAnswers = 0;
@@ -144,6 +151,7 @@
   void OnHello(const Endpoint& aSender, const SelectionHello& aHello);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
+  void OnLateAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
   void OnMissedAnswer(const std::string& aOwner);
   void ScheduleTimeout();
@@ -157,6 +165,7 @@
   BackendSelector owned_;
   BackendSelector own_;
   std::map<std::uint64_t, PendingAsk> asks_;
+  std::map<std::uint64_t, MissedAsk> missed_;
   std::uint64_t nextCall_ = 1;
   KnownVersions known_;
   VersionsHandler onNewerVersions_;
