Catalog: Drop an entry for good once its removal is known

Cause: an entry that was kept for its return stayed in the list of missing ones when its removal became known, and the next list put it back. Three more of the same class, knowledge of a removal lost when copies replace each other: - a host that took a peer's copy once believed that the catalog had been away, so the next removals counted as lapses, there and at those that follow it; - each list and each further entry prolonged the return time of all; - a host that took a peer's copy did not learn which entries were being kept, and kept them until an event named them.

Ruled out: slow spread. The host knew of the removal 0.9 s after it. Four new tests; each fails when its line of the fix is taken back.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -86,16 +86,35 @@
              { "newest_change", newestChange_ },
              { "peer", aCopy.newestChange } });
   objects_ = std::move(aCopy.objects);
+  std::erase_if(missing_, [&aCopy](const auto& aItem) {
+    return !aCopy.mayReturn.contains(aItem.first);
+  });
+  for (const std::string& name : aCopy.mayReturn) {
+    const auto object = objects_.find(name);
+    if (object != objects_.end()) {
+      KeepMissing(object->second);
+    }
+  }
   history_.Reset(aCopy.newestChange);
   peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
   isComplete_ = true;
-  // What is missing in the first list may have lapsed while the catalog was
-  // away.
-  wasAway_ = true;
+  // What is missing in a first list may have lapsed while the catalog was away.
+  // A host that has read a list knows by its own calls whether it was.
+  wasAway_ = wasAway_ || listedRevision_ == 0;
   Notify();
 }
 
+CatalogCopy
+CatalogFollower::Copy() const
+{
+  CatalogCopy copy{ objects_, newestChange_ };
+  for (const auto& [name, missing] : missing_) {
+    copy.mayReturn.insert(name);
+  }
+  return copy;
+}
+
 void
 CatalogFollower::SetFollowsPeer(bool aFollowsPeer)
 {
@@ -231,7 +250,7 @@
   if (mayReturn) {
     for (const auto& [name, object] : objects_) {
       if (!listing_.contains(name)) {
-        missing_.emplace(name, object);
+        KeepMissing(object);
       }
     }
   }
@@ -240,11 +259,8 @@
   std::erase_if(missing_, [this](const auto& aItem) {
     return objects_.contains(aItem.first);
   });
-  for (const auto& [name, object] : missing_) {
-    objects_.emplace(name, object);
-  }
-  if (!missing_.empty()) {
-    missingTimer_.start(settings_.returnTime);
+  for (const auto& [name, missing] : missing_) {
+    objects_.emplace(name, missing.object);
   }
   isComplete_ = true;
   wasAway_ = false;
@@ -343,9 +359,9 @@
       continue;
     }
     if (mayReturn && known != objects_.end()) {
-      missing_.insert_or_assign(name, known->second);
-      missingTimer_.start(settings_.returnTime);
+      KeepMissing(known->second);
     } else {
+      missing_.erase(name);
       objects_.erase(name);
     }
   }
@@ -406,18 +422,51 @@
   return false;
 }
 
+void
+CatalogFollower::KeepMissing(const CatalogObject& aObject)
+{
+  const auto [missing, isNew] = missing_.try_emplace(
+    aObject.name,
+    MissingObject{ aObject, clock_.Now() + settings_.returnTime });
+  missing->second.object = aObject;
+  if (isNew && !missingTimer_.isActive()) {
+    ScheduleDrop();
+  }
+}
+
+void
+CatalogFollower::ScheduleDrop()
+{
+  if (missing_.empty()) {
+    return;
+  }
+  const auto earliest = std::ranges::min_element(
+    missing_, {}, [](const auto& aItem) { return aItem.second.dropAt; });
+  const auto left =
+    std::chrono::ceil<milliseconds>(earliest->second.dropAt - clock_.Now());
+  missingTimer_.start(std::max(left, milliseconds(0)));
+}
+
 void
 CatalogFollower::DropAfterReturnTime()
 {
-  for (const auto& [name, object] : missing_) {
-    objects_.erase(name);
+  const Instant now = clock_.Now();
+  bool isChanged = false;
+  for (auto missing = missing_.begin(); missing != missing_.end();) {
+    if (missing->second.dropAt > now) {
+      ++missing;
+      continue;
+    }
     LogEvent(LogLevel::Info,
              "catalog_entry_not_returned",
-             { { "collection", settings_.name }, { "name", name } });
+             { { "collection", settings_.name }, { "name", missing->first } });
+    isChanged = objects_.erase(missing->first) > 0 || isChanged;
+    missing = missing_.erase(missing);
+  }
+  ScheduleDrop();
+  if (isChanged) {
+    Notify();
   }
-  missing_.clear();
-  wasAway_ = false;
-  Notify();
 }
 
 void
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace filbertbeam {
 
@@ -31,6 +32,9 @@
   std::map<std::string, CatalogObject, std::less<>> objects;
   // Revision of the newest change that was read, deletions included.
   std::uint64_t newestChange = 0;
+  // Names of objects that the catalog no longer holds and that are kept for a
+  // while, since their writers may write them again.
+  std::set<std::string, std::less<>> mayReturn = {};
 };
 
 // Keeps a copy of one collection: lists it, then watches it, and lists again
@@ -74,7 +78,7 @@
   // Takes what a peer has read, where that is newer than this copy or nothing
   // was read yet. The catalog replaces it as soon as it answers.
   void Adopt(CatalogCopy aCopy);
-  CatalogCopy Copy() const { return { objects_, newestChange_ }; }
+  CatalogCopy Copy() const;
 
   // Revision of the newest change that was read.
   std::uint64_t NewestChange() const { return newestChange_; }
@@ -90,6 +94,13 @@
   Duration Age() const { return clock_.Now() - lastAnswer_; }
 
 private:
+  struct MissingObject
+  {
+    // Its last form.
+    CatalogObject object;
+    Instant dropAt;
+  };
+
   // A call's answer counts only as long as no newer call replaces it.
   void List(const std::string& aAfter);
   void OnPage(CatalogPage aPage);
@@ -109,6 +120,10 @@
   // Returns false after a failure, which it has handled.
   bool CheckAnswer(const CatalogFailure& aFailure);
   void OnReturned();
+  // Keeps aObject until its return time is over, which began when it was first
+  // found missing.
+  void KeepMissing(const CatalogObject& aObject);
+  void ScheduleDrop();
   void DropAfterReturnTime();
   void Notify();
 
@@ -138,8 +153,8 @@
   Instant lastAnswer_;
   // The first answer after the last outage.
   Instant returnedAt_;
-  // Objects whose writers may still write them again, with their last form.
-  Objects missing_;
+  // Objects whose writers may still write them again.
+  std::map<std::string, MissingObject, std::less<>> missing_;
   QTimer callTimer_;
   QTimer missingTimer_;
 };
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -199,6 +199,38 @@
   BOOST_TEST(WaitUntil([&] { return names == "a "; }));
 }
 
+// Guards against a server that left for good and is used again after the next
+// list, since it had been kept for its return before.
+BOOST_AUTO_TEST_CASE(DropsAnEntryForGoodOnceItsRemovalIsKnown)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
+  catalog.AnswerList(Page({ Object("a", 3) }, 6));
+  BOOST_TEST(names == "a b ");
+  catalog.AnswerWatch(Changes({ { Object("b", 7), true } }, 7));
+  BOOST_TEST(names == "a ");
+  follower.CatchUp(9);
+  catalog.AnswerList(Page({ Object("a", 3), Object("c", 9) }, 9));
+  BOOST_TEST(names == "a c ");
+}
+
+// Guards against an entry that is kept for as long as lists or other entries
+// go missing one after the other.
+BOOST_AUTO_TEST_CASE(KeepsAnEntryForOneReturnTime)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
+  catalog.AnswerList(Page({ Object("a", 3) }, 6));
+  BOOST_TEST(names == "a b ");
+  RunFor(120ms);
+  follower.ReadAgain("test");
+  catalog.AnswerList(Page({ Object("a", 3) }, 7));
+  BOOST_TEST(names == "a b ");
+  BOOST_TEST(WaitUntil([&] { return names == "a "; }, 150ms));
+}
+
 // Guards against a leaving server that is kept in calm times.
 BOOST_AUTO_TEST_CASE(DropsEntriesAtOnceOtherwise)
 {
@@ -255,6 +287,37 @@
   BOOST_TEST(names == "a d ");
 }
 
+// Guards against a leaving server that is kept since a peer was quicker once,
+// though the catalog was never away.
+BOOST_AUTO_TEST_CASE(TakesItForNoOutageThatThePeerWasQuicker)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
+  CatalogCopy copy;
+  copy.objects.emplace("a", Object("a", 3));
+  copy.objects.emplace("b", Object("b", 8));
+  copy.newestChange = 8;
+  follower.Adopt(copy);
+  follower.CatchUp(10);
+  catalog.AnswerList(Page({ Object("a", 3) }, 10));
+  BOOST_TEST(names == "a ");
+}
+
+// Guards against an entry that a peer kept for a while and that this host,
+// which took the peer's copy, keeps for ever.
+BOOST_AUTO_TEST_CASE(DropsInTimeWhatThePeerKeptForItsReturn)
+{
+  catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
+  CatalogCopy copy;
+  copy.objects.emplace("a", Object("a", 7));
+  copy.objects.emplace("b", Object("b", 4));
+  copy.newestChange = 8;
+  copy.mayReturn = { "b" };
+  follower.Adopt(copy);
+  BOOST_TEST(names == "a b ");
+  BOOST_TEST(follower.Copy().mayReturn.contains("b"));
+  BOOST_TEST(WaitUntil([&] { return names == "a "; }, 1s));
+}
+
 // Guards against a watch on a connection that is broken without notice.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -70,15 +70,25 @@
 QJsonObject
 CopyToJson(const CatalogCopy& aCopy)
 {
+  QJsonArray mayReturn;
+  for (const std::string& name : aCopy.mayReturn) {
+    mayReturn.append(QString::fromStdString(name));
+  }
   return { { kNewestChange, static_cast<qint64>(aCopy.newestChange) },
-           { kObjects, ObjectsToJson(aCopy.objects) } };
+           { kObjects, ObjectsToJson(aCopy.objects) },
+           { kMayReturn, mayReturn } };
 }
 
 CatalogCopy
 CopyFromJson(const QJsonObject& aObject)
 {
-  return { ObjectsFromJson(aObject[kObjects].toArray()),
-           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()) };
+  CatalogCopy copy{ ObjectsFromJson(aObject[kObjects].toArray()),
+                    static_cast<std::uint64_t>(
+                      aObject[kNewestChange].toInteger()) };
+  for (const QJsonValue name : aObject[kMayReturn].toArray()) {
+    copy.mayReturn.insert(name.toString().toStdString());
+  }
+  return copy;
 }
 
 QJsonObject
--- a/src/gateway/tests/TestPeerSnapshot.cpp
+++ b/src/gateway/tests/TestPeerSnapshot.cpp
@@ -18,6 +18,7 @@
   object.name = "i-1";
   object.status["state"] = "ready";
   snapshot.backendServers.objects.emplace("i-1", object);
+  snapshot.backendServers.mayReturn = { "i-1" };
   snapshot.hosts = {
     { "edge-1", "a", { "10.1.0.18", 7200 }, { "10.1.0.18", 8382 } },
     { "edge-2", "b", { "10.1.0.19", 7200 } }
@@ -30,6 +31,8 @@
   BOOST_TEST(read->configuration.newestChange == 8U);
   BOOST_TEST(
     (read->backendServers.objects.at("i-1").status["state"] == "ready"));
+  BOOST_TEST(read->configuration.mayReturn.empty());
+  BOOST_TEST(read->backendServers.mayReturn.contains("i-1"));
   BOOST_TEST((read->hosts == snapshot.hosts));
 }
 
