Balancing: Earn a repeat where a request is chosen for, and nowhere else

Each kept a whole budget: owners 0.9 of the ratio and 0.7 of the burst, every host 0.5 of the ratio; a request whose answer came late was counted by both.

Class of fault: a limit on the whole that is kept by parts whose sum is bounded only while all agree on who is in charge.

Now a host has one account per service. A request earns its share of a repeat at the host whose choice was used, told by the report; a choice that came too late earns nothing and gives its repeat back. The burst is divided by rank among the hosts, and a share that grows counts after a window, when what its former holder spent is no longer in the same window. So the sum is bounded whoever chooses. A host keeps one view of its servers instead of two.

StayWithinTheBudget finishes its attempts, since requests are booked by their reports; its bounds are the same.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -125,6 +125,15 @@
   }
 }
 
+void
+BackendSelector::SetBurstShare(const std::string& aService,
+                               double aShare,
+                               double aAtOnce,
+                               Instant aNow)
+{
+  BudgetOf(aService).SetBurstShare(aShare, aAtOnce, aNow);
+}
+
 void
 BackendSelector::SetDirectory(
   std::shared_ptr<const BackendDirectory> aDirectory)
@@ -147,11 +156,6 @@
 BackendSelector::Select(const SelectionRequest& aRequest, Instant aNow)
 {
   DropOverdue(aNow);
-  RepeatBudget& budget =
-    budgets_.try_emplace(aRequest.service, budgetLimits_).first->second;
-  if (aRequest.purpose == AttemptPurpose::First) {
-    budget.OnRequest(aNow);
-  }
   LatencyModel& model =
     ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
   const BackendServerRecord* best = nullptr;
@@ -173,12 +177,12 @@
   if (best == nullptr) {
     return { std::nullopt, "no-backend-server", kRetryAfter };
   }
-  const bool isRepeat = aRequest.purpose == AttemptPurpose::Repeat ||
-                        aRequest.purpose == AttemptPurpose::Hedge;
-  if (isRepeat && !TryRepeat(budget, aRequest, aNow)) {
+  if (IsRepeat(aRequest.purpose) && !TryRepeat(aRequest, aNow)) {
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
-  return { Selection{ Track(aRequest, best->id, aNow),
+  const std::uint64_t ticket = Track(aRequest, best->id, aNow);
+  tickets_.at(ticket).budget = aRequest.service;
+  return { Selection{ ticket,
                       best->id,
                       HedgeTime(model, aRequest.latencyObjective),
                       aNow - servers_[best->id].answeredAt < kConfirmedTime },
@@ -187,13 +191,12 @@
 }
 
 bool
-BackendSelector::TryRepeat(RepeatBudget& aBudget,
-                           const SelectionRequest& aRequest,
-                           Instant aNow) const
+BackendSelector::TryRepeat(const SelectionRequest& aRequest, Instant aNow)
 {
+  RepeatBudget& budget = BudgetOf(aRequest.service);
   const double reserve = RepeatReserve(aRequest, aNow);
-  const bool isGranted = aBudget.TryRepeat(reserve, aNow);
-  const RepeatBudgetUse use = aBudget.Use(aNow);
+  const bool isGranted = budget.TryRepeat(reserve, aNow);
+  const RepeatBudgetUse use = budget.Use(aNow);
   LogEvent(LogLevel::Info,
            "repeat_decided",
            { { "service", aRequest.service },
@@ -222,6 +225,8 @@
                    PendingAttempt{ aServer,
                                    aRequest.host,
                                    latencyClass,
+                                   {},
+                                   aRequest.purpose,
                                    aNow,
                                    aNow + model.Mean() * queued / server.slots,
                                    aNow + aRequest.remaining + kReportGrace });
@@ -342,6 +347,7 @@
     return;
   }
   const PendingAttempt& attempt = node.mapped();
+  Settle(attempt, aResult, aNow);
   const auto found = servers_.find(attempt.server);
   if (found == servers_.end()) {
     return;
@@ -392,6 +398,27 @@
   }
 }
 
+void
+BackendSelector::Settle(const PendingAttempt& aAttempt,
+                        AttemptResult aResult,
+                        Instant aNow)
+{
+  if (aAttempt.budget.empty()) {
+    return;
+  }
+  RepeatBudget& budget = BudgetOf(aAttempt.budget);
+  // A choice that came too late was replaced by another host's, which books
+  // the request.
+  if (aResult != AttemptResult::Unused &&
+      aAttempt.purpose == AttemptPurpose::First) {
+    budget.OnRequest(aNow);
+  }
+  if (IsRepeat(aAttempt.purpose) && (aResult == AttemptResult::Unused ||
+                                     aResult == AttemptResult::Unreachable)) {
+    budget.OnRepeatUnused(aAttempt.sentAt);
+  }
+}
+
 void
 BackendSelector::DropOverdue(Instant aNow)
 {
@@ -422,6 +449,12 @@
                PendingEvidence(server->second, aNow), aNow);
 }
 
+RepeatBudget&
+BackendSelector::BudgetOf(const std::string& aService)
+{
+  return budgets_.try_emplace(aService, budgetLimits_).first->second;
+}
+
 LatencyModel&
 BackendSelector::ModelOf(const std::string& aClass, Duration aObjective)
 {
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -25,11 +25,16 @@
   BackendSelector(const RepeatBudgetLimits& aBudget, Random& aRandom);
 
   void SetBudget(const RepeatBudgetLimits& aBudget);
+  // This host's share of the burst of aService, from 0 to 1, and the part of it
+  // that needs no wait.
+  void SetBurstShare(const std::string& aService,
+                     double aShare,
+                     double aAtOnce,
+                     Instant aNow);
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
 
   SelectionResult Select(const SelectionRequest& aRequest, Instant aNow);
-  // Counts an attempt for which another host chose aServer, or the caller of
-  // this did. Returns its ticket.
+  // Counts an attempt for which another host chose aServer. Returns its ticket.
   std::uint64_t Track(const SelectionRequest& aRequest,
                       const std::string& aServer,
                       Instant aNow);
@@ -49,6 +54,9 @@
     std::string server;
     std::string host;
     std::string latencyClass;
+    // The account that it was counted against; empty when another host chose.
+    std::string budget;
+    AttemptPurpose purpose = AttemptPurpose::First;
     Instant sentAt;
     // When the server can have begun with it, after those before it.
     Instant startAt;
@@ -73,6 +81,11 @@
     Instant fullUntil;
   };
 
+  RepeatBudget& BudgetOf(const std::string& aService);
+  // Books what the end of an attempt says about repeats.
+  void Settle(const PendingAttempt& aAttempt,
+              AttemptResult aResult,
+              Instant aNow);
   LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
   // Log likelihood of the ages of the attempts under way at aServer.
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
@@ -81,9 +94,7 @@
                       ServerState& aServer,
                       const LatencyModel& aModel,
                       Instant aNow);
-  bool TryRepeat(RepeatBudget& aBudget,
-                 const SelectionRequest& aRequest,
-                 Instant aNow) const;
+  bool TryRepeat(const SelectionRequest& aRequest, Instant aNow);
   // Share of the budget that the attempt must leave.
   double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
   static bool IsRotationDue(const SelectionRequest& aRequest,
--- a/src/balancing/RepeatBudget.cpp
+++ b/src/balancing/RepeatBudget.cpp
@@ -7,6 +7,12 @@
 {
 }
 
+void
+RepeatBudget::SetBurstShare(double aShare, double aAtOnce, Instant aNow)
+{
+  burstShare_.Set(aShare, aAtOnce, limits_.window, aNow);
+}
+
 void
 RepeatBudget::OnRequest(Instant aNow)
 {
@@ -24,6 +30,16 @@
   return true;
 }
 
+void
+RepeatBudget::OnRepeatUnused(Instant aTaken)
+{
+  const std::int64_t number = NumberAt(aTaken);
+  Slot& slot = slots_[static_cast<std::size_t>(number) % slots_.size()];
+  if (slot.number == number && slot.repeats > 0) {
+    --slot.repeats;
+  }
+}
+
 RepeatBudgetUse
 RepeatBudget::Use(Instant aNow) const
 {
@@ -40,7 +56,8 @@
       use.requests += slot.requests;
     }
   }
-  use.allowed = limits_.ratio * use.requests + limits_.burst;
+  use.allowed =
+    limits_.ratio * use.requests + limits_.burst * burstShare_.Granted(aNow);
   return use;
 }
 
--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -20,6 +20,14 @@
   Hedge,
 };
 
+// True for attempts beyond the first of a request that its server may see.
+constexpr bool
+IsRepeat(AttemptPurpose aPurpose)
+{
+  return aPurpose == AttemptPurpose::Repeat ||
+         aPurpose == AttemptPurpose::Hedge;
+}
+
 // A request for a backend server for one attempt.
 struct SelectionRequest
 {
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace filbertbeam {
 
@@ -18,6 +19,10 @@
 constexpr int kMissesUntilDown = 2;
 constexpr milliseconds kShortestDown{ 1'000 };
 constexpr int kMaxDownDoublings = 3;
+// Shares of the burst of a service by rank as its owner, and the share that all
+// hosts divide equally.
+constexpr std::array<double, 2> kBurstShares{ 0.65, 0.15 };
+constexpr double kCommonBurstShare = 0.1;
 // Asks that were not answered in time and are remembered for the log.
 constexpr std::size_t kMaxMissedAsks = 64;
 
@@ -48,8 +53,9 @@
                                    Random& aRandom)
   : settings_(aSettings)
   , clock_(aClock)
-  , owned_(aSettings.ownerBudget, aRandom)
-  , own_(aSettings.ownBudget, aRandom)
+  , selector_(aSettings.budget, aRandom)
+  , directory_(
+      std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
 {
   timer_.setSingleShot(true);
   timer_.setTimerType(Qt::PreciseTimer);
@@ -71,6 +77,8 @@
     }
   }
   hosts_ = std::move(aHosts);
+  knowsHosts_ = true;
+  ShareBursts();
   std::erase_if(peers_, [this](const auto& aItem) {
     return std::ranges::none_of(hosts_, [&aItem](const PeerHost& aHost) {
       return aHost.name == aItem.first;
@@ -103,16 +111,47 @@
 SelectionService::SetDirectory(
   const std::shared_ptr<const BackendDirectory>& aDirectory)
 {
-  owned_.SetDirectory(aDirectory);
-  own_.SetDirectory(aDirectory);
+  selector_.SetDirectory(aDirectory);
+  directory_ = aDirectory;
+  ShareBursts();
 }
 
 void
-SelectionService::SetBudgets(const RepeatBudgetLimits& aOwnerBudget,
-                             const RepeatBudgetLimits& aOwnBudget)
+SelectionService::SetBudget(const RepeatBudgetLimits& aBudget)
 {
-  owned_.SetBudget(aOwnerBudget);
-  own_.SetBudget(aOwnBudget);
+  selector_.SetBudget(aBudget);
+}
+
+void
+SelectionService::ShareBursts()
+{
+  // A host that knows no other would take the shares of all.
+  if (!knowsHosts_) {
+    return;
+  }
+  const Instant now = clock_.Now();
+  const double common =
+    kCommonBurstShare /
+    static_cast<double>(std::max<std::size_t>(hosts_.size(), 1));
+  for (const std::string_view name : directory_->Services()) {
+    const std::string service(name);
+    selector_.SetBurstShare(
+      service, RankedBurstShare(service) + common, common, now);
+  }
+}
+
+double
+SelectionService::RankedBurstShare(const std::string& aService) const
+{
+  const std::uint64_t key = StableHash(aService);
+  const std::uint64_t weight = StableHash(settings_.host, key);
+  const auto rank = static_cast<std::size_t>(
+    std::ranges::count_if(hosts_, [&](const PeerHost& aHost) {
+      // Hosts that are passed over keep their share: they may still spend it.
+      return aHost.name != settings_.host &&
+             StableHash(aHost.name, key) > weight;
+    }));
+  return rank < kBurstShares.size() ? kBurstShares[rank] : 0;
 }
 
 const PeerHost*
@@ -145,11 +184,10 @@
   const PeerHost* owner = OwnerOf(aRequest.service);
   if (owner == nullptr) {
     SelectionOutcome outcome;
-    outcome.result = owned_.Select(aRequest, clock_.Now());
+    outcome.result = selector_.Select(aRequest, clock_.Now());
     outcome.source = "self";
     if (outcome.result.selection) {
       outcome.handle.localTicket = outcome.result.selection->ticket;
-      outcome.handle.isOwn = true;
     }
     aCallback(outcome);
     return;
@@ -171,7 +209,7 @@
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
   SelectionOutcome outcome;
-  outcome.result = own_.Select(aRequest, clock_.Now());
+  outcome.result = selector_.Select(aRequest, clock_.Now());
   outcome.source = "alone";
   if (outcome.result.selection) {
     outcome.handle.localTicket = outcome.result.selection->ticket;
@@ -187,8 +225,7 @@
       aHandle.owner,
       EncodeSelectionMessage(SelectionReport{ aHandle.ownerTicket, aResult }));
   }
-  BackendSelector& selector = aHandle.isOwn ? owned_ : own_;
-  selector.Finish(aHandle.localTicket, aResult, clock_.Now());
+  selector_.Finish(aHandle.localTicket, aResult, clock_.Now());
 }
 
 void
@@ -207,7 +244,7 @@
   } else if (const auto* answer = std::get_if<SelectionAnswer>(&*message)) {
     OnAnswer(aSender, *answer);
   } else if (const auto* report = std::get_if<SelectionReport>(&*message)) {
-    owned_.Finish(report->ticket, report->result, clock_.Now());
+    selector_.Finish(report->ticket, report->result, clock_.Now());
   } else if (const auto* hello = std::get_if<SelectionHello>(&*message)) {
     OnHello(aSender, *hello);
   } else if (const auto* beat = std::get_if<WatcherBeat>(&*message)) {
@@ -240,6 +277,7 @@
   const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
   if (known == hosts_.end()) {
     hosts_.push_back({ aHost, aDomain, aAddress });
+    ShareBursts();
   } else {
     known->address = aAddress;
   }
@@ -252,7 +290,7 @@
   socket_->Send(
     aSender,
     EncodeSelectionMessage(SelectionAnswer{
-      aAsk.call, owned_.Select(aAsk.request, clock_.Now()), known_ }));
+      aAsk.call, selector_.Select(aAsk.request, clock_.Now()), known_ }));
   OnVersions(aAsk.known, aSender);
 }
 
@@ -285,7 +323,7 @@
   if (aAnswer.result.selection) {
     outcome.handle.owner = aSender;
     outcome.handle.ownerTicket = aAnswer.result.selection->ticket;
-    outcome.handle.localTicket = own_.Track(
+    outcome.handle.localTicket = selector_.Track(
       ask.request, aAnswer.result.selection->backendServer, clock_.Now());
   }
   ask.callback(outcome);
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -30,11 +30,8 @@
   std::string host;
   std::string domain;
   Endpoint listen;
-  // Bound the repeats of a service when this host is its owner.
-  RepeatBudgetLimits ownerBudget;
-  // Bound them when this host chooses by itself. All hosts together may spend
-  // as much, on top of the owner's.
-  RepeatBudgetLimits ownBudget;
+  // Of each service, for all hosts together.
+  RepeatBudgetLimits budget;
 };
 
 // Names an attempt until its report.
@@ -45,8 +42,6 @@
   Endpoint owner;
   std::uint64_t ownerTicket = 0;
   std::uint64_t localTicket = 0;
-  // This host chose as the owner of the service.
-  bool isOwn = false;
 };
 
 struct SelectionOutcome
@@ -92,8 +87,7 @@
   {
     onGreeting_ = std::move(aHandler);
   }
-  void SetBudgets(const RepeatBudgetLimits& aOwnerBudget,
-                  const RepeatBudgetLimits& aOwnBudget);
+  void SetBudget(const RepeatBudgetLimits& aBudget);
   // Sent along with every message, so that a host whose own watch of the
   // catalog is broken learns that it is behind.
   void SetKnownVersions(const KnownVersions& aKnown) { known_ = aKnown; }
@@ -142,6 +136,9 @@
                    Random& aRandom);
 
   const PeerHost* OwnerOf(const std::string& aService);
+  // This host's share of the burst of each service.
+  void ShareBursts();
+  double RankedBurstShare(const std::string& aService) const;
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   // A message of a peer shows that it is alive, and where.
   void OnHeard(const std::string& aHost,
@@ -161,9 +158,11 @@
   std::unique_ptr<DatagramSocket> socket_;
   std::vector<PeerHost> hosts_;
   std::map<std::string, PeerState> peers_;
-  // For the services that this host owns, and its own view of all others.
-  BackendSelector owned_;
-  BackendSelector own_;
+  // All attempts that this host knows of: its own, and those of all hosts for
+  // the services that it owns.
+  BackendSelector selector_;
+  std::shared_ptr<const BackendDirectory> directory_;
+  bool knowsHosts_ = false;
   std::map<std::uint64_t, PendingAsk> asks_;
   std::map<std::uint64_t, MissedAsk> missed_;
   std::uint64_t nextCall_ = 1;
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -28,6 +28,7 @@
       records.push_back(record);
     }
     Publish();
+    selector.SetBurstShare("permits", 1, 1, clock.Now());
   }
 
   void Publish()
@@ -260,9 +261,10 @@
   int requests = 0;
   int repeats = 0;
   for (int i = 0; i < 300; ++i) {
-    BOOST_TEST_REQUIRE(
-      selector.Select(Request(true), clock.Now()).selection.has_value());
+    const auto first = selector.Select(Request(true), clock.Now()).selection;
+    BOOST_TEST_REQUIRE(first.has_value());
     ++requests;
+    selector.Finish(first->ticket, AttemptResult::NotExecuted, clock.Now());
     repeats += selector.Select(repeat, clock.Now()).selection ? 1 : 0;
     clock.Advance(30ms);
   }
@@ -270,6 +272,68 @@
   BOOST_TEST(repeats >= kBudget.ratio * requests);
 }
 
+// Guards against a request that earns a repeat at two hosts: one whose choice
+// came too late, and the one that chose in its place.
+BOOST_AUTO_TEST_CASE(AreNotEarnedByAChoiceThatWasNotUsed)
+{
+  SelectionRequest repeat = Request(true);
+  repeat.purpose = AttemptPurpose::Repeat;
+  while (selector.Select(repeat, clock.Now()).selection) {
+  }
+  for (int i = 0; i < 100; ++i) {
+    const auto first = selector.Select(Request(true), clock.Now()).selection;
+    selector.Finish(first->ticket, AttemptResult::Unused, clock.Now());
+    BOOST_TEST(!selector.Select(repeat, clock.Now()).selection.has_value());
+  }
+  // Nor by attempts that another host chose and this one only counts.
+  for (int i = 0; i < 100; ++i) {
+    const auto ticket = selector.Track(Request(true), "server-0", clock.Now());
+    selector.Finish(ticket, AttemptResult::Answered, clock.Now());
+    BOOST_TEST(!selector.Select(repeat, clock.Now()).selection.has_value());
+  }
+}
+
+// Guards against repeats that are lost to the budget although they were not
+// sent.
+BOOST_AUTO_TEST_CASE(ThatWereNotSentAreGivenBack)
+{
+  SelectionRequest repeat = Request(true);
+  repeat.purpose = AttemptPurpose::Repeat;
+  for (int i = 0; i < 100; ++i) {
+    const auto selection = selector.Select(repeat, clock.Now()).selection;
+    BOOST_TEST_REQUIRE(selection.has_value());
+    clock.Advance(50ms);
+    selector.Finish(selection->ticket,
+                    i % 2 == 0 ? AttemptResult::Unused
+                               : AttemptResult::Unreachable,
+                    clock.Now());
+  }
+}
+
+// Guards against a burst that is spent twice when a host takes the share of
+// another one over.
+BOOST_AUTO_TEST_CASE(OfABurstShareThatGrowsWaitForAWindow)
+{
+  SelectionRequest repeat = Request(true);
+  repeat.purpose = AttemptPurpose::Repeat;
+  const auto spend = [&] {
+    int spent = 0;
+    while (selector.Select(repeat, clock.Now()).selection) {
+      ++spent;
+    }
+    return spent;
+  };
+  selector.SetBurstShare("permits", 0.25, 0, clock.Now());
+  BOOST_TEST(spend() == 2);
+  clock.Advance(11s);
+  selector.SetBurstShare("permits", 1, 0.5, clock.Now());
+  BOOST_TEST(spend() == 4);
+  clock.Advance(9s);
+  BOOST_TEST(spend() == 0);
+  clock.Advance(2s);
+  BOOST_TEST(spend() == 8);
+}
+
 // Guards against hedges that spend what requests after a failure need.
 BOOST_AUTO_TEST_CASE(AfterAFailureGoBeforeHedges)
 {
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -22,8 +22,7 @@
     settings.host = aName;
     settings.domain = "piarco";
     settings.listen = { kLoopback, 0 };
-    settings.ownerBudget = { 0.2, 10, 10s };
-    settings.ownBudget = { 0.1, 1, 10s };
+    settings.budget = { 0.2, 10, 10s };
     std::string reason;
     service = SelectionService::Create(settings, clock, random, reason);
     BOOST_TEST_REQUIRE(service != nullptr, reason);
--- a/src/directory/BackendDirectory.cpp
+++ b/src/directory/BackendDirectory.cpp
@@ -27,4 +27,15 @@
   return servers == byService_.end() ? none_ : servers->second;
 }
 
+std::vector<std::string_view>
+BackendDirectory::Services() const
+{
+  std::vector<std::string_view> names;
+  names.reserve(byService_.size());
+  for (const auto& [name, servers] : byService_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 } // namespace filbertbeam
--- a/src/directory/BackendDirectory.h
+++ b/src/directory/BackendDirectory.h
@@ -27,6 +27,9 @@
   const std::vector<const BackendServerRecord*>& OfService(
     std::string_view aService) const;
 
+  // Names of the services that have a server.
+  std::vector<std::string_view> Services() const;
+
 private:
   std::uint64_t revision_;
   std::vector<BackendServerRecord> servers_;
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -16,26 +16,15 @@
 // An idle connection that went silent is found by keep-alive probes.
 constexpr seconds kSilenceTimeout{ 4 };
 
-// Of the repeats that all hosts may spend together: the owner of a service
-// takes most of them; the rest is for hosts that cannot reach it.
-constexpr double kOwnerRatioShare = 0.9;
-constexpr double kOwnerBurstShare = 0.7;
-constexpr double kOwnRatioShare = 0.5;
-constexpr double kOwnBurst = 0.3;
+// Kept from what the deployment allows, since requests and repeats reach their
+// servers a little later than they are counted.
+constexpr double kBudgetShare = 0.95;
 
 RepeatBudgetLimits
-OwnerBudget(const GatewaySettings& aSettings)
+RepeatBudgetOf(const GatewaySettings& aSettings)
 {
-  return { aSettings.repeatRatio * kOwnerRatioShare,
-           aSettings.repeatBurst * kOwnerBurstShare,
-           aSettings.repeatWindow };
-}
-
-RepeatBudgetLimits
-OwnBudget(const GatewaySettings& aSettings)
-{
-  return { aSettings.repeatRatio * kOwnRatioShare,
-           kOwnBurst,
+  return { aSettings.repeatRatio * kBudgetShare,
+           aSettings.repeatBurst * kBudgetShare,
            aSettings.repeatWindow };
 }
 
@@ -46,8 +35,7 @@
   settings.host = aSettings.host;
   settings.domain = aSettings.domain;
   settings.listen = aSettings.peer;
-  settings.ownerBudget = OwnerBudget(aSettings);
-  settings.ownBudget = OwnBudget(aSettings);
+  settings.budget = RepeatBudgetOf(aSettings);
   return settings;
 }
 
@@ -116,7 +104,7 @@
 void
 TrafficRuntime::SetRepeatLimits(const GatewaySettings& aSettings)
 {
-  selection_->SetBudgets(OwnerBudget(aSettings), OwnBudget(aSettings));
+  selection_->SetBudget(RepeatBudgetOf(aSettings));
 }
 
 void
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -61,10 +61,11 @@
     settings.host = "host";
     settings.domain = "piarco";
     settings.listen = { "127.0.0.1", 0 };
-    settings.ownerBudget = { 0.2, 20, std::chrono::seconds(10) };
+    settings.budget = { 0.2, 200, std::chrono::seconds(10) };
     std::string reason;
     selection = SelectionService::Create(settings, clock, random, reason);
     BOOST_TEST_REQUIRE(selection != nullptr, reason);
+    selection->SetHosts({});
     service = std::make_unique<GatewayService>(
       GatewayContext{ client,
                       *selection,
