Balancing: Split the ranking of owners off SelectionService

No change of behaviour: OwnerRanking knows the hosts, ranks them and passes over those that miss answers; SelectionService sends and receives.

--- /dev/null
+++ b/src/balancing/OwnerRanking.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "balancing/PeerHost.h"
+#include "base/Clock.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace filbertbeam {
+
+// Ranks the hosts as owners by rendezvous hashing, so that hosts that know the
+// same hosts agree without asking, and passes over those that do not answer.
+class OwnerRanking
+{
+public:
+  explicit OwnerRanking(std::string aSelf);
+
+  // Returns the hosts that are new, or have a new address.
+  std::vector<PeerHost> SetHosts(std::vector<PeerHost> aHosts);
+  // This host may be among them.
+  const std::vector<PeerHost>& Hosts() const { return hosts_; }
+  // True once a list of hosts was set.
+  bool KnowsHosts() const { return knowsHosts_; }
+
+  // A message of a peer shows that it is alive, and where. Returns true for a
+  // host that was not known.
+  bool OnHeard(const std::string& aHost,
+               const std::string& aDomain,
+               const Endpoint& aAddress);
+  void OnAnswer(const std::string& aHost);
+  void OnMissedAnswer(const std::string& aHost, Instant aNow);
+
+  // Null when this host is the owner of aService.
+  const PeerHost* OwnerOf(const std::string& aService, Instant aNow) const;
+  // How many hosts come before this one as owners of aService. Those that are
+  // passed over count.
+  std::size_t RankOfSelf(const std::string& aService) const;
+
+private:
+  struct PeerState
+  {
+    int missedAnswers = 0;
+    // Asked again only after this.
+    Instant downUntil;
+  };
+
+  const std::string self_;
+  std::vector<PeerHost> hosts_;
+  bool knowsHosts_ = false;
+  // Of hosts that missed answers.
+  std::map<std::string, PeerState> peers_;
+};
+
+} // namespace filbertbeam
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -15,10 +15,6 @@
 // A round trip between failure domains is about 11 ms; the rest is for the
 // processor of a busy host.
 constexpr milliseconds kAnswerTime{ 45 };
-// A peer that misses this many answers in a row is passed over for a while.
-constexpr int kMissesUntilDown = 2;
-constexpr milliseconds kShortestDown{ 1'000 };
-constexpr int kMaxDownDoublings = 3;
 // Shares of the burst of a service by rank as its owner, and the share that all
 // hosts divide equally.
 constexpr std::array<double, 2> kBurstShares{ 0.65, 0.15 };
@@ -53,6 +49,7 @@
                                    Random& aRandom)
   : settings_(aSettings)
   , clock_(aClock)
+  , ranking_(aSettings.host)
   , selector_(aSettings.budget, aRandom)
   , directory_(
       std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
@@ -65,25 +62,12 @@
 void
 SelectionService::SetHosts(std::vector<PeerHost> aHosts)
 {
-  for (const PeerHost& host : aHosts) {
-    const bool isKnown =
-      std::ranges::any_of(hosts_, [&host](const PeerHost& aKnown) {
-        return aKnown.name == host.name && aKnown.address == host.address;
-      });
-    if (!isKnown && host.name != settings_.host) {
-      socket_->Send(host.address,
-                    EncodeSelectionMessage(
-                      SelectionHello{ settings_.host, settings_.domain }));
-    }
+  for (const PeerHost& host : ranking_.SetHosts(std::move(aHosts))) {
+    socket_->Send(host.address,
+                  EncodeSelectionMessage(
+                    SelectionHello{ settings_.host, settings_.domain }));
   }
-  hosts_ = std::move(aHosts);
-  knowsHosts_ = true;
   ShareBursts();
-  std::erase_if(peers_, [this](const auto& aItem) {
-    return std::ranges::none_of(hosts_, [&aItem](const PeerHost& aHost) {
-      return aHost.name == aItem.first;
-    });
-  });
 }
 
 void
@@ -100,7 +84,7 @@
 SelectionService::SendBeat(const WatcherBeat& aBeat)
 {
   const std::string message = EncodeSelectionMessage(aBeat);
-  for (const PeerHost& host : hosts_) {
+  for (const PeerHost& host : ranking_.Hosts()) {
     if (host.domain == settings_.domain && host.name != settings_.host) {
       socket_->Send(host.address, message);
     }
@@ -126,13 +110,13 @@
 SelectionService::ShareBursts()
 {
   // A host that knows no other would take the shares of all.
-  if (!knowsHosts_) {
+  if (!ranking_.KnowsHosts()) {
     return;
   }
   const Instant now = clock_.Now();
   const double common =
     kCommonBurstShare /
-    static_cast<double>(std::max<std::size_t>(hosts_.size(), 1));
+    static_cast<double>(std::max<std::size_t>(ranking_.Hosts().size(), 1));
   for (const std::string_view name : directory_->Services()) {
     const std::string service(name);
     selector_.SetBurstShare(
@@ -143,45 +127,16 @@
 double
 SelectionService::RankedBurstShare(const std::string& aService) const
 {
-  const std::uint64_t key = StableHash(aService);
-  const std::uint64_t weight = StableHash(settings_.host, key);
-  const auto rank = static_cast<std::size_t>(
-    std::ranges::count_if(hosts_, [&](const PeerHost& aHost) {
-      // Hosts that are passed over keep their share: they may still spend it.
-      return aHost.name != settings_.host &&
-             StableHash(aHost.name, key) > weight;
-    }));
+  const std::size_t rank = ranking_.RankOfSelf(aService);
   return rank < kBurstShares.size() ? kBurstShares[rank] : 0;
 }
 
-const PeerHost*
-SelectionService::OwnerOf(const std::string& aService)
-{
-  const Instant now = clock_.Now();
-  const std::uint64_t key = StableHash(aService);
-  const PeerHost* owner = nullptr;
-  std::uint64_t ownerWeight = StableHash(settings_.host, key);
-  for (const PeerHost& host : hosts_) {
-    const std::uint64_t weight = StableHash(host.name, key);
-    if (host.name == settings_.host || weight <= ownerWeight) {
-      continue;
-    }
-    const auto peer = peers_.find(host.name);
-    if (peer != peers_.end() && now < peer->second.downUntil) {
-      continue;
-    }
-    owner = &host;
-    ownerWeight = weight;
-  }
-  return owner;
-}
-
 void
 SelectionService::Select(SelectionRequest aRequest, Callback aCallback)
 {
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
-  const PeerHost* owner = OwnerOf(aRequest.service);
+  const PeerHost* owner = ranking_.OwnerOf(aRequest.service, clock_.Now());
   if (owner == nullptr) {
     SelectionOutcome outcome;
     outcome.result = selector_.Select(aRequest, clock_.Now());
@@ -273,13 +228,8 @@
                           const std::string& aDomain,
                           const Endpoint& aAddress)
 {
-  peers_.erase(aHost);
-  const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
-  if (known == hosts_.end()) {
-    hosts_.push_back({ aHost, aDomain, aAddress });
+  if (ranking_.OnHeard(aHost, aDomain, aAddress)) {
     ShareBursts();
-  } else {
-    known->address = aAddress;
   }
 }
 
@@ -316,7 +266,7 @@
     return;
   }
   const PendingAsk& ask = node.mapped();
-  peers_.erase(ask.owner);
+  ranking_.OnAnswer(ask.owner);
   SelectionOutcome outcome;
   outcome.result = aAnswer.result;
   outcome.source = "owner";
@@ -358,7 +308,7 @@
   while (!asks_.empty() && asks_.begin()->second.dueAt <= now) {
     const auto node = asks_.extract(asks_.begin());
     const PendingAsk& ask = node.mapped();
-    OnMissedAnswer(ask.owner);
+    ranking_.OnMissedAnswer(ask.owner, now);
     missed_.emplace(node.key(),
                     MissedAsk{ ask.owner, ask.dueAt - kAnswerTime });
     if (missed_.size() > kMaxMissedAsks) {
@@ -369,23 +319,6 @@
   ScheduleTimeout();
 }
 
-void
-SelectionService::OnMissedAnswer(const std::string& aOwner)
-{
-  PeerState& peer = peers_[aOwner];
-  ++peer.missedAnswers;
-  const int doublings = peer.missedAnswers - kMissesUntilDown;
-  if (doublings < 0) {
-    return;
-  }
-  peer.downUntil =
-    clock_.Now() +
-    kShortestDown * (1 << std::min(doublings, kMaxDownDoublings));
-  LogEvent(LogLevel::Info,
-           "peer_passed_over",
-           { { "peer", aOwner }, { "missed_answers", peer.missedAnswers } });
-}
-
 void
 SelectionService::ScheduleTimeout()
 {
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/BackendSelector.h"
+#include "balancing/OwnerRanking.h"
 #include "balancing/SelectionMessages.h"
 #include "membership/DatagramSocket.h"
 
@@ -12,19 +13,6 @@
 
 namespace filbertbeam {
 
-// A host of the system as it is found in the catalog.
-struct PeerHost
-{
-  std::string name;
-  std::string domain;
-  // For datagrams.
-  Endpoint address;
-  // Where it tells what it has read from the catalog; without a port, unknown.
-  Endpoint snapshot = {};
-
-  bool operator==(const PeerHost&) const = default;
-};
-
 struct SelectionServiceSettings
 {
   std::string host;
@@ -124,23 +112,14 @@
     Instant askedAt;
   };
 
-  struct PeerState
-  {
-    int missedAnswers = 0;
-    // Asked again only after this.
-    Instant downUntil;
-  };
-
   SelectionService(const SelectionServiceSettings& aSettings,
                    const Clock& aClock,
                    Random& aRandom);
 
-  const PeerHost* OwnerOf(const std::string& aService);
   // This host's share of the burst of each service.
   void ShareBursts();
   double RankedBurstShare(const std::string& aService) const;
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
-  // A message of a peer shows that it is alive, and where.
   void OnHeard(const std::string& aHost,
                const std::string& aDomain,
                const Endpoint& aAddress);
@@ -150,19 +129,16 @@
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnLateAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
-  void OnMissedAnswer(const std::string& aOwner);
   void ScheduleTimeout();
 
   const SelectionServiceSettings settings_;
   const Clock& clock_;
   std::unique_ptr<DatagramSocket> socket_;
-  std::vector<PeerHost> hosts_;
-  std::map<std::string, PeerState> peers_;
+  OwnerRanking ranking_;
   // All attempts that this host knows of: its own, and those of all hosts for
   // the services that it owns.
   BackendSelector selector_;
   std::shared_ptr<const BackendDirectory> directory_;
-  bool knowsHosts_ = false;
   std::map<std::uint64_t, PendingAsk> asks_;
   std::map<std::uint64_t, MissedAsk> missed_;
   std::uint64_t nextCall_ = 1;
