Balancing: Divide a large service among several owners

Cause: one owner for a service. Passed over in turn, several owners ruled a service at once, each blind to what the others gave out.

Now a service is divided by a hash of its servers' names into 1, 2, 4 ... shards of up to about 32 servers; each has its own owner. The entry host draws a shard in proportion to its slots; a hedge goes to the owner that knows the first attempt's server. Doubling the number keeps half of the servers with their owner. Small services keep one. Messages are of version 2, since asks name the shard; the test of foreign versions follows, as strict as before.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -156,23 +156,17 @@
 BackendSelector::Select(const SelectionRequest& aRequest, Instant aNow)
 {
   DropOverdue(aNow);
-  LatencyModel& model =
+  const LatencyModel& model =
     ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
-  const BackendServerRecord* best = nullptr;
-  double bestCost = 0;
-  for (const BackendServerRecord* record :
-       directory_->OfService(aRequest.service)) {
-    if (record->isDraining ||
-        std::ranges::find(aRequest.excluded, record->id) !=
-          aRequest.excluded.end()) {
-      continue;
-    }
-    const double cost =
-      ExpectedCost(aRequest, *record, servers_[record->id], model, aNow);
-    if (best == nullptr || cost < bestCost) {
-      best = record;
-      bestCost = cost;
-    }
+  const BackendServerRecord* best =
+    FindBest(aRequest,
+             directory_->OfShard(
+               { aRequest.service, aRequest.shardIndex, aRequest.shardCount }),
+             model,
+             aNow);
+  if (best == nullptr) {
+    best =
+      FindBest(aRequest, directory_->OfService(aRequest.service), model, aNow);
   }
   if (best == nullptr) {
     return { std::nullopt, "no-backend-server", kRetryAfter };
@@ -190,6 +184,30 @@
            {} };
 }
 
+const BackendServerRecord*
+BackendSelector::FindBest(const SelectionRequest& aRequest,
+                          std::span<const BackendServerRecord* const> aServers,
+                          const LatencyModel& aModel,
+                          Instant aNow)
+{
+  const BackendServerRecord* best = nullptr;
+  double bestCost = 0;
+  for (const BackendServerRecord* record : aServers) {
+    if (record->isDraining ||
+        std::ranges::find(aRequest.excluded, record->id) !=
+          aRequest.excluded.end()) {
+      continue;
+    }
+    const double cost =
+      ExpectedCost(aRequest, *record, servers_[record->id], aModel, aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = record;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
 bool
 BackendSelector::TryRepeat(const SelectionRequest& aRequest, Instant aNow)
 {
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -89,6 +89,12 @@
   LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
   // Log likelihood of the ages of the attempts under way at aServer.
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
+  // The cheapest of aServers for aRequest; null when it may use none.
+  const BackendServerRecord* FindBest(
+    const SelectionRequest& aRequest,
+    std::span<const BackendServerRecord* const> aServers,
+    const LatencyModel& aModel,
+    Instant aNow);
   double ExpectedCost(const SelectionRequest& aRequest,
                       const BackendServerRecord& aRecord,
                       ServerState& aServer,
--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -16,6 +16,14 @@
 constexpr milliseconds kShortestDown{ 1'000 };
 constexpr int kMaxDownDoublings = 3;
 
+// Does not depend on the number of shards, so that shards keep their owners
+// when it changes.
+std::uint64_t
+KeyOf(const Shard& aShard)
+{
+  return StableHash(aShard.service, aShard.index);
+}
+
 } // namespace
 
 OwnerRanking::OwnerRanking(std::string aSelf)
@@ -83,9 +91,9 @@
 }
 
 const PeerHost*
-OwnerRanking::OwnerOf(const std::string& aService, Instant aNow) const
+OwnerRanking::OwnerOf(const Shard& aShard, Instant aNow) const
 {
-  const std::uint64_t key = StableHash(aService);
+  const std::uint64_t key = KeyOf(aShard);
   const PeerHost* owner = nullptr;
   std::uint64_t ownerWeight = StableHash(self_, key);
   for (const PeerHost& host : hosts_) {
@@ -104,9 +112,9 @@
 }
 
 std::size_t
-OwnerRanking::RankOfSelf(const std::string& aService) const
+OwnerRanking::RankOfSelf(const Shard& aShard) const
 {
-  const std::uint64_t key = StableHash(aService);
+  const std::uint64_t key = KeyOf(aShard);
   const std::uint64_t weight = StableHash(self_, key);
   return static_cast<std::size_t>(
     std::ranges::count_if(hosts_, [&](const PeerHost& aHost) {
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -2,6 +2,7 @@
 
 #include "balancing/PeerHost.h"
 #include "base/Clock.h"
+#include "directory/Shard.h"
 
 #include <map>
 #include <string>
@@ -31,11 +32,11 @@
   void OnAnswer(const std::string& aHost);
   void OnMissedAnswer(const std::string& aHost, Instant aNow);
 
-  // Null when this host is the owner of aService.
-  const PeerHost* OwnerOf(const std::string& aService, Instant aNow) const;
-  // How many hosts come before this one as owners of aService. Those that are
+  // Null when this host is the owner of aShard.
+  const PeerHost* OwnerOf(const Shard& aShard, Instant aNow) const;
+  // How many hosts come before this one as owners of aShard. Those that are
   // passed over count.
-  std::size_t RankOfSelf(const std::string& aService) const;
+  std::size_t RankOfSelf(const Shard& aShard) const;
 
 private:
   struct PeerState
--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -32,6 +32,9 @@
 struct SelectionRequest
 {
   std::string service;
+  // Of the servers to choose from; without a count, all of the service.
+  std::uint32_t shardIndex = 0;
+  std::uint32_t shardCount = 0;
   // Requests of one route take similar times.
   std::string route;
   AttemptPurpose purpose = AttemptPurpose::First;
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kVersion = 2;
 constexpr std::uint64_t kAsk = 1;
 constexpr std::uint64_t kAnswer = 2;
 constexpr std::uint64_t kReport = 3;
@@ -22,7 +22,8 @@
 constexpr std::size_t kMaxNameBytes = 256;
 // Servers that a request may exclude or avoid; keeps the datagram small.
 constexpr std::size_t kMaxServers = 16;
-constexpr std::size_t kMaxElements = 16;
+constexpr std::size_t kMaxElements = 18;
+constexpr std::uint32_t kMaxShards = 65'536;
 constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
 constexpr std::uint64_t kMaxTicket = std::numeric_limits<std::int64_t>::max();
 
@@ -63,11 +64,13 @@
 Append(QCborStreamWriter& aWriter, const SelectionAsk& aAsk)
 {
   const SelectionRequest& request = aAsk.request;
-  aWriter.startArray(16);
+  aWriter.startArray(18);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kAsk));
   aWriter.append(static_cast<quint64>(aAsk.call));
   AppendText(aWriter, request.service);
+  aWriter.append(static_cast<quint64>(request.shardIndex));
+  aWriter.append(static_cast<quint64>(request.shardCount));
   AppendText(aWriter, request.route);
   aWriter.append(static_cast<quint64>(request.purpose));
   aWriter.append(request.isIdempotent);
@@ -171,6 +174,10 @@
   ask.call = aInput.ReadUnsigned(kMaxTicket);
   SelectionRequest& request = ask.request;
   request.service = aInput.ReadText(kMaxNameBytes);
+  request.shardIndex =
+    static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxShards));
+  request.shardCount =
+    static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxShards));
   request.route = aInput.ReadText(kMaxNameBytes);
   request.purpose = static_cast<AttemptPurpose>(
     aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptPurpose::Hedge)));
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace filbertbeam {
 
@@ -49,6 +50,7 @@
                                    Random& aRandom)
   : settings_(aSettings)
   , clock_(aClock)
+  , random_(aRandom)
   , ranking_(aSettings.host)
   , selector_(aSettings.budget, aRandom)
   , directory_(
@@ -120,23 +122,58 @@
   for (const std::string_view name : directory_->Services()) {
     const std::string service(name);
     selector_.SetBurstShare(
-      service, RankedBurstShare(service) + common, common, now);
+      service, RankedBurstShare(name) + common, common, now);
   }
 }
 
 double
-SelectionService::RankedBurstShare(const std::string& aService) const
+SelectionService::RankedBurstShare(std::string_view aService) const
 {
-  const std::size_t rank = ranking_.RankOfSelf(aService);
-  return rank < kBurstShares.size() ? kBurstShares[rank] : 0;
+  const std::uint32_t count = directory_->ShardCount(aService);
+  double share = 0;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const std::size_t rank =
+      ranking_.RankOfSelf({ std::string(aService), index, count });
+    share += rank < kBurstShares.size() ? kBurstShares[rank] : 0;
+  }
+  return share / count;
+}
+
+Shard
+SelectionService::ChooseShard(const SelectionRequest& aRequest)
+{
+  // Only the owner of the server that takes long knows how sick it is.
+  if (aRequest.purpose == AttemptPurpose::Hedge && !aRequest.excluded.empty()) {
+    return directory_->ShardOf(aRequest.service, aRequest.excluded.back());
+  }
+  const std::span<const int> slots =
+    directory_->SlotsOfShards(aRequest.service);
+  Shard shard{ aRequest.service, 0, directory_->ShardCount(aRequest.service) };
+  const int total = std::accumulate(slots.begin(), slots.end(), 0);
+  if (total <= 0) {
+    return shard;
+  }
+  auto left =
+    static_cast<int>(random_.Below(static_cast<std::uint64_t>(total)));
+  for (const int count : slots) {
+    if (left < count) {
+      break;
+    }
+    left -= count;
+    ++shard.index;
+  }
+  return shard;
 }
 
 void
 SelectionService::Select(SelectionRequest aRequest, Callback aCallback)
 {
+  const Shard shard = ChooseShard(aRequest);
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
-  const PeerHost* owner = ranking_.OwnerOf(aRequest.service, clock_.Now());
+  aRequest.shardIndex = shard.index;
+  aRequest.shardCount = shard.count;
+  const PeerHost* owner = ranking_.OwnerOf(shard, clock_.Now());
   if (owner == nullptr) {
     SelectionOutcome outcome;
     outcome.result = selector_.Select(aRequest, clock_.Now());
@@ -163,6 +200,7 @@
 {
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
+  aRequest.shardCount = 0;
   SelectionOutcome outcome;
   outcome.result = selector_.Select(aRequest, clock_.Now());
   outcome.source = "alone";
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -41,12 +41,13 @@
   std::string_view source;
 };
 
-// Chooses backend servers together with the other hosts. Each service has one
-// owner, found by rendezvous hashing over the hosts, that sees every attempt of
-// the service: it counts them and pools what the hosts learn about health. It
-// only advises: the request itself goes from the entry host straight to the
-// backend server, so the loss of an owner loses no request. A host whose owner
-// does not answer in time chooses by what it has seen itself.
+// Chooses backend servers together with the other hosts. Each shard of a
+// service has one owner, found by rendezvous hashing over the hosts, that sees
+// every attempt at its servers: it counts them and pools what the hosts learn
+// about health, so its work does not grow with the service. It only advises:
+// the request itself goes from the entry host straight to the backend server,
+// so the loss of an owner loses no request. A host whose owner does not answer
+// in time chooses by what it has seen itself.
 class SelectionService
 {
 public:
@@ -118,7 +119,9 @@
 
   // This host's share of the burst of each service.
   void ShareBursts();
-  double RankedBurstShare(const std::string& aService) const;
+  double RankedBurstShare(std::string_view aService) const;
+  // The shard whose owner is asked for a server.
+  Shard ChooseShard(const SelectionRequest& aRequest);
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   void OnHeard(const std::string& aHost,
                const std::string& aDomain,
@@ -134,6 +137,7 @@
   const SelectionServiceSettings settings_;
   const Clock& clock_;
   std::unique_ptr<DatagramSocket> socket_;
+  Random& random_;
   OwnerRanking ranking_;
   // All attempts that this host knows of: its own, and those of all hosts for
   // the services that it owns.
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -162,6 +162,37 @@
   BOOST_TEST((std::max(longest, clock.Now() - last) <= Duration(2s)));
 }
 
+// Guards against an owner that gives out servers of which others keep count,
+// and against a request that is refused while another shard could serve it.
+BOOST_AUTO_TEST_CASE(AnOwnerChoosesFromItsShardAsLongAsItHasAServer)
+{
+  records.clear();
+  for (int i = 0; i < 100; ++i) {
+    BackendServerRecord record;
+    record.id = "server-" + std::to_string(i);
+    record.service = "permits";
+    record.domain = "near";
+    records.push_back(record);
+  }
+  Publish();
+  const BackendDirectory directory(1, records);
+  SelectionRequest request = Request(true);
+  request.shardIndex = 2;
+  request.shardCount = directory.ShardCount("permits");
+  BOOST_TEST_REQUIRE(request.shardCount == 4U);
+  const auto& shard = directory.OfShard({ "permits", 2, 4 });
+  for (std::size_t i = 0; i < shard.size(); ++i) {
+    const auto selection = selector.Select(request, clock.Now()).selection;
+    BOOST_TEST_REQUIRE(selection.has_value());
+    BOOST_TEST(directory.ShardOf("permits", selection->backendServer).index ==
+               2U);
+    request.excluded.push_back(selection->backendServer);
+  }
+  const auto other = selector.Select(request, clock.Now()).selection;
+  BOOST_TEST_REQUIRE(other.has_value());
+  BOOST_TEST(directory.ShardOf("permits", other->backendServer).index != 2U);
+}
+
 BOOST_AUTO_TEST_SUITE(KeepsAway)
 
 BOOST_AUTO_TEST_CASE(FromDrainingServers)
--- a/src/directory/BackendDirectory.h
+++ b/src/directory/BackendDirectory.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "directory/BackendServerRecord.h"
+#include "directory/Shard.h"
 
 #include <memory>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -30,13 +32,38 @@
   // Names of the services that have a server.
   std::vector<std::string_view> Services() const;
 
+  // A service with more servers is divided among several owners.
+  static constexpr std::size_t kServersPerShard = 32;
+
+  // At least 1.
+  std::uint32_t ShardCount(std::string_view aService) const;
+  // The shard of aServer, which need not be known.
+  Shard ShardOf(std::string_view aService, std::string_view aServer) const;
+  // Slots of the servers of each shard that take work, in the order of shards.
+  std::span<const int> SlotsOfShards(std::string_view aService) const;
+  // The servers of aShard; all servers of its service where this directory
+  // divides the service otherwise.
+  const std::vector<const BackendServerRecord*>& OfShard(
+    const Shard& aShard) const;
+
 private:
+  using Records = std::vector<const BackendServerRecord*>;
+
+  struct Service
+  {
+    Records servers;
+    std::vector<Records> shards;
+    std::vector<int> slots;
+  };
+
+  const Service* FindService(std::string_view aService) const;
+  static void Divide(Service& aService);
+
   std::uint64_t revision_;
   std::vector<BackendServerRecord> servers_;
   std::unordered_map<std::string_view, const BackendServerRecord*> byId_;
-  std::unordered_map<std::string_view, std::vector<const BackendServerRecord*>>
-    byService_;
-  std::vector<const BackendServerRecord*> none_;
+  std::unordered_map<std::string_view, Service> byService_;
+  Records none_;
 };
 
 } // namespace filbertbeam
