Balancing, platform: Draw owners in proportion to their processors

Most hosts of the grown deployments have 0.1 of a core, six or eight have 0.5. Owners were drawn as if all were alike, so most shards fell to hosts on which a millisecond of work takes ten. Hosts now tell their processor in the list of hosts and in their greetings, and rendezvous hashing weighs it; a host whose processor is unknown owns nothing. With equal hosts nothing changes.

--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -4,6 +4,8 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace filbertbeam {
 
@@ -24,10 +26,24 @@
   return StableHash(aShard.service, aShard.index);
 }
 
+// The host with the lowest one is the owner. An exponential variable whose rate
+// is the host's processor: the lowest of many is that of each host with a
+// probability in proportion to its rate.
+double
+Distance(std::string_view aHost, double aProcessorCores, std::uint64_t aKey)
+{
+  constexpr double kHashes = 18'446'744'073'709'551'616.0;
+  const double uniform =
+    (static_cast<double>(StableHash(aHost, aKey)) + 1) / (kHashes + 1);
+  return aProcessorCores > 0 ? -std::log(uniform) / aProcessorCores
+                             : std::numeric_limits<double>::infinity();
+}
+
 } // namespace
 
-OwnerRanking::OwnerRanking(std::string aSelf)
+OwnerRanking::OwnerRanking(std::string aSelf, double aProcessorCores)
   : self_(std::move(aSelf))
+  , processorCores_(aProcessorCores)
 {
 }
 
@@ -56,16 +72,21 @@
 bool
 OwnerRanking::OnHeard(const std::string& aHost,
                       const std::string& aDomain,
-                      const Endpoint& aAddress)
+                      const Endpoint& aAddress,
+                      double aProcessorCores)
 {
   OnAnswer(aHost);
   const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
   if (known == hosts_.end()) {
-    hosts_.push_back({ aHost, aDomain, aAddress });
+    hosts_.push_back({ aHost, aDomain, aAddress, {}, aProcessorCores });
     return true;
   }
   known->address = aAddress;
-  return false;
+  if (aProcessorCores <= 0 || known->processorCores == aProcessorCores) {
+    return false;
+  }
+  known->processorCores = aProcessorCores;
+  return true;
 }
 
 void
@@ -95,10 +116,10 @@
 {
   const std::uint64_t key = KeyOf(aShard);
   const PeerHost* owner = nullptr;
-  std::uint64_t ownerWeight = StableHash(self_, key);
+  double nearest = Distance(self_, processorCores_, key);
   for (const PeerHost& host : hosts_) {
-    const std::uint64_t weight = StableHash(host.name, key);
-    if (host.name == self_ || weight <= ownerWeight) {
+    const double distance = Distance(host.name, host.processorCores, key);
+    if (host.name == self_ || distance >= nearest) {
       continue;
     }
     const auto peer = peers_.find(host.name);
@@ -106,7 +127,7 @@
       continue;
     }
     owner = &host;
-    ownerWeight = weight;
+    nearest = distance;
   }
   return owner;
 }
@@ -115,10 +136,11 @@
 OwnerRanking::RankOfSelf(const Shard& aShard) const
 {
   const std::uint64_t key = KeyOf(aShard);
-  const std::uint64_t weight = StableHash(self_, key);
+  const double own = Distance(self_, processorCores_, key);
   return static_cast<std::size_t>(
     std::ranges::count_if(hosts_, [&](const PeerHost& aHost) {
-      return aHost.name != self_ && StableHash(aHost.name, key) > weight;
+      return aHost.name != self_ &&
+             Distance(aHost.name, aHost.processorCores, key) < own;
     }));
 }
 
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -12,10 +12,11 @@
 
 // Ranks the hosts as owners by rendezvous hashing, so that hosts that know the
 // same hosts agree without asking, and passes over those that do not answer.
+// Hosts own shards in proportion to their processors.
 class OwnerRanking
 {
 public:
-  explicit OwnerRanking(std::string aSelf);
+  OwnerRanking(std::string aSelf, double aProcessorCores);
 
   // Returns the hosts that are new, or have a new address.
   std::vector<PeerHost> SetHosts(std::vector<PeerHost> aHosts);
@@ -24,11 +25,12 @@
   // True once a list of hosts was set.
   bool KnowsHosts() const { return knowsHosts_; }
 
-  // A message of a peer shows that it is alive, and where. Returns true for a
-  // host that was not known.
+  // A message of a peer shows that it is alive, and where. Returns true when
+  // the ranks may be others now. Without cores, they are as they were.
   bool OnHeard(const std::string& aHost,
                const std::string& aDomain,
-               const Endpoint& aAddress);
+               const Endpoint& aAddress,
+               double aProcessorCores = 0);
   void OnAnswer(const std::string& aHost);
   void OnMissedAnswer(const std::string& aHost, Instant aNow);
 
@@ -47,6 +49,7 @@
   };
 
   const std::string self_;
+  const double processorCores_;
   std::vector<PeerHost> hosts_;
   bool knowsHosts_ = false;
   // Of hosts that missed answers.
--- a/src/balancing/PeerHost.h
+++ b/src/balancing/PeerHost.h
@@ -15,6 +15,8 @@
   Endpoint address;
   // Where it tells what it has read from the catalog; without a port, unknown.
   Endpoint snapshot = {};
+  // Processor that it may use; 0 while unknown, and then it owns nothing.
+  double processorCores = 1;
 
   bool operator==(const PeerHost&) const = default;
 };
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -4,6 +4,8 @@
 
 #include <QCborStreamWriter>
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace filbertbeam {
@@ -25,6 +27,8 @@
 constexpr std::size_t kMaxElements = 18;
 constexpr std::uint32_t kMaxShards = 65'536;
 constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
+constexpr double kMillicores = 1'000;
+constexpr std::uint64_t kMaxMillicores = 1'000'000'000;
 constexpr std::uint64_t kMaxTicket = std::numeric_limits<std::int64_t>::max();
 
 void
@@ -117,11 +121,15 @@
 void
 Append(QCborStreamWriter& aWriter, const SelectionHello& aHello)
 {
-  aWriter.startArray(5);
+  aWriter.startArray(6);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHello));
   AppendText(aWriter, aHello.host);
   AppendText(aWriter, aHello.domain);
+  aWriter.append(static_cast<quint64>(
+    std::clamp(std::round(aHello.processorCores * kMillicores),
+               0.0,
+               static_cast<double>(kMaxMillicores))));
   aWriter.append(aHello.isAnswerWanted);
   aWriter.endArray();
 }
@@ -228,6 +236,8 @@
   SelectionHello hello;
   hello.host = aInput.ReadText(kMaxNameBytes);
   hello.domain = aInput.ReadText(kMaxNameBytes);
+  hello.processorCores =
+    static_cast<double>(aInput.ReadUnsigned(kMaxMillicores)) / kMillicores;
   hello.isAnswerWanted = aInput.ReadBool();
   return hello;
 }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -44,6 +44,8 @@
 {
   std::string host;
   std::string domain;
+  // Processor that it may use.
+  double processorCores = 0;
   // The receiver is to say the same.
   bool isAnswerWanted = false;
 };
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -51,7 +51,7 @@
   : settings_(aSettings)
   , clock_(aClock)
   , random_(aRandom)
-  , ranking_(aSettings.host)
+  , ranking_(aSettings.host, aSettings.processorCores)
   , selector_(aSettings.budget, aRandom)
   , directory_(
       std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
@@ -65,20 +65,25 @@
 SelectionService::SetHosts(std::vector<PeerHost> aHosts)
 {
   for (const PeerHost& host : ranking_.SetHosts(std::move(aHosts))) {
-    socket_->Send(host.address,
-                  EncodeSelectionMessage(
-                    SelectionHello{ settings_.host, settings_.domain }));
+    socket_->Send(host.address, EncodeHello());
   }
   ShareBursts();
 }
 
+std::string
+SelectionService::EncodeHello(bool aIsAnswerWanted) const
+{
+  return EncodeSelectionMessage(SelectionHello{ settings_.host,
+                                                settings_.domain,
+                                                settings_.processorCores,
+                                                aIsAnswerWanted });
+}
+
 void
 SelectionService::Greet(std::span<const PeerHost> aHosts)
 {
   for (const PeerHost& host : aHosts) {
-    socket_->Send(host.address,
-                  EncodeSelectionMessage(
-                    SelectionHello{ settings_.host, settings_.domain, true }));
+    socket_->Send(host.address, EncodeHello(true));
   }
 }
 
@@ -250,31 +255,22 @@
 void
 SelectionService::OnHello(const Endpoint& aSender, const SelectionHello& aHello)
 {
-  OnHeard(aHello.host, aHello.domain, aSender);
+  if (ranking_.OnHeard(
+        aHello.host, aHello.domain, aSender, aHello.processorCores)) {
+    ShareBursts();
+  }
   if (aHello.isAnswerWanted) {
-    socket_->Send(aSender,
-                  EncodeSelectionMessage(
-                    SelectionHello{ settings_.host, settings_.domain }));
+    socket_->Send(aSender, EncodeHello());
   }
   if (onGreeting_) {
     onGreeting_(aHello.host);
   }
 }
 
-void
-SelectionService::OnHeard(const std::string& aHost,
-                          const std::string& aDomain,
-                          const Endpoint& aAddress)
-{
-  if (ranking_.OnHeard(aHost, aDomain, aAddress)) {
-    ShareBursts();
-  }
-}
-
 void
 SelectionService::OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk)
 {
-  OnHeard(aAsk.request.host, aAsk.request.domain, aSender);
+  ranking_.OnHeard(aAsk.request.host, aAsk.request.domain, aSender);
   socket_->Send(
     aSender,
     EncodeSelectionMessage(SelectionAnswer{
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -17,6 +17,8 @@
 {
   std::string host;
   std::string domain;
+  // That this host may use.
+  double processorCores = 1;
   Endpoint listen;
   // Of each service, for all hosts together.
   RepeatBudgetLimits budget;
@@ -123,9 +125,7 @@
   // The shard whose owner is asked for a server.
   Shard ChooseShard(const SelectionRequest& aRequest);
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
-  void OnHeard(const std::string& aHost,
-               const std::string& aDomain,
-               const Endpoint& aAddress);
+  std::string EncodeHello(bool aIsAnswerWanted = false) const;
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHello(const Endpoint& aSender, const SelectionHello& aHello);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -134,8 +134,8 @@
   const PeerHost self{ settings_.host,
                        settings_.domain,
                        peerAddress_,
-                       { settings_.snapshot.address,
-                         snapshotServer_->Port() } };
+                       { settings_.snapshot.address, snapshotServer_->Port() },
+                       settings_.processorCores };
   watchSharing_ = std::make_unique<WatchSharing>(
     self,
     *configurationFollower_,
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -29,6 +29,8 @@
   Endpoint metrics;
   Endpoint catalog;
 
+  // Processor that this host may use.
+  double processorCores = 1;
   // From the signal to stop until the process is killed.
   Duration stopTime = std::chrono::seconds(6);
   // Attempts beyond the first of a request, over all hosts, per request and on
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kObjects = "objects";
 constexpr const char* kNewestChange = "newest_change";
 constexpr const char* kSnapshot = "snapshot";
+constexpr const char* kProcessorCores = "processor_cores";
 constexpr const char* kDomain = "domain";
 constexpr const char* kAsOf = "as_of";
 constexpr const char* kEvents = "events";
@@ -135,6 +136,7 @@
   QJsonObject object = EndpointToJson(aHost.address);
   object[kDomain] = QString::fromStdString(aHost.domain);
   object[kSnapshot] = EndpointToJson(aHost.snapshot);
+  object[kProcessorCores] = aHost.processorCores;
   return object;
 }
 
@@ -149,7 +151,8 @@
     aName,
     aObject[kDomain].toString().toStdString(),
     *address,
-    EndpointFromJson(aObject[kSnapshot].toObject()).value_or(Endpoint{})
+    EndpointFromJson(aObject[kSnapshot].toObject()).value_or(Endpoint{}),
+    std::max(aObject[kProcessorCores].toDouble(), 0.0)
   };
 }
 
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -34,6 +34,7 @@
   SelectionServiceSettings settings;
   settings.host = aSettings.host;
   settings.domain = aSettings.domain;
+  settings.processorCores = aSettings.processorCores;
   settings.listen = aSettings.peer;
   settings.budget = RepeatBudgetOf(aSettings);
   return settings;
--- a/src/gateway/tests/TestPeerSnapshot.cpp
+++ b/src/gateway/tests/TestPeerSnapshot.cpp
@@ -20,7 +20,7 @@
   snapshot.backendServers.objects.emplace("i-1", object);
   snapshot.backendServers.mayReturn = { "i-1" };
   snapshot.hosts = {
-    { "edge-1", "a", { "10.1.0.18", 7200 }, { "10.1.0.18", 8382 } },
+    { "edge-1", "a", { "10.1.0.18", 7200 }, { "10.1.0.18", 8382 }, 0.5 },
     { "edge-2", "b", { "10.1.0.19", 7200 } }
   };
   const auto read = DecodePeerSnapshot(EncodePeerSnapshot(snapshot));
