Gateway, balancing: Prefer larger hosts as owners and watchers

In proportion to the processor, the large hosts still own less than half of the shards and delay each answer least. The weight is now the third power: an owner needs little of a large processor. The watchers of a failure domain, which serve two dozen followers at each change, are ranked by processor first for the same reason.

--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -17,6 +17,9 @@
 constexpr int kMissesUntilDown = 2;
 constexpr milliseconds kShortestDown{ 1'000 };
 constexpr int kMaxDownDoublings = 3;
+// Power of a host's processor to which its share of the shards is proportional.
+// An owner needs little of a large processor, and its answers come sooner.
+constexpr double kProcessorPreference = 3;
 
 // Does not depend on the number of shards, so that shards keep their owners
 // when it changes.
@@ -26,17 +29,18 @@
   return StableHash(aShard.service, aShard.index);
 }
 
-// The host with the lowest one is the owner. An exponential variable whose rate
-// is the host's processor: the lowest of many is that of each host with a
-// probability in proportion to its rate.
+// The host with the lowest one is the owner. An exponential variable: the
+// lowest of many is that of each host with a probability in proportion to its
+// rate.
 double
 Distance(std::string_view aHost, double aProcessorCores, std::uint64_t aKey)
 {
   constexpr double kHashes = 18'446'744'073'709'551'616.0;
   const double uniform =
     (static_cast<double>(StableHash(aHost, aKey)) + 1) / (kHashes + 1);
-  return aProcessorCores > 0 ? -std::log(uniform) / aProcessorCores
-                             : std::numeric_limits<double>::infinity();
+  const double rate = std::pow(aProcessorCores, kProcessorPreference);
+  return rate > 0 ? -std::log(uniform) / rate
+                  : std::numeric_limits<double>::infinity();
 }
 
 } // namespace
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -12,7 +12,7 @@
 
 // Ranks the hosts as owners by rendezvous hashing, so that hosts that know the
 // same hosts agree without asking, and passes over those that do not answer.
-// Hosts own shards in proportion to their processors.
+// Hosts with more processor own more shards.
 class OwnerRanking
 {
 public:
--- /dev/null
+++ b/src/balancing/tests/TestOwnerRanking.cpp
@@ -0,0 +1,112 @@
+#include "balancing/OwnerRanking.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace filbertbeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kHosts = 40;
+constexpr int kShards = 2'000;
+
+// The first ten have five times the processor of the others.
+double
+CoresOf(int aHost)
+{
+  return aHost < 10 ? 0.5 : 0.1;
+}
+
+std::string
+NameOf(int aHost)
+{
+  return "host-" + std::to_string(aHost);
+}
+
+std::vector<PeerHost>
+AllHosts()
+{
+  std::vector<PeerHost> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back({ NameOf(i), "piarco", {}, {}, CoresOf(i) });
+  }
+  return hosts;
+}
+
+Shard
+ShardOf(int aNumber)
+{
+  return { "permits", static_cast<std::uint32_t>(aNumber), 2'048 };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OwnersOfShards)
+
+// Guards against a small host that owns as much as a large one and is too slow
+// to answer, and against a fleet in which the large ones alone own everything.
+BOOST_AUTO_TEST_CASE(AreMostlyHostsWithMoreProcessor)
+{
+  OwnerRanking ranking(NameOf(0), CoresOf(0));
+  ranking.SetHosts(AllHosts());
+  int ofLarge = 0;
+  for (int i = 0; i < kShards; ++i) {
+    const PeerHost* owner = ranking.OwnerOf(ShardOf(i), {});
+    ofLarge += owner == nullptr || owner->processorCores > 0.4 ? 1 : 0;
+  }
+  BOOST_TEST(ofLarge > kShards * 0.95);
+  BOOST_TEST(ofLarge < kShards);
+}
+
+// Guards against two hosts that both hold the first owner's share of a burst.
+BOOST_AUTO_TEST_CASE(HaveOneRankEach)
+{
+  for (int number = 0; number < 50; ++number) {
+    std::set<std::size_t> ranks;
+    for (int i = 0; i < kHosts; ++i) {
+      OwnerRanking ranking(NameOf(i), CoresOf(i));
+      ranking.SetHosts(AllHosts());
+      const std::size_t rank = ranking.RankOfSelf(ShardOf(number));
+      BOOST_TEST((ranking.OwnerOf(ShardOf(number), {}) == nullptr) ==
+                 (rank == 0));
+      ranks.insert(rank);
+    }
+    BOOST_TEST(ranks.size() == static_cast<std::size_t>(kHosts));
+  }
+}
+
+// Guards against a share of the burst that passes on with each missed answer.
+BOOST_AUTO_TEST_CASE(KeepTheirRankWhileTheyArePassedOver)
+{
+  OwnerRanking ranking(NameOf(39), CoresOf(39));
+  ranking.SetHosts(AllHosts());
+  const std::size_t rank = ranking.RankOfSelf(ShardOf(1));
+  const PeerHost* owner = ranking.OwnerOf(ShardOf(1), {});
+  BOOST_TEST_REQUIRE(owner != nullptr);
+  const std::string name = owner->name;
+  ranking.OnMissedAnswer(name, {});
+  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name == name);
+  ranking.OnMissedAnswer(name, {});
+  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name != name);
+  BOOST_TEST(ranking.RankOfSelf(ShardOf(1)) == rank);
+  ranking.OnAnswer(name);
+  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name == name);
+}
+
+// Guards against a host that is asked although nobody knows what it can carry.
+BOOST_AUTO_TEST_CASE(AreOnlyHostsWhoseProcessorIsKnown)
+{
+  OwnerRanking ranking("self", 0.1);
+  ranking.SetHosts({});
+  BOOST_TEST(ranking.OnHeard("other", "piarco", {}));
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST((ranking.OwnerOf(ShardOf(i), {}) == nullptr));
+  }
+  BOOST_TEST(ranking.OnHeard("other", "piarco", {}, 100));
+  BOOST_TEST(!ranking.OnHeard("other", "piarco", {}));
+  BOOST_TEST((ranking.OwnerOf(ShardOf(1), {}) != nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -4,6 +4,9 @@
 
 #include <QUrlQuery>
 
+#include <algorithm>
+#include <iterator>
+
 namespace filbertbeam {
 
 namespace {
@@ -73,7 +76,7 @@
   , servers_(aServers)
   , clock_(aClock)
   , sendBeat_(std::move(aSendBeat))
-  , election_(self_.name)
+  , election_(self_.name, self_.processorCores)
   , client_({}, ClientLimits())
 {
   tickTimer_.callOnTimeout([this] { Tick(); });
@@ -88,12 +91,11 @@
 void
 WatchSharing::SetHosts(std::span<const PeerHost> aHosts)
 {
-  std::vector<std::string> peers;
-  for (const PeerHost& host : aHosts) {
-    if (host.domain == self_.domain && host.name != self_.name) {
-      peers.push_back(host.name);
-    }
-  }
+  std::vector<PeerHost> peers;
+  std::ranges::copy_if(
+    aHosts, std::back_inserter(peers), [this](const PeerHost& aHost) {
+      return aHost.domain == self_.domain && aHost.name != self_.name;
+    });
   election_.SetPeers(peers);
 }
 
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -23,28 +23,41 @@
 
 } // namespace
 
-WatcherElection::WatcherElection(std::string aSelf)
+WatcherElection::WatcherElection(std::string aSelf, double aProcessorCores)
   : self_(std::move(aSelf))
+  , rank_(MakeRank(self_, aProcessorCores))
 {
 }
 
-std::uint64_t
-WatcherElection::RankOf(const std::string& aHost)
+WatcherElection::Rank
+WatcherElection::MakeRank(const std::string& aHost, double aProcessorCores)
 {
   static const std::uint64_t seed = StableHash("catalog-watcher");
-  return StableHash(aHost, seed);
+  return { -aProcessorCores, StableHash(aHost, seed) };
+}
+
+WatcherElection::Rank
+WatcherElection::RankOf(const std::string& aHost) const
+{
+  const auto rank = ranks_.find(aHost);
+  return rank == ranks_.end() ? MakeRank(aHost, 0) : rank->second;
 }
 
 void
-WatcherElection::SetPeers(const std::vector<std::string>& aPeers)
+WatcherElection::SetPeers(std::span<const PeerHost> aPeers)
 {
-  const std::uint64_t own = RankOf(self_);
   if (!position_) {
     // Those before this host learn of the others at the same time.
     isShortSince_.reset();
   }
-  position_ = static_cast<int>(std::ranges::count_if(
-    aPeers, [own](const std::string& aPeer) { return RankOf(aPeer) < own; }));
+  ranks_.clear();
+  int before = 0;
+  for (const PeerHost& peer : aPeers) {
+    const Rank rank = MakeRank(peer.name, peer.processorCores);
+    ranks_.emplace(peer.name, rank);
+    before += rank < rank_ ? 1 : 0;
+  }
+  position_ = before;
 }
 
 void
@@ -65,9 +78,10 @@
   std::erase_if(heardAt_, [aNow](const auto& aItem) {
     return aNow - aItem.second > kBeatTimeout;
   });
-  const std::uint64_t own = RankOf(self_);
-  const auto before = std::ranges::count_if(
-    heardAt_, [own](const auto& aItem) { return RankOf(aItem.first) < own; });
+  const auto before =
+    std::ranges::count_if(heardAt_, [this](const auto& aItem) {
+      return RankOf(aItem.first) < rank_;
+    });
   if (before >= kWatchers) {
     isShortSince_.reset();
     return {};
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "balancing/PeerHost.h"
 #include "base/Clock.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
-#include <vector>
+#include <utility>
 
 namespace filbertbeam {
 
@@ -22,16 +24,17 @@
 };
 
 // Decides which hosts of a failure domain watch the catalog for the others.
-// There is no vote: each host ranks all by a hash of their names, and one that
-// hears too few watchers ranked before it takes the duty over. Hosts that
+// There is no vote: each host ranks all by processor, then by a hash of their
+// names, and one that hears too few watchers ranked before it takes the duty
+// over. Hosts that
 // disagree, or hear nobody, only cost the catalog more calls.
 class WatcherElection
 {
 public:
-  explicit WatcherElection(std::string aSelf);
+  WatcherElection(std::string aSelf, double aProcessorCores);
 
-  // The names of the other hosts of the failure domain.
-  void SetPeers(const std::vector<std::string>& aPeers);
+  // The other hosts of the failure domain.
+  void SetPeers(std::span<const PeerHost> aPeers);
   void OnBeat(const std::string& aHost, Instant aNow);
   // aHost beats but does not answer; it counts as silent until its next beat.
   void OnUnreachable(const std::string& aHost);
@@ -39,9 +42,14 @@
   WatcherDuty Decide(Instant aNow);
 
 private:
-  static std::uint64_t RankOf(const std::string& aHost);
+  // Hosts with more processor come first; those that no list showed come last.
+  using Rank = std::pair<double, std::uint64_t>;
+  static Rank MakeRank(const std::string& aHost, double aProcessorCores);
+  Rank RankOf(const std::string& aHost) const;
 
   const std::string self_;
+  const Rank rank_;
+  std::map<std::string, Rank, std::less<>> ranks_;
   // Peers that are ranked before this host; unknown before the first list.
   std::optional<int> position_;
   // When each watcher was last heard.
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -17,17 +17,22 @@
 {
   explicit DomainFixture(int aHosts = 16)
   {
-    std::vector<std::string> names;
-    names.reserve(static_cast<std::size_t>(aHosts));
     for (int i = 0; i < aHosts; ++i) {
-      names.push_back("host-" + std::to_string(i));
+      // The host in the middle has more processor than the others.
+      hosts.push_back({ "host-" + std::to_string(i),
+                        "piarco",
+                        {},
+                        {},
+                        i == aHosts / 2 ? 0.5 : 0.1 });
     }
-    for (const std::string& name : names) {
-      elections.emplace(name, WatcherElection(name));
+    for (const PeerHost& host : hosts) {
+      elections.emplace(host.name,
+                        WatcherElection(host.name, host.processorCores));
     }
     for (auto& [name, election] : elections) {
-      std::vector<std::string> peers = names;
-      std::erase(peers, name);
+      std::vector<PeerHost> peers = hosts;
+      std::erase_if(peers,
+                    [&](const PeerHost& aHost) { return aHost.name == name; });
       election.SetPeers(peers);
     }
   }
@@ -80,6 +85,7 @@
   }
 
   Instant now;
+  std::vector<PeerHost> hosts;
   std::map<std::string, WatcherElection> elections;
   std::map<std::string, WatcherDuty> duties;
   std::set<std::string> dead;
@@ -99,6 +105,18 @@
   BOOST_TEST(Watching() == 2);
 }
 
+// Guards against a watcher that is too slow for the hosts that follow it, while
+// larger ones follow.
+BOOST_AUTO_TEST_CASE(AreTheHostsWithMostProcessor)
+{
+  Run(4s);
+  const std::vector<std::string> beating = Beating();
+  BOOST_TEST((std::ranges::find(beating, "host-8") != beating.end()));
+  dead.insert("host-8");
+  Run(4s);
+  BOOST_TEST(Beating().size() == 2U);
+}
+
 // Guards against hosts that wait for a watcher that is lost: all watch soon
 // after both are, and until two others have taken over.
 BOOST_AUTO_TEST_CASE(AreReplacedWhenTheyAreLost)
@@ -173,7 +191,7 @@
 // nobody.
 BOOST_AUTO_TEST_CASE(AreAllHostsThatDoNotKnowTheOthers)
 {
-  WatcherElection election("host");
+  WatcherElection election("host", 1);
   for (int i = 0; i < 100; ++i) {
     const WatcherDuty duty = election.Decide(now + i * kStep);
     BOOST_TEST(duty.watches);
@@ -183,7 +201,7 @@
 
 BOOST_AUTO_TEST_CASE(IsAHostThatIsAlone)
 {
-  WatcherElection election("host");
+  WatcherElection election("host", 1);
   election.SetPeers({});
   BOOST_TEST(election.Decide(now).beats);
   BOOST_TEST(election.Decide(now).watches);
