Balancing: Say twice how attempts ended, and withdraw asks

An attempt whose report is lost counts as under way at its owner until a second after its deadline, with ever more evidence against its server, so sound servers lose their work.

Results are now sent at once and again within 0.1 s, gathered for each owner; an ask that was given up is withdrawn, since its answer, and with it the ticket, may be lost. An owner has 100 ms to answer instead of 45: nearly all late answers came between 45 and 85 ms, for a process whose share of a tenth of a second is used up stands still for the rest of it.

The test fails when either half is taken out.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kReport = 3;
 constexpr std::uint64_t kHello = 4;
 constexpr std::uint64_t kBeat = 5;
+constexpr std::uint64_t kWithdrawal = 6;
 
 constexpr std::size_t kMaxNameBytes = 256;
 // Servers that a request may exclude or avoid; keeps the datagram small.
@@ -110,11 +111,27 @@
 void
 Append(QCborStreamWriter& aWriter, const SelectionReport& aReport)
 {
-  aWriter.startArray(4);
+  const std::size_t count =
+    std::min(aReport.results.size(), SelectionReport::kMaxResults);
+  aWriter.startArray(3);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kReport));
-  aWriter.append(static_cast<quint64>(aReport.ticket));
-  aWriter.append(static_cast<quint64>(aReport.result));
+  aWriter.startArray(2 * count);
+  for (std::size_t i = 0; i < count; ++i) {
+    aWriter.append(static_cast<quint64>(aReport.results[i].ticket));
+    aWriter.append(static_cast<quint64>(aReport.results[i].result));
+  }
+  aWriter.endArray();
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const SelectionWithdrawal& aWithdrawal)
+{
+  aWriter.startArray(3);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kWithdrawal));
+  aWriter.append(static_cast<quint64>(aWithdrawal.call));
   aWriter.endArray();
 }
 
@@ -224,9 +241,15 @@
 ReadReport(CborInput& aInput)
 {
   SelectionReport report;
-  report.ticket = aInput.ReadUnsigned(kMaxTicket);
-  report.result = static_cast<AttemptResult>(
-    aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptResult::Unused)));
+  const std::size_t count =
+    aInput.EnterArray(2 * SelectionReport::kMaxResults) / 2;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::uint64_t ticket = aInput.ReadUnsigned(kMaxTicket);
+    const auto result = static_cast<AttemptResult>(
+      aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptResult::Unused)));
+    report.results.push_back({ ticket, result });
+  }
+  aInput.LeaveArray();
   return report;
 }
 
@@ -274,7 +297,7 @@
     return std::nullopt;
   }
   SelectionMessage message;
-  switch (input.ReadUnsigned(kBeat)) {
+  switch (input.ReadUnsigned(kWithdrawal)) {
     case kAsk:
       message = ReadAsk(input);
       break;
@@ -290,6 +313,9 @@
     case kBeat:
       message = ReadBeat(input);
       break;
+    case kWithdrawal:
+      message = SelectionWithdrawal{ input.ReadUnsigned(kMaxTicket) };
+      break;
     default:
       return std::nullopt;
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -33,12 +33,26 @@
 };
 
 // The attempt of a ticket ended.
-struct SelectionReport
+struct TicketResult
 {
   std::uint64_t ticket = 0;
   AttemptResult result = AttemptResult::Unused;
 };
 
+struct SelectionReport
+{
+  // More that have ended are left out of one message.
+  static constexpr std::size_t kMaxResults = 32;
+
+  std::vector<TicketResult> results;
+};
+
+// An entry host chose without the answer to its call.
+struct SelectionWithdrawal
+{
+  std::uint64_t call = 0;
+};
+
 // A host lives. Its address is the sender's.
 struct SelectionHello
 {
@@ -67,6 +81,7 @@
 using SelectionMessage = std::variant<SelectionAsk,
                                       SelectionAnswer,
                                       SelectionReport,
+                                      SelectionWithdrawal,
                                       SelectionHello,
                                       WatcherBeat>;
 
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -13,9 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// A round trip between failure domains is about 11 ms; the rest is for the
-// processor of a busy host.
-constexpr milliseconds kAnswerTime{ 45 };
+// A round trip between failure domains is about 11 ms; the rest is for hosts
+// whose processor stands still once their share of a tenth of a second is used.
+constexpr milliseconds kAnswerTime{ 100 };
+constexpr milliseconds kReportRepeat{ 100 };
+// Withdrawals come sooner than this after the answer.
+constexpr milliseconds kWithdrawalTime{ 1'000 };
 // Shares of the burst of a service by rank as its owner, and the share that all
 // hosts divide equally.
 constexpr std::array<double, 2> kBurstShares{ 0.65, 0.15 };
@@ -59,6 +62,8 @@
   timer_.setSingleShot(true);
   timer_.setTimerType(Qt::PreciseTimer);
   timer_.callOnTimeout([this] { OnAskTimeout(); });
+  reportTimer_.setSingleShot(true);
+  reportTimer_.callOnTimeout([this] { RepeatReports(); });
 }
 
 void
@@ -196,6 +201,7 @@
                 PendingAsk{ std::move(aRequest),
                             std::move(aCallback),
                             owner->name,
+                            owner->address,
                             clock_.Now() + kAnswerTime });
   ScheduleTimeout();
 }
@@ -219,13 +225,43 @@
 SelectionService::Finish(const SelectionHandle& aHandle, AttemptResult aResult)
 {
   if (aHandle.ownerTicket != 0) {
-    socket_->Send(
-      aHandle.owner,
-      EncodeSelectionMessage(SelectionReport{ aHandle.ownerTicket, aResult }));
+    Report(aHandle.owner, { aHandle.ownerTicket, aResult });
   }
   selector_.Finish(aHandle.localTicket, aResult, clock_.Now());
 }
 
+void
+SelectionService::Report(const Endpoint& aOwner, const TicketResult& aResult)
+{
+  socket_->Send(aOwner, EncodeSelectionMessage(SelectionReport{ { aResult } }));
+  sentResults_.push_back({ aOwner, aResult });
+  if (!reportTimer_.isActive()) {
+    reportTimer_.start(kReportRepeat);
+  }
+}
+
+void
+SelectionService::RepeatReports()
+{
+  // A report that is lost leaves its attempt under way at the owner, which
+  // takes the server for one that does not answer.
+  std::map<std::pair<std::string, std::uint16_t>, SelectionReport> reports;
+  for (const SentResult& sent : std::exchange(sentResults_, {})) {
+    SelectionReport& report = reports[{ sent.owner.address, sent.owner.port }];
+    report.results.push_back(sent.result);
+    if (report.results.size() == SelectionReport::kMaxResults) {
+      socket_->Send(sent.owner, EncodeSelectionMessage(report));
+      report.results.clear();
+    }
+  }
+  for (const auto& [owner, report] : reports) {
+    if (!report.results.empty()) {
+      socket_->Send({ owner.first, owner.second },
+                    EncodeSelectionMessage(report));
+    }
+  }
+}
+
 void
 SelectionService::OnDatagram(const Endpoint& aSender, ByteView aBytes)
 {
@@ -242,7 +278,10 @@
   } else if (const auto* answer = std::get_if<SelectionAnswer>(&*message)) {
     OnAnswer(aSender, *answer);
   } else if (const auto* report = std::get_if<SelectionReport>(&*message)) {
-    selector_.Finish(report->ticket, report->result, clock_.Now());
+    OnReport(*report);
+  } else if (const auto* withdrawal =
+               std::get_if<SelectionWithdrawal>(&*message)) {
+    OnWithdrawal(aSender, *withdrawal);
   } else if (const auto* hello = std::get_if<SelectionHello>(&*message)) {
     OnHello(aSender, *hello);
   } else if (const auto* beat = std::get_if<WatcherBeat>(&*message)) {
@@ -271,13 +310,42 @@
 SelectionService::OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk)
 {
   ranking_.OnHeard(aAsk.request.host, aAsk.request.domain, aSender);
+  const Instant now = clock_.Now();
+  const SelectionResult result = selector_.Select(aAsk.request, now);
   socket_->Send(
     aSender,
-    EncodeSelectionMessage(SelectionAnswer{
-      aAsk.call, selector_.Select(aAsk.request, clock_.Now()), known_ }));
+    EncodeSelectionMessage(SelectionAnswer{ aAsk.call, result, known_ }));
+  if (result.selection) {
+    answered_.push_back({ aSender, aAsk.call, result.selection->ticket, now });
+  }
+  while (!answered_.empty() &&
+         now - answered_.front().answeredAt > kWithdrawalTime) {
+    answered_.pop_front();
+  }
   OnVersions(aAsk.known, aSender);
 }
 
+void
+SelectionService::OnReport(const SelectionReport& aReport)
+{
+  for (const TicketResult& result : aReport.results) {
+    selector_.Finish(result.ticket, result.result, clock_.Now());
+  }
+}
+
+void
+SelectionService::OnWithdrawal(const Endpoint& aSender,
+                               const SelectionWithdrawal& aWithdrawal)
+{
+  const auto ask =
+    std::ranges::find_if(answered_, [&](const AnsweredAsk& aAsk) {
+      return aAsk.call == aWithdrawal.call && aAsk.asker == aSender;
+    });
+  if (ask != answered_.end()) {
+    selector_.Finish(ask->ticket, AttemptResult::Unused, clock_.Now());
+  }
+}
+
 void
 SelectionService::OnVersions(const KnownVersions& aKnown,
                              const Endpoint& aSender)
@@ -329,9 +397,8 @@
             .count() } });
   }
   if (aAnswer.result.selection) {
-    socket_->Send(aSender,
-                  EncodeSelectionMessage(SelectionReport{
-                    aAnswer.result.selection->ticket, AttemptResult::Unused }));
+    Report(aSender,
+           { aAnswer.result.selection->ticket, AttemptResult::Unused });
   }
 }
 
@@ -345,6 +412,9 @@
     const auto node = asks_.extract(asks_.begin());
     const PendingAsk& ask = node.mapped();
     ranking_.OnMissedAnswer(ask.owner, now);
+    // The answer may be lost, and with it the ticket.
+    socket_->Send(ask.address,
+                  EncodeSelectionMessage(SelectionWithdrawal{ node.key() }));
     missed_.emplace(node.key(),
                     MissedAsk{ ask.owner, ask.dueAt - kAnswerTime });
     if (missed_.size() > kMaxMissedAsks) {
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -7,6 +7,7 @@
 
 #include <QTimer>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <span>
@@ -97,6 +98,9 @@
   SelectionOutcome SelectAlone(SelectionRequest aRequest);
   void Finish(const SelectionHandle& aHandle, AttemptResult aResult);
 
+  // Attempts that this host counts as under way.
+  int PendingAttempts() const { return selector_.PendingAttempts(); }
+
   Endpoint LocalEndpoint() const { return socket_->LocalEndpoint(); }
 
 private:
@@ -105,9 +109,25 @@
     SelectionRequest request;
     Callback callback;
     std::string owner;
+    Endpoint address;
     Instant dueAt;
   };
 
+  // An ask of another host that was answered.
+  struct AnsweredAsk
+  {
+    Endpoint asker;
+    std::uint64_t call = 0;
+    std::uint64_t ticket = 0;
+    Instant answeredAt;
+  };
+
+  struct SentResult
+  {
+    Endpoint owner;
+    TicketResult result;
+  };
+
   // An ask that was served without its answer.
   struct MissedAsk
   {
@@ -129,6 +149,12 @@
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHello(const Endpoint& aSender, const SelectionHello& aHello);
   void OnAsk(const Endpoint& aSender, const SelectionAsk& aAsk);
+  void OnReport(const SelectionReport& aReport);
+  void OnWithdrawal(const Endpoint& aSender,
+                    const SelectionWithdrawal& aWithdrawal);
+  // Tells aOwner how an attempt ended, now and once more.
+  void Report(const Endpoint& aOwner, const TicketResult& aResult);
+  void RepeatReports();
   void OnAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnLateAnswer(const Endpoint& aSender, const SelectionAnswer& aAnswer);
   void OnAskTimeout();
@@ -145,6 +171,10 @@
   std::shared_ptr<const BackendDirectory> directory_;
   std::map<std::uint64_t, PendingAsk> asks_;
   std::map<std::uint64_t, MissedAsk> missed_;
+  // In the order of their answers.
+  std::deque<AnsweredAsk> answered_;
+  std::vector<SentResult> sentResults_;
+  QTimer reportTimer_;
   std::uint64_t nextCall_ = 1;
   KnownVersions known_;
   VersionsHandler onNewerVersions_;
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -69,6 +69,40 @@
   std::unique_ptr<SelectionService> service;
 };
 
+// Stands between one host and the owner, and loses what the test says.
+class LossyPath
+{
+public:
+  explicit LossyPath(Endpoint aOwner)
+  {
+    std::string reason;
+    socket_ = DatagramSocket::Create({ kLoopback, 0 }, reason);
+    BOOST_TEST_REQUIRE(socket_ != nullptr, reason);
+    socket_->SetHandler(
+      [this, aOwner](const Endpoint& aSender, ByteView aBytes) {
+        const bool isFromOwner = aSender == aOwner;
+        if (!isFromOwner) {
+          asker_ = aSender;
+        }
+        bool& isLost = isFromOwner ? loseNextToAsker : loseNextToOwner;
+        if (!std::exchange(isLost, false)) {
+          socket_->Send(isFromOwner ? asker_ : aOwner,
+                        std::string_view(aBytes.data(), aBytes.size()));
+        }
+      });
+  }
+
+  // Where the asking host finds the owner.
+  Endpoint NearEnd() const { return socket_->LocalEndpoint(); }
+
+  bool loseNextToOwner = false;
+  bool loseNextToAsker = false;
+
+private:
+  std::unique_ptr<DatagramSocket> socket_;
+  Endpoint asker_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(SharedSelection)
@@ -200,6 +234,34 @@
   BOOST_TEST(heard.empty());
 }
 
+// Guards against a lost report or answer that makes a sound server look as if
+// it did not answer, until long after the request's deadline.
+BOOST_AUTO_TEST_CASE(ALostDatagramLeavesNoAttemptUnderWay)
+{
+  Host one("one");
+  Host two("two");
+  one.service->SetHosts({ one.Address(), two.Address() });
+  const bool isOwnerOne = one.Select().source == "self";
+  Host& asker = isOwnerOne ? two : one;
+  Host& owner = isOwnerOne ? one : two;
+  const int before = owner.service->PendingAttempts();
+  LossyPath path(owner.service->LocalEndpoint());
+  asker.service->SetHosts(
+    { asker.Address(), { owner.name, "piarco", path.NearEnd() } });
+  const SelectionOutcome reported = asker.Select();
+  BOOST_TEST(reported.source == "owner");
+  BOOST_TEST(owner.service->PendingAttempts() == before + 1);
+  path.loseNextToOwner = true;
+  asker.service->Finish(reported.handle, AttemptResult::Answered);
+  BOOST_TEST(WaitUntil(
+    [&] { return owner.service->PendingAttempts() == before; }, 500ms));
+  path.loseNextToAsker = true;
+  const SelectionOutcome alone = asker.Select();
+  BOOST_TEST(alone.source == "alone");
+  BOOST_TEST(WaitUntil(
+    [&] { return owner.service->PendingAttempts() == before; }, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE(Messages)
 
 BOOST_AUTO_TEST_CASE(AreReadAsTheyWereWritten)
@@ -247,17 +309,20 @@
 BOOST_AUTO_TEST_CASE(ThatAreNoneAreRefused)
 {
   const std::string whole =
-    EncodeSelectionMessage(SelectionReport{ 4, AttemptResult::Broken });
+    EncodeSelectionMessage(SelectionReport{ { { 4, AttemptResult::Broken } } });
   for (std::size_t size = 0; size < whole.size(); ++size) {
     BOOST_TEST(!DecodeSelectionMessage(ByteView(whole).first(size)));
   }
   BOOST_TEST(!DecodeSelectionMessage(std::string_view(whole + "x")));
-  BOOST_TEST(DecodeSelectionMessage(std::string_view("\x84\x02\x03\x04\x05"))
-               .has_value());
-  BOOST_TEST(!DecodeSelectionMessage(std::string_view("\x84\x01\x03\x04\x05")));
-  BOOST_TEST(!DecodeSelectionMessage(std::string_view("\x84\x03\x03\x04\x05")));
-  BOOST_TEST(
-    !DecodeSelectionMessage(std::string_view("\x84\x02\x03\x04\x18\x63")));
+  // Version, kind, and the result of ticket 4.
+  const auto read = [](std::string_view aBytes) {
+    return DecodeSelectionMessage(aBytes).has_value();
+  };
+  BOOST_TEST(read("\x83\x02\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x01\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x03\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x02\x03\x82\x04\x18\x63"));
+  BOOST_TEST(!read("\x83\x02\x03\x83\x04\x05\x04"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
