--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -405,8 +405,6 @@
 void
 SelectionService::OnAskTimeout()
 {
-  // On a busy host the answer may be there and not read yet.
-  socket_->ReceivePending();
   const Instant now = clock_.Now();
   while (!asks_.empty() && asks_.begin()->second.dueAt <= now) {
     const auto node = asks_.extract(asks_.begin());
--- a/src/membership/DatagramSocket.h
+++ b/src/membership/DatagramSocket.h
@@ -24,8 +24,6 @@
 
   void SetHandler(Handler aHandler) { handler_ = std::move(aHandler); }
   Endpoint LocalEndpoint() const;
-  // Calls the handler for what has arrived and waits to be read.
-  void ReceivePending() { ReceiveAll(); }
   // False when the operating system did not take the datagram; it is lost.
   bool Send(const Endpoint& aReceiver, std::string_view aBytes);
 
