Balancing: Take back the longer pauses for servers that refuse all work

A trial: each further refusal of a server doubled the time for which it counts as full, so that it costs fewer repeats.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -61,11 +61,8 @@
 // An attempt that nobody waits for any more says less than its age does.
 constexpr double kAbandonedWeight = 0.8;
 
-// A server that refused for want of room counts as full for this long, doubled
-// for each further refusal without a response between them: each request that
-// it refuses costs a repeat.
+// A server that refused for want of room counts as full for this long.
 constexpr milliseconds kFullTime{ 150 };
-constexpr int kMaxFullDoublings = 4;
 // Reports come with the end of the attempt; after this they are lost.
 constexpr seconds kReportGrace{ 1 };
 // Of the budget, kept for attempts after a failure while a hedge would leave a
@@ -381,7 +378,6 @@
   }
   if (aResult == AttemptResult::Answered) {
     server.answeredAt = aNow;
-    server.refusals = 0;
   }
   // Without the time that it waited behind others.
   const Duration latency = std::max(aNow - attempt.startAt, Duration::zero());
@@ -408,9 +404,7 @@
                                                    : std::max(evidence, age);
   }
   if (aResult == AttemptResult::NotExecuted) {
-    server.fullUntil =
-      aNow + kFullTime * (1 << std::min(server.refusals, kMaxFullDoublings));
-    ++server.refusals;
+    server.fullUntil = aNow + kFullTime;
   }
   if (evidence > 0) {
     const bool isSameReporter = server.badReporter == attempt.host &&
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -79,8 +79,6 @@
     Instant badReportAt;
     // It refused work for want of room; counted as full until then.
     Instant fullUntil;
-    // Refusals since its last response.
-    int refusals = 0;
   };
 
   RepeatBudget& BudgetOf(const std::string& aService);
