Base: Keep the window of repeats in one place

balancing/RepeatBudget and limits/WindowedRetryBudget each kept requests and retries in slots of their own. Both use RepeatWindow now. The retry that a customer is always allowed is one second after the last one, no longer one in each second of the clock; the tests of both hold as they are.

--- a/src/balancing/RepeatBudget.h
+++ b/src/balancing/RepeatBudget.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include "balancing/BurstShare.h"
-
-#include <array>
-#include <cstdint>
+#include "base/RepeatWindow.h"
 
 namespace filbertbeam {
 
@@ -36,36 +34,23 @@
   explicit RepeatBudget(const RepeatBudgetLimits& aLimits);
 
   // What was spent under the former limits counts.
-  void SetLimits(const RepeatBudgetLimits& aLimits) { limits_ = aLimits; }
+  void SetLimits(const RepeatBudgetLimits& aLimits);
   // This host's share of the burst, from 0 to 1, and the part of it that needs
   // no wait.
   void SetBurstShare(double aShare, double aAtOnce, Instant aNow);
   // A request for which this host chose was sent.
-  void OnRequest(Instant aNow);
+  void OnRequest(Instant aNow) { window_.AddRequest(aNow); }
   // Takes one repeat; false when none is left above aReserve, a share from 0 to
   // 1 of what a window allows.
   bool TryRepeat(double aReserve, Instant aNow);
   // The repeat that was taken at aTaken was not sent.
-  void OnRepeatUnused(Instant aTaken);
+  void OnRepeatUnused(Instant aTaken) { window_.RemoveRepeat(aTaken); }
   RepeatBudgetUse Use(Instant aNow) const;
 
 private:
-  static constexpr std::size_t kSlots = 20;
-
-  struct Slot
-  {
-    std::int64_t number = -1;
-    std::uint32_t requests = 0;
-    std::uint32_t repeats = 0;
-  };
-
-  std::int64_t NumberAt(Instant aNow) const;
-  Slot& SlotAt(Instant aNow);
-
   RepeatBudgetLimits limits_;
   BurstShare burstShare_;
-  // One slot more than the window, so that any window is covered.
-  std::array<Slot, kSlots + 1> slots_;
+  RepeatWindow window_;
 };
 
 } // namespace filbertbeam
--- a/src/limits/WindowedRetryBudget.h
+++ b/src/limits/WindowedRetryBudget.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "base/RepeatWindow.h"
 #include "limits/RetryBudget.h"
 
-#include <array>
-#include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace filbertbeam {
 
-// RetryBudget over a window of one-second slots.
+// RetryBudget over a sliding window.
 class WindowedRetryBudget final : public RetryBudget
 {
 public:
@@ -24,29 +24,23 @@
   std::size_t EntryCount() const { return entries_.size(); }
 
 private:
-  static constexpr std::int64_t kWindowSeconds = 10;
-
-  struct Slot
-  {
-    std::int64_t second = 0;
-    std::uint64_t requests = 0;
-    std::uint64_t retries = 0;
-  };
+  static constexpr std::chrono::seconds kWindow{ 10 };
 
   struct Entry
   {
-    std::array<Slot, kWindowSeconds> slots;
-    std::int64_t lastUsedSecond = 0;
+    RepeatWindow window{ kWindow };
+    Instant lastUsed;
+    // When the last retry was granted.
+    std::optional<Instant> lastRetry;
   };
 
   Entry& Find(std::string_view aService,
               std::string_view aCustomer,
-              std::int64_t aSecond);
-  static Slot& CurrentSlot(Entry& aEntry, std::int64_t aSecond);
-  void Sweep(std::int64_t aSecond);
+              Instant aNow);
+  void Sweep(Instant aNow);
 
   std::unordered_map<std::string, Entry> entries_;
-  std::int64_t sweptAtSecond_ = 0;
+  Instant sweptAt_;
 };
 
 } // namespace filbertbeam
