Gateway: Split its start, ask in one place whether versions are known

Gateway::Start wired everything in one function of a hundred lines; its parts now have names. That the copies show the changes of a peer was asked in three places. No change of behaviour.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -68,6 +68,31 @@
 
 bool
 Gateway::Start(std::string& aReason)
+{
+  if (!CreateTraffic(aReason) || !CreateServers(aReason)) {
+    return false;
+  }
+  peers_ = std::make_unique<PeerSnapshotClient>(
+    settings_.peerSnapshots,
+    [this] { return NeedsPeers(); },
+    [this](PeerSnapshot aSnapshot) { Adopt(std::move(aSnapshot)); });
+  CreateFollowers();
+  CreateRegistry();
+  LogEvent(LogLevel::Info,
+           "started",
+           { { "host", settings_.host },
+             { "region", settings_.region },
+             { "domain", settings_.domain } });
+  configurationFollower_->Start();
+  serverFollower_->Start();
+  watchSharing_->Start();
+  registry_->Start();
+  peers_->Start();
+  return true;
+}
+
+bool
+Gateway::CreateTraffic(std::string& aReason)
 {
   trafficThread_.Run([&] {
     traffic_ =
@@ -78,9 +103,12 @@
       peerAddress_ = traffic_->PeerAddress();
     }
   });
-  if (!traffic_) {
-    return false;
-  }
+  return traffic_ != nullptr;
+}
+
+bool
+Gateway::CreateServers(std::string& aReason)
+{
   readiness_ = ProbeServer::Create(
     settings_.readiness,
     [this](std::string_view) {
@@ -104,13 +132,12 @@
     settings_.snapshot,
     [this](std::string_view aTarget) { return AnswerPeer(aTarget); },
     aReason);
-  if (!snapshotServer_) {
-    return false;
-  }
-  peers_ = std::make_unique<PeerSnapshotClient>(
-    settings_.peerSnapshots,
-    [this] { return NeedsPeers(); },
-    [this](PeerSnapshot aSnapshot) { Adopt(std::move(aSnapshot)); });
+  return snapshotServer_ != nullptr;
+}
+
+void
+Gateway::CreateFollowers()
+{
   configurationFollower_ = std::make_unique<CatalogFollower>(
     catalog_,
     CatalogFollowerSettings{
@@ -131,6 +158,11 @@
     [this](const CatalogFollower::Objects& aObjects) {
       OnBackendServers(aObjects);
     });
+}
+
+void
+Gateway::CreateRegistry()
+{
   const PeerHost self{ settings_.host,
                        settings_.domain,
                        peerAddress_,
@@ -158,17 +190,6 @@
       trafficThread_.Post(
         [this, hosts = std::move(aHosts)] { traffic_->Greet(hosts); });
     });
-  LogEvent(LogLevel::Info,
-           "started",
-           { { "host", settings_.host },
-             { "region", settings_.region },
-             { "domain", settings_.domain } });
-  configurationFollower_->Start();
-  serverFollower_->Start();
-  watchSharing_->Start();
-  registry_->Start();
-  peers_->Start();
-  return true;
 }
 
 void
@@ -278,8 +299,7 @@
   if (stopped_) {
     return false;
   }
-  return !IsReady() || !configurationFollower_->Knows(heard_.configuration) ||
-         !serverFollower_->Knows(heard_.directory);
+  return !IsReady() || !watchSharing_->Knows(heard_);
 }
 
 void
@@ -329,8 +349,7 @@
     peers_->Prefer({ aSender.address, aBeat.snapshotPort });
   }
   // What the watcher is asked for usually comes before it is missed.
-  if (!configurationFollower_->Knows(aBeat.known.configuration) ||
-      !serverFollower_->Knows(aBeat.known.directory)) {
+  if (!watchSharing_->Knows(aBeat.known)) {
     OnNewerVersions(aBeat.known, aSender);
   }
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -59,6 +59,12 @@
           const ExchangeDialect& aDialect);
 
   bool Start(std::string& aReason);
+  // Both return false, with a reason, when an address cannot be bound.
+  bool CreateTraffic(std::string& aReason);
+  bool CreateServers(std::string& aReason);
+  void CreateFollowers();
+  // Who the other hosts are, and which of them watch the catalog.
+  void CreateRegistry();
   // Makes the threads hear of what peers send to the other one.
   void ConnectTraffic();
   ProbeAnswer AnswerPeer(std::string_view aTarget) const;
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -99,6 +99,13 @@
   election_.SetPeers(peers);
 }
 
+bool
+WatchSharing::Knows(const KnownVersions& aKnown) const
+{
+  return configuration_.Knows(aKnown.configuration) &&
+         servers_.Knows(aKnown.directory);
+}
+
 bool
 WatchSharing::IsReading() const
 {
@@ -149,8 +156,7 @@
   configuration_.OnPeerRevision(aBeat.known.configuration,
                                 aBeat.readUpTo.configuration);
   servers_.OnPeerRevision(aBeat.known.directory, aBeat.readUpTo.directory);
-  const bool isBehind = !configuration_.Knows(aBeat.known.configuration) ||
-                        !servers_.Knows(aBeat.known.directory);
+  const bool isBehind = !Knows(aBeat.known);
   // A watcher that reads learns of the change by itself.
   const bool needsWatcher = !duty_.watches || !IsReading();
   if (isBehind && needsWatcher && !isFetching_) {
