--- a/src/balancing/tests/TestOwnerRanking.cpp
+++ b/src/balancing/tests/TestOwnerRanking.cpp
@@ -29,6 +29,7 @@
 AllHosts()
 {
   std::vector<PeerHost> hosts;
+  hosts.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     hosts.push_back({ NameOf(i), "piarco", {}, {}, CoresOf(i) });
   }
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -73,7 +73,7 @@
 class LossyPath
 {
 public:
-  explicit LossyPath(Endpoint aOwner)
+  explicit LossyPath(const Endpoint& aOwner)
   {
     std::string reason;
     socket_ = DatagramSocket::Create({ kLoopback, 0 }, reason);
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -31,8 +31,9 @@
     }
     for (auto& [name, election] : elections) {
       std::vector<PeerHost> peers = hosts;
-      std::erase_if(peers,
-                    [&](const PeerHost& aHost) { return aHost.name == name; });
+      std::erase_if(peers, [&self = name](const PeerHost& aHost) {
+        return aHost.name == self;
+      });
       election.SetPeers(peers);
     }
   }
--- a/tests/gateway/TestRepeats.cpp
+++ b/tests/gateway/TestRepeats.cpp
@@ -53,6 +53,7 @@
   static std::vector<std::string> NamesByRank()
   {
     std::vector<std::string> names;
+    names.reserve(kHosts);
     for (int i = 0; i < kHosts; ++i) {
       names.push_back("host-" + std::to_string(i));
     }
