Balancing: Give suspects a request while many requests fail

A server under suspicion gets no request that may run once only until the evidence has faded, 3 s or more after its last failure, and an answer to a request from before the suspicion says little. With many servers under suspicion at a time, too much of the capacity rests.

Now, while more than 8% of the attempts of a service fail, a suspect without a request under way gets one after 1.6 s. In calm times nothing changes.

Ruled out: owners that give out too few servers; the unused ones lie in all shards and were all under suspicion.

Test: a shard in which half of the servers hold requests by turns and all break off an eighth.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -33,6 +33,13 @@
 // Requests from other domains keep up the rotation only after this.
 constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
 constexpr double kRotationCost = -10'000;
+// While a larger share of the attempts of a service fails, suspicion is no
+// reason to leave a server without work: those under suspicion that have no
+// request under way get one again after this time.
+constexpr double kTroubledShare = 0.08;
+constexpr milliseconds kTrialTime{ 1'600 };
+// Weight of one attempt in the share of those that fail.
+constexpr double kFailureWeight = 1.0 / 128;
 constexpr double kMaxSickForRotation = 0.4;
 constexpr double kMaxSickForIdempotentRotation = 0.7;
 // Cost of each request under way, in mean latencies of a whole server.
@@ -241,6 +248,7 @@
   const std::uint64_t ticket = ++nextTicket_;
   tickets_.emplace(ticket,
                    PendingAttempt{ aServer,
+                                   aRequest.service,
                                    aRequest.host,
                                    latencyClass,
                                    {},
@@ -272,15 +280,34 @@
                                const BackendServerRecord& aRecord,
                                const ServerState& aServer,
                                double aSick,
-                               Instant aNow)
+                               Instant aNow) const
 {
   const bool isNear = aRecord.domain == aRequest.domain;
+  if (aRequest.purpose != AttemptPurpose::First ||
+      (!isNear && aRequest.hasLargeResponses)) {
+    return false;
+  }
+  const Duration idle = aNow - aServer.chosenAt;
   const double limit =
     aRequest.isIdempotent ? kMaxSickForIdempotentRotation : kMaxSickForRotation;
-  return aRequest.purpose == AttemptPurpose::First && aSick < limit &&
-         (isNear || !aRequest.hasLargeResponses) &&
-         aNow - aServer.chosenAt >
-           (isNear ? kRotationTime : kOtherDomainRotationTime);
+  if (aSick < limit) {
+    return idle > (isNear ? kRotationTime : kOtherDomainRotationTime);
+  }
+  const auto failing = failingShares_.find(aRequest.service);
+  return failing != failingShares_.end() && failing->second > kTroubledShare &&
+         aServer.pending.empty() && idle > kTrialTime;
+}
+
+void
+BackendSelector::ObserveFailure(const std::string& aService,
+                                AttemptResult aResult)
+{
+  if (aResult == AttemptResult::Unused || aResult == AttemptResult::Abandoned) {
+    return;
+  }
+  double& share = failingShares_[aService];
+  const double failed = aResult == AttemptResult::Answered ? 0 : 1;
+  share += (failed - share) * kFailureWeight;
 }
 
 double
@@ -366,6 +393,7 @@
   }
   const PendingAttempt& attempt = node.mapped();
   Settle(attempt, aResult, aNow);
+  ObserveFailure(attempt.service, aResult);
   const auto found = servers_.find(attempt.server);
   if (found == servers_.end()) {
     return;
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -52,6 +52,7 @@
   struct PendingAttempt
   {
     std::string server;
+    std::string service;
     std::string host;
     std::string latencyClass;
     // The account that it was counted against; empty when another host chose.
@@ -103,11 +104,14 @@
   bool TryRepeat(const SelectionRequest& aRequest, Instant aNow);
   // Share of the budget that the attempt must leave.
   double RepeatReserve(const SelectionRequest& aRequest, Instant aNow) const;
-  static bool IsRotationDue(const SelectionRequest& aRequest,
-                            const BackendServerRecord& aRecord,
-                            const ServerState& aServer,
-                            double aSick,
-                            Instant aNow);
+  // aServer is to get a request so that it does not stay without work.
+  bool IsRotationDue(const SelectionRequest& aRequest,
+                     const BackendServerRecord& aRecord,
+                     const ServerState& aServer,
+                     double aSick,
+                     Instant aNow) const;
+  // Takes the end of an attempt into the share of those that fail.
+  void ObserveFailure(const std::string& aService, AttemptResult aResult);
   static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
 
   RepeatBudgetLimits budgetLimits_;
@@ -117,6 +121,8 @@
   // By service.
   std::unordered_map<std::string, RepeatBudget> budgets_;
   std::unordered_map<std::string, LatencyModel> models_;
+  // Of the attempts of each service that ended lately.
+  std::unordered_map<std::string, double> failingShares_;
   // Ordered by age: tickets grow.
   std::map<std::uint64_t, PendingAttempt> tickets_;
   std::uint64_t nextTicket_;
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <map>
 #include <set>
 
@@ -75,6 +76,111 @@
   std::multimap<Instant, Selection> due;
 };
 
+// A shard of 24 servers whose requests may run once only. Servers 0 to 11 hold
+// their requests for 2.5 s in 8 by turns and are sound from 2 s after that;
+// each server breaks off an eighth of its requests.
+struct TroubledShard
+{
+  static constexpr int kServers = 24;
+  static constexpr int kHolding = 12;
+  static constexpr std::chrono::seconds kCycle{ 8 };
+  static constexpr std::chrono::milliseconds kHeld{ 2'500 };
+  static constexpr std::chrono::milliseconds kWindow{ 2'000 };
+  // 100 requests a second.
+  static constexpr std::chrono::milliseconds kStep{ 10 };
+
+  TroubledShard()
+  {
+    std::vector<BackendServerRecord> records;
+    for (int i = 0; i < kServers; ++i) {
+      BackendServerRecord record;
+      record.id = std::to_string(i);
+      record.service = "permits";
+      record.domain = "near";
+      record.slots = 2;
+      records.push_back(record);
+    }
+    selector.SetDirectory(std::make_shared<BackendDirectory>(1, records));
+  }
+
+  // Since it began to hold its requests for the last time.
+  Duration InCycle(int aServer) const
+  {
+    return (clock.Now().time_since_epoch() + kCycle * aServer / kHolding) %
+           std::chrono::duration_cast<Duration>(kCycle);
+  }
+
+  bool IsSound(int aServer) const
+  {
+    return aServer >= kHolding || InCycle(aServer) > kHeld + 2s + kWindow;
+  }
+
+  void SendOne()
+  {
+    SelectionRequest request;
+    request.service = "permits";
+    request.route = "approve";
+    request.latencyObjective = 800ms;
+    request.remaining = 1'500ms;
+    request.domain = "near";
+    request.host = "host-" + std::to_string(requests % 90);
+    const Selection selection =
+      selector.Select(request, clock.Now()).selection.value();
+    const int server = std::stoi(selection.backendServer);
+    ++requests;
+    usedAt[static_cast<std::size_t>(server)] = clock.Now();
+    const bool isHeld = server < kHolding && InCycle(server) < kHeld;
+    const bool isBroken = random.Uniform() < 0.125;
+    failures += isHeld || isBroken ? 1 : 0;
+    due.emplace(clock.Now() + (isHeld ? 1'500ms : 170ms),
+                std::pair{ selection.ticket,
+                           isHeld     ? AttemptResult::NoResponse
+                           : isBroken ? AttemptResult::Broken
+                                      : AttemptResult::Answered });
+  }
+
+  void Play(std::chrono::seconds aTime)
+  {
+    const Instant begin = clock.Now();
+    while (clock.Now() - begin < aTime) {
+      SendOne();
+      clock.Advance(kStep);
+      while (!due.empty() && due.begin()->first <= clock.Now()) {
+        const auto [ticket, result] = due.begin()->second;
+        due.erase(due.begin());
+        selector.Finish(ticket, result, clock.Now());
+      }
+      if (clock.Now() - begin > 5s) {
+        CountUnused();
+      }
+    }
+  }
+
+  void CountUnused()
+  {
+    int sound = 0;
+    int unused = 0;
+    for (int i = 0; i < kServers; ++i) {
+      if (IsSound(i)) {
+        ++sound;
+        unused +=
+          clock.Now() - usedAt[static_cast<std::size_t>(i)] > kWindow ? 1 : 0;
+      }
+    }
+    worstUnusedShare =
+      std::max(worstUnusedShare, static_cast<double>(unused) / sound);
+  }
+
+  ManualClock clock;
+  SeededRandom random{ 11 };
+  BackendSelector selector{ kBudget, random };
+  std::array<Instant, kServers> usedAt{};
+  std::multimap<Instant, std::pair<std::uint64_t, AttemptResult>> due;
+  int requests = 0;
+  int failures = 0;
+  double worstUnusedShare = 0;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(BackendSelection, SelectorFixture)
@@ -282,6 +388,15 @@
   }
 }
 
+// Guards against servers that are well again and stay without work while many
+// requests fail elsewhere, so that the service has less capacity than it could.
+BOOST_FIXTURE_TEST_CASE(RecoveredServersGetWorkWhileRequestsFail, TroubledShard)
+{
+  Play(120s);
+  BOOST_TEST(failures > requests / 10);
+  BOOST_TEST(worstUnusedShare <= 0.3);
+}
+
 BOOST_AUTO_TEST_SUITE(Repeats)
 
 // Guards against a storm of repeats; first attempts are never refused for it.
