Balancing: Count only attempts at sound servers as trouble

The attempts at suspects fail often and were part of the share that calls for more of them.

Only attempts at servers that were not under suspicion when they were chosen count now, and a tenth of them has to fail.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -33,10 +33,10 @@
 // Requests from other domains keep up the rotation only after this.
 constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
 constexpr double kRotationCost = -10'000;
-// While a larger share of the attempts of a service fails, suspicion is no
-// reason to leave a server without work: those under suspicion that have no
-// request under way get one again after this time.
-constexpr double kTroubledShare = 0.08;
+// While a larger share of the attempts at servers without suspicion fails,
+// suspicion is no reason to leave a server without work: those under suspicion
+// that have no request under way get one again after this time.
+constexpr double kTroubledShare = 0.1;
 constexpr milliseconds kTrialTime{ 1'600 };
 // Weight of one attempt in the share of those that fail.
 constexpr double kFailureWeight = 1.0 / 128;
@@ -181,8 +181,11 @@
   if (IsRepeat(aRequest.purpose) && !TryRepeat(aRequest, aNow)) {
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
+  const bool isSound = SickProbability(best->id, aNow) < kMaxSickForRotation;
   const std::uint64_t ticket = Track(aRequest, best->id, aNow);
-  tickets_.at(ticket).budget = aRequest.service;
+  PendingAttempt& attempt = tickets_.at(ticket);
+  attempt.budget = aRequest.service;
+  attempt.isAtSoundServer = isSound;
   return { Selection{ ticket,
                       best->id,
                       HedgeTime(model, aRequest.latencyObjective),
@@ -253,6 +256,7 @@
                                    latencyClass,
                                    {},
                                    aRequest.purpose,
+                                   false,
                                    aNow,
                                    aNow + model.Mean() * queued / server.slots,
                                    aNow + aRequest.remaining + kReportGrace });
@@ -299,13 +303,15 @@
 }
 
 void
-BackendSelector::ObserveFailure(const std::string& aService,
+BackendSelector::ObserveFailure(const PendingAttempt& aAttempt,
                                 AttemptResult aResult)
 {
-  if (aResult == AttemptResult::Unused || aResult == AttemptResult::Abandoned) {
+  // Trials fail often, and must not call for further ones.
+  if (!aAttempt.isAtSoundServer || aResult == AttemptResult::Unused ||
+      aResult == AttemptResult::Abandoned) {
     return;
   }
-  double& share = failingShares_[aService];
+  double& share = failingShares_[aAttempt.service];
   const double failed = aResult == AttemptResult::Answered ? 0 : 1;
   share += (failed - share) * kFailureWeight;
 }
@@ -393,7 +399,7 @@
   }
   const PendingAttempt& attempt = node.mapped();
   Settle(attempt, aResult, aNow);
-  ObserveFailure(attempt.service, aResult);
+  ObserveFailure(attempt, aResult);
   const auto found = servers_.find(attempt.server);
   if (found == servers_.end()) {
     return;
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -58,6 +58,8 @@
     // The account that it was counted against; empty when another host chose.
     std::string budget;
     AttemptPurpose purpose = AttemptPurpose::First;
+    // Its server was not under suspicion when it was chosen here.
+    bool isAtSoundServer = false;
     Instant sentAt;
     // When the server can have begun with it, after those before it.
     Instant startAt;
@@ -111,7 +113,7 @@
                      double aSick,
                      Instant aNow) const;
   // Takes the end of an attempt into the share of those that fail.
-  void ObserveFailure(const std::string& aService, AttemptResult aResult);
+  void ObserveFailure(const PendingAttempt& aAttempt, AttemptResult aResult);
   static void RemovePending(ServerState& aServer, std::uint64_t aTicket);
 
   RepeatBudgetLimits budgetLimits_;
@@ -121,7 +123,7 @@
   // By service.
   std::unordered_map<std::string, RepeatBudget> budgets_;
   std::unordered_map<std::string, LatencyModel> models_;
-  // Of the attempts of each service that ended lately.
+  // Of the attempts of each service at servers without suspicion.
   std::unordered_map<std::string, double> failingShares_;
   // Ordered by age: tickets grow.
   std::map<std::uint64_t, PendingAttempt> tickets_;
