--- a/src/balancing/LatencyModel.cpp
+++ b/src/balancing/LatencyModel.cpp
@@ -88,13 +88,11 @@
       const double part = (aQuantile * total_ - below) / weights_[i];
       const double seconds =
         BinEdge(i) + (BinEdge(i + 1) - BinEdge(i)) * std::max(part, 0.0);
-      return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(seconds));
+      return FromSeconds(seconds);
     }
     below += weights_[i];
   }
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(BinEdge(kBins)));
+  return FromSeconds(BinEdge(kBins));
 }
 
 std::size_t
--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -9,6 +9,13 @@
 using Instant = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 
+constexpr Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
 // Source of time. Decision logic takes it from outside, so that tests run
 // without sleeping.
 class Clock
--- a/src/base/LatencyHistogram.cpp
+++ b/src/base/LatencyHistogram.cpp
@@ -17,13 +17,6 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-Duration
-FromSeconds(double aSeconds)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aSeconds));
-}
-
 } // namespace
 
 LatencyHistogram::LatencyHistogram()
--- a/src/slots/OutlierDetector.cpp
+++ b/src/slots/OutlierDetector.cpp
@@ -195,8 +195,7 @@
   if (!reference.hasLatency) {
     return std::nullopt;
   }
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-    std::exp(reference.median + kClip * reference.spread)));
+  return FromSeconds(std::exp(reference.median + kClip * reference.spread));
 }
 
 double
--- a/tools/selection_trial/SelectionTrial.cpp
+++ b/tools/selection_trial/SelectionTrial.cpp
@@ -25,13 +25,6 @@
 constexpr double kErrorShare = 0.4;
 constexpr double kSlowFactor = 4;
 
-Duration
-Seconds(double aCount)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aCount));
-}
-
 struct Server
 {
   std::string name;
@@ -106,7 +99,7 @@
     return fmt::format("domain-{}", aNumber % kDomains);
   }
 
-  Instant Now() const { return Instant() + Seconds(now_ + 3600); }
+  Instant Now() const { return Instant() + FromSeconds(now_ + 3600); }
 
   double NextGap()
   {
@@ -126,8 +119,8 @@
     request.service = "service";
     request.route = "route";
     request.isIdempotent = setup_.isIdempotent;
-    request.latencyObjective = Seconds(setup_.latencyObjective);
-    request.remaining = Seconds(setup_.timeout);
+    request.latencyObjective = FromSeconds(setup_.latencyObjective);
+    request.remaining = FromSeconds(setup_.timeout);
     request.host = fmt::format("host-{}", host);
     request.domain = DomainName(host);
     const SelectionResult selected = selector_.Select(request, Now());
--- a/tools/shard_model/ShardModel.cpp
+++ b/tools/shard_model/ShardModel.cpp
@@ -14,13 +14,6 @@
 // Time between a request's assignment and its last byte being sent.
 constexpr double kSendSeconds = 0.001;
 
-Duration
-ToDuration(double aSeconds)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aSeconds));
-}
-
 } // namespace
 
 ShardModel::ShardModel(ShardScheduler& aScheduler,
@@ -51,7 +44,7 @@
 {
   actions_.push_back(std::move(aAction));
   Schedule(
-    start_ + ToDuration(aSeconds), Event::Kind::Action, actions_.size() - 1);
+    start_ + FromSeconds(aSeconds), Event::Kind::Action, actions_.size() - 1);
 }
 
 double
@@ -63,7 +56,7 @@
 void
 ShardModel::RunUntil(double aSeconds)
 {
-  const Instant end = start_ + ToDuration(aSeconds);
+  const Instant end = start_ + FromSeconds(aSeconds);
   while (true) {
     const std::optional<Instant> timer = scheduler_.NextEvent(now_);
     const bool hasEvent = !events_.empty() && events_.top().at <= end;
@@ -99,7 +92,7 @@
   const double rate =
     options_.customers[aCustomer].requestsPerSecond * demandFactor_;
   if (rate > 0) {
-    Schedule(now_ + ToDuration(-std::log(1 - arrivals_.Uniform()) / rate),
+    Schedule(now_ + FromSeconds(-std::log(1 - arrivals_.Uniform()) / rate),
              Event::Kind::Arrival,
              aCustomer);
   }
@@ -144,7 +137,7 @@
   submitted.promise = customer.promise;
   submitted.requestClass = request.requestClass;
   submitted.isIdempotent = arrivals_.Uniform() < options_.idempotentShare;
-  submitted.deadline = now_ + ToDuration(options_.timeoutSeconds);
+  submitted.deadline = now_ + FromSeconds(options_.timeoutSeconds);
   if (const auto refusal = scheduler_.Submit(submitted, now_)) {
     observer_.OnRefused(request, *refusal, now_);
     return;
@@ -166,18 +159,18 @@
   const double seconds = serviceTime_.Seconds(services_);
   const bool isFailure = services_.Uniform() < options_.failureRate;
   observer_.OnAssigned(request, now_);
-  const Instant sentAt = now_ + ToDuration(kSendSeconds);
+  const Instant sentAt = now_ + FromSeconds(kSendSeconds);
   scheduler_.OnRequestSent(request.id, sentAt);
   const Instant deadline =
-    request.arrivedAt + ToDuration(options_.timeoutSeconds);
+    request.arrivedAt + FromSeconds(options_.timeoutSeconds);
   const Instant answeredAt =
-    sentAt + ToDuration(seconds * request.effect.timeFactor);
+    sentAt + FromSeconds(seconds * request.effect.timeFactor);
   if (request.effect.hangs || answeredAt >= deadline) {
     Schedule(deadline, Event::Kind::Finish, request.id, AttemptResult::Failure);
     return;
   }
   if (request.effect.sheds) {
-    const Instant shedAt = sentAt + ToDuration(kSendSeconds);
+    const Instant shedAt = sentAt + FromSeconds(kSendSeconds);
     Schedule(shedAt, Event::Kind::Head, request.id);
     Schedule(shedAt, Event::Kind::Finish, request.id, AttemptResult::Shed);
     return;
@@ -185,7 +178,7 @@
   Schedule(answeredAt, Event::Kind::Head, request.id);
   const bool isSlowRead = fault_.Kind() == FaultKind::SlowCallers &&
                           faultAge >= 0 && request.customer == 0;
-  Schedule(answeredAt + ToDuration(isSlowRead ? kSlowReadSeconds : 0),
+  Schedule(answeredAt + FromSeconds(isSlowRead ? kSlowReadSeconds : 0),
            Event::Kind::Finish,
            request.id,
            isFailure || request.effect.fails ? AttemptResult::Failure
