Balancing: Choose in one place, keep told results by their owner

The host's own choice was written out twice, and results waited in a list that was grouped by owner only when it was sent again; a map does both. An attempt named its service twice, the second time only to say that the host itself had chosen. A report that fills up is repeated at once instead of with the next repetition; nothing else changes.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -184,7 +184,7 @@
   const bool isSound = SickProbability(best->id, aNow) < kMaxSickForRotation;
   const std::uint64_t ticket = Track(aRequest, best->id, aNow);
   PendingAttempt& attempt = tickets_.at(ticket);
-  attempt.budget = aRequest.service;
+  attempt.isChosenHere = true;
   attempt.isAtSoundServer = isSound;
   return { Selection{ ticket,
                       best->id,
@@ -254,9 +254,9 @@
                                    aRequest.service,
                                    aRequest.host,
                                    latencyClass,
-                                   {},
                                    aRequest.purpose,
                                    false,
+                                   false,
                                    aNow,
                                    aNow + model.Mean() * queued / server.slots,
                                    aNow + aRequest.remaining + kReportGrace });
@@ -455,10 +455,10 @@
                         AttemptResult aResult,
                         Instant aNow)
 {
-  if (aAttempt.budget.empty()) {
+  if (!aAttempt.isChosenHere) {
     return;
   }
-  RepeatBudget& budget = BudgetOf(aAttempt.budget);
+  RepeatBudget& budget = BudgetOf(aAttempt.service);
   // A choice that came too late was replaced by another host's, which books
   // the request.
   if (aResult != AttemptResult::Unused &&
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -55,9 +55,9 @@
     std::string service;
     std::string host;
     std::string latencyClass;
-    // The account that it was counted against; empty when another host chose.
-    std::string budget;
     AttemptPurpose purpose = AttemptPurpose::First;
+    // This host chose, so its account of repeats books the attempt.
+    bool isChosenHere = false;
     // Its server was not under suspicion when it was chosen here.
     bool isAtSoundServer = false;
     Instant sentAt;
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -1,6 +1,5 @@
 #include "balancing/SelectionService.h"
 
-#include "base/Digest.h"
 #include "base/Log.h"
 
 #include <algorithm>
@@ -185,13 +184,7 @@
   aRequest.shardCount = shard.count;
   const PeerHost* owner = ranking_.OwnerOf(shard, clock_.Now());
   if (owner == nullptr) {
-    SelectionOutcome outcome;
-    outcome.result = selector_.Select(aRequest, clock_.Now());
-    outcome.source = "self";
-    if (outcome.result.selection) {
-      outcome.handle.localTicket = outcome.result.selection->ticket;
-    }
-    aCallback(outcome);
+    aCallback(ChooseHere(aRequest, "self"));
     return;
   }
   const std::uint64_t call = nextCall_++;
@@ -212,9 +205,16 @@
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
   aRequest.shardCount = 0;
+  return ChooseHere(aRequest, "alone");
+}
+
+SelectionOutcome
+SelectionService::ChooseHere(const SelectionRequest& aRequest,
+                             std::string_view aSource)
+{
   SelectionOutcome outcome;
   outcome.result = selector_.Select(aRequest, clock_.Now());
-  outcome.source = "alone";
+  outcome.source = aSource;
   if (outcome.result.selection) {
     outcome.handle.localTicket = outcome.result.selection->ticket;
   }
@@ -234,7 +234,12 @@
 SelectionService::Report(const Endpoint& aOwner, const TicketResult& aResult)
 {
   socket_->Send(aOwner, EncodeSelectionMessage(SelectionReport{ { aResult } }));
-  sentResults_.push_back({ aOwner, aResult });
+  SelectionReport& report = reported_[aOwner];
+  report.results.push_back(aResult);
+  if (report.results.size() == SelectionReport::kMaxResults) {
+    socket_->Send(aOwner, EncodeSelectionMessage(report));
+    reported_.erase(aOwner);
+  }
   if (!reportTimer_.isActive()) {
     reportTimer_.start(kReportRepeat);
   }
@@ -245,21 +250,10 @@
 {
   // A report that is lost leaves its attempt under way at the owner, which
   // takes the server for one that does not answer.
-  std::map<std::pair<std::string, std::uint16_t>, SelectionReport> reports;
-  for (const SentResult& sent : std::exchange(sentResults_, {})) {
-    SelectionReport& report = reports[{ sent.owner.address, sent.owner.port }];
-    report.results.push_back(sent.result);
-    if (report.results.size() == SelectionReport::kMaxResults) {
-      socket_->Send(sent.owner, EncodeSelectionMessage(report));
-      report.results.clear();
-    }
-  }
-  for (const auto& [owner, report] : reports) {
-    if (!report.results.empty()) {
-      socket_->Send({ owner.first, owner.second },
-                    EncodeSelectionMessage(report));
-    }
+  for (const auto& [owner, report] : reported_) {
+    socket_->Send(owner, EncodeSelectionMessage(report));
   }
+  reported_.clear();
 }
 
 void
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -122,12 +122,6 @@
     Instant answeredAt;
   };
 
-  struct SentResult
-  {
-    Endpoint owner;
-    TicketResult result;
-  };
-
   // An ask that was served without its answer.
   struct MissedAsk
   {
@@ -144,6 +138,9 @@
   double RankedBurstShare(std::string_view aService) const;
   // The shard whose owner is asked for a server.
   Shard ChooseShard(const SelectionRequest& aRequest);
+  // The outcome of this host's own choice.
+  SelectionOutcome ChooseHere(const SelectionRequest& aRequest,
+                              std::string_view aSource);
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   std::string EncodeHello(bool aIsAnswerWanted = false) const;
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
@@ -173,7 +170,8 @@
   std::map<std::uint64_t, MissedAsk> missed_;
   // In the order of their answers.
   std::deque<AnsweredAsk> answered_;
-  std::vector<SentResult> sentResults_;
+  // Results that were told since the last repetition, by owner.
+  std::map<Endpoint, SelectionReport> reported_;
   QTimer reportTimer_;
   std::uint64_t nextCall_ = 1;
   KnownVersions known_;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -2,6 +2,7 @@
 
 #include "http/HttpFields.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -52,7 +53,7 @@
   std::string address;
   std::uint16_t port = 0;
 
-  bool operator==(const Endpoint&) const = default;
+  auto operator<=>(const Endpoint&) const = default;
 };
 
 } // namespace filbertbeam
