Balancing: Name a shard without its service, rank hosts once

A shard held a copy of its service's name and stood beside that name in each request, as two loose numbers; it is an index and a count now. The ranking of the hosts was computed anew for each request, a hash, a power and a logarithm for every host known, and again for the shares of the burst; it is kept until the hosts change. Ranks, owners and messages are the same; the tests keep their assertions and call the new signatures.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -167,8 +167,7 @@
     ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
   const BackendServerRecord* best =
     FindBest(aRequest,
-             directory_->OfShard(
-               { aRequest.service, aRequest.shardIndex, aRequest.shardCount }),
+             directory_->OfShard(aRequest.service, aRequest.shard),
              model,
              aNow);
   if (best == nullptr) {
--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -21,14 +21,6 @@
 // An owner needs little of a large processor, and its answers come sooner.
 constexpr double kProcessorPreference = 3;
 
-// Does not depend on the number of shards, so that shards keep their owners
-// when it changes.
-std::uint64_t
-KeyOf(const Shard& aShard)
-{
-  return StableHash(aShard.service, aShard.index);
-}
-
 // The host with the lowest one is the owner. An exponential variable: the
 // lowest of many is that of each host with a probability in proportion to its
 // rate.
@@ -65,6 +57,7 @@
     }
   }
   hosts_ = std::move(aHosts);
+  before_.clear();
   knowsHosts_ = true;
   std::erase_if(peers_, [this](const auto& aItem) {
     return std::ranges::find(hosts_, aItem.first, &PeerHost::name) ==
@@ -83,6 +76,7 @@
   const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
   if (known == hosts_.end()) {
     hosts_.push_back({ aHost, aDomain, aAddress, {}, aProcessorCores });
+    before_.clear();
     return true;
   }
   known->address = aAddress;
@@ -90,6 +84,7 @@
     return false;
   }
   known->processorCores = aProcessorCores;
+  before_.clear();
   return true;
 }
 
@@ -116,36 +111,53 @@
 }
 
 const PeerHost*
-OwnerRanking::OwnerOf(const Shard& aShard, Instant aNow) const
+OwnerRanking::OwnerOf(std::string_view aService,
+                      std::uint32_t aShard,
+                      Instant aNow)
 {
-  const std::uint64_t key = KeyOf(aShard);
-  const PeerHost* owner = nullptr;
-  double nearest = Distance(self_, processorCores_, key);
-  for (const PeerHost& host : hosts_) {
-    const double distance = Distance(host.name, host.processorCores, key);
-    if (host.name == self_ || distance >= nearest) {
-      continue;
-    }
-    const auto peer = peers_.find(host.name);
-    if (peer != peers_.end() && aNow < peer->second.downUntil) {
-      continue;
+  for (const std::uint32_t index : Before(aService, aShard)) {
+    if (!IsPassedOver(hosts_[index].name, aNow)) {
+      return &hosts_[index];
     }
-    owner = &host;
-    nearest = distance;
   }
-  return owner;
+  return nullptr;
 }
 
 std::size_t
-OwnerRanking::RankOfSelf(const Shard& aShard) const
+OwnerRanking::RankOfSelf(std::string_view aService, std::uint32_t aShard)
 {
-  const std::uint64_t key = KeyOf(aShard);
+  return Before(aService, aShard).size();
+}
+
+const OwnerRanking::HostsBefore&
+OwnerRanking::Before(std::string_view aService, std::uint32_t aShard)
+{
+  const std::uint64_t key = StableHash(aService, aShard);
+  const auto [entry, isNew] = before_.try_emplace(key);
+  if (!isNew) {
+    return entry->second;
+  }
   const double own = Distance(self_, processorCores_, key);
-  return static_cast<std::size_t>(
-    std::ranges::count_if(hosts_, [&](const PeerHost& aHost) {
-      return aHost.name != self_ &&
-             Distance(aHost.name, aHost.processorCores, key) < own;
-    }));
+  std::vector<std::pair<double, std::uint32_t>> nearer;
+  for (std::uint32_t index = 0; index < hosts_.size(); ++index) {
+    const PeerHost& host = hosts_[index];
+    const double distance = Distance(host.name, host.processorCores, key);
+    if (host.name != self_ && distance < own) {
+      nearer.emplace_back(distance, index);
+    }
+  }
+  std::ranges::sort(nearer);
+  for (const auto& [distance, index] : nearer) {
+    entry->second.push_back(index);
+  }
+  return entry->second;
+}
+
+bool
+OwnerRanking::IsPassedOver(const std::string& aHost, Instant aNow) const
+{
+  const auto peer = peers_.find(aHost);
+  return peer != peers_.end() && aNow < peer->second.downUntil;
 }
 
 } // namespace filbertbeam
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -2,17 +2,20 @@
 
 #include "balancing/PeerHost.h"
 #include "base/Clock.h"
-#include "directory/Shard.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace filbertbeam {
 
 // Ranks the hosts as owners by rendezvous hashing, so that hosts that know the
 // same hosts agree without asking, and passes over those that do not answer.
-// Hosts with more processor own more shards.
+// Hosts with more processor own more shards. Shards are named by their service
+// and index, so they keep their owners when their number changes.
 class OwnerRanking
 {
 public:
@@ -34,11 +37,13 @@
   void OnAnswer(const std::string& aHost);
   void OnMissedAnswer(const std::string& aHost, Instant aNow);
 
-  // Null when this host is the owner of aShard.
-  const PeerHost* OwnerOf(const Shard& aShard, Instant aNow) const;
-  // How many hosts come before this one as owners of aShard. Those that are
-  // passed over count.
-  std::size_t RankOfSelf(const Shard& aShard) const;
+  // Null when this host is the owner.
+  const PeerHost* OwnerOf(std::string_view aService,
+                          std::uint32_t aShard,
+                          Instant aNow);
+  // How many hosts come before this one as owners. Those that are passed over
+  // count.
+  std::size_t RankOfSelf(std::string_view aService, std::uint32_t aShard);
 
 private:
   struct PeerState
@@ -48,10 +53,19 @@
     Instant downUntil;
   };
 
+  // Places in hosts_ of those that come before this host, the first owner
+  // first.
+  using HostsBefore = std::vector<std::uint32_t>;
+
+  const HostsBefore& Before(std::string_view aService, std::uint32_t aShard);
+  bool IsPassedOver(const std::string& aHost, Instant aNow) const;
+
   const std::string self_;
   const double processorCores_;
   std::vector<PeerHost> hosts_;
   bool knowsHosts_ = false;
+  // By the hash of service and shard; empty after each change of the hosts.
+  std::unordered_map<std::uint64_t, HostsBefore> before_;
   // Of hosts that missed answers.
   std::map<std::string, PeerState> peers_;
 };
--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "directory/Shard.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,9 +33,8 @@
 struct SelectionRequest
 {
   std::string service;
-  // Of the servers to choose from; without a count, all of the service.
-  std::uint32_t shardIndex = 0;
-  std::uint32_t shardCount = 0;
+  // The servers to choose from.
+  Shard shard;
   // Requests of one route take similar times.
   std::string route;
   AttemptPurpose purpose = AttemptPurpose::First;
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -74,8 +74,8 @@
   aWriter.append(static_cast<quint64>(kAsk));
   aWriter.append(static_cast<quint64>(aAsk.call));
   AppendText(aWriter, request.service);
-  aWriter.append(static_cast<quint64>(request.shardIndex));
-  aWriter.append(static_cast<quint64>(request.shardCount));
+  aWriter.append(static_cast<quint64>(request.shard.index));
+  aWriter.append(static_cast<quint64>(request.shard.count));
   AppendText(aWriter, request.route);
   aWriter.append(static_cast<quint64>(request.purpose));
   aWriter.append(request.isIdempotent);
@@ -199,9 +199,9 @@
   ask.call = aInput.ReadUnsigned(kMaxTicket);
   SelectionRequest& request = ask.request;
   request.service = aInput.ReadText(kMaxNameBytes);
-  request.shardIndex =
+  request.shard.index =
     static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxShards));
-  request.shardCount =
+  request.shard.count =
     static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxShards));
   request.route = aInput.ReadText(kMaxNameBytes);
   request.purpose = static_cast<AttemptPurpose>(
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -136,13 +136,12 @@
 }
 
 double
-SelectionService::RankedBurstShare(std::string_view aService) const
+SelectionService::RankedBurstShare(std::string_view aService)
 {
   const std::uint32_t count = directory_->ShardCount(aService);
   double share = 0;
   for (std::uint32_t index = 0; index < count; ++index) {
-    const std::size_t rank =
-      ranking_.RankOfSelf({ std::string(aService), index, count });
+    const std::size_t rank = ranking_.RankOfSelf(aService, index);
     share += rank < kBurstShares.size() ? kBurstShares[rank] : 0;
   }
   return share / count;
@@ -157,7 +156,7 @@
   }
   const std::span<const int> slots =
     directory_->SlotsOfShards(aRequest.service);
-  Shard shard{ aRequest.service, 0, directory_->ShardCount(aRequest.service) };
+  Shard shard{ 0, directory_->ShardCount(aRequest.service) };
   const int total = std::accumulate(slots.begin(), slots.end(), 0);
   if (total <= 0) {
     return shard;
@@ -177,12 +176,11 @@
 void
 SelectionService::Select(SelectionRequest aRequest, Callback aCallback)
 {
-  const Shard shard = ChooseShard(aRequest);
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
-  aRequest.shardIndex = shard.index;
-  aRequest.shardCount = shard.count;
-  const PeerHost* owner = ranking_.OwnerOf(shard, clock_.Now());
+  aRequest.shard = ChooseShard(aRequest);
+  const PeerHost* owner =
+    ranking_.OwnerOf(aRequest.service, aRequest.shard.index, clock_.Now());
   if (owner == nullptr) {
     aCallback(ChooseHere(aRequest, "self"));
     return;
@@ -204,7 +202,7 @@
 {
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
-  aRequest.shardCount = 0;
+  aRequest.shard = {};
   return ChooseHere(aRequest, "alone");
 }
 
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -135,7 +135,7 @@
 
   // This host's share of the burst of each service.
   void ShareBursts();
-  double RankedBurstShare(std::string_view aService) const;
+  double RankedBurstShare(std::string_view aService);
   // The shard whose owner is asked for a server.
   Shard ChooseShard(const SelectionRequest& aRequest);
   // The outcome of this host's own choice.
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -283,10 +283,9 @@
   Publish();
   const BackendDirectory directory(1, records);
   SelectionRequest request = Request(true);
-  request.shardIndex = 2;
-  request.shardCount = directory.ShardCount("permits");
-  BOOST_TEST_REQUIRE(request.shardCount == 4U);
-  const auto& shard = directory.OfShard({ "permits", 2, 4 });
+  request.shard = { 2, directory.ShardCount("permits") };
+  BOOST_TEST_REQUIRE(request.shard.count == 4U);
+  const auto& shard = directory.OfShard("permits", { 2, 4 });
   for (std::size_t i = 0; i < shard.size(); ++i) {
     const auto selection = selector.Select(request, clock.Now()).selection;
     BOOST_TEST_REQUIRE(selection.has_value());
--- a/src/balancing/tests/TestOwnerRanking.cpp
+++ b/src/balancing/tests/TestOwnerRanking.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int kHosts = 40;
-constexpr int kShards = 2'000;
+constexpr std::uint32_t kShards = 2'000;
 
 // The first ten have five times the processor of the others.
 double
@@ -36,12 +36,6 @@
   return hosts;
 }
 
-Shard
-ShardOf(int aNumber)
-{
-  return { "permits", static_cast<std::uint32_t>(aNumber), 2'048 };
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OwnersOfShards)
@@ -52,9 +46,9 @@
 {
   OwnerRanking ranking(NameOf(0), CoresOf(0));
   ranking.SetHosts(AllHosts());
-  int ofLarge = 0;
-  for (int i = 0; i < kShards; ++i) {
-    const PeerHost* owner = ranking.OwnerOf(ShardOf(i), {});
+  std::uint32_t ofLarge = 0;
+  for (std::uint32_t i = 0; i < kShards; ++i) {
+    const PeerHost* owner = ranking.OwnerOf("permits", i, {});
     ofLarge += owner == nullptr || owner->processorCores > 0.4 ? 1 : 0;
   }
   BOOST_TEST(ofLarge > kShards * 0.95);
@@ -64,13 +58,13 @@
 // Guards against two hosts that both hold the first owner's share of a burst.
 BOOST_AUTO_TEST_CASE(HaveOneRankEach)
 {
-  for (int number = 0; number < 50; ++number) {
+  for (std::uint32_t number = 0; number < 50; ++number) {
     std::set<std::size_t> ranks;
     for (int i = 0; i < kHosts; ++i) {
       OwnerRanking ranking(NameOf(i), CoresOf(i));
       ranking.SetHosts(AllHosts());
-      const std::size_t rank = ranking.RankOfSelf(ShardOf(number));
-      BOOST_TEST((ranking.OwnerOf(ShardOf(number), {}) == nullptr) ==
+      const std::size_t rank = ranking.RankOfSelf("permits", number);
+      BOOST_TEST((ranking.OwnerOf("permits", number, {}) == nullptr) ==
                  (rank == 0));
       ranks.insert(rank);
     }
@@ -83,17 +77,17 @@
 {
   OwnerRanking ranking(NameOf(39), CoresOf(39));
   ranking.SetHosts(AllHosts());
-  const std::size_t rank = ranking.RankOfSelf(ShardOf(1));
-  const PeerHost* owner = ranking.OwnerOf(ShardOf(1), {});
+  const std::size_t rank = ranking.RankOfSelf("permits", 1);
+  const PeerHost* owner = ranking.OwnerOf("permits", 1, {});
   BOOST_TEST_REQUIRE(owner != nullptr);
   const std::string name = owner->name;
   ranking.OnMissedAnswer(name, {});
-  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name == name);
+  BOOST_TEST(ranking.OwnerOf("permits", 1, {})->name == name);
   ranking.OnMissedAnswer(name, {});
-  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name != name);
-  BOOST_TEST(ranking.RankOfSelf(ShardOf(1)) == rank);
+  BOOST_TEST(ranking.OwnerOf("permits", 1, {})->name != name);
+  BOOST_TEST(ranking.RankOfSelf("permits", 1) == rank);
   ranking.OnAnswer(name);
-  BOOST_TEST(ranking.OwnerOf(ShardOf(1), {})->name == name);
+  BOOST_TEST(ranking.OwnerOf("permits", 1, {})->name == name);
 }
 
 // Guards against a host that is asked although nobody knows what it can carry.
@@ -102,12 +96,12 @@
   OwnerRanking ranking("self", 0.1);
   ranking.SetHosts({});
   BOOST_TEST(ranking.OnHeard("other", "piarco", {}));
-  for (int i = 0; i < 50; ++i) {
-    BOOST_TEST((ranking.OwnerOf(ShardOf(i), {}) == nullptr));
+  for (std::uint32_t i = 0; i < 50; ++i) {
+    BOOST_TEST((ranking.OwnerOf("permits", i, {}) == nullptr));
   }
   BOOST_TEST(ranking.OnHeard("other", "piarco", {}, 100));
   BOOST_TEST(!ranking.OnHeard("other", "piarco", {}));
-  BOOST_TEST((ranking.OwnerOf(ShardOf(1), {}) != nullptr));
+  BOOST_TEST((ranking.OwnerOf("permits", 1, {}) != nullptr));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -269,8 +269,7 @@
   SelectionAsk ask;
   ask.call = 9;
   ask.request.service = "permits";
-  ask.request.shardIndex = 3;
-  ask.request.shardCount = 4;
+  ask.request.shard = { 3, 4 };
   ask.request.route = "approve";
   ask.request.purpose = AttemptPurpose::Hedge;
   ask.request.isIdempotent = true;
@@ -281,8 +280,7 @@
   BOOST_TEST_REQUIRE(message.has_value());
   const auto& read = std::get<SelectionAsk>(*message);
   BOOST_TEST(read.call == 9U);
-  BOOST_TEST(read.request.shardIndex == 3U);
-  BOOST_TEST(read.request.shardCount == 4U);
+  BOOST_TEST((read.request.shard == Shard{ 3, 4 }));
   BOOST_TEST(read.request.route == "approve");
   BOOST_TEST((read.request.purpose == AttemptPurpose::Hedge));
   BOOST_TEST((read.request.remaining == Duration(250ms)));
--- a/src/directory/BackendDirectory.cpp
+++ b/src/directory/BackendDirectory.cpp
@@ -80,7 +80,7 @@
                           std::string_view aServer) const
 {
   const std::uint32_t count = ShardCount(aService);
-  return { std::string(aService), ShardIndex(aServer, count), count };
+  return { ShardIndex(aServer, count), count };
 }
 
 std::span<const int>
@@ -91,9 +91,9 @@
 }
 
 const std::vector<const BackendServerRecord*>&
-BackendDirectory::OfShard(const Shard& aShard) const
+BackendDirectory::OfShard(std::string_view aService, Shard aShard) const
 {
-  const Service* service = FindService(aShard.service);
+  const Service* service = FindService(aService);
   if (service == nullptr) {
     return none_;
   }
--- a/src/directory/BackendDirectory.h
+++ b/src/directory/BackendDirectory.h
@@ -44,7 +44,8 @@
   // The servers of aShard; all servers of its service where this directory
   // divides the service otherwise.
   const std::vector<const BackendServerRecord*>& OfShard(
-    const Shard& aShard) const;
+    std::string_view aService,
+    Shard aShard) const;
 
 private:
   using Records = std::vector<const BackendServerRecord*>;
--- a/src/directory/tests/TestBackendDirectory.cpp
+++ b/src/directory/tests/TestBackendDirectory.cpp
@@ -52,7 +52,7 @@
   std::set<std::string> servers;
   int slots = 0;
   for (std::uint32_t index = 0; index < count; ++index) {
-    const auto& shard = directory.OfShard({ "permits", index, count });
+    const auto& shard = directory.OfShard("permits", { index, count });
     BOOST_TEST(shard.size() < 2 * BackendDirectory::kServersPerShard);
     for (const BackendServerRecord* record : shard) {
       BOOST_TEST(servers.insert(record->id).second);
@@ -71,7 +71,7 @@
   BOOST_TEST(directory.ShardCount("permits") == 1U);
   BOOST_TEST(directory.ShardCount("unknown") == 1U);
   BOOST_TEST(directory.SlotsOfShards("unknown").empty());
-  BOOST_TEST(directory.OfShard({ "unknown", 0, 1 }).empty());
+  BOOST_TEST(directory.OfShard("unknown", { 0, 1 }).empty());
 }
 
 // Guards against servers that all change their owner when a service grows.
@@ -94,9 +94,9 @@
 BOOST_AUTO_TEST_CASE(OfAnotherDivisionAreTheWholeService)
 {
   const BackendDirectory directory = MakeDirectory(200);
-  BOOST_TEST(directory.OfShard({ "permits", 1, 4 }).size() == 200U);
-  BOOST_TEST(directory.OfShard({ "permits", 9, 8 }).size() == 200U);
-  BOOST_TEST(directory.OfShard({ "permits", 0, 0 }).size() == 200U);
+  BOOST_TEST(directory.OfShard("permits", { 1, 4 }).size() == 200U);
+  BOOST_TEST(directory.OfShard("permits", { 9, 8 }).size() == 200U);
+  BOOST_TEST(directory.OfShard("permits", { 0, 0 }).size() == 200U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
