Gateway: Ask peers for what they have read in one place

WatchSharing and PeerSnapshotClient each built the same GET call and the same limits, with two names for the 400 ms. The time to connect, 500 ms in one of them, is 400 ms in both; the call was given up by then anyway.

--- /dev/null
+++ b/src/gateway/PeerCall.cpp
@@ -0,0 +1,33 @@
+#include "gateway/PeerCall.h"
+
+namespace filbertbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kAnswerTime{ 400 };
+
+} // namespace
+
+PlatformClientLimits
+PeerClientLimits()
+{
+  PlatformClientLimits limits;
+  limits.callTimeout = kAnswerTime;
+  limits.connectTimeout = kAnswerTime;
+  return limits;
+}
+
+void
+GetFromPeer(PlatformClient& aClient,
+            std::string aTarget,
+            PlatformClient::Callback aCallback)
+{
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = std::move(aTarget);
+  aClient.Call(std::move(head), {}, milliseconds(0), std::move(aCallback));
+}
+
+} // namespace filbertbeam
--- a/src/gateway/PeerSnapshotClient.cpp
+++ b/src/gateway/PeerSnapshotClient.cpp
@@ -1,6 +1,7 @@
 #include "gateway/PeerSnapshotClient.h"
 
 #include "base/Log.h"
+#include "gateway/PeerCall.h"
 
 namespace filbertbeam {
 
@@ -10,18 +11,9 @@
 
 // A catalog that is there has answered by then.
 constexpr milliseconds kAskInterval{ 500 };
-constexpr milliseconds kAnswerTime{ 400 };
 
 constexpr int kOk = 200;
 
-PlatformClientLimits
-ClientLimits()
-{
-  PlatformClientLimits limits;
-  limits.callTimeout = kAnswerTime;
-  return limits;
-}
-
 } // namespace
 
 PeerSnapshotClient::PeerSnapshotClient(std::vector<Endpoint> aSeeds,
@@ -30,7 +22,7 @@
   : seeds_(std::move(aSeeds))
   , isNeeded_(std::move(aIsNeeded))
   , onSnapshot_(std::move(aOnSnapshot))
-  , client_(seeds_, ClientLimits())
+  , client_(seeds_, PeerClientLimits())
 {
   timer_.callOnTimeout([this] { Ask(); });
 }
@@ -65,13 +57,8 @@
   if (seeds_.empty() && preferred_.port == 0) {
     return;
   }
-  HttpRequestHead head;
-  head.method = "GET";
-  head.target = "/";
-  client_.Call(std::move(head),
-               {},
-               milliseconds(0),
-               [this](const PlatformReply& aReply) { OnAnswer(aReply); });
+  GetFromPeer(
+    client_, "/", [this](const PlatformReply& aReply) { OnAnswer(aReply); });
 }
 
 void
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -1,6 +1,7 @@
 #include "gateway/WatchSharing.h"
 
 #include "base/Log.h"
+#include "gateway/PeerCall.h"
 
 #include <QUrlQuery>
 
@@ -16,7 +17,6 @@
 // Half of the time between beats, so that a watcher that is lost is noticed
 // soon after its silence is long enough.
 constexpr milliseconds kTick = kWatcherBeatInterval / 2;
-constexpr milliseconds kFetchTime{ 400 };
 
 constexpr int kOk = 200;
 
@@ -24,15 +24,6 @@
 constexpr const char* kConfiguration = "configuration";
 constexpr const char* kBackendServers = "backend_servers";
 
-PlatformClientLimits
-ClientLimits()
-{
-  PlatformClientLimits limits;
-  limits.callTimeout = kFetchTime;
-  limits.connectTimeout = kFetchTime;
-  return limits;
-}
-
 } // namespace
 
 std::string
@@ -77,7 +68,7 @@
   , clock_(aClock)
   , sendBeat_(std::move(aSendBeat))
   , election_(self_.name, self_.processorCores)
-  , client_({}, ClientLimits())
+  , client_({}, PeerClientLimits())
 {
   tickTimer_.callOnTimeout([this] { Tick(); });
 }
@@ -169,17 +160,12 @@
 {
   isFetching_ = true;
   client_.SetEndpoints({ { aSender.address, aBeat.snapshotPort } });
-  HttpRequestHead head;
-  head.method = "GET";
-  head.target =
-    PeerChangesTarget(configuration_.Revision(), servers_.Revision());
-  client_.Call(std::move(head),
-               {},
-               milliseconds(0),
-               [this, aBeat](const PlatformReply& aReply) {
-                 isFetching_ = false;
-                 OnFetched(aBeat, aReply);
-               });
+  GetFromPeer(client_,
+              PeerChangesTarget(configuration_.Revision(), servers_.Revision()),
+              [this, aBeat](const PlatformReply& aReply) {
+                isFetching_ = false;
+                OnFetched(aBeat, aReply);
+              });
 }
 
 void
