--- a/src/balancing/RepeatBudget.h
+++ b/src/balancing/RepeatBudget.h
@@ -27,7 +27,9 @@
 // One host's account of the attempts beyond the first of each request of one
 // service, over any window of the length given. A request earns its share of a
 // repeat at one host alone, and the bursts of all hosts are shares of one, so
-// the accounts of all hosts together never exceed the limits, whoever chooses.
+// the accounts of all hosts together keep the limits, whoever chooses. A
+// restart forgets an account: what needs no wait of its burst may then be spent
+// again.
 class RepeatBudget
 {
 public:
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -232,12 +232,14 @@
 SelectionService::Report(const Endpoint& aOwner, const TicketResult& aResult)
 {
   socket_->Send(aOwner, EncodeSelectionMessage(SelectionReport{ { aResult } }));
-  SelectionReport& report = reported_[aOwner];
-  report.results.push_back(aResult);
-  if (report.results.size() == SelectionReport::kMaxResults) {
-    socket_->Send(aOwner, EncodeSelectionMessage(report));
-    reported_.erase(aOwner);
-  }
+  auto reported = std::ranges::find_if(reported_, [&](const auto& aItem) {
+    return aItem.first == aOwner &&
+           aItem.second.results.size() < SelectionReport::kMaxResults;
+  });
+  if (reported == reported_.end()) {
+    reported = reported_.insert(reported, { aOwner, {} });
+  }
+  reported->second.results.push_back(aResult);
   if (!reportTimer_.isActive()) {
     reportTimer_.start(kReportRepeat);
   }
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -170,8 +170,9 @@
   std::map<std::uint64_t, MissedAsk> missed_;
   // In the order of their answers.
   std::deque<AnsweredAsk> answered_;
-  // Results that were told since the last repetition, by owner.
-  std::map<Endpoint, SelectionReport> reported_;
+  // Results that were told since the last repetition, by owner; few in that
+  // time.
+  std::vector<std::pair<Endpoint, SelectionReport>> reported_;
   QTimer reportTimer_;
   std::uint64_t nextCall_ = 1;
   KnownVersions known_;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -2,7 +2,6 @@
 
 #include "http/HttpFields.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -53,7 +52,7 @@
   std::string address;
   std::uint16_t port = 0;
 
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
 };
 
 } // namespace filbertbeam
