Tests: Build stories and catalog copies in one place

The programs of tests/fleet and tests/gateway were built by the same lines of CMake; so were four copies of the catalog and two outages in the tests of CatalogFollower. Programs, names, time limits and assertions are the same.

--- a/cmake/Filbertbeam.cmake
+++ b/cmake/Filbertbeam.cmake
@@ -35,3 +35,24 @@
   add_test(NAME ${aName} COMMAND test_${aName} --log_level=test_suite)
   set_tests_properties(${aName} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
+
+# filbertbeam_stories(PREFIX [TIMEOUT seconds] [SERIAL] [DEPENDS libraries...])
+# Builds each Test*.cpp of the current folder into a Boost.Test program of its
+# own, test_PREFIX_NAME, and registers it with CTest.
+function(filbertbeam_stories aPrefix)
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "DEPENDS" ${ARGN})
+  file(GLOB stories CONFIGURE_DEPENDS Test*.cpp)
+  foreach(story ${stories})
+    get_filename_component(name ${story} NAME_WE)
+    string(REPLACE "Test" "" name ${name})
+    string(TOLOWER ${aPrefix}_${name} name)
+    add_executable(test_${name} ${story}
+                   ${CMAKE_SOURCE_DIR}/src/base/tests/support/TestMain.cpp)
+    target_compile_definitions(test_${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(test_${name} PRIVATE
+      ${ARG_DEPENDS} Qt6::Core Boost::unit_test_framework)
+    add_test(NAME ${name} COMMAND test_${name} --log_level=test_suite)
+    set_tests_properties(${name} PROPERTIES
+      TIMEOUT ${ARG_TIMEOUT} RUN_SERIAL ${ARG_SERIAL})
+  endforeach()
+endfunction()
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -41,6 +41,17 @@
   return changes;
 }
 
+CatalogCopy
+Copy(const std::vector<CatalogObject>& aObjects, std::uint64_t aNewestChange)
+{
+  CatalogCopy copy;
+  for (const CatalogObject& object : aObjects) {
+    copy.objects.emplace(object.name, object);
+  }
+  copy.newestChange = aNewestChange;
+  return copy;
+}
+
 template<typename Answer>
 Answer
 Failure(CatalogError aError)
@@ -110,6 +121,17 @@
     follower.Start();
   }
 
+  // The follower has "a" and "b" and keeps the latter, which the first list
+  // after an outage does not show.
+  void LoseAnEntryInAnOutage()
+  {
+    catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
+    catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+    catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
+    catalog.AnswerList(Page({ Object("a", 3) }, 6));
+    BOOST_TEST(names == "a b ");
+  }
+
   SystemClock clock;
   SeededRandom random{ 1 };
   FakeCatalog catalog;
@@ -203,11 +225,7 @@
 // list, since it had been kept for its return before.
 BOOST_AUTO_TEST_CASE(DropsAnEntryForGoodOnceItsRemovalIsKnown)
 {
-  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
-  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
-  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
-  catalog.AnswerList(Page({ Object("a", 3) }, 6));
-  BOOST_TEST(names == "a b ");
+  LoseAnEntryInAnOutage();
   catalog.AnswerWatch(Changes({ { Object("b", 7), true } }, 7));
   BOOST_TEST(names == "a ");
   follower.CatchUp(9);
@@ -219,11 +237,7 @@
 // go missing one after the other.
 BOOST_AUTO_TEST_CASE(KeepsAnEntryForOneReturnTime)
 {
-  catalog.AnswerList(Page({ Object("a", 3), Object("b", 3) }, 3));
-  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
-  catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::HistoryGone));
-  catalog.AnswerList(Page({ Object("a", 3) }, 6));
-  BOOST_TEST(names == "a b ");
+  LoseAnEntryInAnOutage();
   RunFor(120ms);
   follower.ReadAgain("test");
   catalog.AnswerList(Page({ Object("a", 3) }, 7));
@@ -247,9 +261,7 @@
 // although its peers do.
 BOOST_AUTO_TEST_CASE(TakesWhatThePeerHasUntilTheCatalogAnswers)
 {
-  CatalogCopy copy;
-  copy.objects.emplace("a", Object("a", 3));
-  copy.newestChange = 3;
+  const CatalogCopy copy = Copy({ Object("a", 3) }, 3);
   follower.Adopt(copy);
   BOOST_TEST(follower.IsComplete());
   BOOST_TEST(names == "a ");
@@ -267,9 +279,7 @@
 {
   catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
   catalog.AnswerWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
-  CatalogCopy copy;
-  copy.objects.emplace("a", Object("a", 7));
-  copy.newestChange = 8;
+  CatalogCopy copy = Copy({ Object("a", 7) }, 8);
   BOOST_TEST(!follower.Knows(8));
   follower.Adopt(copy);
   BOOST_TEST(names == "a ");
@@ -292,11 +302,7 @@
 BOOST_AUTO_TEST_CASE(TakesItForNoOutageThatThePeerWasQuicker)
 {
   catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
-  CatalogCopy copy;
-  copy.objects.emplace("a", Object("a", 3));
-  copy.objects.emplace("b", Object("b", 8));
-  copy.newestChange = 8;
-  follower.Adopt(copy);
+  follower.Adopt(Copy({ Object("a", 3), Object("b", 8) }, 8));
   follower.CatchUp(10);
   catalog.AnswerList(Page({ Object("a", 3) }, 10));
   BOOST_TEST(names == "a ");
@@ -307,10 +313,7 @@
 BOOST_AUTO_TEST_CASE(DropsInTimeWhatThePeerKeptForItsReturn)
 {
   catalog.AnswerList(Page({ Object("a", 3), Object("b", 4) }, 4));
-  CatalogCopy copy;
-  copy.objects.emplace("a", Object("a", 7));
-  copy.objects.emplace("b", Object("b", 4));
-  copy.newestChange = 8;
+  CatalogCopy copy = Copy({ Object("a", 7), Object("b", 4) }, 8);
   copy.mayReturn = { "b" };
   follower.Adopt(copy);
   BOOST_TEST(names == "a b ");
