Catalog: Log why a missing entry is kept

An entry that a host keeps after its removal was logged only when it was dropped. The line now says whether the host read the removal itself or took over a peer's mark, whether it had an outage of its own, and how long ago that ended. No logic is changed.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -95,7 +95,7 @@
   for (const std::string& name : aCopy.mayReturn) {
     const auto object = objects_.find(name);
     if (object != objects_.end()) {
-      KeepMissing(object->second);
+      KeepMissing(object->second, "peer-copy");
     }
   }
   history_.Reset(aCopy.newestChange);
@@ -257,7 +257,7 @@
   if (mayReturn) {
     for (const auto& [name, object] : objects_) {
       if (!listing_.contains(name)) {
-        KeepMissing(object);
+        KeepMissing(object, "own-list");
       }
     }
   }
@@ -368,7 +368,8 @@
       continue;
     }
     if (mayReturn && existing != objects_.end()) {
-      KeepMissing(existing->second);
+      KeepMissing(existing->second,
+                  event.mayReturn ? "peer-event" : "own-event");
     } else {
       missing_.erase(name);
       objects_.erase(name);
@@ -433,12 +434,25 @@
 }
 
 void
-CatalogFollower::KeepMissing(const CatalogObject& aObject)
+CatalogFollower::KeepMissing(const CatalogObject& aObject,
+                             std::string_view aSource)
 {
   const auto [missing, isNew] = missing_.try_emplace(
     aObject.name,
     MissingObject{ aObject, clock_.Now() + settings_.missingObjectRetention });
   missing->second.object = aObject;
+  if (isNew) {
+    LogEvent(LogLevel::Info,
+             "catalog_missing_entry_kept",
+             { { "collection", settings_.name },
+               { "name", aObject.name },
+               { "source", aSource },
+               { "had_outage", wasUnavailable_ },
+               { "since_recovery_ms",
+                 std::chrono::duration_cast<milliseconds>(clock_.Now() -
+                                                          recoveredAt_)
+                   .count() } });
+  }
   if (isNew && !missingTimer_.isActive()) {
     ScheduleDrop();
   }
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -122,8 +122,8 @@
   bool CheckResponse(const CatalogFailure& aFailure);
   void OnRecovered();
   // Keeps aObject until the retention time has passed since it was first found
-  // missing.
-  void KeepMissing(const CatalogObject& aObject);
+  // missing. aSource is logged: where the removal was read.
+  void KeepMissing(const CatalogObject& aObject, std::string_view aSource);
   void ScheduleDrop();
   void DropExpiredObjects();
   void Notify();
