Catalog: Judge removals by this host's own record of outages

Cause: after an outage, a removal may only be an entry that expired, so it was kept for two seconds. That was decided by the host that read it and told to others: a watcher that had been cut off alone marked removals as ones that may return, and its followers, which had lost nothing, kept the server too. The copies that hosts import held kept entries as well, and brought back servers that other failure domains had dropped. Each host also started a whole retention of its own.

Change: nothing about a peer's outage travels any more. A removal is kept only by a host whose own calls failed for a second or more while no peer reported that the store responds to it; all are dropped two seconds after the end of that outage, however late they were read. Copies hold what is in the store.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertbeam {
 
@@ -38,7 +39,6 @@
   , random_(aRandom)
   , onChange_(std::move(aOnChange))
   , lastResponseAt_(aClock.Now())
-  , recoveredAt_(aClock.Now())
 {
   callTimer_.setSingleShot(true);
   callTimer_.setTimerType(Qt::PreciseTimer);
@@ -50,7 +50,7 @@
     }
   });
   missingTimer_.setSingleShot(true);
-  missingTimer_.callOnTimeout([this] { DropExpiredObjects(); });
+  missingTimer_.callOnTimeout([this] { DropMissingObjects(); });
 }
 
 void
@@ -88,24 +88,11 @@
              { "objects", aCopy.objects.size() },
              { "newest_change", newestChange_ },
              { "peer", aCopy.newestChange } });
-  objects_ = std::move(aCopy.objects);
-  std::erase_if(missing_, [&aCopy](const auto& aItem) {
-    return !aCopy.mayReturn.contains(aItem.first);
-  });
-  for (const std::string& name : aCopy.mayReturn) {
-    const auto object = objects_.find(name);
-    if (object != objects_.end()) {
-      KeepMissing(object->second, "peer-copy");
-    }
-  }
+  ReplaceObjects(std::move(aCopy.objects), aCopy.newestChange);
   history_.Reset(aCopy.newestChange);
   peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
   isComplete_ = true;
-  // Objects missing in the first list may have expired while the catalog was
-  // unavailable. A host that has completed a list knows from its own calls
-  // whether there was an outage.
-  wasUnavailable_ = wasUnavailable_ || listedRevision_ == 0;
   Notify();
 }
 
@@ -114,7 +101,7 @@
 {
   CatalogCopy copy{ objects_, newestChange_ };
   for (const auto& [name, missing] : missing_) {
-    copy.mayReturn.insert(name);
+    copy.objects.erase(name);
   }
   return copy;
 }
@@ -249,34 +236,36 @@
     }
     return;
   }
-  const bool mayReturn =
-    wasUnavailable_ && settings_.missingObjectRetention.count() > 0;
-  RecordListing(mayReturn);
+  RecordListing();
   revision_ = std::max<std::uint64_t>(listingRevision_, 1);
   listedRevision_ = listingRevision_;
-  if (mayReturn) {
+  ReplaceObjects(std::exchange(listing_, {}), listingRevision_);
+  isComplete_ = true;
+  Notify();
+  WatchUnlessFollowingPeer();
+}
+
+void
+CatalogFollower::ReplaceObjects(Objects aObjects, std::uint64_t aRevision)
+{
+  if (IsRecovering()) {
     for (const auto& [name, object] : objects_) {
-      if (!listing_.contains(name)) {
-        KeepMissing(object, "own-list");
+      if (!aObjects.contains(name)) {
+        KeepMissing(object, aRevision);
       }
     }
   }
-  objects_ = std::move(listing_);
-  listing_.clear();
+  objects_ = std::move(aObjects);
   std::erase_if(missing_, [this](const auto& aItem) {
     return objects_.contains(aItem.first);
   });
   for (const auto& [name, missing] : missing_) {
     objects_.emplace(name, missing.object);
   }
-  isComplete_ = true;
-  wasUnavailable_ = false;
-  Notify();
-  WatchUnlessFollowingPeer();
 }
 
 void
-CatalogFollower::RecordListing(bool aMayReturn)
+CatalogFollower::RecordListing()
 {
   if (revision_ == 0 && !isComplete_) {
     history_.Reset(listingRevision_);
@@ -284,7 +273,7 @@
   }
   for (const auto& [name, object] : objects_) {
     if (!listing_.contains(name)) {
-      CatalogEvent event{ object, true, aMayReturn };
+      CatalogEvent event{ object, true };
       event.object.revision = listingRevision_;
       history_.Add(event);
       newestChange_ = std::max(newestChange_, listingRevision_);
@@ -294,7 +283,7 @@
     const auto existing = objects_.find(name);
     if (existing == objects_.end() ||
         existing->second.revision < object.revision) {
-      history_.Add({ object, false, false });
+      history_.Add({ object, false });
     }
   }
 }
@@ -352,9 +341,7 @@
   bool isChanged = false;
   for (const CatalogEvent& event : aEvents) {
     const std::string& name = event.object.name;
-    const bool mayReturn =
-      event.isDeleted && (event.mayReturn || IsRecovering());
-    history_.Add({ event.object, event.isDeleted, mayReturn });
+    history_.Add(event);
     newestChange_ = std::max(newestChange_, event.object.revision);
     const auto existing = objects_.find(name);
     if (existing != objects_.end() &&
@@ -362,37 +349,69 @@
       continue;
     }
     isChanged = true;
-    if (!event.isDeleted) {
-      missing_.erase(name);
-      objects_.insert_or_assign(name, event.object);
-      continue;
-    }
-    if (mayReturn && existing != objects_.end()) {
-      KeepMissing(existing->second,
-                  event.mayReturn ? "peer-event" : "own-event");
+    if (event.isDeleted) {
+      Remove(event.object);
     } else {
       missing_.erase(name);
-      objects_.erase(name);
+      objects_.insert_or_assign(name, event.object);
     }
   }
-  if (wasUnavailable_ && !IsRecovering()) {
-    wasUnavailable_ = false;
-  }
   return isChanged;
 }
 
+void
+CatalogFollower::Remove(const CatalogObject& aRemoved)
+{
+  const auto existing = objects_.find(aRemoved.name);
+  if (existing == objects_.end()) {
+    return;
+  }
+  const auto missing = missing_.find(aRemoved.name);
+  if (missing == missing_.end() && IsRecovering()) {
+    KeepMissing(existing->second, aRemoved.revision);
+    return;
+  }
+  if (missing != missing_.end()) {
+    if (aRemoved.revision <= missing->second.removalRevision) {
+      return;
+    }
+    missing_.erase(missing);
+  }
+  objects_.erase(existing);
+}
+
 bool
 CatalogFollower::IsRecovering() const
 {
-  // Just after an outage, an entry may have expired only because its writer
-  // could not reach the catalog either.
-  return wasUnavailable_ &&
-         clock_.Now() - recoveredAt_ < settings_.missingObjectRetention;
+  return recoveredAt_ &&
+         clock_.Now() - *recoveredAt_ < settings_.missingObjectRetention;
+}
+
+void
+CatalogFollower::OnCatalogResponds()
+{
+  const auto since = std::exchange(outageSince_, std::nullopt);
+  if (!since) {
+    return;
+  }
+  // When a peer was served in the meantime, only this host was cut off. The
+  // catalog accepted changes, so that a removal is one by its writer.
+  const Duration outage = clock_.Now() - *since;
+  if (outage < settings_.shortestOutage) {
+    return;
+  }
+  recoveredAt_ = clock_.Now();
+  LogEvent(
+    LogLevel::Info,
+    "catalog_outage_ended",
+    { { "collection", settings_.name },
+      { "ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
 }
 
 void
 CatalogFollower::OnRecovered()
 {
+  OnCatalogResponds();
   if (failures_ == 0) {
     return;
   }
@@ -402,7 +421,6 @@
     { { "collection", settings_.name },
       { "failures", failures_ },
       { "away_ms", std::chrono::duration_cast<milliseconds>(Age()).count() } });
-  recoveredAt_ = clock_.Now();
   failures_ = 0;
 }
 
@@ -421,9 +439,11 @@
                { "revision", revision_ },
                { "reason", aFailure.reason } });
   }
+  if (!outageSince_) {
+    outageSince_ = clock_.Now();
+  }
   const int doublings = std::min(failures_, 6);
   ++failures_;
-  wasUnavailable_ = true;
   const milliseconds longest =
     std::min(kFirstRetryDelay * (1 << doublings), kMaxRetryDelay);
   callTimer_.start(
@@ -435,62 +455,43 @@
 
 void
 CatalogFollower::KeepMissing(const CatalogObject& aObject,
-                             std::string_view aSource)
+                             std::uint64_t aRemoval)
 {
-  const auto [missing, isNew] = missing_.try_emplace(
-    aObject.name,
-    MissingObject{ aObject, clock_.Now() + settings_.missingObjectRetention });
-  missing->second.object = aObject;
-  if (isNew) {
-    LogEvent(LogLevel::Info,
-             "catalog_missing_entry_kept",
-             { { "collection", settings_.name },
-               { "name", aObject.name },
-               { "source", aSource },
-               { "had_outage", wasUnavailable_ },
-               { "since_recovery_ms",
-                 std::chrono::duration_cast<milliseconds>(clock_.Now() -
-                                                          recoveredAt_)
-                   .count() } });
-  }
-  if (isNew && !missingTimer_.isActive()) {
-    ScheduleDrop();
+  const Duration sinceRecovery = clock_.Now() - *recoveredAt_;
+  if (missing_.try_emplace(aObject.name, MissingObject{ aObject, aRemoval })
+        .second) {
+    LogEvent(
+      LogLevel::Info,
+      "catalog_missing_entry_kept",
+      { { "collection", settings_.name },
+        { "name", aObject.name },
+        { "revision", aRemoval },
+        { "follows_peer", followsPeer_ },
+        { "since_recovery_ms",
+          std::chrono::duration_cast<milliseconds>(sinceRecovery).count() } });
+  }
+  if (!missingTimer_.isActive()) {
+    missingTimer_.start(std::chrono::ceil<milliseconds>(
+      settings_.missingObjectRetention - sinceRecovery));
   }
 }
 
 void
-CatalogFollower::ScheduleDrop()
+CatalogFollower::DropMissingObjects()
 {
-  if (missing_.empty()) {
+  if (IsRecovering()) {
+    // There was another outage in the meantime.
+    missingTimer_.start(std::chrono::ceil<milliseconds>(
+      *recoveredAt_ + settings_.missingObjectRetention - clock_.Now()));
     return;
   }
-  const auto earliest = std::ranges::min_element(
-    missing_, {}, [](const auto& aItem) { return aItem.second.dropAt; });
-  const auto left =
-    std::chrono::ceil<milliseconds>(earliest->second.dropAt - clock_.Now());
-  missingTimer_.start(std::max(left, milliseconds(0)));
-}
-
-void
-CatalogFollower::DropExpiredObjects()
-{
-  const Instant now = clock_.Now();
-  bool isChanged = false;
-  for (auto missing = missing_.begin(); missing != missing_.end();) {
-    if (missing->second.dropAt > now) {
-      ++missing;
-      continue;
-    }
+  for (const auto& [name, missing] : std::exchange(missing_, {})) {
     LogEvent(LogLevel::Info,
              "catalog_entry_not_returned",
-             { { "collection", settings_.name }, { "name", missing->first } });
-    isChanged = objects_.erase(missing->first) > 0 || isChanged;
-    missing = missing_.erase(missing);
-  }
-  ScheduleDrop();
-  if (isChanged) {
-    Notify();
+             { { "collection", settings_.name }, { "name", name } });
+    objects_.erase(name);
   }
+  Notify();
 }
 
 void
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -9,7 +9,7 @@
 
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 
 namespace filbertbeam {
 
@@ -21,9 +21,12 @@
   // The delay after a change before the next watch starts, so that a series of
   // changes costs one call. It adds to the age of the copy.
   std::chrono::milliseconds coalescingDelay{ 0 };
-  // How long objects that are missing in the first list after an outage are
-  // kept, so that their writers have time to write them again.
+  // How long after the end of an outage removed objects are kept, so that their
+  // writers have time to write them again.
   std::chrono::milliseconds missingObjectRetention{ 0 };
+  // Objects of live writers do not expire in outages that are noticed for a
+  // shorter time than this.
+  std::chrono::milliseconds shortestOutage{ 0 };
 };
 
 // The copy that a host has of a collection.
@@ -32,9 +35,6 @@
   std::map<std::string, CatalogObject, std::less<>> objects;
   // The revision of the newest change that was read, deletions included.
   std::uint64_t newestChange = 0;
-  // The names of objects that are no longer in the catalog and are kept for a
-  // limited time, since their writers may write them again.
-  std::set<std::string, std::less<>> mayReturn = {};
 };
 
 // Keeps a copy of one collection: lists it, then watches it, and lists it again
@@ -63,6 +63,8 @@
   // late. Does nothing when that change has been read or is being read.
   void CatchUp(std::uint64_t aRevision);
 
+  // The catalog responds, to this host or, as a peer has reported, to the peer.
+  void OnCatalogResponds();
   // While a peer is followed, no watch is started: the caller passes what the
   // peer has read to ApplyPeerChanges. Otherwise a watch starts at once.
   void SetFollowsPeer(bool aFollowsPeer);
@@ -80,6 +82,8 @@
   // Imports the copy of a peer when it is newer than this one or when nothing
   // has been read yet. The next list of the catalog replaces it.
   void Import(CatalogCopy aCopy);
+  // Returns what is in the catalog, without the removed objects that this host
+  // keeps after an outage.
   CatalogCopy Copy() const;
 
   // The revision of the newest change that was read.
@@ -96,36 +100,40 @@
   Duration Age() const { return clock_.Now() - lastResponseAt_; }
 
 private:
+  // A removed object that its writer may still write again.
   struct MissingObject
   {
     // The object as it was last read.
     CatalogObject object;
-    Instant dropAt;
+    // The revision of the change or list that showed the removal.
+    std::uint64_t removalRevision = 0;
   };
 
   // The response to a call is ignored once a newer call has been sent.
   void List(const std::string& aAfter);
   void OnPage(CatalogPage aPage);
   void CompleteList();
-  // Adds the changes found by a list to the history. With aMayReturn, missing
-  // objects are recorded as ones that their writers may write again.
-  void RecordListing(bool aMayReturn);
+  // Adds the changes found by a list to the history.
+  void RecordListing();
+  // Replaces the copy with the objects of aRevision, except for removed objects
+  // that may return.
+  void ReplaceObjects(Objects aObjects, std::uint64_t aRevision);
   void WatchUnlessFollowingPeer();
   void Watch();
   void OnChanges(const CatalogChanges& aChanges);
   // Applies the changes to the copy; returns true when that changed it.
   bool Apply(const std::vector<CatalogEvent>& aEvents);
-  // True shortly after an outage, when an object may be missing only because it
-  // expired while its writer could not reach the catalog.
+  // Applies a removal that was read with the revision of aRemoved.
+  void Remove(const CatalogObject& aRemoved);
+  // True shortly after an outage, when an object may have been removed only
+  // because it expired while its writer could not reach the catalog.
   bool IsRecovering() const;
   // After a failure, schedules a retry and returns false.
   bool CheckResponse(const CatalogFailure& aFailure);
   void OnRecovered();
-  // Keeps aObject until the retention time has passed since it was first found
-  // missing. aSource is logged: where the removal was read.
-  void KeepMissing(const CatalogObject& aObject, std::string_view aSource);
-  void ScheduleDrop();
-  void DropExpiredObjects();
+  // Keeps aObject until this host no longer recovers from an outage.
+  void KeepMissing(const CatalogObject& aObject, std::uint64_t aRemoval);
+  void DropMissingObjects();
   void Notify();
 
   ObjectCatalog& catalog_;
@@ -148,13 +156,14 @@
   Instant caughtUpAt_;
   std::uint64_t latestCall_ = 0;
   bool isComplete_ = false;
-  // Whether the catalog was unavailable since the last complete list.
-  bool wasUnavailable_ = false;
   int failures_ = 0;
   Instant lastResponseAt_;
-  // When the first response after the last outage was received.
-  Instant recoveredAt_;
-  // Missing objects that their writers may still write again.
+  // Since when this host's calls fail and no peer reports that the catalog
+  // responds; empty while it responds.
+  std::optional<Instant> outageSince_;
+  // When the last outage ended; empty when there was none.
+  std::optional<Instant> recoveredAt_;
+  // By name; these objects are also part of the copy.
   std::map<std::string, MissingObject, std::less<>> missing_;
   QTimer callTimer_;
   QTimer missingTimer_;
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -47,10 +47,6 @@
 {
   CatalogObject object;
   bool isDeleted = false;
-  // The object was deleted during an outage of the catalog or just after it,
-  // so that its writer has had no time yet to write it again. Set by followers,
-  // not by the catalog.
-  bool mayReturn = false;
 };
 
 enum class CatalogError
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -18,6 +18,9 @@
 // Live backend servers have registered again within this time after a catalog
 // outage.
 constexpr milliseconds kMissingServerRetention{ 2'000 };
+// The entry of a live backend server outlasts two of its heartbeat intervals
+// without the catalog, at least 3 s. An outage is noticed within 2 s.
+constexpr milliseconds kShortestOutage{ 1'000 };
 
 // The host's own watch usually delivers a change that a peer has read within
 // this time.
@@ -142,7 +145,7 @@
   configurationFollower_ = std::make_unique<CatalogFollower>(
     catalog_,
     CatalogFollowerSettings{
-      Collection::Configuration, "configuration", milliseconds(0), {} },
+      Collection::Configuration, "configuration", milliseconds(0), {}, {} },
     clock_,
     random_,
     [this](const CatalogFollower::Objects& aObjects) {
@@ -153,7 +156,8 @@
     CatalogFollowerSettings{ Collection::BackendServers,
                              "backend-servers",
                              CoalescingDelay(),
-                             kMissingServerRetention },
+                             kMissingServerRetention,
+                             kShortestOutage },
     clock_,
     random_,
     [this](const CatalogFollower::Objects& aObjects) {
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -24,7 +24,6 @@
 constexpr const char* kAsOf = "as_of";
 constexpr const char* kEvents = "events";
 constexpr const char* kIsDeleted = "deleted";
-constexpr const char* kMayReturn = "may_return";
 
 QJsonObject
 ObjectToJson(const CatalogObject& aObject)
@@ -71,25 +70,15 @@
 QJsonObject
 CopyToJson(const CatalogCopy& aCopy)
 {
-  QJsonArray mayReturn;
-  for (const std::string& name : aCopy.mayReturn) {
-    mayReturn.append(QString::fromStdString(name));
-  }
   return { { kNewestChange, static_cast<qint64>(aCopy.newestChange) },
-           { kObjects, ObjectsToJson(aCopy.objects) },
-           { kMayReturn, mayReturn } };
+           { kObjects, ObjectsToJson(aCopy.objects) } };
 }
 
 CatalogCopy
 CopyFromJson(const QJsonObject& aObject)
 {
-  CatalogCopy copy{ ObjectsFromJson(aObject[kObjects].toArray()),
-                    static_cast<std::uint64_t>(
-                      aObject[kNewestChange].toInteger()) };
-  for (const QJsonValue name : aObject[kMayReturn].toArray()) {
-    copy.mayReturn.insert(name.toString().toStdString());
-  }
-  return copy;
+  return { ObjectsFromJson(aObject[kObjects].toArray()),
+           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()) };
 }
 
 QJsonObject
@@ -102,7 +91,6 @@
   for (const CatalogEvent& event : aChanges.events) {
     QJsonObject item = ObjectToJson(event.object);
     item[kIsDeleted] = event.isDeleted;
-    item[kMayReturn] = event.mayReturn;
     events.append(item);
   }
   return { { kAsOf, static_cast<qint64>(aChanges.revision) },
@@ -123,9 +111,8 @@
   }
   for (const QJsonValue value : aObject[kEvents].toArray()) {
     const QJsonObject item = value.toObject();
-    changes.events.push_back({ ObjectFromJson(item),
-                               item[kIsDeleted].toBool(),
-                               item[kMayReturn].toBool() });
+    changes.events.push_back(
+      { ObjectFromJson(item), item[kIsDeleted].toBool() });
   }
   return changes;
 }
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -147,6 +147,8 @@
     return;
   }
   election_.OnHeartbeat(aHeartbeat.host, clock_.Now());
+  configuration_.OnCatalogResponds();
+  servers_.OnCatalogResponds();
   configuration_.OnPeerRevision(aHeartbeat.known.configuration,
                                 aHeartbeat.readUpTo.configuration);
   servers_.OnPeerRevision(aHeartbeat.known.directory,
