Gateway: Accept a response only when it names its request

What callers saw: another operator's faulty backend server wrote an earlier refusal once more on a kept connection. Here a non-idempotent request got 503 "not-executed", or was sent to a second server, while the first ran it.

Cause: a response without a request id was taken for the one to the request that waits. One that names another request was already skipped.

Change: a response that does not name its request counts as broken: the request may have run. A refusal is proof only when it names the request; a request without an id gets no such proof.

Failed before: GatewaySessions/AnEarlierRefusalIsNotTakenForTheResponse (503 for a refusal and for a 421 without an id, one run) and four cases of ARequest/ ThatIsNotIdempotent/IsRetriedOnlyWithProofThatItDidNotRun, of which the first stopped the run. A refusal that names the earlier request passed before.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -60,6 +60,25 @@
   return aHeaders.isSigned && !aHead.fields.Find("Content-Encoding");
 }
 
+// True when the response provably belongs to the request: a faulty server may
+// send an earlier response once more, and one that names no request could be
+// any.
+bool
+IsResponseTo(const CallerHeaders& aRequest, const ResponseHeaders& aResponse)
+{
+  return aResponse.requestId == aRequest.requestId;
+}
+
+// True when the server provably did not run the request.
+bool
+IsProvenRefusal(const CallerHeaders& aRequest,
+                const HttpResponseHead& aHead,
+                const ResponseHeaders& aResponse)
+{
+  return (aResponse.isNotExecuted || aHead.status == kMisdirected) &&
+         !aRequest.requestId.empty() && IsResponseTo(aRequest, aResponse);
+}
+
 // The route's timeout applies to callers that state none.
 Duration
 RequestTimeout(const Route& aRoute, const CallerHeaders& aHeaders)
@@ -379,7 +398,7 @@
   const ResponseHeaders headers =
     context_.headerCodec.ReadResponseHeaders(head);
   context_.paths.OnReached(aAttempt.Server().id);
-  if (headers.isNotExecuted || head.status == kMisdirected) {
+  if (IsProvenRefusal(callerHeaders_, head, headers)) {
     EndAttempt(aAttempt,
                head.status == kMisdirected ? AttemptResult::WrongServer
                                            : AttemptResult::NotExecuted);
@@ -387,7 +406,8 @@
     return;
   }
   mayHaveRun_ = true;
-  if (IsSuccess(head.status) && !IsVerified(head, headers)) {
+  if (!IsResponseTo(callerHeaders_, headers) ||
+      (IsSuccess(head.status) && !IsVerified(head, headers))) {
     EndAttempt(aAttempt, AttemptResult::Broken);
     RetryOrRespond(AttemptPurpose::Retry, "unproven-response");
     return;
@@ -450,8 +470,10 @@
 GatewaySession::OnAttemptLargeResponse(BackendAttempt& aAttempt)
 {
   const HttpResponseHead& head = aAttempt.Head();
-  if (isDone_ || !IsSuccess(head.status) ||
-      !IsVerified(head, context_.headerCodec.ReadResponseHeaders(head))) {
+  const ResponseHeaders headers =
+    context_.headerCodec.ReadResponseHeaders(head);
+  if (isDone_ || !IsSuccess(head.status) || !IsVerified(head, headers) ||
+      !IsResponseTo(callerHeaders_, headers)) {
     mayHaveRun_ = true;
     EndAttempt(aAttempt, AttemptResult::Broken);
     RetryOrRespond(AttemptPurpose::Retry, "unproven-response");
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -180,6 +180,12 @@
     return head;
   }
 
+  static HttpResponseHead WithoutId(HttpResponseHead aHead)
+  {
+    aHead.fields.Remove("Id");
+    return aHead;
+  }
+
   static HttpResponseHead MakeNotRunResponse()
   {
     HttpResponseHead head = MakeResponse(503, false);
