Platform: Read the store's lists beside an entry that cannot be read

What callers would see: another operator's writer left one odd entry among those of the backend servers, and the hosts ended or stopped following the list, so that they kept using servers that had left.

Cause: the JSON parser refuses a whole text for one value that is nested too deeply, a number out of range or bytes that are not UTF-8, and the refused text counted as a failure of the store, for each list and watch, for good.

Change: such a value becomes null before the text is parsed, in linear time and without recursion; its entry names no server and the others hold.

Looked for elsewhere: the entries of hosts and members go the same way; addresses are parsed with bounds; what peers send each other is bounded by what they read.

--- a/src/base/tests/TestBase.cpp
+++ b/src/base/tests/TestBase.cpp
@@ -1,9 +1,12 @@
+#include "base/BoundedJson.h"
 #include "base/Digest.h"
 #include "base/Findings.h"
 #include "base/Log.h"
 #include "base/ManualClock.h"
 #include "base/SeededRandom.h"
 
+#include <QJsonArray>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertbeam;
@@ -77,3 +80,43 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ParsingJsonOfSeveralWriters)
+
+// Guards against a part that cannot be read and hides the others.
+BOOST_AUTO_TEST_CASE(LeavesOutOnlyWhatCannotBeRead)
+{
+  const std::string deep =
+    std::string(5'000, '[') + "\"]\"" + std::string(5'000, ']');
+  const std::pair<std::string, QJsonValue> cases[] = {
+    { "1e999", QJsonValue::Null },
+    { "-2.5e1", -25.0 },
+    { "\"[1e999\\\"{\"", "[1e999\"{" },
+    { "{\"c\":[]}", QJsonObject{ { "c", QJsonArray() } } },
+  };
+  for (const auto& [text, value] : cases) {
+    BOOST_TEST_CONTEXT(text)
+    {
+      const QJsonObject object =
+        ParseBoundedJson("{\"a\":" + text + ",\"b\":[1," + deep + ",2]}");
+      BOOST_TEST((object["a"] == value));
+      const QJsonArray others = object["b"].toArray();
+      BOOST_TEST_REQUIRE(others.size() == 3);
+      BOOST_TEST(others[0].toInt() == 1);
+      BOOST_TEST(others[2].toInt() == 2);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReturnsNothingForOtherTexts)
+{
+  for (const char* const text :
+       { "", "[]", "{", "{\"a\":\"", "{\"a\":[[", "]]}", "{\"a\":\"\\" }) {
+    BOOST_TEST_CONTEXT(text)
+    {
+      BOOST_TEST(ParseBoundedJson(text).isEmpty());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
