--- a/src/base/tests/TestBase.cpp
+++ b/src/base/tests/TestBase.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 using namespace filbertbeam;
 
 BOOST_AUTO_TEST_SUITE(Base)
@@ -97,8 +99,8 @@
   for (const auto& [text, value] : cases) {
     BOOST_TEST_CONTEXT(text)
     {
-      const QJsonObject object =
-        ParseBoundedJson("{\"a\":" + text + ",\"b\":[1," + deep + ",2]}");
+      const QJsonObject object = ParseBoundedJson(
+        fmt::format("{{\"a\":{},\"b\":[1,{},2]}}", text, deep));
       BOOST_TEST((object["a"] == value));
       const QJsonArray others = object["b"].toArray();
       BOOST_TEST_REQUIRE(others.size() == 3);
