Catalog: Derive the newest change only from complete lists

- The first page of a list counted at once.
When the next page failed, the list was dropped and its changes counted as read: a host that follows a peer never asked for them and advanced past them.
- A removed entry that is kept after an outage counted as a new removal with each list, so that peers that had read it listed again or imported a copy.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -213,7 +213,6 @@
   std::string last;
   for (CatalogObject& object : aPage.objects) {
     last = object.name;
-    newestChange_ = std::max(newestChange_, object.revision);
     listing_.insert_or_assign(object.name, std::move(object));
   }
   if (aPage.hasMore && !last.empty()) {
@@ -269,10 +268,19 @@
 {
   if (revision_ == 0 && !isComplete_) {
     history_.Reset(listingRevision_);
-    return;
+  } else {
+    RecordDifferences();
+  }
+  for (const auto& [name, object] : listing_) {
+    newestChange_ = std::max(newestChange_, object.revision);
   }
+}
+
+void
+CatalogFollower::RecordDifferences()
+{
   for (const auto& [name, object] : objects_) {
-    if (!listing_.contains(name)) {
+    if (!listing_.contains(name) && !missing_.contains(name)) {
       CatalogEvent event{ object, true };
       event.object.revision = listingRevision_;
       history_.Add(event);
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -113,8 +113,10 @@
   void List(const std::string& aAfter);
   void OnPage(CatalogPage aPage);
   void CompleteList();
-  // Adds the changes found by a list to the history.
+  // Notes the changes found by a list, which is complete.
   void RecordListing();
+  // Adds the differences between the copy and the list to the history.
+  void RecordDifferences();
   // Replaces the copy with the objects of aRevision, except for removed objects
   // that may return.
   void ReplaceObjects(Objects aObjects, std::uint64_t aRevision);
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -262,6 +262,17 @@
   BOOST_TEST(WaitUntil([&] { return names == "a "; }, 150ms));
 }
 
+// Guards against a host that reports a change to its peers with each list in
+// which an entry that it keeps is missing.
+BOOST_AUTO_TEST_CASE(CountsARemovalOnce)
+{
+  RemoveAnEntryDuringAnOutage();
+  const std::uint64_t newest = follower.NewestChange();
+  follower.ReadAgain("test");
+  catalog.RespondToList(Page({ Object("a", 3) }, 9));
+  BOOST_TEST(follower.NewestChange() == newest);
+}
+
 // Guards against a kept server that is removed early because its removal is
 // read twice.
 BOOST_AUTO_TEST_CASE(KeepsAnEntryWhoseRemovalIsReadTwice)
@@ -399,6 +410,21 @@
   BOOST_TEST(peer.names == "a b ");
 }
 
+// Guards against a change that is never read: it was in the first page of a
+// list whose second page failed, and peers that report it are not asked for it.
+BOOST_AUTO_TEST_CASE(HasNotReadWhatAnUnfinishedListContained)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  follower.CatchUp(8);
+  CatalogPage first = Page({ Object("b", 8) }, 8);
+  first.hasMore = true;
+  catalog.RespondToList(first);
+  catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
+  BOOST_TEST(!follower.HasRead(8));
+  follower.OnPeerRevision(8, 20);
+  BOOST_TEST(follower.Revision() == 3U);
+}
+
 // Guards against waiting for a watch on an undetected broken connection.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
