Balancing: Ignore the pending attempts of hosts that have gone silent

Cause: an owner takes an attempt without a report for evidence against its server, the more the longer it is pending. When hosts die, their attempts stay pending for as long as their callers would have waited. Suspected servers rest.

Change: the age of a pending attempt counts up to 150 ms after the last message of its host. A running host of a busy service sends one with each request and each result; of a silent one the owner knows nothing.

Failed before (with the time set to an hour): BackendSelection/HostsThatDieLeaveNoEvidenceAgainstTheirServers, 5 of 10 servers used, 7 needed. The model of the other tests reports messages now too.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -65,6 +65,11 @@
 constexpr double kMaxPendingEvidence = 8;
 // Probability that an unhealthy server does not respond.
 constexpr double kNoResponseProbability = 0.8;
+// A host that has sent no message for longer may have failed: its pending
+// attempts say nothing more about their servers.
+constexpr milliseconds kSilentHostTime{ 150 };
+// Bounds the memory for names of hosts, most of which have been replaced.
+constexpr std::size_t kMaxHosts = 8'192;
 // Further reports of failures from the same host within this time get less
 // weight, since the host's path to the server may be broken.
 constexpr seconds kSameReporterTime{ 3 };
@@ -400,11 +405,41 @@
     if (model == models_.end()) {
       continue;
     }
-    evidence += AgeEvidence(model->second, aNow - attempt->second.startAt);
+    const Instant until = RunningUntil(attempt->second.host, aNow);
+    evidence +=
+      AgeEvidence(model->second,
+                  std::max(until - attempt->second.startAt, Duration::zero()));
   }
   return std::min(evidence, kMaxPendingEvidence);
 }
 
+Instant
+BackendSelector::RunningUntil(const std::string& aHost, Instant aNow) const
+{
+  const auto message = lastMessageAt_.find(aHost);
+  return message == lastMessageAt_.end()
+           ? aNow
+           : std::min(aNow, message->second + kSilentHostTime);
+}
+
+void
+BackendSelector::OnHostMessage(const std::string& aHost, Instant aNow)
+{
+  if (lastMessageAt_.size() >= kMaxHosts) {
+    lastMessageAt_.clear();
+  }
+  lastMessageAt_.insert_or_assign(aHost, aNow);
+}
+
+void
+BackendSelector::OnReport(std::uint64_t aTicket, Instant aNow)
+{
+  const auto attempt = tickets_.find(aTicket);
+  if (attempt != tickets_.end()) {
+    OnHostMessage(attempt->second.host, aNow);
+  }
+}
+
 void
 BackendSelector::Finish(std::uint64_t aTicket,
                         AttemptResult aResult,
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -46,6 +46,11 @@
   // Drops attempts whose reports were lost.
   void DropOverdue(Instant aNow);
 
+  // Notes that aHost has sent a message. Without any, as for this host itself,
+  // a host counts as running.
+  void OnHostMessage(const std::string& aHost, Instant aNow);
+  // Notes a message of the host that made the attempt.
+  void OnReport(std::uint64_t aTicket, Instant aNow);
   int PendingAttempts() const { return static_cast<int>(tickets_.size()); }
   double UnhealthyProbability(std::string_view aServer, Instant aNow) const;
 
@@ -96,6 +101,8 @@
   LatencyModel& ModelOf(const std::string& aClass, Duration aObjective);
   // Log likelihood ratio of the ages of the pending attempts at aServer.
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
+  // Returns until when aHost is known to have been running.
+  Instant RunningUntil(const std::string& aHost, Instant aNow) const;
   // Returns the server with the least cost for aRequest, or null if all of
   // aServers are draining or excluded.
   const BackendServerRecord* FindBest(
@@ -132,6 +139,8 @@
   std::unordered_map<std::string, LatencyModel> models_;
   // Share of failed attempts at unsuspected servers, by service.
   std::unordered_map<std::string, double> failingShares_;
+  // Time of the last message of each other host.
+  std::unordered_map<std::string, Instant> lastMessageAt_;
   // Ordered by age, since tickets increase.
   std::map<std::uint64_t, PendingAttempt> tickets_;
   std::uint64_t nextTicket_;
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -313,6 +313,7 @@
 {
   ranking_.OnPeerMessage(aQuery.request.host, aQuery.request.domain, aSender);
   const Instant now = clock_.Now();
+  selector_.OnHostMessage(aQuery.request.host, now);
   const SelectionResult result = selector_.Select(aQuery.request, now);
   socket_->Send(aSender,
                 EncodeSelectionMessage(
@@ -331,8 +332,10 @@
 void
 SelectionService::OnReport(const SelectionReport& aReport)
 {
+  const Instant now = clock_.Now();
   for (const TicketResult& result : aReport.results) {
-    selector_.Finish(result.ticket, result.result, clock_.Now());
+    selector_.OnReport(result.ticket, now);
+    selector_.Finish(result.ticket, result.result, now);
   }
 }
 
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -55,6 +55,7 @@
   // is in aUnresponsive.
   std::string ServeOne(const std::set<std::string>& aUnresponsive = {})
   {
+    selector.OnHostMessage(Request().host, clock.Now());
     const auto selection = selector.Select(Request(), clock.Now()).selection;
     BOOST_TEST_REQUIRE(selection.has_value());
     due.emplace(clock.Now() + 200ms, *selection);
@@ -228,6 +229,33 @@
 }
 
 // Guards against a server that stays idle after it has recovered.
+// Guards against healthy servers that get no requests since hosts died with
+// requests under way there: no report about them arrives.
+BOOST_AUTO_TEST_CASE(HostsThatDieLeaveNoEvidenceAgainstTheirServers)
+{
+  for (int i = 0; i < 80; ++i) {
+    ServeOne();
+  }
+  SelectionRequest request = Request();
+  for (int i = 5; i < 10; ++i) {
+    request.excluded.push_back("server-" + std::to_string(i));
+  }
+  for (int i = 0; i < 10; ++i) {
+    request.host = "dead-" + std::to_string(i);
+    selector.OnHostMessage(request.host, clock.Now());
+    BOOST_TEST(selector.Select(request, clock.Now()).selection.has_value());
+  }
+  // Until the requests would have ended.
+  for (int i = 0; i < 20; ++i) {
+    ServeOne();
+  }
+  std::set<std::string> used;
+  for (int i = 0; i < 60; ++i) {
+    used.insert(ServeOne());
+  }
+  BOOST_TEST(used.size() >= 7U);
+}
+
 BOOST_AUTO_TEST_CASE(ARecoveredServerGetsRequestsAgain)
 {
   for (int i = 0; i < 100; ++i) {
