Gateway: Charge the budget for the replacement of an extra attempt

Backend servers that shed got more repeats than the limit says.

Cause: an extra attempt whose server could not be reached was returned to the budget, and the attempt that replaced it was free, as if it replaced a first attempt.

Change: once an attempt of a request has reached a server, a replacement is a retry and needs the budget.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -458,7 +458,11 @@
     context_.paths.OnUnreachable(server, context_.clock.Now());
     --sentAttempts_;
     ++unreachableAttempts_;
-    RetryOrRespond(AttemptPurpose::Replacement, "unreachable");
+    // The attempt is returned to the budget. Its replacement is an extra
+    // attempt unless it is the first that reaches a server.
+    RetryOrRespond(sentAttempts_ > 0 ? AttemptPurpose::Retry
+                                     : AttemptPurpose::Replacement,
+                   "unreachable");
     return;
   }
   mayHaveRun_ = true;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -194,6 +194,27 @@
   }
 }
 
+// Guards against more extra attempts than the budget allows: one whose server
+// could not be reached was returned to it, and its replacement was free.
+BOOST_AUTO_TEST_CASE(PaysForTheReplacementOfAnExtraAttempt)
+{
+  SetDefaultRoutesAndServers();
+  Request("/once/1");
+  client.Last().Respond(MakeNotRunResponse());
+  client.Last().Fail(HttpFailureKind::Connect);
+  BOOST_TEST(client.exchanges.size() == 3U);
+  BOOST_TEST(metrics.Format().find("repeats_total 2\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(PaysNothingForTheReplacementOfAFirstAttempt)
+{
+  SetDefaultRoutesAndServers();
+  Request("/once/1");
+  client.Last().Fail(HttpFailureKind::Connect);
+  BOOST_TEST(client.exchanges.size() == 2U);
+  BOOST_TEST(metrics.Format().find("repeats_total 0\n") != std::string::npos);
+}
+
 // Guards against cancelling an unresponsive server too early or never, and
 // against a response that states "not run" without proof.
 BOOST_AUTO_TEST_CASE(TimesOutAtItsDeadline)
