--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds kStopCheckInterval{ 50 };
 // Reserved from stopTime, so that the process exits before it is killed.
 constexpr milliseconds kStopMargin{ 300 };
+// A response that is sent at the deadline of its request needs this long to
+// leave the host.
+constexpr milliseconds kLastResponseTime{ 100 };
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
@@ -419,7 +422,9 @@
   ReportReadiness();
   watchSharing_->StopHeartbeats();
   hostRegistry_->Unregister();
-  trafficThread_.Post([this] { traffic_->BeginStop(); });
+  const Instant stopsAt = stoppingSince_ + settings_.stopTime - kStopMargin;
+  trafficThread_.Post(
+    [this, stopsAt] { traffic_->BeginStop(stopsAt - kLastResponseTime); });
   stopTimer_.start(kStopCheckInterval);
 }
 
--- a/src/gateway/GatewayContext.h
+++ b/src/gateway/GatewayContext.h
@@ -10,6 +10,7 @@
 #include "routing/WeightedSplit.h"
 
 #include <memory>
+#include <optional>
 
 namespace filbertbeam {
 
@@ -26,6 +27,9 @@
   // Null until the first configuration has been read.
   std::shared_ptr<const RoutingTable> routing;
   std::shared_ptr<const BackendDirectory> directory;
+  // During a planned stop, the time at which the last response has to be
+  // complete.
+  std::optional<Instant> stopsAt = {};
 };
 
 } // namespace filbertbeam
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "gateway/GatewaySession.h"
+#include "gateway/RequestTimeout.h"
 
 namespace filbertbeam {
 
@@ -13,6 +14,9 @@
 // In seconds. A host that has just started usually reads its configuration
 // within this time.
 constexpr std::string_view kStartRetryAfter = "0.200";
+// In seconds. Another host can serve the request as soon as its caller has
+// opened a connection to it.
+constexpr std::string_view kStopRetryAfter = "0.010";
 
 } // namespace
 
@@ -46,7 +50,8 @@
   // Without a configuration the routes are unknown, so "not found" might be
   // wrong.
   if (context_.routing == nullptr) {
-    Refuse(*aExchange, headers, kUnavailable, "no-configuration");
+    Refuse(
+      *aExchange, headers, kUnavailable, "no-configuration", kStartRetryAfter);
     return nullptr;
   }
   if (!head.fields.Find("Host")) {
@@ -58,6 +63,10 @@
     Refuse(*aExchange, headers, kNotFound, "no-route");
     return nullptr;
   }
+  if (EndsBefore(*route, headers)) {
+    Refuse(*aExchange, headers, kUnavailable, "stopping", kStopRetryAfter);
+    return nullptr;
+  }
   const auto session = std::make_shared<GatewaySession>(
     context_, std::move(aExchange), *route, std::move(headers));
   session->Start();
@@ -82,19 +91,29 @@
   return context_.routing->Find(aHead.fields.Find("Host").value_or(""), path);
 }
 
+bool
+GatewayService::EndsBefore(const Route& aRoute,
+                           const CallerHeaders& aHeaders) const
+{
+  return context_.stopsAt &&
+         context_.clock.Now() + RequestTimeout(aRoute, aHeaders) >
+           *context_.stopsAt;
+}
+
 void
 GatewayService::Refuse(HttpServerExchange& aExchange,
                        const CallerHeaders& aHeaders,
                        int aStatus,
-                       std::string_view aReason)
+                       std::string_view aReason,
+                       std::string_view aRetryAfter)
 {
   context_.metrics.Count(aStatus == kUnavailable ? GatewayCounter::RefusedNotRun
                                                  : GatewayCounter::NotRouted);
   HttpResponseHead head;
   head.status = aStatus;
   context_.headerCodec.WriteLocalResponseHeaders(head, aHeaders.requestId);
-  if (aStatus == kUnavailable) {
-    head.fields.Set("Retry-After", kStartRetryAfter);
+  if (!aRetryAfter.empty()) {
+    head.fields.Set("Retry-After", aRetryAfter);
   }
   LogEvent(LogLevel::Info,
            "request_refused",
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -16,6 +16,9 @@
   // to an older configuration.
   void SetRouting(std::shared_ptr<const RoutingTable> aRouting);
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
+  // Refuses the requests from now on whose deadline is after aStopsAt: the
+  // process ends then, and they would get no response.
+  void BeginStop(Instant aStopsAt) { context_.stopsAt = aStopsAt; }
 
   std::shared_ptr<HttpRequestObserver> OnRequest(
     std::shared_ptr<HttpServerExchange> aExchange) override;
@@ -24,10 +27,15 @@
 private:
   // Returns the route of a request, or null.
   const Route* FindRoute(const HttpRequestHead& aHead) const;
+  // True if the process may end before the response to the request is due.
+  bool EndsBefore(const Route& aRoute, const CallerHeaders& aHeaders) const;
+  // aRetryAfter is only sent with a status that reports that the request has
+  // not run.
   void Refuse(HttpServerExchange& aExchange,
               const CallerHeaders& aHeaders,
               int aStatus,
-              std::string_view aReason);
+              std::string_view aReason,
+              std::string_view aRetryAfter = {});
 
   GatewayContext context_;
 };
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewaySession.h"
 
 #include "base/Log.h"
+#include "gateway/RequestTimeout.h"
 
 #include <algorithm>
 
@@ -79,14 +80,6 @@
          !aRequest.requestId.empty() && IsResponseTo(aRequest, aResponse);
 }
 
-// The route's timeout applies to callers that state none.
-Duration
-RequestTimeout(const Route& aRoute, const CallerHeaders& aHeaders)
-{
-  return aHeaders.timeout ? std::min(*aHeaders.timeout, aRoute.timeout)
-                          : aRoute.timeout;
-}
-
 std::int64_t
 ToMilliseconds(Duration aDuration)
 {
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -135,6 +135,13 @@
   selection_->SetAnnouncementHandler(std::move(aHandler));
 }
 
+void
+TrafficRuntime::BeginStop(Instant aStopsAt)
+{
+  service_->BeginStop(aStopsAt);
+  server_->CloseAfterResponses();
+}
+
 void
 TrafficRuntime::SetHosts(std::vector<PeerHost> aHosts)
 {
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -40,8 +40,9 @@
   // aHandler is called on the traffic thread.
   void SetAnnouncementHandler(SelectionService::AnnouncementHandler aHandler);
 
-  // Connections are closed after their responses from now on.
-  void BeginStop() { server_->CloseAfterResponses(); }
+  // Connections are closed after their responses from now on, and requests
+  // that may not be complete at aStopsAt are refused.
+  void BeginStop(Instant aStopsAt);
   void StopAccepting() { server_->StopAccepting(); }
   int RunningExchanges() const { return server_->RunningExchanges(); }
   std::uint16_t FrontPort() const { return server_->Port(); }
