--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -18,10 +18,14 @@
 constexpr int kMissedResponsesUntilDown = 2;
 constexpr milliseconds kMinDownTime{ 1'000 };
 constexpr int kMaxDownDoublings = 3;
-// The share of the shards that a host owns is proportional to this power of its
-// processor capacity. Owners need only a little of a large processor, and
-// larger hosts respond sooner.
-constexpr double kProcessorCoresExponent = 3;
+// The share of the shards that a host owns is proportional to the third power
+// of its processor capacity. Owners need only a little of a large processor,
+// and larger hosts respond sooner.
+double
+OwnershipRate(double aProcessorCores)
+{
+  return aProcessorCores * aProcessorCores * aProcessorCores;
+}
 
 // The host with the lowest distance is the owner. Distances are exponentially
 // distributed, so each host has the lowest one with a probability in proportion
@@ -32,7 +36,7 @@
   constexpr double kHashes = 18'446'744'073'709'551'616.0;
   const double uniform =
     (static_cast<double>(StableHash(aHost, aKey)) + 1) / (kHashes + 1);
-  const double rate = std::pow(aProcessorCores, kProcessorCoresExponent);
+  const double rate = OwnershipRate(aProcessorCores);
   return rate > 0 ? -std::log(uniform) / rate
                   : std::numeric_limits<double>::infinity();
 }
@@ -49,21 +53,23 @@
 OwnerRanking::SetHosts(std::vector<PeerHost> aHosts)
 {
   std::vector<PeerHost> added;
-  for (const PeerHost& host : aHosts) {
+  std::unordered_map<std::string, std::uint32_t> indexes;
+  for (std::uint32_t index = 0; index < aHosts.size(); ++index) {
+    const PeerHost& host = aHosts[index];
+    indexes.emplace(host.name, index);
+    const auto known = indexes_.find(host.name);
     const bool isKnown =
-      std::ranges::any_of(hosts_, [&host](const PeerHost& aKnown) {
-        return aKnown.name == host.name && aKnown.address == host.address;
-      });
+      known != indexes_.end() && hosts_[known->second].address == host.address;
     if (!isKnown && host.name != self_) {
       added.push_back(host);
     }
   }
   hosts_ = std::move(aHosts);
-  precedingHosts_.clear();
+  indexes_ = std::move(indexes);
+  rankings_.clear();
   hasHostList_ = true;
   std::erase_if(peers_, [this](const auto& aItem) {
-    return std::ranges::find(hosts_, aItem.first, &PeerHost::name) ==
-           hosts_.end();
+    return !indexes_.contains(aItem.first);
   });
   return added;
 }
@@ -75,18 +81,21 @@
                             double aProcessorCores)
 {
   OnResponse(aHost);
-  const auto known = std::ranges::find(hosts_, aHost, &PeerHost::name);
-  if (known == hosts_.end()) {
+  const auto [known, isNew] =
+    indexes_.try_emplace(aHost, static_cast<std::uint32_t>(hosts_.size()));
+  const std::uint32_t index = known->second;
+  if (isNew) {
     hosts_.push_back({ aHost, aDomain, aAddress, {}, aProcessorCores });
-    precedingHosts_.clear();
+    RankAgain(index);
     return true;
   }
-  known->address = aAddress;
-  if (aProcessorCores <= 0 || known->processorCores == aProcessorCores) {
+  PeerHost& host = hosts_[index];
+  host.address = aAddress;
+  if (aProcessorCores <= 0 || host.processorCores == aProcessorCores) {
     return false;
   }
-  known->processorCores = aProcessorCores;
-  precedingHosts_.clear();
+  host.processorCores = aProcessorCores;
+  RankAgain(index);
   return true;
 }
 
@@ -117,9 +126,9 @@
                       std::uint32_t aShard,
                       Instant aNow)
 {
-  for (const std::uint32_t index : FindPrecedingHosts(aService, aShard)) {
-    if (!IsDown(hosts_[index].name, aNow)) {
-      return &hosts_[index];
+  for (const auto& [distance, host] : FindRanking(aService, aShard).preceding) {
+    if (!IsDown(hosts_[host].name, aNow)) {
+      return &hosts_[host];
     }
   }
   return nullptr;
@@ -128,32 +137,46 @@
 std::size_t
 OwnerRanking::RankOfSelf(std::string_view aService, std::uint32_t aShard)
 {
-  return FindPrecedingHosts(aService, aShard).size();
+  return FindRanking(aService, aShard).preceding.size();
 }
 
-const OwnerRanking::PrecedingHosts&
-OwnerRanking::FindPrecedingHosts(std::string_view aService,
-                                 std::uint32_t aShard)
+const OwnerRanking::ShardRanking&
+OwnerRanking::FindRanking(std::string_view aService, std::uint32_t aShard)
 {
   const std::uint64_t key = StableHash(aService, aShard);
-  const auto [entry, isNew] = precedingHosts_.try_emplace(key);
-  if (!isNew) {
-    return entry->second;
-  }
-  const double ownDistance = Distance(self_, processorCores_, key);
-  std::vector<std::pair<double, std::uint32_t>> nearer;
-  for (std::uint32_t index = 0; index < hosts_.size(); ++index) {
-    const PeerHost& host = hosts_[index];
-    const double distance = Distance(host.name, host.processorCores, key);
-    if (host.name != self_ && distance < ownDistance) {
-      nearer.emplace_back(distance, index);
+  const auto [entry, isNew] = rankings_.try_emplace(key);
+  ShardRanking& ranking = entry->second;
+  if (isNew) {
+    ranking = { key, Distance(self_, processorCores_, key), {} };
+    for (std::uint32_t host = 0; host < hosts_.size(); ++host) {
+      Rank(host, ranking);
     }
   }
-  std::ranges::sort(nearer);
-  for (const auto& [distance, index] : nearer) {
-    entry->second.push_back(index);
+  return ranking;
+}
+
+void
+OwnerRanking::RankAgain(std::uint32_t aHost)
+{
+  for (auto& [key, ranking] : rankings_) {
+    std::erase_if(ranking.preceding, [aHost](const PrecedingHost& aPreceding) {
+      return aPreceding.host == aHost;
+    });
+    Rank(aHost, ranking);
+  }
+}
+
+void
+OwnerRanking::Rank(std::uint32_t aHost, ShardRanking& aRanking) const
+{
+  const PeerHost& host = hosts_[aHost];
+  const PrecedingHost ranked{
+    Distance(host.name, host.processorCores, aRanking.key), aHost
+  };
+  if (host.name != self_ && ranked.distance < aRanking.ownDistance) {
+    aRanking.preceding.insert(
+      std::ranges::upper_bound(aRanking.preceding, ranked), ranked);
   }
-  return entry->second;
 }
 
 bool
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -55,20 +55,41 @@
     Instant downUntil;
   };
 
-  // Indexes in hosts_ of the hosts that rank before this one, in order of rank.
-  using PrecedingHosts = std::vector<std::uint32_t>;
+  // A host that ranks before this one for a shard.
+  struct PrecedingHost
+  {
+    double distance = 0;
+    // Index in hosts_.
+    std::uint32_t host = 0;
+
+    auto operator<=>(const PrecedingHost&) const = default;
+  };
+
+  // The ranking of one shard, as far as this host needs it.
+  struct ShardRanking
+  {
+    std::uint64_t key = 0;
+    double ownDistance = 0;
+    // In order of rank.
+    std::vector<PrecedingHost> preceding;
+  };
 
-  const PrecedingHosts& FindPrecedingHosts(std::string_view aService,
-                                           std::uint32_t aShard);
+  const ShardRanking& FindRanking(std::string_view aService,
+                                  std::uint32_t aShard);
+  // Updates the rankings that are known for a new host or a new capacity.
+  void RankAgain(std::uint32_t aHost);
+  // Inserts the host into aRanking if it ranks before this one.
+  void Rank(std::uint32_t aHost, ShardRanking& aRanking) const;
   bool IsDown(const std::string& aHost, Instant aNow) const;
 
   const std::string self_;
   const double processorCores_;
   std::vector<PeerHost> hosts_;
+  // Indexes in hosts_ by name.
+  std::unordered_map<std::string, std::uint32_t> indexes_;
   bool hasHostList_ = false;
-  // Keyed by the hash of service and shard; cleared at each change of the
-  // hosts.
-  std::unordered_map<std::uint64_t, PrecedingHosts> precedingHosts_;
+  // Keyed by the hash of service and shard; cleared by a new host list.
+  std::unordered_map<std::uint64_t, ShardRanking> rankings_;
   // Hosts that have not responded to recent queries, by name.
   std::map<std::string, PeerState> peers_;
 };
--- a/src/balancing/tests/TestOwnerRanking.cpp
+++ b/src/balancing/tests/TestOwnerRanking.cpp
@@ -106,4 +106,81 @@
   BOOST_TEST((ranking.OwnerOf("permits", 1, {}) != nullptr));
 }
 
+// The hosts of a deployment of hundreds of hosts, which announce themselves one
+// after the other when the deployment starts.
+struct LargeDeploymentFixture
+{
+  static constexpr int kHostCount = 442;
+  // Three services with 808 backend servers.
+  static constexpr std::uint32_t kShardCount = 28;
+
+  LargeDeploymentFixture()
+  {
+    for (int i = 0; i < kHostCount; ++i) {
+      hosts.push_back({ NameOf(i), "piarco", {}, {}, CoresOf(i) });
+    }
+  }
+
+  static std::vector<std::size_t> Ranks(OwnerRanking& aRanking)
+  {
+    std::vector<std::size_t> ranks;
+    for (std::uint32_t shard = 0; shard < kShardCount; ++shard) {
+      ranks.push_back(aRanking.RankOfSelf("permits", shard));
+    }
+    return ranks;
+  }
+
+  static std::string Owners(OwnerRanking& aRanking)
+  {
+    std::string owners;
+    for (std::uint32_t shard = 0; shard < kShardCount; ++shard) {
+      const PeerHost* owner = aRanking.OwnerOf("permits", shard, {});
+      owners += (owner == nullptr ? "self" : owner->name) + " ";
+    }
+    return owners;
+  }
+
+  std::vector<PeerHost> hosts;
+};
+
+// Guards against hosts that disagree on the owners, because some learned of the
+// others by a list and some by their announcements.
+BOOST_FIXTURE_TEST_CASE(DoNotDependOnTheOrderInWhichHostsAreKnown,
+                        LargeDeploymentFixture)
+{
+  OwnerRanking listed(NameOf(0), CoresOf(0));
+  listed.SetHosts(hosts);
+  OwnerRanking announced(NameOf(0), CoresOf(0));
+  announced.SetHosts({});
+  Ranks(announced);
+  for (const PeerHost& host : hosts) {
+    // A query comes first, which does not tell the capacity.
+    announced.OnPeerMessage(host.name, host.domain, host.address);
+    announced.OnPeerMessage(
+      host.name, host.domain, host.address, host.processorCores);
+  }
+  BOOST_TEST(Ranks(announced) == Ranks(listed),
+             boost::test_tools::per_element());
+  BOOST_TEST(Owners(announced) == Owners(listed));
+}
+
+// Guards against a start of the deployment in which each announcement ranks all
+// hosts again: a change of one host has to cost less than one ranking of the
+// hosts for one shard.
+BOOST_FIXTURE_TEST_CASE(CostLittleToUpdateForOneHost, LargeDeploymentFixture)
+{
+  using Clock = std::chrono::steady_clock;
+  OwnerRanking ranking(NameOf(0), CoresOf(0));
+  const auto begin = Clock::now();
+  ranking.SetHosts(hosts);
+  Ranks(ranking);
+  const auto ranked = Clock::now();
+  for (const PeerHost& host : hosts) {
+    ranking.OnPeerMessage(host.name + "-new", host.domain, {}, 0.1);
+    Ranks(ranking);
+  }
+  const auto updated = Clock::now();
+  BOOST_TEST((updated - ranked) / kHostCount < (ranked - begin) / kShardCount);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
