--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -15,9 +15,10 @@
 // allowed. A broken connection is detected by the keep-alive probes of the
 // catalog's client.
 constexpr milliseconds kWatchWait{ 25'000 };
-// The first watch after a failure returns almost at once: if that call is lost
-// as well, it would otherwise hide changes for the whole wait.
-constexpr milliseconds kWatchWaitAfterFailure{ 10 };
+// The first watch after a failure or a stale list returns almost at once: if
+// that call is lost as well, it would otherwise hide changes for the whole
+// wait.
+constexpr milliseconds kShortWatchWait{ 10 };
 // The delay after the first failure. It doubles with each further one and is
 // randomised, so that hosts that failed together do not retry together.
 constexpr milliseconds kFirstRetryDelay{ 100 };
@@ -46,7 +47,7 @@
     if (revision_ == 0) {
       List({});
     } else {
-      WatchUnlessFollowingPeer();
+      WatchIfNeeded();
     }
   });
   missingTimer_.setSingleShot(true);
@@ -65,10 +66,12 @@
   if (aAfter.empty()) {
     listing_.clear();
     listingRevision_ = 0;
+    isListingStale_ = false;
   }
   callTimer_.stop();
   catalog_.List(settings_.collection,
                 aAfter,
+                FreshnessOfNextList(),
                 [this, call = ++latestCall_](CatalogPage aPage) {
                   if (call == latestCall_) {
                     OnPage(std::move(aPage));
@@ -76,11 +79,24 @@
                 });
 }
 
+ListFreshness
+CatalogFollower::FreshnessOfNextList() const
+{
+  return isComplete_ || needsNewestList_ ? ListFreshness::Newest
+                                         : ListFreshness::MayBeStale;
+}
+
 void
 CatalogFollower::Import(CatalogCopy aCopy)
 {
-  if (isComplete_ && HasRead(aCopy.newestChange)) {
-    return;
+  if (HasRead(aCopy.newestChange)) {
+    if (isCopyStale_) {
+      // The stale list is at least as new as the peer's copy.
+      OnRecentChangesRead();
+    }
+    if (isComplete_) {
+      return;
+    }
   }
   LogEvent(LogLevel::Info,
            "catalog_adopted_from_peer",
@@ -89,6 +105,7 @@
              { "newest_change", newestChange_ },
              { "peer", aCopy.newestChange } });
   ReplaceObjects(std::move(aCopy.objects), aCopy.newestChange);
+  isCopyStale_ = false;
   history_.Reset(aCopy.newestChange);
   peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
@@ -136,7 +153,10 @@
   }
   revision_ = std::max(revision_, aChanges.revision);
   peerRevision_ = std::max(peerRevision_, aChanges.revision);
-  if (Apply(aChanges.events)) {
+  const bool isChanged = Apply(aChanges.events);
+  if (isCopyStale_) {
+    OnRecentChangesRead();
+  } else if (isChanged) {
     Notify();
   }
 }
@@ -205,11 +225,13 @@
   if (!CheckResponse(aPage.failure)) {
     return;
   }
-  // Later pages may be newer; a watch from the first page's revision then
-  // reports changes that they already contain, which is harmless.
-  if (listingRevision_ == 0) {
-    listingRevision_ = aPage.revision;
-  }
+  // Other pages may be newer, and of a stale list also older. A watch from the
+  // revision of the oldest page reports changes that some pages already
+  // contain, which is harmless.
+  listingRevision_ = listingRevision_ == 0
+                       ? aPage.revision
+                       : std::min(listingRevision_, aPage.revision);
+  isListingStale_ = isListingStale_ || aPage.mayBeStale;
   std::string last;
   for (CatalogObject& object : aPage.objects) {
     last = object.name;
@@ -231,7 +253,7 @@
     if (revision_ == 0) {
       List({});
     } else {
-      WatchUnlessFollowingPeer();
+      WatchIfNeeded();
     }
     return;
   }
@@ -239,9 +261,12 @@
   revision_ = std::max<std::uint64_t>(listingRevision_, 1);
   listedRevision_ = listingRevision_;
   ReplaceObjects(std::exchange(listing_, {}), listingRevision_);
-  isComplete_ = true;
-  Notify();
-  WatchUnlessFollowingPeer();
+  isCopyStale_ = isListingStale_;
+  if (!isCopyStale_) {
+    isComplete_ = true;
+    Notify();
+  }
+  WatchIfNeeded();
 }
 
 void
@@ -297,19 +322,27 @@
 }
 
 void
-CatalogFollower::WatchUnlessFollowingPeer()
+CatalogFollower::WatchIfNeeded()
 {
-  if (!followsPeer_) {
+  if (!followsPeer_ || isCopyStale_) {
     Watch();
   }
 }
 
+void
+CatalogFollower::OnRecentChangesRead()
+{
+  isCopyStale_ = false;
+  isComplete_ = true;
+  Notify();
+}
+
 void
 CatalogFollower::Watch()
 {
   catalog_.Watch(settings_.collection,
                  revision_,
-                 failures_ == 0 ? kWatchWait : kWatchWaitAfterFailure,
+                 failures_ == 0 && !isCopyStale_ ? kWatchWait : kShortWatchWait,
                  [this, call = ++latestCall_](const CatalogChanges& aChanges) {
                    if (call == latestCall_) {
                      OnChanges(aChanges);
@@ -320,7 +353,8 @@
 void
 CatalogFollower::OnChanges(const CatalogChanges& aChanges)
 {
-  if (followsPeer_ && aChanges.failure.error != CatalogError::None) {
+  if (followsPeer_ && !isCopyStale_ &&
+      aChanges.failure.error != CatalogError::None) {
     LogEvent(LogLevel::Debug,
              "catalog_watch_ended",
              { { "collection", settings_.name },
@@ -329,6 +363,7 @@
   }
   if (aChanges.failure.error == CatalogError::HistoryExpired) {
     lastResponseAt_ = clock_.Now();
+    needsNewestList_ = isCopyStale_;
     ReadAgain(aChanges.failure.reason);
     return;
   }
@@ -336,7 +371,10 @@
     return;
   }
   revision_ = std::max(revision_, aChanges.revision);
-  if (Apply(aChanges.events)) {
+  const bool isChanged = Apply(aChanges.events);
+  if (isCopyStale_) {
+    OnRecentChangesRead();
+  } else if (isChanged) {
     Notify();
   }
   callTimer_.start(aChanges.events.empty() ? milliseconds(0)
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -38,9 +38,10 @@
 };
 
 // Keeps a copy of one collection: lists it, then watches it, and lists it again
-// when the history has expired. Keeps its copy while the catalog is
-// unavailable. Instead of watching the catalog itself it can receive the
-// changes that a peer has read.
+// when the history has expired. The first list may be stale; it is used once
+// the changes since its revision have been read. Keeps its copy while the
+// catalog is unavailable. Instead of watching the catalog itself it can receive
+// the changes that a peer has read.
 class CatalogFollower
 {
 public:
@@ -111,6 +112,8 @@
 
   // The response to a call is ignored once a newer call has been sent.
   void List(const std::string& aAfter);
+  // A stale list is only read while there is no copy that it could set back.
+  ListFreshness FreshnessOfNextList() const;
   void OnPage(CatalogPage aPage);
   void CompleteList();
   // Notes the changes found by a list, which is complete.
@@ -120,8 +123,11 @@
   // Replaces the copy with the objects of aRevision, except for removed objects
   // that may return.
   void ReplaceObjects(Objects aObjects, std::uint64_t aRevision);
-  void WatchUnlessFollowingPeer();
+  // Watches the catalog, unless a peer is followed and the copy is not stale.
+  void WatchIfNeeded();
   void Watch();
+  // Completes a copy that was read by a stale list.
+  void OnRecentChangesRead();
   void OnChanges(const CatalogChanges& aChanges);
   // Applies the changes to the copy; returns true when that changed it.
   bool Apply(const std::vector<CatalogEvent>& aEvents);
@@ -150,6 +156,12 @@
   // The newest revision that was received from a peer.
   std::uint64_t peerRevision_ = 0;
   std::uint64_t listingRevision_ = 0;
+  bool isListingStale_ = false;
+  // The copy lacks changes since revision_ that the catalog may have had when
+  // it was listed; nobody has received it yet.
+  bool isCopyStale_ = false;
+  // The catalog no longer had the changes since a stale list.
+  bool needsNewestList_ = false;
   std::uint64_t revision_ = 0;
   std::uint64_t newestChange_ = 0;
   // The last complete list contains all changes up to this revision.
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -82,6 +82,16 @@
   CatalogObject object;
 };
 
+// How recent the data of a list has to be.
+enum class ListFreshness
+{
+  // All changes that the catalog has acknowledged.
+  Newest,
+  // The data may be some seconds old, which costs the catalog far less. The
+  // page tells its revision.
+  MayBeStale,
+};
+
 struct CatalogPage
 {
   CatalogFailure failure;
@@ -92,6 +102,8 @@
   // The catalog's revision at the time of the page, from which a watch can
   // start.
   std::uint64_t revision = 0;
+  // The page may lack changes that the catalog acknowledged before the call.
+  bool mayBeStale = false;
 };
 
 struct CatalogChanges
@@ -117,6 +129,7 @@
   // Reads one page of aCollection with the objects whose names follow aAfter.
   virtual void List(Collection aCollection,
                     std::string_view aAfter,
+                    ListFreshness aFreshness,
                     PageCallback aCallback) = 0;
   // Reads the changes since aRevision. When there are none, it waits for the
   // first one, but not longer than aWait.
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -32,6 +32,14 @@
   return page;
 }
 
+CatalogPage
+StalePage(std::vector<CatalogObject> aObjects, std::uint64_t aRevision)
+{
+  CatalogPage page = Page(std::move(aObjects), aRevision);
+  page.mayBeStale = true;
+  return page;
+}
+
 CatalogChanges
 Changes(std::vector<CatalogEvent> aEvents, std::uint64_t aRevision)
 {
@@ -67,9 +75,11 @@
 public:
   void List(Collection,
             std::string_view aAfter,
+            ListFreshness aFreshness,
             PageCallback aCallback) override
   {
     after = aAfter;
+    freshness = aFreshness;
     lists.push_back(std::move(aCallback));
   }
   void Watch(Collection,
@@ -100,6 +110,7 @@
   std::deque<PageCallback> lists;
   std::deque<ChangesCallback> watches;
   std::string after;
+  ListFreshness freshness = ListFreshness::Newest;
   std::uint64_t watchedRevision = 0;
   std::chrono::milliseconds wait{ 0 };
 };
@@ -604,3 +615,93 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(StartingWithAStaleList, FollowerFixture)
+
+// Guards against a host that serves with what the catalog held seconds ago.
+BOOST_AUTO_TEST_CASE(IsCompleteOnceTheChangesSinceThenAreRead)
+{
+  BOOST_TEST((catalog.freshness == ListFreshness::MayBeStale));
+  catalog.RespondToList(StalePage({ Object("a", 3), Object("b", 4) }, 4));
+  BOOST_TEST(!follower.IsComplete());
+  BOOST_TEST(names.empty());
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.watchedRevision == 4U);
+  BOOST_TEST((catalog.wait < 100ms));
+  catalog.RespondToWatch(
+    Changes({ { Object("b", 6), true }, { Object("c", 7), false } }, 7));
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(names == "a c ");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST((catalog.wait > 1s));
+}
+
+// Guards against a host that never becomes ready when nothing has changed.
+BOOST_AUTO_TEST_CASE(IsCompleteWhenThereAreNoChanges)
+{
+  catalog.RespondToList(StalePage({ Object("a", 3) }, 4));
+  catalog.RespondToWatch(Changes({}, 9));
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Revision() == 9U);
+}
+
+// Guards against changes that are missed between pages, of which a later one
+// may be older.
+BOOST_AUTO_TEST_CASE(WatchesFromTheOldestPage)
+{
+  CatalogPage first = StalePage({ Object("a", 3) }, 8);
+  first.hasMore = true;
+  catalog.RespondToList(first);
+  catalog.RespondToList(StalePage({ Object("b", 3) }, 5));
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.watchedRevision == 5U);
+}
+
+// Guards against a host that lists stale data for ever.
+BOOST_AUTO_TEST_CASE(ListsTheNewestDataWhenTheHistoryHasExpired)
+{
+  catalog.RespondToList(StalePage({ Object("a", 3) }, 4));
+  catalog.RespondToWatch(Failure<CatalogChanges>(CatalogError::HistoryExpired));
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.lists.empty(); }));
+  BOOST_TEST((catalog.freshness == ListFreshness::Newest));
+  BOOST_TEST(!follower.IsComplete());
+  catalog.RespondToList(Page({ Object("b", 8) }, 9));
+  BOOST_TEST(names == "b ");
+}
+
+// Guards against a copy that is set back by stale data.
+BOOST_AUTO_TEST_CASE(ListsTheNewestDataOnceThereIsACopy)
+{
+  catalog.RespondToList(StalePage({ Object("a", 3) }, 4));
+  catalog.RespondToWatch(Changes({}, 4));
+  catalog.RespondToWatch(Failure<CatalogChanges>(CatalogError::HistoryExpired));
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.lists.empty(); }));
+  BOOST_TEST((catalog.freshness == ListFreshness::Newest));
+}
+
+// Guards against a host that follows a peer and stays incomplete: the changes
+// since its list are read from the catalog all the same.
+BOOST_AUTO_TEST_CASE(ReadsTheChangesWhileItFollowsAPeer)
+{
+  follower.SetFollowsPeer(true);
+  catalog.RespondToList(StalePage({ Object("a", 3) }, 4));
+  catalog.RespondToWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
+  catalog.RespondToWatch(Changes({ { Object("b", 6), false } }, 7));
+  BOOST_TEST(names == "a b ");
+  RunFor(50ms);
+  BOOST_TEST(catalog.watches.empty());
+}
+
+// Guards against a host that replaces its list by the older copy of a peer and
+// takes it for the newer one.
+BOOST_AUTO_TEST_CASE(IsNotSetBackByAPeersOlderCopy)
+{
+  catalog.RespondToList(StalePage({ Object("a", 8) }, 9));
+  follower.Import(Copy({ Object("a", 3), Object("b", 3) }, 3));
+  BOOST_TEST(follower.IsComplete());
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Copy().objects.at("a").revision == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "base/MetricText.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertbeam {
 
@@ -36,6 +37,8 @@
 // leave the host.
 constexpr milliseconds kLastResponseTime{ 100 };
 
+constexpr milliseconds kCatalogLogInterval{ 10'000 };
+
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -54,6 +57,8 @@
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
   catchUpTimer_.setSingleShot(true);
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
+  catalogLogTimer_.callOnTimeout([this] { LogCatalogCalls(); });
+  catalogLogTimer_.start(kCatalogLogInterval);
 }
 
 Gateway::~Gateway()
@@ -393,6 +398,18 @@
     { { "host", settings_.host }, { "version", ConfigurationVersion() } });
 }
 
+void
+Gateway::LogCatalogCalls()
+{
+  const std::uint64_t calls = catalog_.TotalCalls();
+  if (calls == std::exchange(loggedCatalogCalls_, calls)) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "catalog_calls",
+           { { "total", calls }, { "calls", catalog_.FormatForLog() } });
+}
+
 void
 Gateway::ApplySettings(const GatewaySettings& aSettings)
 {
@@ -446,6 +463,7 @@
     return;
   }
   stopTimer_.stop();
+  LogCatalogCalls();
   LogEvent(
     running > 0 ? LogLevel::Warning : LogLevel::Info,
     "stopped",
@@ -458,7 +476,7 @@
 std::string
 Gateway::FormatMetrics() const
 {
-  std::string text = metrics_.Format();
+  std::string text = metrics_.Format() + catalog_.FormatMetrics();
   const auto gauge = [&text](std::string_view aName, auto aValue) {
     AppendMetric(text, "gauge", aName, aValue);
   };
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 #include "base/WorkerThread.h"
 #include "catalog/CatalogFollower.h"
+#include "catalog/CountingCatalog.h"
 #include "gateway/DirectoryBuilder.h"
 #include "gateway/HostRegistry.h"
 #include "gateway/PeerSnapshotClient.h"
@@ -88,10 +89,11 @@
   void Import(PeerSnapshot aSnapshot);
   void CheckStopped();
   void ReportReadiness();
+  void LogCatalogCalls();
   std::string FormatMetrics() const;
 
   GatewaySettings settings_;
-  ObjectCatalog& catalog_;
+  CountingCatalog catalog_;
   const CatalogCodec& codec_;
   const ExchangeHeaderCodec& headerCodec_;
   SystemClock clock_;
@@ -112,6 +114,8 @@
   // Newest versions that peers have reported.
   KnownVersions peerVersions_;
   QTimer catchUpTimer_;
+  QTimer catalogLogTimer_;
+  std::uint64_t loggedCatalogCalls_ = 0;
 
   WorkerThread trafficThread_{ "traffic" };
   std::unique_ptr<TrafficRuntime> traffic_;
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -5,6 +5,7 @@
 #include "gateway/PeerSnapshot.h"
 
 #include <algorithm>
+#include <array>
 
 namespace filbertbeam {
 
@@ -12,9 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// Hosts that start together are all registered after about a second. Hosts that
-// start later announce themselves to those in the list.
-constexpr milliseconds kFirstListDelay{ 1'200 };
+// Delays between the lists after the start. The first list shows whether this
+// host is registered from an earlier run. Hosts that start together are all
+// registered by the second, and in a list that is some seconds old by the
+// third. Hosts that start later announce themselves to those in the list.
+constexpr std::array<milliseconds, 2> kEarlyListDelays{ milliseconds(1'200),
+                                                        milliseconds(4'000) };
 constexpr milliseconds kListInterval{ 60'000 };
 constexpr milliseconds kListRetryDelay{ 1'000 };
 
@@ -42,8 +46,7 @@
 void
 HostRegistry::Start()
 {
-  registration_.Write(PeerHostToJson(self_));
-  listTimer_.start(kFirstListDelay);
+  List({});
 }
 
 void
@@ -68,9 +71,12 @@
   if (aAfter.empty()) {
     pendingList_.clear();
   }
-  catalog_.List(Collection::Hosts, aAfter, [this](const CatalogPage& aPage) {
-    OnPage(aPage);
-  });
+  // Hosts that a stale list lacks announce themselves.
+  catalog_.List(Collection::Hosts,
+                aAfter,
+                needsNewestList_ ? ListFreshness::Newest
+                                 : ListFreshness::MayBeStale,
+                [this](const CatalogPage& aPage) { OnPage(aPage); });
 }
 
 void
@@ -94,20 +100,38 @@
     List(aPage.objects.back().name);
     return;
   }
-  LogEvent(
-    LogLevel::Info, "hosts_listed", { { "hosts", pendingList_.size() } });
+  CompleteList(aPage.mayBeStale);
+}
+
+void
+HostRegistry::CompleteList(bool aMayBeStale)
+{
+  LogEvent(LogLevel::Info,
+           "hosts_listed",
+           { { "hosts", pendingList_.size() }, { "stale", aMayBeStale } });
+  const bool isEarly = earlyLists_ < kEarlyListDelays.size();
   const bool isListed =
     std::ranges::find(pendingList_, self_) != pendingList_.end();
-  // The entry was removed or overwritten by another writer.
-  if (!isListed && !registration_.IsWriting()) {
-    registration_.Write(PeerHostToJson(self_));
-  }
   listedHosts_ = std::move(pendingList_);
   pendingList_.clear();
   onHosts_(listedHosts_);
   RemoveDeadHosts();
   probeHosts_(deadHostDetector_.BeginRound(listedHosts_, clock_.Now()));
-  listTimer_.start(kListInterval);
+  // A stale list may be older than the entry that this run wrote.
+  needsNewestList_ = !isEarly && !isListed && aMayBeStale;
+  const bool isMissing = !isListed && (!aMayBeStale || earlyLists_ == 0);
+  if (isMissing && !registration_.IsWriting()) {
+    // Not registered yet, or the entry was removed or overwritten by another
+    // writer.
+    registration_.Write(PeerHostToJson(self_));
+  }
+  if (needsNewestList_) {
+    listTimer_.start(kListRetryDelay);
+  } else if (isEarly) {
+    listTimer_.start(kEarlyListDelays.at(earlyLists_++));
+  } else {
+    listTimer_.start(kListInterval);
+  }
 }
 
 void
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -41,6 +41,7 @@
 private:
   void List(const std::string& aAfter);
   void OnPage(const CatalogPage& aPage);
+  void CompleteList(bool aMayBeStale);
   void RemoveDeadHosts();
 
   ObjectCatalog& catalog_;
@@ -54,6 +55,11 @@
   // Hosts of the list that is being read.
   std::vector<PeerHost> pendingList_;
   std::vector<PeerHost> listedHosts_;
+  // Number of lists that were read soon after the start.
+  std::size_t earlyLists_ = 0;
+  // A list that may be stale lacked this host, so only a newer one can tell
+  // whether its entry was removed.
+  bool needsNewestList_ = false;
   QTimer listTimer_;
 };
 
--- a/src/store/CatalogObjectStore.cpp
+++ b/src/store/CatalogObjectStore.cpp
@@ -148,6 +148,7 @@
   {
     catalog_.List(collection_,
                   kAfterAllKeys,
+                  ListFreshness::Newest,
                   [self = shared_from_this()](const CatalogPage& aPage) {
                     if (aPage.failure.error != CatalogError::None) {
                       self->callback_(
@@ -250,6 +251,7 @@
   {
     catalog_.List(kCollections.at(collection_),
                   aAfter,
+                  ListFreshness::Newest,
                   [self = shared_from_this()](const CatalogPage& aPage) {
                     self->OnPage(aPage);
                   });
