--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -88,6 +88,8 @@
       return aHost.domain == self_.domain && aHost.name != self_.name;
     });
   election_.SetPeers(peers);
+  // A starting host learns here that it need not watch.
+  Tick();
 }
 
 bool
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -66,6 +66,7 @@
 WatcherElection::OnHeartbeat(const std::string& aHost, Instant aNow)
 {
   lastHeartbeatAt_.insert_or_assign(aHost, aNow);
+  hasReceivedHeartbeat_ = true;
 }
 
 void
@@ -74,9 +75,20 @@
   lastHeartbeatAt_.erase(aHost);
 }
 
+bool
+WatcherElection::IsFirstHeartbeatPending(Instant aNow)
+{
+  if (precedingPeers_ && !peersKnownSince_) {
+    peersKnownSince_ = aNow;
+  }
+  return !hasReceivedHeartbeat_ && peersKnownSince_ &&
+         aNow - *peersKnownSince_ < kWatcherHeartbeatTimeout;
+}
+
 WatcherRole
 WatcherElection::Decide(Instant aNow)
 {
+  const bool isFirstHeartbeatPending = IsFirstHeartbeatPending(aNow);
   std::erase_if(lastHeartbeatAt_, [aNow](const auto& aItem) {
     return aNow - aItem.second > kWatcherHeartbeatTimeout;
   });
@@ -95,7 +107,8 @@
   role.sendsHeartbeats =
     precedingPeers_ &&
     aNow - *watcherShortageSince_ >= kTakeoverStagger * *precedingPeers_;
-  role.watchesCatalog = role.sendsHeartbeats || lastHeartbeatAt_.empty();
+  role.watchesCatalog = role.sendsHeartbeats ||
+                        (lastHeartbeatAt_.empty() && !isFirstHeartbeatPending);
   role.sendsHeartbeatsInOutage =
     role.sendsHeartbeats && *precedingPeers_ < kOutageWatchers;
   return role;
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -49,6 +49,9 @@
   using Rank = std::pair<double, std::uint64_t>;
   static Rank MakeRank(const std::string& aHost, double aProcessorCores);
   Rank RankOf(const std::string& aHost) const;
+  // True shortly after the first host list, while the first heartbeat may still
+  // arrive. The catalog has been read a moment before.
+  bool IsFirstHeartbeatPending(Instant aNow);
 
   const std::string self_;
   const Rank rank_;
@@ -58,6 +61,9 @@
   // Time of the last heartbeat received from each watcher, by name.
   std::map<std::string, Instant, std::less<>> lastHeartbeatAt_;
   std::optional<Instant> watcherShortageSince_;
+  // The time of the first decision with a host list.
+  std::optional<Instant> peersKnownSince_;
+  bool hasReceivedHeartbeat_ = false;
 };
 
 // Time between heartbeats while nothing changes.
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -107,6 +107,18 @@
   BOOST_TEST(CountWatchingHosts() == 2);
 }
 
+// Guards against catalog watches by all hosts of a fleet that starts at once:
+// each waits for the heartbeats of those that rank before it.
+BOOST_AUTO_TEST_CASE(AreNotPrecededByWatchesOfAllHosts)
+{
+  int mostWatching = 0;
+  for (int i = 0; i < 40; ++i) {
+    Run(100ms);
+    mostWatching = std::max(mostWatching, CountWatchingHosts());
+  }
+  BOOST_TEST(mostWatching <= 3);
+}
+
 // Guards against a watcher that is too slow for the hosts that follow it, while
 // larger hosts only follow.
 BOOST_AUTO_TEST_CASE(AreTheHostsWithTheMostProcessorCores)
