--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -109,6 +109,7 @@
   history_.Reset(aCopy.newestChange);
   peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
+  revision_ = std::max(revision_, aCopy.revision);
   isComplete_ = true;
   Notify();
 }
@@ -116,7 +117,7 @@
 CatalogCopy
 CatalogFollower::Copy() const
 {
-  CatalogCopy copy{ objects_, newestChange_ };
+  CatalogCopy copy{ objects_, newestChange_, revision_ };
   for (const auto& [name, missing] : missing_) {
     copy.objects.erase(name);
   }
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -35,6 +35,8 @@
   std::map<std::string, CatalogObject, std::less<>> objects;
   // The revision of the newest change that was read, deletions included.
   std::uint64_t newestChange = 0;
+  // The copy contains all changes up to this revision; 0 if that is unknown.
+  std::uint64_t revision = 0;
 };
 
 // Keeps a copy of one collection: lists it, then watches it, and lists it again
@@ -81,7 +83,8 @@
   CatalogChanges ChangesAfter(std::uint64_t aRevision) const;
 
   // Imports the copy of a peer when it is newer than this one or when nothing
-  // has been read yet. The next list of the catalog replaces it.
+  // has been read yet. The next list of the catalog replaces it; none is needed
+  // if the revision of the copy is known.
   void Import(CatalogCopy aCopy);
   // Returns what is in the catalog, without the removed objects that this host
   // keeps after an outage.
--- a/src/catalog/ChangeHistory.cpp
+++ b/src/catalog/ChangeHistory.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-// More than the changes of the few seconds by which a peer may be behind.
-constexpr std::size_t kMaxEvents = 512;
+// More than the changes of the few seconds by which a peer may be behind, also
+// when most backend servers of a large deployment are replaced at once.
+constexpr std::size_t kMaxEvents = 2'048;
 
 } // namespace
 
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -704,4 +704,17 @@
   BOOST_TEST(follower.Copy().objects.at("a").revision == 8U);
 }
 
+// Guards against a list by a host that has a peer's whole copy.
+BOOST_AUTO_TEST_CASE(NeedsNoListAfterAnImportWithARevision)
+{
+  catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
+  CatalogCopy copy = Copy({ Object("a", 3) }, 3);
+  copy.revision = 5;
+  follower.Import(copy);
+  BOOST_TEST(follower.Revision() == 5U);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.watchedRevision == 5U);
+  BOOST_TEST(catalog.lists.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -71,6 +71,7 @@
 CopyToJson(const CatalogCopy& aCopy)
 {
   return { { kNewestChange, static_cast<qint64>(aCopy.newestChange) },
+           { kAsOf, static_cast<qint64>(aCopy.revision) },
            { kObjects, ObjectsToJson(aCopy.objects) } };
 }
 
@@ -78,7 +79,8 @@
 CopyFromJson(const QJsonObject& aObject)
 {
   return { ObjectsFromJson(aObject[kObjects].toArray()),
-           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()) };
+           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()),
+           static_cast<std::uint64_t>(aObject[kAsOf].toInteger()) };
 }
 
 QJsonObject
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -21,6 +21,8 @@
 constexpr int kOk = 200;
 
 constexpr std::string_view kChangesPath = "/changes";
+// Any other path gets the snapshot.
+constexpr const char* kSnapshotPath = "/";
 constexpr const char* kConfiguration = "configuration";
 constexpr const char* kBackendServers = "backend_servers";
 
@@ -158,11 +160,18 @@
   const bool isBehind = !HasRead(aHeartbeat.known);
   // A watcher that can read the catalog receives the change from it.
   const bool needsWatcher = !role_.watchesCatalog || !IsCatalogReachable();
-  if (isBehind && needsWatcher && !isFetching_) {
+  if (isBehind && needsWatcher && !IsListing() && !isFetching_) {
     FetchFrom(aHeartbeat, aSender);
   }
 }
 
+bool
+WatchSharing::IsListing() const
+{
+  return IsCatalogReachable() &&
+         (configuration_.Revision() == 0 || servers_.Revision() == 0);
+}
+
 void
 WatchSharing::FetchFrom(const WatcherHeartbeat& aHeartbeat,
                         const Endpoint& aSender)
@@ -184,30 +193,71 @@
   const auto changes = aReply.status == kOk ? DecodePeerChanges(aReply.body)
                                             : std::optional<PeerChanges>();
   if (!changes) {
-    LogEvent(LogLevel::Info,
-             "watcher_did_not_answer",
-             { { "watcher", aHeartbeat.host },
-               { "status", aReply.status },
-               { "reason", aReply.reason } });
-    election_.OnUnreachable(aHeartbeat.host);
-    Tick();
+    OnNoResponse(aHeartbeat, aReply);
     return;
   }
-  ApplyChanges(
+  const bool hasConfiguration = ApplyChanges(
     configuration_, changes->configuration, aHeartbeat.known.configuration);
-  ApplyChanges(servers_, changes->backendServers, aHeartbeat.known.directory);
+  const bool hasServers =
+    ApplyChanges(servers_, changes->backendServers, aHeartbeat.known.directory);
+  if (!hasConfiguration || !hasServers) {
+    FetchSnapshot(aHeartbeat);
+  }
 }
 
-void
+bool
 WatchSharing::ApplyChanges(CatalogFollower& aFollower,
                            const CatalogChanges& aChanges,
                            std::uint64_t aNewest)
 {
   if (aChanges.failure.error == CatalogError::None) {
     aFollower.ApplyPeerChanges(aChanges);
-  } else if (!aFollower.HasRead(aNewest)) {
-    aFollower.ReadAgain(aChanges.failure.reason);
+    return true;
+  }
+  return aFollower.HasRead(aNewest);
+}
+
+void
+WatchSharing::FetchSnapshot(const WatcherHeartbeat& aHeartbeat)
+{
+  LogEvent(LogLevel::Info,
+           "watcher_history_too_short",
+           { { "watcher", aHeartbeat.host },
+             { "configuration", configuration_.Revision() },
+             { "backend_servers", servers_.Revision() } });
+  isFetching_ = true;
+  GetFromPeer(
+    client_, kSnapshotPath, [this, aHeartbeat](const PlatformReply& aReply) {
+      isFetching_ = false;
+      OnSnapshot(aHeartbeat, aReply);
+    });
+}
+
+void
+WatchSharing::OnSnapshot(const WatcherHeartbeat& aHeartbeat,
+                         const PlatformReply& aReply)
+{
+  auto snapshot = aReply.status == kOk ? DecodePeerSnapshot(aReply.body)
+                                       : std::optional<PeerSnapshot>();
+  if (!snapshot) {
+    OnNoResponse(aHeartbeat, aReply);
+    return;
   }
+  configuration_.Import(std::move(snapshot->configuration));
+  servers_.Import(std::move(snapshot->backendServers));
+}
+
+void
+WatchSharing::OnNoResponse(const WatcherHeartbeat& aHeartbeat,
+                           const PlatformReply& aReply)
+{
+  LogEvent(LogLevel::Info,
+           "watcher_did_not_answer",
+           { { "watcher", aHeartbeat.host },
+             { "status", aReply.status },
+             { "reason", aReply.reason } });
+  election_.OnUnreachable(aHeartbeat.host);
+  Tick();
 }
 
 } // namespace filbertbeam
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -16,7 +16,9 @@
 // Keeps the number of catalog watches small. A few hosts of each failure domain
 // watch the catalog and send heartbeats; the others follow them and fetch
 // changes from the watcher that reported them. A host that receives no
-// heartbeats watches the catalog itself.
+// heartbeats watches the catalog itself. A host that is so far behind that its
+// watcher no longer has all changes fetches the watcher's whole copy, so that a
+// wave of changes does not make all hosts list the catalog.
 class WatchSharing
 {
 public:
@@ -45,14 +47,24 @@
 
 private:
   bool IsCatalogReachable() const;
+  // True while this host reads a whole collection from the catalog.
+  bool IsListing() const;
   void Tick();
   void FetchFrom(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void OnFetched(const WatcherHeartbeat& aHeartbeat,
                  const PlatformReply& aReply);
-  // aNewest is the newest change that the watcher reported.
-  static void ApplyChanges(CatalogFollower& aFollower,
+  // aNewest is the newest change that the watcher reported. Returns false if
+  // the changes up to it are still missing, since the watcher no longer has all
+  // of them.
+  static bool ApplyChanges(CatalogFollower& aFollower,
                            const CatalogChanges& aChanges,
                            std::uint64_t aNewest);
+  // Fetches the whole copy of the watcher instead of its changes.
+  void FetchSnapshot(const WatcherHeartbeat& aHeartbeat);
+  void OnSnapshot(const WatcherHeartbeat& aHeartbeat,
+                  const PlatformReply& aReply);
+  void OnNoResponse(const WatcherHeartbeat& aHeartbeat,
+                    const PlatformReply& aReply);
 
   const PeerHost self_;
   CatalogFollower& configuration_;
--- a/src/gateway/tests/TestPeerSnapshot.cpp
+++ b/src/gateway/tests/TestPeerSnapshot.cpp
@@ -15,6 +15,7 @@
   PeerSnapshot snapshot;
   snapshot.configuration.objects.emplace("main", object);
   snapshot.configuration.newestChange = 8;
+  snapshot.configuration.revision = 9;
   object.name = "i-1";
   object.status["state"] = "ready";
   snapshot.backendServers.objects.emplace("i-1", object);
@@ -28,6 +29,7 @@
   BOOST_TEST(
     read->configuration.objects.at("main").content["version"].toInt() == 3);
   BOOST_TEST(read->configuration.newestChange == 8U);
+  BOOST_TEST(read->configuration.revision == 9U);
   BOOST_TEST(
     (read->backendServers.objects.at("i-1").status["state"] == "ready"));
   BOOST_TEST((read->hosts == snapshot.hosts));
