--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -233,20 +233,35 @@
 }
 
 SimpleHttpResponse
-Gateway::HandlePeerRequest(std::string_view aTarget) const
+Gateway::HandlePeerRequest(std::string_view aTarget)
 {
   if (!IsReady()) {
     return { kUnavailable, "not ready\n" };
   }
+  const std::string version =
+    fmt::format("{} {} {} {} {}",
+                configurationFollower_->Revision(),
+                configurationFollower_->NewestChange(),
+                serverFollower_->Revision(),
+                serverFollower_->NewestChange(),
+                hostRegistry_->ListedHosts().size());
+  return { kOk, peerResponses_.Get(version, aTarget, [this, aTarget] {
+            std::string text = EncodePeerResponse(aTarget);
+            return AcceptsPackedData(aTarget) ? PackPeerData(text) : text;
+          }) };
+}
+
+std::string
+Gateway::EncodePeerResponse(std::string_view aTarget) const
+{
   const auto changes =
     PeerChangesFor(aTarget, *configurationFollower_, *serverFollower_);
   if (changes) {
-    return { kOk, EncodePeerChanges(*changes) };
+    return EncodePeerChanges(*changes);
   }
-  return { kOk,
-           EncodePeerSnapshot({ configurationFollower_->Copy(),
-                                serverFollower_->Copy(),
-                                hostRegistry_->ListedHosts() }) };
+  return EncodePeerSnapshot({ configurationFollower_->Copy(),
+                              serverFollower_->Copy(),
+                              hostRegistry_->ListedHosts() });
 }
 
 milliseconds
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "catalog/CountingCatalog.h"
 #include "gateway/DirectoryBuilder.h"
 #include "gateway/HostRegistry.h"
+#include "gateway/PeerData.h"
 #include "gateway/PeerSnapshotClient.h"
 #include "gateway/SimpleHttpServer.h"
 #include "gateway/TrafficRuntime.h"
@@ -74,7 +75,9 @@
   // Forwards messages of peers from the traffic thread to the thread that
   // created this object.
   void ConnectTraffic();
-  SimpleHttpResponse HandlePeerRequest(std::string_view aTarget) const;
+  SimpleHttpResponse HandlePeerRequest(std::string_view aTarget);
+  // Returns what this host has read, in the form that aTarget asks for.
+  std::string EncodePeerResponse(std::string_view aTarget) const;
   // How long changes of backend servers are collected before they are read
   // together.
   std::chrono::milliseconds CoalescingDelay() const;
@@ -107,6 +110,7 @@
   std::unique_ptr<SimpleHttpServer> readinessServer_;
   std::unique_ptr<SimpleHttpServer> metricsServer_;
   std::unique_ptr<SimpleHttpServer> snapshotServer_;
+  PeerResponseCache peerResponses_;
   std::unique_ptr<PeerSnapshotClient> snapshotClient_;
   std::shared_ptr<const RoutingTable> routing_;
   std::uint64_t rejectedRevision_ = 0;
--- a/src/gateway/PeerSnapshotClient.cpp
+++ b/src/gateway/PeerSnapshotClient.cpp
@@ -1,6 +1,7 @@
 #include "gateway/PeerSnapshotClient.h"
 
 #include "base/Log.h"
+#include "gateway/PeerData.h"
 #include "gateway/PeerRequest.h"
 
 namespace filbertbeam {
@@ -57,8 +58,9 @@
   if (seeds_.empty() && preferred_.port == 0) {
     return;
   }
-  GetFromPeer(
-    client_, "/", [this](const PlatformReply& aReply) { OnResponse(aReply); });
+  GetFromPeer(client_, PackedTarget("/"), [this](const PlatformReply& aReply) {
+    OnResponse(aReply);
+  });
 }
 
 void
@@ -73,7 +75,9 @@
              { { "status", aReply.status }, { "reason", aReply.reason } });
     return;
   }
-  std::optional<PeerSnapshot> snapshot = DecodePeerSnapshot(aReply.body);
+  const auto text = UnpackPeerData(aReply.body);
+  auto snapshot =
+    text ? DecodePeerSnapshot(*text) : std::optional<PeerSnapshot>();
   if (!snapshot) {
     LogEvent(LogLevel::Warning,
              "peer_snapshot_malformed",
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -1,6 +1,7 @@
 #include "gateway/WatchSharing.h"
 
 #include "base/Log.h"
+#include "gateway/PeerData.h"
 #include "gateway/PeerRequest.h"
 
 #include <QUrlQuery>
@@ -179,7 +180,8 @@
   isFetching_ = true;
   client_.SetEndpoints({ { aSender.address, aHeartbeat.snapshotPort } });
   GetFromPeer(client_,
-              PeerChangesTarget(configuration_.Revision(), servers_.Revision()),
+              PackedTarget(PeerChangesTarget(configuration_.Revision(),
+                                             servers_.Revision())),
               [this, aHeartbeat](const PlatformReply& aReply) {
                 isFetching_ = false;
                 OnFetched(aHeartbeat, aReply);
@@ -190,8 +192,10 @@
 WatchSharing::OnFetched(const WatcherHeartbeat& aHeartbeat,
                         const PlatformReply& aReply)
 {
-  const auto changes = aReply.status == kOk ? DecodePeerChanges(aReply.body)
-                                            : std::optional<PeerChanges>();
+  const auto text = aReply.status == kOk ? UnpackPeerData(aReply.body)
+                                         : std::optional<std::string>();
+  const auto changes =
+    text ? DecodePeerChanges(*text) : std::optional<PeerChanges>();
   if (!changes) {
     OnNoResponse(aHeartbeat, aReply);
     return;
@@ -226,19 +230,22 @@
              { "configuration", configuration_.Revision() },
              { "backend_servers", servers_.Revision() } });
   isFetching_ = true;
-  GetFromPeer(
-    client_, kSnapshotPath, [this, aHeartbeat](const PlatformReply& aReply) {
-      isFetching_ = false;
-      OnSnapshot(aHeartbeat, aReply);
-    });
+  GetFromPeer(client_,
+              PackedTarget(kSnapshotPath),
+              [this, aHeartbeat](const PlatformReply& aReply) {
+                isFetching_ = false;
+                OnSnapshot(aHeartbeat, aReply);
+              });
 }
 
 void
 WatchSharing::OnSnapshot(const WatcherHeartbeat& aHeartbeat,
                          const PlatformReply& aReply)
 {
-  auto snapshot = aReply.status == kOk ? DecodePeerSnapshot(aReply.body)
-                                       : std::optional<PeerSnapshot>();
+  const auto text = aReply.status == kOk ? UnpackPeerData(aReply.body)
+                                         : std::optional<std::string>();
+  auto snapshot =
+    text ? DecodePeerSnapshot(*text) : std::optional<PeerSnapshot>();
   if (!snapshot) {
     OnNoResponse(aHeartbeat, aReply);
     return;
