--- a/src/balancing/OwnerRanking.cpp
+++ b/src/balancing/OwnerRanking.cpp
@@ -175,7 +175,9 @@
   };
   if (host.name != self_ && ranked.distance < aRanking.ownDistance) {
     aRanking.preceding.insert(
-      std::ranges::upper_bound(aRanking.preceding, ranked), ranked);
+      std::ranges::upper_bound(
+        aRanking.preceding, ranked.distance, {}, &PrecedingHost::distance),
+      ranked);
   }
 }
 
--- a/src/balancing/OwnerRanking.h
+++ b/src/balancing/OwnerRanking.h
@@ -61,8 +61,6 @@
     double distance = 0;
     // Index in hosts_.
     std::uint32_t host = 0;
-
-    auto operator<=>(const PrecedingHost&) const = default;
   };
 
   // The ranking of one shard, as far as this host needs it.
