--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -5,7 +5,8 @@
 namespace filbertbeam {
 
 using Duration = std::chrono::nanoseconds;
-// A time of the monotonic clock. It has no meaning outside this process.
+// A time of a clock that never goes back. It has no meaning outside this
+// process, and Clock need not be the library's steady clock.
 using Instant = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 
--- a/src/base/SystemClock.h
+++ b/src/base/SystemClock.h
@@ -4,7 +4,8 @@
 
 namespace filbertbeam {
 
-// Reads the clocks of the operating system.
+// Reads the clocks of the operating system. Now() includes the time for which
+// the machine was suspended.
 class SystemClock final : public Clock
 {
 public:
--- a/src/base/tests/TestBase.cpp
+++ b/src/base/tests/TestBase.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include "base/ManualClock.h"
 #include "base/SeededRandom.h"
+#include "base/SystemClock.h"
 
 #include <QJsonArray>
 
@@ -11,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include <ctime>
+
 using namespace filbertbeam;
 
 BOOST_AUTO_TEST_SUITE(Base)
@@ -34,6 +37,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against deadlines that stand still while the machine is suspended. On
+// a machine that never was, all clocks pass.
+BOOST_AUTO_TEST_CASE(TheClockIncludesTheTimeOfSuspensions)
+{
+  const auto sinceBoot = [] {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+  };
+  const Instant before = sinceBoot();
+  const Instant now = SystemClock().Now();
+  BOOST_TEST((before <= now));
+  BOOST_TEST((now <= sinceBoot()));
+}
+
 // Guards against reporting only the first of several errors in an input.
 BOOST_AUTO_TEST_CASE(FindingsAreReportedTogetherWithTheirPlace)
 {
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -202,6 +202,12 @@
     context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
     return;
   }
+  if (Remaining() == Duration::zero()) {
+    // The host was paused, and the deadline timer has not fired yet.
+    context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
+    OnDeadline();
+    return;
+  }
   if (!aOutcome.result.selection) {
     OnNoSelection(aPurpose, aOutcome.result.reason, aOutcome.result.retryAfter);
     return;
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -52,6 +52,19 @@
   }
 };
 
+// A clock that jumps when the host is paused, as the system's does.
+class PausableClock final : public Clock
+{
+public:
+  Instant Now() const override { return system_.Now() + paused_; }
+  WallTime WallNow() const override { return system_.WallNow() + paused_; }
+  void Pause(Duration aTime) { paused_ += aTime; }
+
+private:
+  SystemClock system_;
+  Duration paused_{};
+};
+
 // A host that owns every service, with fake backend servers. The test acts as
 // the callers and the servers.
 struct GatewayFixture
@@ -193,7 +206,7 @@
     return head;
   }
 
-  SystemClock clock;
+  PausableClock clock;
   SeededRandom random{ 5 };
   FakeHttpClient client;
   TestHeaderCodec headerCodec;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -240,6 +240,28 @@
   BOOST_TEST(caller->response.status == 503);
 }
 
+// Guards against a host that was paused and sends a request whose caller no
+// longer waits: the owner's selection arrived during the pause.
+BOOST_AUTO_TEST_CASE(IsNotSentAfterAPauseThatOutlastsItsDeadline)
+{
+  SetDefaultRoutesAndServers();
+  SetServers(1);
+  const auto owner = StartOwner();
+  BOOST_TEST_REQUIRE(owner != nullptr);
+  BackendServerRecord record;
+  record.id = "server-0";
+  record.service = "permits";
+  record.domain = "piarco";
+  owner->SetDirectory(std::make_shared<BackendDirectory>(
+    1, std::vector<BackendServerRecord>{ record }));
+  const auto caller = Request("/once/1", 1'000);
+  clock.Pause(std::chrono::seconds(3));
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; },
+                       std::chrono::milliseconds(500)));
+  BOOST_TEST(caller->response.status == 503);
+  BOOST_TEST(client.exchanges.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a request that is lost on an idle connection to a server that
