--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -26,6 +26,7 @@
 // The host's own watch usually delivers a change that a peer has read within
 // this time.
 constexpr milliseconds kCatchUpDelay{ 250 };
+constexpr milliseconds kCatchUpInterval{ 100 };
 
 // After the stop signal, the load balancer keeps sending connections until two
 // of its readiness checks, sent once a second, have failed.
@@ -55,7 +56,6 @@
   , directoryBuilder_(aCodec, clock_)
 {
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
-  catchUpTimer_.setSingleShot(true);
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
   catalogLogTimer_.callOnTimeout([this] { LogCatalogCalls(); });
   catalogLogTimer_.start(kCatalogLogInterval);
@@ -325,13 +325,22 @@
   ReportReadiness();
 }
 
+KnownVersions
+Gateway::OverdueVersions() const
+{
+  const Instant due = clock_.Now() - kCatchUpDelay;
+  // Changes of backend servers are collected for a while before they are read.
+  return { peerVersions_.ReportedBy(due).configuration,
+           peerVersions_.ReportedBy(due - CoalescingDelay()).directory };
+}
+
 bool
 Gateway::NeedsPeerSnapshot() const
 {
   if (stopped_) {
     return false;
   }
-  return !IsReady() || !watchSharing_->HasRead(peerVersions_);
+  return !IsReady() || !watchSharing_->HasRead(OverdueVersions());
 }
 
 void
@@ -362,16 +371,9 @@
   if (sender != hosts.end() && sender->snapshot.port != 0) {
     snapshotClient_->Prefer(sender->snapshot);
   }
-  peerVersions_.configuration =
-    std::max(peerVersions_.configuration, aKnown.configuration);
-  peerVersions_.directory = std::max(peerVersions_.directory, aKnown.directory);
+  peerVersions_.Report(aKnown, clock_.Now());
   if (!catchUpTimer_.isActive()) {
-    // Changes of backend servers are collected for a while before they are
-    // read.
-    catchUpTimer_.start(peerVersions_.configuration >
-                            configurationFollower_->NewestChange()
-                          ? kCatchUpDelay
-                          : kCatchUpDelay + CoalescingDelay());
+    catchUpTimer_.start(kCatchUpInterval);
   }
 }
 
@@ -393,8 +395,16 @@
 void
 Gateway::CatchUp()
 {
-  configurationFollower_->CatchUp(peerVersions_.configuration);
-  serverFollower_->CatchUp(peerVersions_.directory);
+  if (watchSharing_->HasRead(peerVersions_.Newest())) {
+    catchUpTimer_.stop();
+    return;
+  }
+  const KnownVersions overdue = OverdueVersions();
+  if (watchSharing_->HasRead(overdue)) {
+    return;
+  }
+  configurationFollower_->CatchUp(overdue.configuration);
+  serverFollower_->CatchUp(overdue.directory);
   // The catalog may refuse this host while it serves others.
   snapshotClient_->Start();
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/HostRegistry.h"
 #include "gateway/PeerData.h"
 #include "gateway/PeerSnapshotClient.h"
+#include "gateway/ReportedVersions.h"
 #include "gateway/SimpleHttpServer.h"
 #include "gateway/TrafficRuntime.h"
 #include "gateway/WatchSharing.h"
@@ -87,6 +88,9 @@
   void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHeartbeat(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void CatchUp();
+  // Returns the versions that this host should have read by now, since peers
+  // reported them some time ago.
+  KnownVersions OverdueVersions() const;
   // True while this host lacks catalog data that peers may have read.
   bool NeedsPeerSnapshot() const;
   void Import(PeerSnapshot aSnapshot);
@@ -115,8 +119,7 @@
   std::shared_ptr<const RoutingTable> routing_;
   std::uint64_t rejectedRevision_ = 0;
   bool wasReady_ = false;
-  // Newest versions that peers have reported.
-  KnownVersions peerVersions_;
+  ReportedVersions peerVersions_;
   QTimer catchUpTimer_;
   QTimer catalogLogTimer_;
   std::uint64_t loggedCatalogCalls_ = 0;
