--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -26,7 +26,7 @@
 // The host's own watch usually delivers a change that a peer has read within
 // this time.
 constexpr milliseconds kCatchUpDelay{ 250 };
-constexpr milliseconds kCatchUpInterval{ 100 };
+constexpr milliseconds kCatchUpCheckInterval{ 100 };
 
 // After the stop signal, the load balancer keeps sending connections until two
 // of its readiness checks, sent once a second, have failed.
@@ -373,7 +373,7 @@
   }
   peerVersions_.Report(aKnown, clock_.Now());
   if (!catchUpTimer_.isActive()) {
-    catchUpTimer_.start(kCatchUpInterval);
+    catchUpTimer_.start(kCatchUpCheckInterval);
   }
 }
 
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -118,11 +118,12 @@
   RemoveDeadHosts();
   probeHosts_(deadHostDetector_.BeginRound(listedHosts_, clock_.Now()));
   // A stale list may be older than the entry that this run wrote.
-  needsNewestList_ = !isEarly && !isListed && aMayBeStale;
-  const bool isMissing = !isListed && (!aMayBeStale || earlyLists_ == 0);
-  if (isMissing && !registration_.IsWriting()) {
+  const bool isKnownToBeMissing = !isListed && (!aMayBeStale || !hasWritten_);
+  needsNewestList_ = !isEarly && !isListed && !isKnownToBeMissing;
+  if (isKnownToBeMissing && !registration_.IsWriting()) {
     // Not registered yet, or the entry was removed or overwritten by another
     // writer.
+    hasWritten_ = true;
     registration_.Write(PeerHostToJson(self_));
   }
   if (needsNewestList_) {
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -55,6 +55,9 @@
   // Hosts of the list that is being read.
   std::vector<PeerHost> pendingList_;
   std::vector<PeerHost> listedHosts_;
+  // This run has written the entry; until then, the entry of an earlier run may
+  // be listed.
+  bool hasWritten_ = false;
   // Number of lists that were read soon after the start.
   std::size_t earlyLists_ = 0;
   // A list that may be stale lacked this host, so only a newer one can tell
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -115,6 +115,20 @@
     return owner;
   }
 
+  // Starts an owner that selects "server-0" for each request.
+  std::unique_ptr<SelectionService> StartOwnerWithServer()
+  {
+    auto owner = StartOwner();
+    BOOST_TEST_REQUIRE(owner != nullptr);
+    BackendServerRecord record;
+    record.id = "server-0";
+    record.service = "permits";
+    record.domain = "piarco";
+    owner->SetDirectory(std::make_shared<BackendDirectory>(
+      1, std::vector<BackendServerRecord>{ record }));
+    return owner;
+  }
+
   static Route MakeRoute(std::string aPrefix, bool aIsIdempotent)
   {
     Route route;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -61,14 +61,7 @@
 {
   SetDefaultRoutesAndServers();
   SetServers(1);
-  const auto owner = StartOwner();
-  BOOST_TEST_REQUIRE(owner != nullptr);
-  BackendServerRecord record;
-  record.id = "server-0";
-  record.service = "permits";
-  record.domain = "piarco";
-  owner->SetDirectory(std::make_shared<BackendDirectory>(
-    1, std::vector<BackendServerRecord>{ record }));
+  const auto owner = StartOwnerWithServer();
   Request("/once/1");
   BOOST_TEST_REQUIRE(WaitUntil([&] { return client.exchanges.size() == 1; }));
   SetServers(1, 1);
@@ -246,14 +239,7 @@
 {
   SetDefaultRoutesAndServers();
   SetServers(1);
-  const auto owner = StartOwner();
-  BOOST_TEST_REQUIRE(owner != nullptr);
-  BackendServerRecord record;
-  record.id = "server-0";
-  record.service = "permits";
-  record.domain = "piarco";
-  owner->SetDirectory(std::make_shared<BackendDirectory>(
-    1, std::vector<BackendServerRecord>{ record }));
+  const auto owner = StartOwnerWithServer();
   const auto caller = Request("/once/1", 1'000);
   clock.Pause(std::chrono::seconds(3));
   BOOST_TEST(WaitUntil([&] { return caller->isFinished; },
--- a/src/gateway/tests/TestHostRegistry.cpp
+++ b/src/gateway/tests/TestHostRegistry.cpp
@@ -89,6 +89,18 @@
   BOOST_TEST(list.writes == 0);
 }
 
+// Guards against a host that is not listed for seconds after a planned restart:
+// a stale list still contains the entry that the earlier run removed.
+BOOST_AUTO_TEST_CASE(IsWrittenWhenTheNextListLacksTheEntryOfAnEarlierRun)
+{
+  list.listed.push_back({ "self", 1, PeerHostToJson(kSelf), {} });
+  ReadList();
+  list.listed.clear();
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return list.lists == 2; }));
+  RunFor(50ms);
+  BOOST_TEST(list.writes == 1);
+}
+
 // Guards against an entry with the address of an earlier run.
 BOOST_AUTO_TEST_CASE(IsWrittenWhenTheEntryOfAnEarlierRunDiffers)
 {
