Review: Show leaving servers in use after a silent outage of the store

Watches that waited through the outage and lost their responses end with a time-out of 26 s only; until then no host learns of a change.

--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -36,6 +36,7 @@
         self.watches = 0
         self.delay_s = 0.004
         self.servers = []
+        self.machines = []
         self.calls = {}
 
     async def listen(self, machine):
@@ -44,6 +45,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.servers.append(server)
+        self.machines.append(machine)
         return server.sockets[0].getsockname()[1]
 
     # --- writes of the operator and of the servers ---------------------------
