Catalog: Compare copies by what they cover, not by their newest change

Cause: a heartbeat says which change is its sender's newest one and up to which revision it has read all. A host that had the newest change took the revision over. After a list the newest change is only that of the objects listed, so removals between it and the revision were skipped, and the next change hid that for good. Ruled out: a watch without the removals (other domains read them at that moment), a kept entry or an imported copy (no such event).

Now heartbeats carry where the sender's history begins; a revision is taken over only within that history, and a host that no watcher covers for 1.1 s fetches a whole copy. The same cause on related paths: copies were imported, or a stale list was taken for the newer one, by the newest change; the history after an import began too early; a later page of a list counted as read what an earlier one lacked; the copy of a host that lists again had no revision.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -155,13 +155,14 @@
 void
 Append(QCborStreamWriter& aWriter, const WatcherHeartbeat& aHeartbeat)
 {
-  aWriter.startArray(9);
+  aWriter.startArray(11);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHeartbeat));
   AppendText(aWriter, aHeartbeat.host);
   aWriter.append(aHeartbeat.isCatalogReachable);
   AppendVersions(aWriter, aHeartbeat.known);
   AppendVersions(aWriter, aHeartbeat.readUpTo);
+  AppendVersions(aWriter, aHeartbeat.historyBegin);
   aWriter.append(static_cast<quint64>(aHeartbeat.snapshotPort));
   aWriter.endArray();
 }
@@ -274,6 +275,7 @@
   heartbeat.isCatalogReachable = aInput.ReadBool();
   heartbeat.known = ReadVersions(aInput);
   heartbeat.readUpTo = ReadVersions(aInput);
+  heartbeat.historyBegin = ReadVersions(aInput);
   heartbeat.snapshotPort =
     static_cast<std::uint16_t>(aInput.ReadUnsigned(0xFFFF));
   return heartbeat;
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -76,6 +76,8 @@
   KnownVersions known;
   // The host has read all changes of the catalog up to these revisions.
   KnownVersions readUpTo;
+  // The host knows each change after these revisions.
+  KnownVersions historyBegin;
   // Port at the sender's address that serves snapshots of what the host has
   // read.
   std::uint16_t snapshotPort = 0;
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -293,7 +293,8 @@
 
 BOOST_AUTO_TEST_CASE(AHeartbeatIsReadAsItWasWritten)
 {
-  const WatcherHeartbeat heartbeat{ "edge-1", false, { 3, 4 }, { 5, 6 }, 8382 };
+  const WatcherHeartbeat heartbeat{ "edge-1", false,    { 3, 4 },
+                                    { 5, 6 }, { 1, 2 }, 8382 };
   const auto message =
     DecodeSelectionMessage(EncodeSelectionMessage(heartbeat));
   BOOST_TEST_REQUIRE(message.has_value());
@@ -304,6 +305,8 @@
   BOOST_TEST(read.known.directory == 4U);
   BOOST_TEST(read.readUpTo.configuration == 5U);
   BOOST_TEST(read.readUpTo.directory == 6U);
+  BOOST_TEST(read.historyBegin.configuration == 1U);
+  BOOST_TEST(read.historyBegin.directory == 2U);
   BOOST_TEST(read.snapshotPort == 8382);
 }
 
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -89,7 +89,10 @@
 void
 CatalogFollower::Import(CatalogCopy aCopy)
 {
-  if (HasRead(aCopy.newestChange)) {
+  // The newest change does not tell which copy is newer: a copy that began with
+  // a list may lack an object whose removal it cannot tell.
+  const std::uint64_t peerUpTo = std::max(aCopy.revision, aCopy.newestChange);
+  if (peerUpTo <= CopiedUpTo()) {
     if (isCopyStale_) {
       // The stale list is at least as new as the peer's copy.
       OnRecentChangesRead();
@@ -102,12 +105,12 @@
            "catalog_adopted_from_peer",
            { { "collection", settings_.name },
              { "objects", aCopy.objects.size() },
-             { "newest_change", newestChange_ },
-             { "peer", aCopy.newestChange } });
-  ReplaceObjects(std::move(aCopy.objects), aCopy.newestChange);
+             { "revision", CopiedUpTo() },
+             { "peer", peerUpTo } });
+  ReplaceObjects(std::move(aCopy.objects), peerUpTo);
   isCopyStale_ = false;
-  history_.Reset(aCopy.newestChange);
-  peerRevision_ = std::max(peerRevision_, aCopy.newestChange);
+  history_.Reset(peerUpTo);
+  peerRevision_ = std::max(peerRevision_, peerUpTo);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
   revision_ = std::max(revision_, aCopy.revision);
   isComplete_ = true;
@@ -117,7 +120,9 @@
 CatalogCopy
 CatalogFollower::Copy() const
 {
-  CatalogCopy copy{ objects_, newestChange_, revision_ };
+  CatalogCopy copy{ objects_,
+                    newestChange_,
+                    revision_ != 0 ? revision_ : revisionBeforeList_ };
   for (const auto& [name, missing] : missing_) {
     copy.objects.erase(name);
   }
@@ -162,12 +167,30 @@
   }
 }
 
+CatalogProgress
+CatalogFollower::Progress() const
+{
+  return { newestChange_, revision_, history_.Begin() };
+}
+
+std::uint64_t
+CatalogFollower::CopiedUpTo() const
+{
+  return std::max({ revision_, newestChange_, listedRevision_ });
+}
+
+bool
+CatalogFollower::IsCoveredBy(const CatalogProgress& aPeer) const
+{
+  return aPeer.historyBegin <= revision_;
+}
+
 void
-CatalogFollower::OnPeerRevision(std::uint64_t aNewest, std::uint64_t aRevision)
+CatalogFollower::OnPeerProgress(const CatalogProgress& aPeer)
 {
   // When no change is missing here, the copy is as new as the peer's.
-  if (revision_ != 0 && HasRead(aNewest)) {
-    revision_ = std::max(revision_, aRevision);
+  if (revision_ != 0 && IsCoveredBy(aPeer) && HasRead(aPeer.newestChange)) {
+    revision_ = std::max(revision_, aPeer.revision);
   }
 }
 
@@ -179,7 +202,9 @@
            { { "collection", settings_.name },
              { "revision", revision_ },
              { "reason", aReason } });
-  revision_ = 0;
+  if (revision_ != 0) {
+    revisionBeforeList_ = std::exchange(revision_, 0);
+  }
   List({});
 }
 
@@ -200,7 +225,7 @@
 bool
 CatalogFollower::HasRead(std::uint64_t aRevision) const
 {
-  return aRevision <= std::max(newestChange_, listedRevision_);
+  return aRevision <= CopiedUpTo();
 }
 
 void
@@ -297,8 +322,11 @@
   } else {
     RecordDifferences();
   }
+  // A later page may contain newer changes than an earlier one, which may lack
+  // changes that came before them.
   for (const auto& [name, object] : listing_) {
-    newestChange_ = std::max(newestChange_, object.revision);
+    newestChange_ =
+      std::max(newestChange_, std::min(object.revision, listingRevision_));
   }
 }
 
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -39,6 +39,18 @@
   std::uint64_t revision = 0;
 };
 
+// How far a host has read a collection, as it reports that to its peers.
+struct CatalogProgress
+{
+  // The revision of the newest change that was read.
+  std::uint64_t newestChange = 0;
+  // All changes up to this revision have been read; 0 if that is unknown.
+  std::uint64_t revision = 0;
+  // The host knows each change after this revision. Of earlier ones it knows
+  // only the objects that were left: a list does not show what was removed.
+  std::uint64_t historyBegin = 0;
+};
+
 // Keeps a copy of one collection: lists it, then watches it, and lists it again
 // when the history has expired. The first list may be stale; it is used once
 // the changes since its revision have been read. Keeps its copy while the
@@ -73,9 +85,12 @@
   void SetFollowsPeer(bool aFollowsPeer);
   // Applies the changes after Revision() that a peer has read.
   void ApplyPeerChanges(const CatalogChanges& aChanges);
-  // Advances Revision() to aRevision, up to which a peer has read all changes,
-  // if this host has read aNewest, the newest of them.
-  void OnPeerRevision(std::uint64_t aNewest, std::uint64_t aRevision);
+  // Advances Revision() to that of a peer if this host has read all changes
+  // that the peer has read.
+  void OnPeerProgress(const CatalogProgress& aPeer);
+  // True when a peer knows each change that this host has not read. Otherwise
+  // its newest change does not show whether this host lacks one.
+  bool IsCoveredBy(const CatalogProgress& aPeer) const;
   // Lists the whole collection again; aReason is logged.
   void ReadAgain(std::string_view aReason);
   // Returns the changes after aRevision that this host has read, or
@@ -92,6 +107,7 @@
 
   // The revision of the newest change that was read.
   std::uint64_t NewestChange() const { return newestChange_; }
+  CatalogProgress Progress() const;
   // True when the copy contains the change of aRevision.
   bool HasRead(std::uint64_t aRevision) const;
 
@@ -115,6 +131,8 @@
 
   // The response to a call is ignored once a newer call has been sent.
   void List(const std::string& aAfter);
+  // All changes up to the returned revision are part of the copy.
+  std::uint64_t CopiedUpTo() const;
   // A stale list is only read while there is no copy that it could set back.
   ListFreshness FreshnessOfNextList() const;
   void OnPage(CatalogPage aPage);
@@ -165,7 +183,10 @@
   bool isCopyStale_ = false;
   // The catalog no longer had the changes since a stale list.
   bool needsNewestList_ = false;
+  // 0 while the collection has to be listed.
   std::uint64_t revision_ = 0;
+  // What revision_ was before the collection had to be listed again.
+  std::uint64_t revisionBeforeList_ = 0;
   std::uint64_t newestChange_ = 0;
   // The last complete list contains all changes up to this revision.
   std::uint64_t listedRevision_ = 0;
--- a/src/catalog/ChangeHistory.h
+++ b/src/catalog/ChangeHistory.h
@@ -23,6 +23,9 @@
   // them have been discarded.
   std::optional<std::vector<CatalogEvent>> After(std::uint64_t aRevision) const;
 
+  // The history contains the changes after this revision.
+  std::uint64_t Begin() const { return discardedRevision_; }
+
 private:
   std::deque<CatalogEvent> events_;
   // Changes up to this revision have been discarded.
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -60,6 +60,15 @@
   return copy;
 }
 
+// What a peer that has read all changes after its history's begin reports.
+CatalogProgress
+Progress(std::uint64_t aNewestChange,
+         std::uint64_t aRevision,
+         std::uint64_t aHistoryBegin = 0)
+{
+  return { aNewestChange, aRevision, aHistoryBegin };
+}
+
 template<typename Response>
 Response
 Failure(CatalogError aError)
@@ -432,10 +441,61 @@
   catalog.RespondToList(first);
   catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
   BOOST_TEST(!follower.HasRead(8));
-  follower.OnPeerRevision(8, 20);
+  follower.OnPeerProgress(Progress(8, 20));
   BOOST_TEST(follower.Revision() == 3U);
 }
 
+// Guards against a change that is never read: a list's second page is newer
+// than its first one, which lacks a removal that came in between.
+BOOST_AUTO_TEST_CASE(HasReadNoChangeThatIsNewerThanAPageOfItsList)
+{
+  CatalogPage first = Page({ Object("a", 3), Object("b", 3) }, 10);
+  first.hasMore = true;
+  catalog.RespondToList(first);
+  catalog.RespondToList(Page({ Object("c", 12) }, 12));
+  BOOST_TEST(!follower.HasRead(12));
+  follower.OnPeerProgress(Progress(12, 20));
+  BOOST_TEST(follower.Revision() == 10U);
+}
+
+// Guards against a server that left and is used again by a host that starts:
+// the copy of its peer has no newer change, but lacks the server.
+BOOST_AUTO_TEST_CASE(ImportsACopyThatDiffersOnlyByARemoval)
+{
+  FollowerFixture peer;
+  peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
+  catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
+  follower.Import(peer.follower.Copy());
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Revision() == 6U);
+}
+
+// Guards against a peer's copy that gets no revision while the peer lists the
+// collection again, although the copy holds all changes up to an earlier one.
+BOOST_AUTO_TEST_CASE(ImportsTheCopyOfAPeerThatListsAgain)
+{
+  FollowerFixture peer;
+  peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
+  peer.follower.ReadAgain("test");
+  catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
+  follower.Import(peer.follower.Copy());
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Revision() == 6U);
+}
+
+// Guards against followers that skip a removal which the imported copy
+// contains, since the host serves its history from before it.
+BOOST_AUTO_TEST_CASE(KnowsNoChangeBeforeAnImportedCopy)
+{
+  FollowerFixture peer;
+  peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
+  catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
+  follower.Import(peer.follower.Copy());
+  BOOST_TEST(
+    (follower.ChangesAfter(4).failure.error == CatalogError::HistoryExpired));
+  BOOST_TEST((follower.ChangesAfter(6).failure.error == CatalogError::None));
+}
+
 // Guards against waiting for a watch on an undetected broken connection.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
@@ -572,12 +632,30 @@
 BOOST_AUTO_TEST_CASE(AdvancesToAPeersRevisionWithoutNewChanges)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
-  follower.OnPeerRevision(3, 20);
+  follower.OnPeerProgress(Progress(3, 20));
   BOOST_TEST(follower.Revision() == 20U);
-  follower.OnPeerRevision(25, 30);
+  follower.OnPeerProgress(Progress(25, 30));
   BOOST_TEST(follower.Revision() == 20U);
 }
 
+// Guards against requests to a server that left while another host of the
+// failure domain started: that host's list shows neither the server nor its
+// removal, and reports an older change as the newest one.
+BOOST_AUTO_TEST_CASE(DoesNotSkipARemovalThatThePeersListHides)
+{
+  FollowerFixture peer;
+  peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
+  catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
+  follower.SetFollowsPeer(true);
+  BOOST_TEST(!follower.IsCoveredBy(peer.follower.Progress()));
+  follower.OnPeerProgress(peer.follower.Progress());
+  BOOST_TEST(follower.Revision() == 4U);
+  // Another peer has read the removal.
+  follower.ApplyPeerChanges(Changes({ { Object("b", 5), true } }, 7));
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.IsCoveredBy(peer.follower.Progress()));
+}
+
 BOOST_AUTO_TEST_SUITE(WhenFollowedByPeers)
 
 BOOST_AUTO_TEST_CASE(ReturnsTheChangesThatItHasRead)
@@ -704,6 +782,17 @@
   BOOST_TEST(follower.Copy().objects.at("a").revision == 8U);
 }
 
+// Guards against a host that starts with a server that has left: its stale list
+// has the server, the newer copy of its peer does not.
+BOOST_AUTO_TEST_CASE(IsReplacedByACopyThatDiffersOnlyByARemoval)
+{
+  FollowerFixture peer;
+  peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
+  catalog.RespondToList(StalePage({ Object("a", 3), Object("b", 3) }, 4));
+  follower.Import(peer.follower.Copy());
+  BOOST_TEST(names == "a ");
+}
+
 // Guards against a list by a host that has a peer's whole copy.
 BOOST_AUTO_TEST_CASE(NeedsNoListAfterAnImportWithARevision)
 {
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -135,13 +135,50 @@
     return;
   }
   lastHeartbeatAt_ = clock_.Now();
+  const CatalogProgress configuration = configuration_.Progress();
+  const CatalogProgress servers = servers_.Progress();
   sendHeartbeat_({ self_.name,
                    IsCatalogReachable(),
-                   { configuration_.NewestChange(), servers_.NewestChange() },
-                   { configuration_.Revision(), servers_.Revision() },
+                   { configuration.newestChange, servers.newestChange },
+                   { configuration.revision, servers.revision },
+                   { configuration.historyBegin, servers.historyBegin },
                    self_.snapshot.port });
 }
 
+CatalogProgress
+WatchSharing::ConfigurationProgress(const WatcherHeartbeat& aHeartbeat)
+{
+  return { aHeartbeat.known.configuration,
+           aHeartbeat.readUpTo.configuration,
+           aHeartbeat.historyBegin.configuration };
+}
+
+CatalogProgress
+WatchSharing::ServerProgress(const WatcherHeartbeat& aHeartbeat)
+{
+  return { aHeartbeat.known.directory,
+           aHeartbeat.readUpTo.directory,
+           aHeartbeat.historyBegin.directory };
+}
+
+bool
+WatchSharing::IsCoveredBy(const WatcherHeartbeat& aHeartbeat) const
+{
+  return configuration_.IsCoveredBy(ConfigurationProgress(aHeartbeat)) &&
+         servers_.IsCoveredBy(ServerProgress(aHeartbeat));
+}
+
+bool
+WatchSharing::IsBehind(const WatcherHeartbeat& aHeartbeat) const
+{
+  if (!HasRead(aHeartbeat.known)) {
+    return true;
+  }
+  const bool isCovered =
+    coveredAt_ && clock_.Now() - *coveredAt_ <= kWatcherHeartbeatTimeout;
+  return !isCovered && !IsCoveredBy(aHeartbeat);
+}
+
 void
 WatchSharing::OnHeartbeat(const WatcherHeartbeat& aHeartbeat,
                           const Endpoint& aSender)
@@ -154,14 +191,14 @@
   election_.OnHeartbeat(aHeartbeat.host, clock_.Now());
   configuration_.OnCatalogResponds();
   servers_.OnCatalogResponds();
-  configuration_.OnPeerRevision(aHeartbeat.known.configuration,
-                                aHeartbeat.readUpTo.configuration);
-  servers_.OnPeerRevision(aHeartbeat.known.directory,
-                          aHeartbeat.readUpTo.directory);
-  const bool isBehind = !HasRead(aHeartbeat.known);
+  configuration_.OnPeerProgress(ConfigurationProgress(aHeartbeat));
+  servers_.OnPeerProgress(ServerProgress(aHeartbeat));
+  if (IsCoveredBy(aHeartbeat)) {
+    coveredAt_ = clock_.Now();
+  }
   // A watcher that can read the catalog receives the change from it.
   const bool needsWatcher = !role_.watchesCatalog || !IsCatalogReachable();
-  if (isBehind && needsWatcher && !IsListing() && !isFetching_) {
+  if (needsWatcher && IsBehind(aHeartbeat) && !IsListing() && !isFetching_) {
     FetchFrom(aHeartbeat, aSender);
   }
 }
@@ -200,25 +237,20 @@
     OnNoResponse(aHeartbeat, aReply);
     return;
   }
-  const bool hasConfiguration = ApplyChanges(
-    configuration_, changes->configuration, aHeartbeat.known.configuration);
-  const bool hasServers =
-    ApplyChanges(servers_, changes->backendServers, aHeartbeat.known.directory);
-  if (!hasConfiguration || !hasServers) {
+  ApplyChanges(configuration_, changes->configuration);
+  ApplyChanges(servers_, changes->backendServers);
+  if (IsBehind(aHeartbeat)) {
     FetchSnapshot(aHeartbeat);
   }
 }
 
-bool
+void
 WatchSharing::ApplyChanges(CatalogFollower& aFollower,
-                           const CatalogChanges& aChanges,
-                           std::uint64_t aNewest)
+                           const CatalogChanges& aChanges)
 {
   if (aChanges.failure.error == CatalogError::None) {
     aFollower.ApplyPeerChanges(aChanges);
-    return true;
   }
-  return aFollower.HasRead(aNewest);
 }
 
 void
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -46,6 +46,15 @@
   void OnNewerCopy();
 
 private:
+  // A heartbeat's report of one collection.
+  static CatalogProgress ConfigurationProgress(
+    const WatcherHeartbeat& aHeartbeat);
+  static CatalogProgress ServerProgress(const WatcherHeartbeat& aHeartbeat);
+  // True when the sender knows each change that this host has not read.
+  bool IsCoveredBy(const WatcherHeartbeat& aHeartbeat) const;
+  // True when this host lacks changes that the sender has, or may lack changes
+  // that no other watcher reports.
+  bool IsBehind(const WatcherHeartbeat& aHeartbeat) const;
   bool IsCatalogReachable() const;
   // True while this host reads a whole collection from the catalog.
   bool IsListing() const;
@@ -53,12 +62,9 @@
   void FetchFrom(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void OnFetched(const WatcherHeartbeat& aHeartbeat,
                  const PlatformReply& aReply);
-  // aNewest is the newest change that the watcher reported. Returns false if
-  // the changes up to it are still missing, since the watcher no longer has all
-  // of them.
-  static bool ApplyChanges(CatalogFollower& aFollower,
-                           const CatalogChanges& aChanges,
-                           std::uint64_t aNewest);
+  // Does nothing when the watcher no longer has all of the changes.
+  static void ApplyChanges(CatalogFollower& aFollower,
+                           const CatalogChanges& aChanges);
   // Fetches the whole copy of the watcher instead of its changes.
   void FetchSnapshot(const WatcherHeartbeat& aHeartbeat);
   void OnSnapshot(const WatcherHeartbeat& aHeartbeat,
@@ -78,6 +84,9 @@
   bool isFetching_ = false;
   QTimer tickTimer_;
   Instant lastHeartbeatAt_;
+  // When a watcher that knows all changes which this host lacks last sent a
+  // heartbeat; empty before the first one.
+  std::optional<Instant> coveredAt_;
 };
 
 // Returns the target of a request to a watcher for the changes after the given
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -15,10 +15,6 @@
 // While no host can read the catalog, every host has to watch it. These hosts
 // keep sending heartbeats, so that starting hosts can copy what they have read.
 constexpr int kOutageWatchers = 4;
-// A single lost datagram must not count as the loss of a watcher. Changes that
-// a host reads only after this time still take effect within the bounds of a
-// deployment.
-constexpr milliseconds kWatcherHeartbeatTimeout{ 1'100 };
 // Hosts take over one after the other. Each waits this long for every host that
 // ranks before it.
 constexpr milliseconds kTakeoverStagger{ 100 };
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -68,5 +68,9 @@
 
 // Time between heartbeats while nothing changes.
 inline constexpr std::chrono::milliseconds kWatcherHeartbeatInterval{ 400 };
+// A single lost datagram must not count as the loss of a watcher. Changes that
+// a host reads only after this time still take effect within the bounds of a
+// deployment.
+inline constexpr std::chrono::milliseconds kWatcherHeartbeatTimeout{ 1'100 };
 
 } // namespace filbertbeam
