Catalog: Apply no change that has been read before

A server that had left was used again for good: a host that follows a watcher still takes the response to the watch that it had started before. When that response is older than what the watcher has sent meanwhile, it contains the server's entry but not its removal, which lies before the revision from which the host reads on.

Changes up to the host's revision are skipped now. The test, IgnoresAnOlderResponseToItsOwnWatch, failed on (names "a b", not "a").

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -157,14 +157,8 @@
   if (revision_ == 0) {
     return;
   }
-  revision_ = std::max(revision_, aChanges.revision);
   peerRevision_ = std::max(peerRevision_, aChanges.revision);
-  const bool isChanged = Apply(aChanges.events);
-  if (isCopyStale_) {
-    OnRecentChangesRead();
-  } else if (isChanged) {
-    Notify();
-  }
+  Apply(aChanges);
 }
 
 CatalogProgress
@@ -399,39 +393,49 @@
   if (!CheckResponse(aChanges.failure)) {
     return;
   }
+  Apply(aChanges);
+  callTimer_.start(aChanges.events.empty() ? milliseconds(0)
+                                           : settings_.coalescingDelay);
+}
+
+void
+CatalogFollower::Apply(const CatalogChanges& aChanges)
+{
+  const std::uint64_t readUpTo = revision_;
   revision_ = std::max(revision_, aChanges.revision);
-  const bool isChanged = Apply(aChanges.events);
+  bool isChanged = false;
+  for (const CatalogEvent& event : aChanges.events) {
+    // The changes of the catalog and those of a peer may arrive in any order.
+    // An older one would restore an object that has been removed since.
+    if (event.object.revision > readUpTo) {
+      isChanged = Apply(event) || isChanged;
+    }
+  }
   if (isCopyStale_) {
     OnRecentChangesRead();
   } else if (isChanged) {
     Notify();
   }
-  callTimer_.start(aChanges.events.empty() ? milliseconds(0)
-                                           : settings_.coalescingDelay);
 }
 
 bool
-CatalogFollower::Apply(const std::vector<CatalogEvent>& aEvents)
-{
-  bool isChanged = false;
-  for (const CatalogEvent& event : aEvents) {
-    const std::string& name = event.object.name;
-    history_.Add(event);
-    newestChange_ = std::max(newestChange_, event.object.revision);
-    const auto existing = objects_.find(name);
-    if (existing != objects_.end() &&
-        existing->second.revision > event.object.revision) {
-      continue;
-    }
-    isChanged = true;
-    if (event.isDeleted) {
-      Remove(event.object);
-    } else {
-      missing_.erase(name);
-      objects_.insert_or_assign(name, event.object);
-    }
+CatalogFollower::Apply(const CatalogEvent& aEvent)
+{
+  const std::string& name = aEvent.object.name;
+  history_.Add(aEvent);
+  newestChange_ = std::max(newestChange_, aEvent.object.revision);
+  const auto existing = objects_.find(name);
+  if (existing != objects_.end() &&
+      existing->second.revision > aEvent.object.revision) {
+    return false;
+  }
+  if (aEvent.isDeleted) {
+    Remove(aEvent.object);
+  } else {
+    missing_.erase(name);
+    objects_.insert_or_assign(name, aEvent.object);
   }
-  return isChanged;
+  return true;
 }
 
 void
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -150,8 +150,11 @@
   // Completes a copy that was read by a stale list.
   void OnRecentChangesRead();
   void OnChanges(const CatalogChanges& aChanges);
-  // Applies the changes to the copy; returns true when that changed it.
-  bool Apply(const std::vector<CatalogEvent>& aEvents);
+  // Applies those of the changes to the copy that have not been read yet, and
+  // completes a copy that was read by a stale list.
+  void Apply(const CatalogChanges& aChanges);
+  // Returns true when the change has changed the copy.
+  bool Apply(const CatalogEvent& aEvent);
   // Applies a removal that was read with the revision of aRemoved.
   void Remove(const CatalogObject& aRemoved);
   // True shortly after an outage, when an object may have been removed only
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -570,6 +570,19 @@
   BOOST_TEST(names == "a b c ");
 }
 
+// Guards against a server that left and is used again for good: this host's own
+// watch returns an older state after a peer's changes have removed the server.
+BOOST_AUTO_TEST_CASE(IgnoresAnOlderResponseToItsOwnWatch)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  follower.ApplyPeerChanges(
+    Changes({ { Object("b", 5) }, { Object("b", 6), true } }, 8));
+  catalog.RespondToWatch(Changes({ { Object("b", 5) } }, 5));
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Revision() == 8U);
+}
+
 // Guards against a watch that is no longer needed, fails and makes the host
 // treat deleted entries as expired ones.
 BOOST_AUTO_TEST_CASE(IgnoresTheFailureOfItsOwnWatch)
