Gateway: Bound the memory of all requests' buffers together

A faulty server that begins responses and never ends them could end a host and with it the requests of all its callers: each response is buffered up to 1 MiB, and nothing counted their sum.

A third of the process's memory is now a budget. Requests, their bodies and responses reserve what they hold, responses until the caller has received them. Without memory a new request is refused at once ("not run"), a response of a proven server is forwarded while it arrives, and an attempt ends only when that is not possible either. A response head may now have 32 KiB instead of 64.

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -2,12 +2,13 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
 
-// Responses of more bytes than this are forwarded while they arrive. Together
-// with the number of running requests, this bounds the memory in use.
+// Responses of more bytes than this are forwarded while they arrive.
 constexpr std::size_t kMaxBufferedResponse = 1024 * 1024;
 
 } // namespace
@@ -17,6 +18,7 @@
                                std::string aRequestId,
                                const BackendServerRecord& aServer,
                                const SelectionHandle& aHandle,
+                               MemoryBudget& aMemory,
                                Instant aNow)
   : observer_(std::move(aObserver))
   , headerCodec_(aHeaderCodec)
@@ -24,6 +26,7 @@
   , server_(aServer)
   , handle_(aHandle)
   , startedAt_(aNow)
+  , memory_(aMemory)
 {
 }
 
@@ -62,6 +65,8 @@
 BackendAttempt::Cancel()
 {
   observer_.reset();
+  body_ = {};
+  memory_.ShrinkTo(0);
   if (exchange_) {
     exchange_->Cancel();
   }
@@ -139,13 +144,21 @@
     }
     return;
   }
-  body_.append(aBytes.data(), aBytes.size());
-  if (body_.size() <= kMaxBufferedResponse) {
+  const std::size_t size = body_.size() + aBytes.size();
+  if (size <= kMaxBufferedResponse && memory_.GrowTo(size)) {
+    if (body_.empty() && head_.framing == BodyFraming::Length) {
+      body_.reserve(
+        std::min<std::uint64_t>(head_.contentLength, kMaxBufferedResponse));
+    }
+    body_.append(aBytes.data(), aBytes.size());
     return;
   }
+  const auto self = shared_from_this();
   const auto observer = observer_.lock();
   isStreaming_ = observer && observer->OnAttemptLargeResponse(*this);
-  if (!isStreaming_) {
+  if (isStreaming_) {
+    observer->OnAttemptBody(*this, aBytes);
+  } else {
     Cancel();
   }
 }
@@ -154,6 +167,7 @@
 BackendAttempt::OnResponseEnd()
 {
   const auto self = shared_from_this();
+  exchange_.reset();
   if (const auto observer = observer_.lock()) {
     observer->OnAttemptResponse(*this);
   }
@@ -163,6 +177,7 @@
 BackendAttempt::OnExchangeFailed(const HttpFailure& aFailure)
 {
   const auto self = shared_from_this();
+  exchange_.reset();
   if (const auto observer = observer_.lock()) {
     observer->OnAttemptFailed(*this, aFailure);
   }
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -1,14 +1,20 @@
 #pragma once
 
 #include "balancing/SelectionService.h"
+#include "base/MemoryBudget.h"
 #include "directory/BackendServerRecord.h"
 #include "gateway/ExchangeHeaderCodec.h"
 #include "http/HttpClient.h"
 
+#include <utility>
+
 namespace filbertbeam {
 
 class BackendAttempt;
 
+// Maximum size of the head of a backend server's response, in bytes.
+inline constexpr std::size_t kMaxResponseHead = 32 * 1024;
+
 // Receives the result of an attempt, and the response body in pieces when the
 // observer accepts streaming.
 class BackendAttemptObserver
@@ -20,8 +26,9 @@
   virtual void OnAttemptResponse(BackendAttempt& aAttempt) = 0;
   virtual void OnAttemptFailed(BackendAttempt& aAttempt,
                                const HttpFailure& aFailure) = 0;
-  // The response is too large to be buffered. Returns true to receive the rest
-  // of its body in pieces; false ends the attempt.
+  // The response is too large to be buffered, or there is no memory for it.
+  // Returns true to receive the rest of its body in pieces; false ends the
+  // attempt.
   virtual bool OnAttemptLargeResponse(BackendAttempt& aAttempt) = 0;
   virtual void OnAttemptBody(BackendAttempt& aAttempt, ByteView aBytes) = 0;
   // The connection accepts more of the request body.
@@ -41,6 +48,7 @@
                  std::string aRequestId,
                  const BackendServerRecord& aServer,
                  const SelectionHandle& aHandle,
+                 MemoryBudget& aMemory,
                  Instant aNow);
 
   // aBody is the part of the request body that has been received so far.
@@ -60,7 +68,11 @@
   bool AnyByteSent() const;
   std::size_t UnsentBytes() const;
   const HttpResponseHead& Head() const { return head_; }
-  std::string& Body() { return body_; }
+  const std::string& Body() const { return body_; }
+  // Returns the body that has been buffered, which is then empty.
+  std::string TakeBody() { return std::exchange(body_, {}); }
+  // The memory that is reserved for the body.
+  MemoryReservation& Memory() { return memory_; }
   void PauseResponse();
   void ResumeResponse();
 
@@ -82,6 +94,7 @@
   std::shared_ptr<HttpClientExchange> exchange_;
   HttpResponseHead head_;
   std::string body_;
+  MemoryReservation memory_;
   bool isStreaming_ = false;
 };
 
--- a/src/gateway/GatewayContext.h
+++ b/src/gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/SelectionService.h"
+#include "base/MemoryBudget.h"
 #include "directory/BackendDirectory.h"
 #include "gateway/ExchangeHeaderCodec.h"
 #include "gateway/GatewayMetrics.h"
@@ -19,6 +20,8 @@
 {
   HttpClient& client;
   SelectionService& selection;
+  // For the buffers of all requests and responses together.
+  MemoryBudget& memory;
   const ExchangeHeaderCodec& headerCodec;
   GatewayMetrics& metrics;
   const Clock& clock;
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -23,6 +23,8 @@
   Hedges,
   UnusableChoices,
   ChosenWithoutOwner,
+  // Requests that were refused or failed for want of memory.
+  OutOfMemory,
 };
 
 // Counters and histograms of this host's traffic. Safe to use from any thread.
@@ -38,7 +40,7 @@
 
 private:
   static constexpr std::size_t kCounters =
-    static_cast<std::size_t>(GatewayCounter::ChosenWithoutOwner) + 1;
+    static_cast<std::size_t>(GatewayCounter::OutOfMemory) + 1;
 
   std::array<std::atomic<std::uint64_t>, kCounters> counters_{};
   LatencyHistogram latency_;
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -16,7 +16,16 @@
 constexpr std::string_view kStartRetryAfter = "0.200";
 // In seconds. Another host can serve the request as soon as its caller has
 // opened a connection to it.
-constexpr std::string_view kStopRetryAfter = "0.010";
+constexpr std::string_view kOtherHostRetryAfter = "0.010";
+
+// Memory of a request beside its bodies: its head, and the heads of the
+// responses to an attempt and to its hedge.
+constexpr std::size_t kRequestHeadMemory = 16 * 1024;
+constexpr std::size_t kRequestMemory =
+  kRequestHeadMemory + 2 * kMaxResponseHead;
+// New requests leave the budget divided by this to the bodies of requests that
+// are already running.
+constexpr std::size_t kBodyReserveDivisor = 4;
 
 } // namespace
 
@@ -64,11 +73,22 @@
     return nullptr;
   }
   if (EndsBefore(*route, headers)) {
-    Refuse(*aExchange, headers, kUnavailable, "stopping", kStopRetryAfter);
+    Refuse(*aExchange, headers, kUnavailable, "stopping", kOtherHostRetryAfter);
+    return nullptr;
+  }
+  MemoryReservation memory(context_.memory);
+  if (!memory.GrowTo(kRequestMemory,
+                     context_.memory.Limit() / kBodyReserveDivisor)) {
+    context_.metrics.Count(GatewayCounter::OutOfMemory);
+    Refuse(
+      *aExchange, headers, kUnavailable, "no-memory", kOtherHostRetryAfter);
     return nullptr;
   }
-  const auto session = std::make_shared<GatewaySession>(
-    context_, std::move(aExchange), *route, std::move(headers));
+  const auto session = std::make_shared<GatewaySession>(context_,
+                                                        std::move(aExchange),
+                                                        *route,
+                                                        std::move(headers),
+                                                        std::move(memory));
   session->Start();
   return session;
 }
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -16,12 +16,17 @@
 constexpr int kGatewayTimeout = 504;
 constexpr int kMisdirected = 421;
 
+constexpr std::string_view kNoMemory = "no-memory";
+
 // Bodies of more bytes than this are forwarded while they arrive and cannot be
 // sent again.
 constexpr std::size_t kMaxBufferedBody = 256 * 1024;
 // The caller is paused while more request bytes than this wait for a slow
 // server.
 constexpr std::size_t kMaxUnsentBody = 256 * 1024;
+// A request body is held once for further attempts, and once each for the
+// connections of an attempt and its hedge.
+constexpr std::size_t kBodyCopies = 3;
 // Up to this number, servers that cannot be reached are replaced without being
 // counted as attempts.
 constexpr int kMaxUnreachableServers = 4;
@@ -91,7 +96,8 @@
 GatewaySession::GatewaySession(GatewayContext& aContext,
                                std::shared_ptr<HttpServerExchange> aExchange,
                                const Route& aRoute,
-                               CallerHeaders aHeaders)
+                               CallerHeaders aHeaders,
+                               MemoryReservation aMemory)
   : context_(aContext)
   , exchange_(std::move(aExchange))
   , routing_(aContext.routing)
@@ -100,6 +106,7 @@
   , service_(aContext.split.Choose(aRoute, aContext.routing->Version()))
   , arrivedAt_(aContext.clock.Now())
   , deadline_(arrivedAt_ + RequestTimeout(aRoute, callerHeaders_))
+  , memory_(std::move(aMemory))
 {
   for (QTimer* timer : { &deadlineTimer_, &hedgeTimer_ }) {
     timer->setSingleShot(true);
@@ -139,6 +146,9 @@
     }
     return;
   }
+  if (!ReserveBody(aBytes.size())) {
+    return;
+  }
   body_.append(aBytes.data(), aBytes.size());
   if (body_.size() > kMaxBufferedBody && !isBodyStreamed_) {
     isBodyStreamed_ = true;
@@ -147,6 +157,21 @@
   }
 }
 
+bool
+GatewaySession::ReserveBody(std::size_t aBytes)
+{
+  if (memory_.GrowTo(memory_.Bytes() + kBodyCopies * aBytes)) {
+    return true;
+  }
+  // No attempt starts before the body is complete or as long as one is sent in
+  // pieces, so the request has not run.
+  context_.metrics.Count(GatewayCounter::OutOfMemory);
+  context_.metrics.Count(GatewayCounter::RefusedNotRun);
+  SendLocalResponse(kUnavailable, kNoMemory, kRetryAfter);
+  Close(kUnavailable, "not-run", kNoMemory);
+  return false;
+}
+
 void
 GatewaySession::OnRequestEnd()
 {
@@ -270,6 +295,7 @@
                                      callerHeaders_.requestId,
                                      aServer,
                                      aOutcome.handle,
+                                     context_.memory,
                                      context_.clock.Now());
   runningAttempts_.push_back(attempt);
   triedServers_.push_back(aServer.id);
@@ -420,6 +446,7 @@
     const AttemptPointer attempt =
       EndAttempt(aAttempt, AttemptResult::Responded);
     CancelAttempts(AttemptResult::Abandoned);
+    memory_.Take(attempt->Memory());
     ForwardResponse(head, attempt->Body());
     Close(head.status, "answered", "");
     return;
@@ -427,7 +454,8 @@
   const AttemptPointer attempt = EndAttempt(aAttempt, AttemptResult::Failed);
   if (!MeansNotRun(head.status)) {
     failureHead_ = head;
-    failureBody_ = std::move(attempt->Body());
+    failureBody_ = attempt->TakeBody();
+    memory_.Take(attempt->Memory());
   }
   RetryOrRespond(AttemptPurpose::Retry, "backend-failed");
 }
@@ -482,6 +510,12 @@
     RetryOrRespond(AttemptPurpose::Retry, "unproven-response");
     return false;
   }
+  // The caller may read more slowly than the server sends.
+  if (!aAttempt.Memory().GrowTo(
+        std::max(aAttempt.Body().size(), kMaxUnsentBody))) {
+    OnNoMemory(aAttempt);
+    return false;
+  }
   // The head of this response is sent to the caller, so no other attempt can be
   // used any more.
   const auto attempt = aAttempt.shared_from_this();
@@ -492,8 +526,7 @@
   mayHaveRun_ = true;
   hedgeTimer_.stop();
   exchange_->SendHead(head);
-  exchange_->SendBody(attempt->Body());
-  attempt->Body().clear();
+  exchange_->SendBody(attempt->TakeBody());
   return true;
 }
 
@@ -504,11 +537,26 @@
     return;
   }
   exchange_->SendBody(aBytes);
-  if (exchange_->UnsentBytes() > kMaxUnsentBody) {
+  const std::size_t unsent = exchange_->UnsentBytes();
+  aAttempt.Memory().ShrinkTo(std::max(unsent, kMaxUnsentBody));
+  if (unsent > kMaxUnsentBody) {
     aAttempt.PauseResponse();
   }
 }
 
+void
+GatewaySession::OnNoMemory(BackendAttempt& aAttempt)
+{
+  context_.metrics.Count(GatewayCounter::OutOfMemory);
+  mayHaveRun_ = true;
+  EndAttempt(aAttempt, AttemptResult::Abandoned);
+  // Another attempt would need the memory as well; a caller that repeats the
+  // request reaches another host.
+  if (runningAttempts_.empty() && !isSelecting_) {
+    RespondWithFailure(kNoMemory, kRetryAfter);
+  }
+}
+
 void
 GatewaySession::OnAttemptWritable(BackendAttempt&)
 {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -19,11 +19,13 @@
   , public std::enable_shared_from_this<GatewaySession>
 {
 public:
-  // aRoute must belong to the routing table in aContext.
+  // aRoute must belong to the routing table in aContext. aMemory is what the
+  // request takes beside its bodies.
   GatewaySession(GatewayContext& aContext,
                  std::shared_ptr<HttpServerExchange> aExchange,
                  const Route& aRoute,
-                 CallerHeaders aHeaders);
+                 CallerHeaders aHeaders,
+                 MemoryReservation aMemory);
   ~GatewaySession() override;
   GatewaySession(const GatewaySession&) = delete;
   GatewaySession& operator=(const GatewaySession&) = delete;
@@ -56,6 +58,9 @@
                     const SelectionOutcome& aOutcome,
                     AttemptPurpose aPurpose);
   bool MayStartExtraAttempt() const;
+  // Reserves memory for the next bytes of the body and responds "not run" if
+  // there is none.
+  bool ReserveBody(std::size_t aBytes);
   // Starts another attempt if that is allowed and responds otherwise. Does
   // nothing while another attempt is running or being selected.
   void RetryOrRespond(AttemptPurpose aPurpose, std::string_view aReason);
@@ -63,6 +68,8 @@
   void OnDeadline();
   void OnHedgeTimeout();
 
+  // There is no memory for the response to aAttempt.
+  void OnNoMemory(BackendAttempt& aAttempt);
   // Removes aAttempt from the running attempts and reports its result.
   AttemptPointer EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult);
   void CancelAttempts(AttemptResult aResult);
@@ -82,6 +89,8 @@
   const Instant arrivedAt_;
   const Instant deadline_;
 
+  // For the request, and for responses that the caller has not received yet.
+  MemoryReservation memory_;
   std::string body_;
   bool isBodyComplete_ = false;
   // The body is too large to be buffered for another attempt.
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -32,6 +32,8 @@
 
   // Processor cores that this host may use.
   double processorCores = 1;
+  // Memory that the process may use, in bytes.
+  std::size_t memoryBytes = 512'000'000;
   // Time from the stop signal until the process is killed.
   Duration stopTime = std::chrono::seconds(6);
   // Limits of the extra attempts of all hosts together: in any window, the
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -1,5 +1,7 @@
 #include "gateway/TrafficRuntime.h"
 
+#include "gateway/BackendAttempt.h"
+
 namespace filbertbeam {
 
 namespace {
@@ -17,6 +19,11 @@
 // time.
 constexpr seconds kUnresponsiveTimeout{ 4 };
 
+// The buffers of requests and responses may take the process's memory divided
+// by this. The rest is for the program itself, its copies of the catalog, and
+// memory that the allocator cannot reuse.
+constexpr std::size_t kBufferDivisor = 3;
+
 // Part of the deployment's limits that is used, since requests and extra
 // attempts reach their servers a little later than they are counted.
 constexpr double kBudgetShare = 0.95;
@@ -65,6 +72,7 @@
 {
   std::unique_ptr<TrafficRuntime> runtime(new TrafficRuntime);
   HttpClientLimits limits;
+  limits.headBytes = kMaxResponseHead;
   limits.idleConnections = kIdleConnectionsPerServer;
   limits.idleTimeout = kIdleTimeout;
   limits.unresponsivePeerTimeout = kUnresponsiveTimeout;
@@ -74,9 +82,12 @@
   if (!runtime->selection_) {
     return nullptr;
   }
+  runtime->memory_ =
+    std::make_unique<MemoryBudget>(aSettings.memoryBytes / kBufferDivisor);
   runtime->service_ = std::make_unique<GatewayService>(
     GatewayContext{ *runtime->client_,
                     *runtime->selection_,
+                    *runtime->memory_,
                     aHeaderCodec,
                     aMetrics,
                     aClock,
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -53,6 +53,7 @@
   TrafficRuntime() = default;
 
   SeededRandom random_;
+  std::unique_ptr<MemoryBudget> memory_;
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<SelectionService> selection_;
   std::unique_ptr<GatewayService> service_;
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -83,6 +83,7 @@
     service = std::make_unique<GatewayService>(
       GatewayContext{ client,
                       *selection,
+                      memory,
                       headerCodec,
                       metrics,
                       clock,
@@ -222,6 +223,7 @@
 
   PausableClock clock;
   SeededRandom random{ 5 };
+  MemoryBudget memory{ 16 * 1024 * 1024 };
   FakeHttpClient client;
   TestHeaderCodec headerCodec;
   GatewayMetrics metrics;
