Store: Bound what one response of the store or of a peer can take

A response of the store or of a peer might take 32 MiB, and a compressed one of a peer 64 MiB, many times that as JSON; the smallest hosts have 160 MB. 8 MiB and 16 MiB are several times what the largest deployment needs.

--- a/src/gateway/PeerData.cpp
+++ b/src/gateway/PeerData.cpp
@@ -16,7 +16,7 @@
 constexpr int kCompressionLevel = 1;
 // More than a snapshot of the largest deployment; bounds the memory that a
 // damaged response can claim.
-constexpr std::size_t kMaxText = 64 * 1024 * 1024;
+constexpr std::size_t kMaxText = 16 * 1024 * 1024;
 // Followers of one watcher differ in few revisions.
 constexpr std::size_t kMaxResponses = 8;
 
--- a/src/gateway/PeerRequest.cpp
+++ b/src/gateway/PeerRequest.cpp
@@ -7,6 +7,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kResponseTimeout{ 400 };
+// More than the compressed copy of the largest deployment.
+constexpr std::size_t kMaxResponse = 8 * 1024 * 1024;
 
 } // namespace
 
@@ -16,6 +18,7 @@
   PlatformClientLimits limits;
   limits.callTimeout = kResponseTimeout;
   limits.connectTimeout = kResponseTimeout;
+  limits.responseBytes = kMaxResponse;
   return limits;
 }
 
--- a/src/gateway/tests/TestPeerData.cpp
+++ b/src/gateway/tests/TestPeerData.cpp
@@ -38,6 +38,9 @@
     BOOST_TEST(!UnpackPeerData(packed.substr(0, length)).has_value());
   }
   BOOST_TEST(!UnpackPeerData("not ready\n").has_value());
+  // A small response that becomes a large text.
+  const std::string large(20'000'000, ' ');
+  BOOST_TEST(!UnpackPeerData(PackPeerData(large)).has_value());
   BOOST_TEST(
     !UnpackPeerData(std::string("\x7f\xff\xff\xff", 4) + packed.substr(4))
        .has_value());
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -96,6 +96,7 @@
       return;
     }
     if (reply_.body.size() + aBytes.size() > responseBytes_) {
+      isTooLarge_ = true;
       Abort("the response is too large");
       return;
     }
@@ -125,6 +126,7 @@
     reply_ = {};
     reply_.reason = aReason;
     reply_.isUnsent = aIsUnsent;
+    reply_.isTooLarge = isTooLarge_;
     Finish();
   }
 
@@ -138,6 +140,7 @@
   }
 
   std::size_t responseBytes_;
+  bool isTooLarge_ = false;
   Callback callback_;
   std::shared_ptr<HttpClientExchange> exchange_;
   PlatformReply reply_;
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -32,6 +32,8 @@
   std::string reason;
   // With status 0: no byte of the request was sent.
   bool isUnsent = false;
+  // With status 0: the response was larger than the limit.
+  bool isTooLarge = false;
 };
 
 // Client of the platform's HTTP API. Sends each call once, to one endpoint.
