Gateway: Honour what servers state in their responses

A server may state in a response that it leaves (Server-Leaving), or, with a 503, for how long it wants no request of this host (Retry-After).

StatedAvailability decides what this host may send; the lists that go to owners exclude the others, and each selection is checked again when it is sent. Only a response that names its request counts, for one run of the server. When no server is left, requests are refused at once with the time when the first accepts them, spread.

What responses prove moved out of GatewaySession.cpp.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -23,8 +23,8 @@
 constexpr std::uint64_t kCancellation = 6;
 
 constexpr std::size_t kMaxNameBytes = 256;
-// Maximum number of servers that a request may exclude or avoid; keeps the
-// datagram small.
+// Maximum number of servers that a request may exclude or avoid, the last ones
+// of each list; keeps the datagram small.
 constexpr std::size_t kMaxServers = 16;
 constexpr std::size_t kMaxElements = 18;
 constexpr std::uint32_t kMaxShards = 65'536;
@@ -53,7 +53,7 @@
 {
   const std::size_t count = std::min(aServers.size(), kMaxServers);
   aWriter.startArray(count);
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = aServers.size() - count; i < aServers.size(); ++i) {
     AppendText(aWriter, aServers[i]);
   }
   aWriter.endArray();
--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -133,6 +133,9 @@
 BackendAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
   head_ = aHead;
+  if (const auto observer = observer_.lock()) {
+    observer->OnAttemptHead(*this);
+  }
 }
 
 void
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -22,6 +22,8 @@
 public:
   virtual ~BackendAttemptObserver() = default;
 
+  // The head of a response has arrived.
+  virtual void OnAttemptHead(BackendAttempt& aAttempt) = 0;
   // The complete response has arrived.
   virtual void OnAttemptResponse(BackendAttempt& aAttempt) = 0;
   virtual void OnAttemptFailed(BackendAttempt& aAttempt,
--- a/src/gateway/ExchangeHeaderCodec.h
+++ b/src/gateway/ExchangeHeaderCodec.h
@@ -27,6 +27,10 @@
   bool isNotExecuted = false;
   // The response carries a signature that proves that the server sent it.
   bool isSigned = false;
+  // The server leaves and should get no further request.
+  bool isLeaving = false;
+  // The server wants no further request of this host for this time.
+  std::optional<Duration> retryAfter;
 };
 
 // Reads and writes the header fields in which a deployment's callers and
--- a/src/gateway/GatewayContext.h
+++ b/src/gateway/GatewayContext.h
@@ -6,6 +6,7 @@
 #include "gateway/ExchangeHeaderCodec.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/PathHealth.h"
+#include "gateway/StatedAvailability.h"
 #include "http/HttpClient.h"
 #include "routing/RoutingTable.h"
 #include "routing/WeightedSplit.h"
@@ -25,8 +26,10 @@
   const ExchangeHeaderCodec& headerCodec;
   GatewayMetrics& metrics;
   const Clock& clock;
+  Random& random;
   WeightedSplit split;
   PathHealth paths;
+  StatedAvailability availability;
   // Null until the first configuration has been read.
   std::shared_ptr<const RoutingTable> routing;
   std::shared_ptr<const BackendDirectory> directory;
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -47,6 +47,7 @@
 GatewayService::SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory)
 {
   context_.selection.SetDirectory(aDirectory);
+  context_.availability.SetDirectory(*aDirectory);
   context_.directory = std::move(aDirectory);
 }
 
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "gateway/RequestTimeout.h"
+#include "gateway/ResponseProof.h"
 
 #include <algorithm>
 
@@ -37,54 +38,13 @@
 // With less time left, a further attempt cannot complete before the deadline.
 constexpr milliseconds kMinAttemptTime{ 20 };
 constexpr milliseconds kRetryAfter{ 150 };
+// The callers that are refused until a server accepts requests again return
+// over this time, or over the time until then divided by kReturnSpreadDivisor.
+constexpr milliseconds kMinReturnSpread{ 100 };
+constexpr int kReturnSpreadDivisor = 4;
 // A hedge that was refused is requested again after this time.
 constexpr milliseconds kHedgeRetryDelay{ 120 };
 
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
-
-// True for the statuses that mean "not run" to callers of this system. A server
-// may send them without stating that it did not run the request, and then the
-// request may have run.
-bool
-MeansNotRun(int aStatus)
-{
-  constexpr int kRequestTimeout = 408;
-  constexpr int kTooManyRequests = 429;
-  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
-         aStatus == kTooManyRequests || aStatus == kUnavailable;
-}
-
-// True when a successful response provably comes from its server: it is signed
-// and has no content encoding, since no caller requests one.
-bool
-IsVerified(const HttpResponseHead& aHead, const ResponseHeaders& aHeaders)
-{
-  return aHeaders.isSigned && !aHead.fields.Find("Content-Encoding");
-}
-
-// True when the response provably belongs to the request: a faulty server may
-// send an earlier response once more, and one that names no request could be
-// any.
-bool
-IsResponseTo(const CallerHeaders& aRequest, const ResponseHeaders& aResponse)
-{
-  return aResponse.requestId == aRequest.requestId;
-}
-
-// True when the server provably did not run the request.
-bool
-IsProvenRefusal(const CallerHeaders& aRequest,
-                const HttpResponseHead& aHead,
-                const ResponseHeaders& aResponse)
-{
-  return (aResponse.isNotExecuted || aHead.status == kMisdirected) &&
-         !aRequest.requestId.empty() && IsResponseTo(aRequest, aResponse);
-}
-
 std::int64_t
 ToMilliseconds(Duration aDuration)
 {
@@ -197,14 +157,55 @@
   request.hasLargeResponses = route_.hasLargeResponses;
   request.latencyObjective = route_.latencyObjective;
   request.remaining = Remaining();
-  request.excluded = triedServers_;
+  // The servers that were tried come last, where a query keeps them when it has
+  // no room for all.
+  request.excluded = context_.availability.UnavailableServers(
+    context_.directory->ServersOfService(service_), context_.clock.Now());
+  request.excluded.insert(
+    request.excluded.end(), triedServers_.begin(), triedServers_.end());
   request.avoided = context_.paths.AvoidedServers(context_.clock.Now());
   return request;
 }
 
+bool
+GatewaySession::IsUsable(const BackendServerRecord* aServer) const
+{
+  return aServer != nullptr && !aServer->isDraining &&
+         aServer->service == service_ &&
+         context_.availability.IsAvailable(*aServer, context_.clock.Now());
+}
+
+bool
+GatewaySession::CheckNoneAvailable(AttemptPurpose aPurpose)
+{
+  const auto& servers = context_.directory->ServersOfService(service_);
+  const Instant now = context_.clock.Now();
+  if (context_.availability.UnavailableServers(servers, now).empty()) {
+    return false;
+  }
+  const auto first = context_.availability.FirstAvailable(servers, now);
+  if (first && *first <= now) {
+    return false;
+  }
+  if (!first) {
+    OnNoSelection(aPurpose, "servers-leave", kRetryAfter);
+    return true;
+  }
+  const Duration delay = *first - now;
+  const Duration spread =
+    std::max<Duration>(kMinReturnSpread, delay / kReturnSpreadDivisor);
+  const auto shift =
+    std::chrono::duration_cast<Duration>(spread * context_.random.Uniform());
+  OnNoSelection(aPurpose, "servers-paused", delay + shift);
+  return true;
+}
+
 void
 GatewaySession::RequestSelection(AttemptPurpose aPurpose)
 {
+  if (CheckNoneAvailable(aPurpose)) {
+    return;
+  }
   isSelecting_ = true;
   context_.selection.Select(
     MakeSelectionRequest(aPurpose),
@@ -239,8 +240,9 @@
   }
   const BackendServerRecord* server =
     context_.directory->Find(aOutcome.result.selection->backendServer);
-  if (server == nullptr || server->isDraining || server->service != service_) {
-    // The owner's directory is older than that of this host.
+  if (!IsUsable(server)) {
+    // The owner's directory is older than that of this host, or a server has
+    // stated meanwhile that it wants no request.
     context_.metrics.Count(GatewayCounter::UnusableChoices);
     context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
     if (aOutcome.source == "owner") {
@@ -410,6 +412,39 @@
   Close(status, wasSent ? "unknown" : "not-run", "timeout");
 }
 
+void
+GatewaySession::OnAttemptHead(BackendAttempt& aAttempt)
+{
+  const HttpResponseHead& head = aAttempt.Head();
+  const ResponseHeaders headers =
+    context_.headerCodec.ReadResponseHeaders(head);
+  // Only a response to this request is known to be a statement of the server,
+  // and one with this status comes from another server at its address.
+  if (callerHeaders_.requestId.empty() ||
+      !IsResponseTo(callerHeaders_, headers) || head.status == kMisdirected) {
+    return;
+  }
+  const BackendServerRecord& server = aAttempt.Server();
+  const Instant now = context_.clock.Now();
+  if (headers.isLeaving && context_.availability.OnLeaving(server)) {
+    context_.client.CloseIdleConnections(server.address);
+    LogEvent(LogLevel::Info,
+             "backend_server_leaves",
+             { { "server", server.id },
+               { "service", service_ },
+               { "request", callerHeaders_.requestId } });
+  }
+  if (head.status == kUnavailable && headers.retryAfter &&
+      context_.availability.OnPause(server, now + *headers.retryAfter, now)) {
+    LogEvent(LogLevel::Info,
+             "backend_server_paused",
+             { { "server", server.id },
+               { "service", service_ },
+               { "request", callerHeaders_.requestId },
+               { "ms", ToMilliseconds(*headers.retryAfter) } });
+  }
+}
+
 void
 GatewaySession::OnAttemptResponse(BackendAttempt& aAttempt)
 {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -37,6 +37,7 @@
   void OnResponseWritable() override;
   void OnRequestClosed(bool aIsComplete) override;
 
+  void OnAttemptHead(BackendAttempt& aAttempt) override;
   void OnAttemptResponse(BackendAttempt& aAttempt) override;
   void OnAttemptFailed(BackendAttempt& aAttempt,
                        const HttpFailure& aFailure) override;
@@ -49,6 +50,11 @@
 
   Duration Remaining() const;
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
+  // True when this host may send a request of the service to aServer now.
+  bool IsUsable(const BackendServerRecord* aServer) const;
+  // If no server of the service accepts requests of this host, does what is due
+  // without a selection and returns true.
+  bool CheckNoneAvailable(AttemptPurpose aPurpose);
   void RequestSelection(AttemptPurpose aPurpose);
   void OnSelection(AttemptPurpose aPurpose, const SelectionOutcome& aOutcome);
   void OnNoSelection(AttemptPurpose aPurpose,
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -91,8 +91,10 @@
                     aHeaderCodec,
                     aMetrics,
                     aClock,
+                    runtime->random_,
                     WeightedSplit(runtime->random_),
                     {},
+                    {},
                     nullptr,
                     std::make_shared<BackendDirectory>(
                       0, std::vector<BackendServerRecord>()) });
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -43,6 +43,11 @@
     headers.requestId = aHead.fields.Find("Id").value_or("");
     headers.isNotExecuted = aHead.fields.Find("Not-Run").has_value();
     headers.isSigned = aHead.fields.Find("Proof").has_value();
+    headers.isLeaving = aHead.fields.Find("Leaving").has_value();
+    if (const auto pause = aHead.fields.Find("Pause-Ms")) {
+      headers.retryAfter =
+        std::chrono::milliseconds(std::atoi(std::string(*pause).c_str()));
+    }
     return headers;
   }
   void WriteLocalResponseHeaders(HttpResponseHead& aHead,
@@ -87,8 +92,10 @@
                       headerCodec,
                       metrics,
                       clock,
+                      random,
                       WeightedSplit(random),
                       {},
+                      {},
                       nullptr,
                       std::make_shared<BackendDirectory>(
                         0, std::vector<BackendServerRecord>()) });
@@ -153,7 +160,7 @@
     service->SetRouting(table);
   }
 
-  void SetServers(int aCount, int aDraining = 0)
+  void SetServers(int aCount, int aDraining = 0, std::int64_t aStartedAt = 0)
   {
     std::vector<BackendServerRecord> records;
     for (int i = 0; i < aCount; ++i) {
@@ -163,6 +170,7 @@
       record.domain = "piarco";
       record.address = { "127.0.0.1", static_cast<std::uint16_t>(9000 + i) };
       record.slots = 4;
+      record.startedAt = aStartedAt;
       record.isDraining = i < aDraining;
       records.push_back(record);
     }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -118,6 +118,9 @@
     const HttpClientOptions& aOptions,
     std::shared_ptr<HttpResponseObserver> aObserver) = 0;
 
+  // Closes the idle connections to aServer.
+  virtual void CloseIdleConnections(const Endpoint& aServer) = 0;
+
   virtual int OpenConnections(const Endpoint& aServer) const = 0;
 };
 
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -83,6 +83,19 @@
   return exchange;
 }
 
+void
+TcpHttpClient::CloseIdleConnections(const Endpoint& aServer)
+{
+  const auto pool = pools_.find(aServer);
+  if (pool == pools_.end()) {
+    return;
+  }
+  // The pool may be removed with its last connection.
+  for (const auto& connection : std::exchange(pool->second.idle, {})) {
+    connection->Discard();
+  }
+}
+
 int
 TcpHttpClient::OpenConnections(const Endpoint& aServer) const
 {
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -26,6 +26,7 @@
     const HttpClientOptions& aOptions,
     std::shared_ptr<HttpResponseObserver> aObserver) override;
 
+  void CloseIdleConnections(const Endpoint& aServer) override;
   int OpenConnections(const Endpoint& aServer) const override;
 
 private:
--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -120,11 +120,16 @@
       aServer, aHead, aOptions, std::move(aObserver)));
     return exchanges.back();
   }
+  void CloseIdleConnections(const Endpoint& aServer) override
+  {
+    closedIdle.push_back(aServer);
+  }
   int OpenConnections(const Endpoint&) const override { return 0; }
 
   FakeClientExchange& Last() { return *exchanges.back(); }
 
   std::vector<std::shared_ptr<FakeClientExchange>> exchanges;
+  std::vector<Endpoint> closedIdle;
 };
 
 } // namespace filbertbeam::testing
