--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -40,6 +40,11 @@
   , random_(aRandom)
   , onChange_(std::move(aOnChange))
   , lastResponseAt_(aClock.Now())
+  , missing_({ aSettings.name,
+               aSettings.missingObjectRetention,
+               aSettings.shortestOutage },
+             aClock,
+             [this] { DropMissingObjects(); })
 {
   callTimer_.setSingleShot(true);
   callTimer_.setTimerType(Qt::PreciseTimer);
@@ -50,8 +55,6 @@
       WatchIfNeeded();
     }
   });
-  missingTimer_.setSingleShot(true);
-  missingTimer_.callOnTimeout([this] { DropMissingObjects(); });
 }
 
 void
@@ -123,7 +126,7 @@
   CatalogCopy copy{ objects_,
                     newestChange_,
                     revision_ != 0 ? revision_ : revisionBeforeList_ };
-  for (const auto& [name, missing] : missing_) {
+  for (const auto& [name, missing] : missing_.Kept()) {
     copy.objects.erase(name);
   }
   return copy;
@@ -292,18 +295,18 @@
 void
 CatalogFollower::ReplaceObjects(Objects aObjects, std::uint64_t aRevision)
 {
-  if (IsRecovering()) {
+  if (missing_.IsRecovering()) {
     for (const auto& [name, object] : objects_) {
       if (!aObjects.contains(name)) {
-        KeepMissing(object, aRevision);
+        missing_.Keep(object, aRevision, followsPeer_);
       }
     }
   }
   objects_ = std::move(aObjects);
-  std::erase_if(missing_, [this](const auto& aItem) {
-    return objects_.contains(aItem.first);
-  });
-  for (const auto& [name, missing] : missing_) {
+  for (const auto& [name, object] : objects_) {
+    missing_.Forget(name);
+  }
+  for (const auto& [name, missing] : missing_.Kept()) {
     objects_.emplace(name, missing.object);
   }
 }
@@ -328,7 +331,7 @@
 CatalogFollower::RecordDifferences()
 {
   for (const auto& [name, object] : objects_) {
-    if (!listing_.contains(name) && !missing_.contains(name)) {
+    if (!listing_.contains(name) && !missing_.Kept().contains(name)) {
       CatalogEvent event{ object, true };
       event.object.revision = listingRevision_;
       history_.Add(event);
@@ -432,7 +435,7 @@
   if (aEvent.isDeleted) {
     Remove(aEvent.object);
   } else {
-    missing_.erase(name);
+    missing_.Forget(name);
     objects_.insert_or_assign(name, aEvent.object);
   }
   return true;
@@ -445,46 +448,17 @@
   if (existing == objects_.end()) {
     return;
   }
-  const auto missing = missing_.find(aRemoved.name);
-  if (missing == missing_.end() && IsRecovering()) {
-    KeepMissing(existing->second, aRemoved.revision);
-    return;
-  }
-  if (missing != missing_.end()) {
-    if (aRemoved.revision <= missing->second.removalRevision) {
-      return;
-    }
-    missing_.erase(missing);
-  }
-  objects_.erase(existing);
-}
-
-bool
-CatalogFollower::IsRecovering() const
-{
-  return recoveredAt_ &&
-         clock_.Now() - *recoveredAt_ < settings_.missingObjectRetention;
-}
-
-void
-CatalogFollower::OnCatalogResponds()
-{
-  const auto since = std::exchange(outageSince_, std::nullopt);
-  if (!since) {
+  const auto missing = missing_.Kept().find(aRemoved.name);
+  const bool isMissing = missing != missing_.Kept().end();
+  if (!isMissing && missing_.IsRecovering()) {
+    missing_.Keep(existing->second, aRemoved.revision, followsPeer_);
     return;
   }
-  // When a peer was served in the meantime, only this host was cut off. The
-  // catalog accepted changes, so that a removal is one by its writer.
-  const Duration outage = clock_.Now() - *since;
-  if (outage < settings_.shortestOutage) {
+  if (isMissing && aRemoved.revision <= missing->second.removalRevision) {
     return;
   }
-  recoveredAt_ = clock_.Now();
-  LogEvent(
-    LogLevel::Info,
-    "catalog_outage_ended",
-    { { "collection", settings_.name },
-      { "ms", std::chrono::duration_cast<milliseconds>(outage).count() } });
+  missing_.Forget(aRemoved.name);
+  objects_.erase(existing);
 }
 
 void
@@ -518,9 +492,7 @@
                { "revision", revision_ },
                { "reason", aFailure.reason } });
   }
-  if (!outageSince_) {
-    outageSince_ = clock_.Now();
-  }
+  missing_.OnFailure();
   const int doublings = std::min(failures_, 6);
   ++failures_;
   const milliseconds longest =
@@ -532,42 +504,10 @@
   return false;
 }
 
-void
-CatalogFollower::KeepMissing(const CatalogObject& aObject,
-                             std::uint64_t aRemoval)
-{
-  const Duration sinceRecovery = clock_.Now() - *recoveredAt_;
-  if (missing_.try_emplace(aObject.name, MissingObject{ aObject, aRemoval })
-        .second) {
-    LogEvent(
-      LogLevel::Info,
-      "catalog_missing_entry_kept",
-      { { "collection", settings_.name },
-        { "name", aObject.name },
-        { "revision", aRemoval },
-        { "follows_peer", followsPeer_ },
-        { "since_recovery_ms",
-          std::chrono::duration_cast<milliseconds>(sinceRecovery).count() } });
-  }
-  if (!missingTimer_.isActive()) {
-    missingTimer_.start(std::chrono::ceil<milliseconds>(
-      settings_.missingObjectRetention - sinceRecovery));
-  }
-}
-
 void
 CatalogFollower::DropMissingObjects()
 {
-  if (IsRecovering()) {
-    // There was another outage in the meantime.
-    missingTimer_.start(std::chrono::ceil<milliseconds>(
-      *recoveredAt_ + settings_.missingObjectRetention - clock_.Now()));
-    return;
-  }
-  for (const auto& [name, missing] : std::exchange(missing_, {})) {
-    LogEvent(LogLevel::Info,
-             "catalog_entry_not_returned",
-             { { "collection", settings_.name }, { "name", name } });
+  for (const auto& [name, missing] : missing_.TakeExpired()) {
     objects_.erase(name);
   }
   Notify();
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -3,13 +3,13 @@
 #include "base/Clock.h"
 #include "base/Random.h"
 #include "catalog/ChangeHistory.h"
+#include "catalog/MissingObjects.h"
 #include "catalog/ObjectCatalog.h"
 
 #include <QTimer>
 
 #include <functional>
 #include <map>
-#include <optional>
 
 namespace filbertbeam {
 
@@ -78,8 +78,8 @@
   // late. Does nothing when that change has been read or is being read.
   void CatchUp(std::uint64_t aRevision);
 
-  // The catalog responds, to this host or, as a peer has reported, to the peer.
-  void OnCatalogResponds();
+  // The catalog responds to a peer, as the peer has reported.
+  void OnCatalogResponds() { missing_.OnCatalogResponds(); }
   // While a peer is followed, no watch is started: the caller passes what the
   // peer has read to ApplyPeerChanges. Otherwise a watch starts at once.
   void SetFollowsPeer(bool aFollowsPeer);
@@ -120,15 +120,6 @@
   Duration Age() const { return clock_.Now() - lastResponseAt_; }
 
 private:
-  // A removed object that its writer may still write again.
-  struct MissingObject
-  {
-    // The object as it was last read.
-    CatalogObject object;
-    // The revision of the change or list that showed the removal.
-    std::uint64_t removalRevision = 0;
-  };
-
   // The response to a call is ignored once a newer call has been sent.
   void List(const std::string& aAfter);
   // All changes up to the returned revision are part of the copy.
@@ -157,14 +148,9 @@
   bool Apply(const CatalogEvent& aEvent);
   // Applies a removal that was read with the revision of aRemoved.
   void Remove(const CatalogObject& aRemoved);
-  // True shortly after an outage, when an object may have been removed only
-  // because it expired while its writer could not reach the catalog.
-  bool IsRecovering() const;
   // After a failure, schedules a retry and returns false.
   bool CheckResponse(const CatalogFailure& aFailure);
   void OnRecovered();
-  // Keeps aObject until this host no longer recovers from an outage.
-  void KeepMissing(const CatalogObject& aObject, std::uint64_t aRemoval);
   void DropMissingObjects();
   void Notify();
 
@@ -199,15 +185,9 @@
   bool isComplete_ = false;
   int failures_ = 0;
   Instant lastResponseAt_;
-  // Since when this host's calls fail and no peer reports that the catalog
-  // responds; empty while it responds.
-  std::optional<Instant> outageSince_;
-  // When the last outage ended; empty when there was none.
-  std::optional<Instant> recoveredAt_;
-  // By name; these objects are also part of the copy.
-  std::map<std::string, MissingObject, std::less<>> missing_;
+  // These objects are also part of the copy.
+  MissingObjects missing_;
   QTimer callTimer_;
-  QTimer missingTimer_;
 };
 
 } // namespace filbertbeam
