--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -38,10 +38,6 @@
 // With less time left, a further attempt cannot complete before the deadline.
 constexpr milliseconds kMinAttemptTime{ 20 };
 constexpr milliseconds kRetryAfter{ 150 };
-// The callers that are refused until a server accepts requests again return
-// over this time, or over the time until then divided by kReturnSpreadDivisor.
-constexpr milliseconds kMinReturnSpread{ 100 };
-constexpr int kReturnSpreadDivisor = 4;
 // A hedge that was refused is requested again after this time.
 constexpr milliseconds kHedgeRetryDelay{ 120 };
 
@@ -175,35 +171,15 @@
          context_.availability.IsAvailable(*aServer, context_.clock.Now());
 }
 
-bool
-GatewaySession::CheckNoneAvailable(AttemptPurpose aPurpose)
-{
-  const auto& servers = context_.directory->ServersOfService(service_);
-  const Instant now = context_.clock.Now();
-  if (context_.availability.UnavailableServers(servers, now).empty()) {
-    return false;
-  }
-  const auto first = context_.availability.FirstAvailable(servers, now);
-  if (first && *first <= now) {
-    return false;
-  }
-  if (!first) {
-    OnNoSelection(aPurpose, "servers-leave", kRetryAfter);
-    return true;
-  }
-  const Duration delay = *first - now;
-  const Duration spread =
-    std::max<Duration>(kMinReturnSpread, delay / kReturnSpreadDivisor);
-  const auto shift =
-    std::chrono::duration_cast<Duration>(spread * context_.random.Uniform());
-  OnNoSelection(aPurpose, "servers-paused", delay + shift);
-  return true;
-}
-
 void
 GatewaySession::RequestSelection(AttemptPurpose aPurpose)
 {
-  if (CheckNoneAvailable(aPurpose)) {
+  const auto unavailability = context_.availability.CheckAll(
+    context_.directory->ServersOfService(service_),
+    context_.random,
+    context_.clock.Now());
+  if (unavailability) {
+    OnNoSelection(aPurpose, unavailability->reason, unavailability->retryAfter);
     return;
   }
   isSelecting_ = true;
@@ -425,23 +401,13 @@
     return;
   }
   const BackendServerRecord& server = aAttempt.Server();
-  const Instant now = context_.clock.Now();
-  if (headers.isLeaving && context_.availability.OnLeaving(server)) {
+  const std::string& request = callerHeaders_.requestId;
+  if (headers.isLeaving && context_.availability.OnLeaving(server, request)) {
     context_.client.CloseIdleConnections(server.address);
-    LogEvent(LogLevel::Info,
-             "backend_server_leaves",
-             { { "server", server.id },
-               { "service", service_ },
-               { "request", callerHeaders_.requestId } });
-  }
-  if (head.status == kUnavailable && headers.retryAfter &&
-      context_.availability.OnPause(server, now + *headers.retryAfter, now)) {
-    LogEvent(LogLevel::Info,
-             "backend_server_paused",
-             { { "server", server.id },
-               { "service", service_ },
-               { "request", callerHeaders_.requestId },
-               { "ms", ToMilliseconds(*headers.retryAfter) } });
+  }
+  if (head.status == kUnavailable && headers.retryAfter) {
+    context_.availability.OnPause(
+      server, request, *headers.retryAfter, context_.clock.Now());
   }
 }
 
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -52,9 +52,6 @@
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
   // True when this host may send a request of the service to aServer now.
   bool IsUsable(const BackendServerRecord* aServer) const;
-  // If no server of the service accepts requests of this host, does what is due
-  // without a selection and returns true.
-  bool CheckNoneAvailable(AttemptPurpose aPurpose);
   void RequestSelection(AttemptPurpose aPurpose);
   void OnSelection(AttemptPurpose aPurpose, const SelectionOutcome& aOutcome);
   void OnNoSelection(AttemptPurpose aPurpose,
--- a/src/gateway/StatedAvailability.cpp
+++ b/src/gateway/StatedAvailability.cpp
@@ -1,26 +1,60 @@
 #include "gateway/StatedAvailability.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace filbertbeam {
 
+namespace {
+
+using std::chrono::milliseconds;
+
+// Servers that replace the leaving ones may start at any time.
+constexpr milliseconds kLeavingRetryAfter{ 150 };
+// Callers return over this time, or over the time until a server is available
+// divided by kReturnSpreadDivisor.
+constexpr milliseconds kMinReturnSpread{ 100 };
+constexpr int kReturnSpreadDivisor = 4;
+
+} // namespace
+
 bool
-StatedAvailability::OnLeaving(const BackendServerRecord& aServer)
+StatedAvailability::OnLeaving(const BackendServerRecord& aServer,
+                              std::string_view aRequestId)
 {
-  return !std::exchange(StatementOf(aServer).isLeaving, true);
+  if (std::exchange(StatementOf(aServer).isLeaving, true)) {
+    return false;
+  }
+  LogEvent(LogLevel::Info,
+           "backend_server_leaves",
+           { { "server", aServer.id },
+             { "service", aServer.service },
+             { "request", aRequestId } });
+  return true;
 }
 
-bool
+void
 StatedAvailability::OnPause(const BackendServerRecord& aServer,
-                            Instant aUntil,
+                            std::string_view aRequestId,
+                            Duration aTime,
                             Instant aNow)
 {
   Statement& statement = StatementOf(aServer);
-  const bool wasAvailable = statement.pausedUntil <= aNow;
+  const bool wasPaused = statement.pausedUntil > aNow;
   // A later response may come from an earlier request.
-  statement.pausedUntil = std::max(statement.pausedUntil, aUntil);
-  return wasAvailable && aUntil > aNow;
+  statement.pausedUntil = std::max(statement.pausedUntil, aNow + aTime);
+  if (wasPaused) {
+    return;
+  }
+  LogEvent(
+    LogLevel::Info,
+    "backend_server_paused",
+    { { "server", aServer.id },
+      { "service", aServer.service },
+      { "request", aRequestId },
+      { "ms", std::chrono::duration_cast<milliseconds>(aTime).count() } });
 }
 
 void
@@ -58,6 +92,30 @@
   return servers;
 }
 
+std::optional<Unavailability>
+StatedAvailability::CheckAll(
+  std::span<const BackendServerRecord* const> aServers,
+  Random& aRandom,
+  Instant aNow) const
+{
+  if (UnavailableServers(aServers, aNow).empty()) {
+    return std::nullopt;
+  }
+  const auto first = FirstAvailable(aServers, aNow);
+  if (!first) {
+    return Unavailability{ "servers-leave", kLeavingRetryAfter };
+  }
+  if (*first <= aNow) {
+    return std::nullopt;
+  }
+  const Duration delay = *first - aNow;
+  const Duration spread =
+    std::max<Duration>(kMinReturnSpread, delay / kReturnSpreadDivisor);
+  return Unavailability{ "servers-paused",
+                         delay + std::chrono::duration_cast<Duration>(
+                                   spread * aRandom.Uniform()) };
+}
+
 std::optional<Instant>
 StatedAvailability::FirstAvailable(
   std::span<const BackendServerRecord* const> aServers,
--- a/src/gateway/StatedAvailability.h
+++ b/src/gateway/StatedAvailability.h
@@ -1,27 +1,39 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "base/Random.h"
 #include "directory/BackendDirectory.h"
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace filbertbeam {
 
+// Why a request is refused without asking for a server, and when its caller may
+// return.
+struct Unavailability
+{
+  std::string_view reason;
+  Duration retryAfter{};
+};
+
 // What backend servers have stated in their responses to this host about
 // further requests: that they leave, or that they want none for some time. It
 // says nothing about other hosts, nor about the health of the server.
 class StatedAvailability
 {
 public:
-  // aServer leaves; it gets no request any more. Returns true if that is new.
-  bool OnLeaving(const BackendServerRecord& aServer);
-  // aServer wants no request of this host before aUntil. Returns true if it
-  // wanted none before aNow either.
-  bool OnPause(const BackendServerRecord& aServer,
-               Instant aUntil,
+  // aServer leaves; it gets no request any more. aRequestId is that of the
+  // request to which it responded. Returns true if that is new.
+  bool OnLeaving(const BackendServerRecord& aServer,
+                 std::string_view aRequestId);
+  // aServer wants no request of this host for aTime from aNow on.
+  void OnPause(const BackendServerRecord& aServer,
+               std::string_view aRequestId,
+               Duration aTime,
                Instant aNow);
   // Forgets what is stated about servers that have been replaced or are gone.
   void SetDirectory(const BackendDirectory& aDirectory);
@@ -31,10 +43,11 @@
   std::vector<std::string> UnavailableServers(
     std::span<const BackendServerRecord* const> aServers,
     Instant aNow) const;
-  // Returns when the first of aServers is available, which may be aNow; nothing
-  // if none of them will be.
-  std::optional<Instant> FirstAvailable(
+  // Returns nothing if one of aServers is available, or if none has stated
+  // anything. The callers of refused requests return at different times.
+  std::optional<Unavailability> CheckAll(
     std::span<const BackendServerRecord* const> aServers,
+    Random& aRandom,
     Instant aNow) const;
 
 private:
@@ -46,6 +59,11 @@
     Instant pausedUntil;
   };
 
+  // Returns when the first of aServers is available, which may be aNow; nothing
+  // if none of them will be.
+  std::optional<Instant> FirstAvailable(
+    std::span<const BackendServerRecord* const> aServers,
+    Instant aNow) const;
   const Statement* Find(const BackendServerRecord& aServer) const;
   Statement& StatementOf(const BackendServerRecord& aServer);
 
--- a/src/gateway/tests/TestStatedAvailability.cpp
+++ b/src/gateway/tests/TestStatedAvailability.cpp
@@ -32,7 +32,7 @@
   Endpoint RequestAndRespond(const HttpResponseHead& aHead)
   {
     Request("/once/1");
-    const Endpoint server = LastServer();
+    Endpoint server = LastServer();
     client.Last().Respond(aHead);
     return server;
   }
