--- a/src/gateway/tests/TestPeerData.cpp
+++ b/src/gateway/tests/TestPeerData.cpp
@@ -39,7 +39,8 @@
   }
   BOOST_TEST(!UnpackPeerData("not ready\n").has_value());
   // A small response that becomes a large text.
-  const std::string large(20'000'000, ' ');
+  std::string large;
+  large.resize(20'000'000, ' ');
   BOOST_TEST(!UnpackPeerData(PackPeerData(large)).has_value());
   BOOST_TEST(
     !UnpackPeerData(std::string("\x7f\xff\xff\xff", 4) + packed.substr(4))
