Gateway: Log which connection carried a failed or refused attempt

A refusal by a server left no line of its own, and no line said which connection an attempt had used, so the hypotheses of the incident could not be told apart: a refusal taken from another attempt looked like a true one.

attempt_refused is new; it and attempt_failed name the address, the connection of this host and the number of the exchange on it (1: a new connection), and foreign_response_dropped the connection. refused_attempts counts refusals. FormatEndpoint replaces a private copy of the client.

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -39,6 +39,7 @@
 {
   exchange_ =
     aClient.Start(server_.address, aHead, aOptions, shared_from_this());
+  connection_ = exchange_->Connection();
   exchange_->SendBody({ aBody.data(), aBody.size() });
   if (aIsBodyComplete) {
     exchange_->FinishBody();
@@ -124,6 +125,8 @@
            "foreign_response_dropped",
            { { "request", requestId_ },
              { "server", server_.id },
+             { "connection", connection_.connection },
+             { "exchange", connection_.exchange },
              { "response_to", headers.requestId },
              { "status", aHead.status } });
   return false;
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -67,6 +67,8 @@
   const BackendServerRecord& Server() const { return server_; }
   const SelectionHandle& Handle() const { return handle_; }
   Instant StartedAt() const { return startedAt_; }
+  // The connection of the attempt, for logs.
+  const ConnectionUse& Connection() const { return connection_; }
   bool AnyByteSent() const;
   std::size_t UnsentBytes() const;
   const HttpResponseHead& Head() const { return head_; }
@@ -94,6 +96,7 @@
   const SelectionHandle handle_;
   const Instant startedAt_;
   std::shared_ptr<HttpClientExchange> exchange_;
+  ConnectionUse connection_;
   HttpResponseHead head_;
   std::string body_;
   MemoryReservation memory_;
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -21,6 +21,8 @@
   Attempts,
   Retries,
   Hedges,
+  // Attempts at a server that stated that it did not run the request.
+  RefusedAttempts,
   UnusableChoices,
   ChosenWithoutOwner,
   // Requests that were refused or failed for want of memory.
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "gateway/RequestTimeout.h"
 #include "gateway/ResponseProof.h"
+#include "http/EndpointText.h"
 
 #include <algorithm>
 
@@ -425,6 +426,9 @@
     context_.headerCodec.ReadResponseHeaders(head);
   context_.paths.OnReached(aAttempt.Server().id);
   if (IsProvenRefusal(callerHeaders_, head, headers)) {
+    context_.metrics.Count(GatewayCounter::RefusedAttempts);
+    LogAttemptEnd(
+      aAttempt, "attempt_refused", head.status, true, "not-executed");
     EndAttempt(aAttempt,
                head.status == kMisdirected ? AttemptResult::WrongServer
                                            : AttemptResult::NotExecuted);
@@ -466,15 +470,8 @@
                                 const HttpFailure& aFailure)
 {
   const std::string server = aAttempt.Server().id;
-  LogEvent(
-    LogLevel::Info,
-    "attempt_failed",
-    { { "request", callerHeaders_.requestId },
-      { "service", service_ },
-      { "server", server },
-      { "sent", aFailure.anyByteSent },
-      { "reason", aFailure.reason },
-      { "ms", ToMilliseconds(context_.clock.Now() - aAttempt.StartedAt()) } });
+  LogAttemptEnd(
+    aAttempt, "attempt_failed", 0, aFailure.anyByteSent, aFailure.reason);
   if (streamingAttempt_.get() == &aAttempt) {
     EndAttempt(aAttempt, AttemptResult::Broken);
     exchange_->Abort();
@@ -498,6 +495,29 @@
   RetryOrRespond(AttemptPurpose::Retry, "broken-response");
 }
 
+void
+GatewaySession::LogAttemptEnd(const BackendAttempt& aAttempt,
+                              std::string_view aEvent,
+                              int aStatus,
+                              bool aIsSent,
+                              std::string_view aReason) const
+{
+  const ConnectionUse& use = aAttempt.Connection();
+  LogEvent(
+    LogLevel::Info,
+    aEvent,
+    { { "request", callerHeaders_.requestId },
+      { "service", service_ },
+      { "server", aAttempt.Server().id },
+      { "address", FormatEndpoint(aAttempt.Server().address) },
+      { "connection", use.connection },
+      { "exchange", use.exchange },
+      { "sent", aIsSent },
+      { "status", aStatus },
+      { "reason", aReason },
+      { "ms", ToMilliseconds(context_.clock.Now() - aAttempt.StartedAt()) } });
+}
+
 bool
 GatewaySession::OnAttemptLargeResponse(BackendAttempt& aAttempt)
 {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -71,6 +71,13 @@
   void OnDeadline();
   void OnHedgeTimeout();
 
+  // Logs that aAttempt ended without a response to forward. aStatus is that of
+  // the server's response, 0 without one.
+  void LogAttemptEnd(const BackendAttempt& aAttempt,
+                     std::string_view aEvent,
+                     int aStatus,
+                     bool aIsSent,
+                     std::string_view aReason) const;
   // There is no memory for the response to aAttempt.
   void OnNoMemory(BackendAttempt& aAttempt);
   // Removes aAttempt from the running attempts and reports its result.
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -187,6 +187,18 @@
   }
 }
 
+// Guards against refusals by servers that no counter shows.
+BOOST_AUTO_TEST_CASE(CountsEachRefusalOfAServer)
+{
+  SetDefaultRoutesAndServers();
+  Request("/once/1");
+  client.Last().Respond(MakeNotRunResponse());
+  client.Last().Respond(MakeResponse(421));
+  BOOST_TEST(client.exchanges.size() == 2U);
+  BOOST_TEST(metrics.Format().find("refused_attempts_total 2\n") !=
+             std::string::npos);
+}
+
 // Guards against more extra attempts than the budget allows: one whose server
 // could not be reached was returned to it, and its replacement was free.
 BOOST_AUTO_TEST_CASE(PaysForTheReplacementOfAnExtraAttempt)
--- a/src/http/EndpointText.cpp
+++ b/src/http/EndpointText.cpp
@@ -2,6 +2,8 @@
 
 #include <QHostAddress>
 
+#include <fmt/format.h>
+
 #include <charconv>
 
 namespace filbertbeam {
@@ -47,4 +49,12 @@
   return endpoint;
 }
 
+std::string
+FormatEndpoint(const Endpoint& aEndpoint)
+{
+  return aEndpoint.address.find(':') == std::string::npos
+           ? fmt::format("{}:{}", aEndpoint.address, aEndpoint.port)
+           : fmt::format("[{}]:{}", aEndpoint.address, aEndpoint.port);
+}
+
 } // namespace filbertbeam
--- a/src/http/EndpointText.h
+++ b/src/http/EndpointText.h
@@ -18,4 +18,8 @@
 std::optional<Endpoint>
 ParseEndpoint(std::string_view aText, std::string& aReason);
 
+// Returns the text that ParseEndpoint reads.
+std::string
+FormatEndpoint(const Endpoint& aEndpoint);
+
 } // namespace filbertbeam
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -54,12 +54,23 @@
   virtual void OnExchangeFailed(const HttpFailure& aFailure) = 0;
 };
 
+// The connection that carries an exchange.
+struct ConnectionUse
+{
+  // Number of the connection; unique within its client.
+  std::uint64_t connection = 0;
+  // Number of the exchange on its connection, from 1 on a new one.
+  std::uint64_t exchange = 0;
+};
+
 // One request and its response, as seen by the client.
 class HttpClientExchange
 {
 public:
   virtual ~HttpClientExchange() = default;
 
+  virtual ConnectionUse Connection() const = 0;
+
   virtual void SendBody(ByteView aBytes) = 0;
   // Marks the request body as complete.
   virtual void FinishBody() = 0;
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -36,11 +36,13 @@
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(const Endpoint& aServer,
+HttpClientConnection::HttpClientConnection(std::uint64_t aNumber,
+                                           const Endpoint& aServer,
                                            const HttpClientLimits& aLimits,
                                            QObject& aContext,
                                            Handlers aHandlers)
-  : server_(aServer)
+  : use_{ aNumber, 0 }
+  , server_(aServer)
   , limits_(aLimits)
   , context_(aContext)
   , handlers_(std::move(aHandlers))
@@ -102,7 +104,8 @@
   if (state_ == State::Connected) {
     timer_.stop();
   }
-  exchange_ = std::make_shared<TcpClientExchange>(weak_from_this());
+  ++use_.exchange;
+  exchange_ = std::make_shared<TcpClientExchange>(weak_from_this(), use_);
   observer_ = std::move(aObserver);
   queuedBytes_ = 0;
   sentBytes_ = 0;
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -28,9 +28,11 @@
     std::function<void(HttpClientConnection&)> onClosed;
   };
 
-  // aContext is the context object of queued events; it has to outlive every
-  // use of the connection.
-  HttpClientConnection(const Endpoint& aServer,
+  // aNumber identifies the connection within its client. aContext is the
+  // context object of queued events; it has to outlive every use of the
+  // connection.
+  HttpClientConnection(std::uint64_t aNumber,
+                       const Endpoint& aServer,
                        const HttpClientLimits& aLimits,
                        QObject& aContext,
                        Handlers aHandlers);
@@ -87,6 +89,8 @@
   void Fail(HttpFailureKind aKind, std::string aReason);
   void Close();
 
+  // Of the current exchange or, between exchanges, of the last one.
+  ConnectionUse use_;
   Endpoint server_;
   const HttpClientLimits& limits_;
   QObject& context_;
--- a/src/http/TcpClientExchange.cpp
+++ b/src/http/TcpClientExchange.cpp
@@ -5,8 +5,10 @@
 namespace filbertbeam {
 
 TcpClientExchange::TcpClientExchange(
-  std::weak_ptr<HttpClientConnection> aConnection)
+  std::weak_ptr<HttpClientConnection> aConnection,
+  const ConnectionUse& aUse)
   : connection_(std::move(aConnection))
+  , use_(aUse)
 {
 }
 
--- a/src/http/TcpClientExchange.h
+++ b/src/http/TcpClientExchange.h
@@ -11,8 +11,10 @@
 class TcpClientExchange final : public HttpClientExchange
 {
 public:
-  explicit TcpClientExchange(std::weak_ptr<HttpClientConnection> aConnection);
+  TcpClientExchange(std::weak_ptr<HttpClientConnection> aConnection,
+                    const ConnectionUse& aUse);
 
+  ConnectionUse Connection() const override { return use_; }
   void SendBody(ByteView aBytes) override;
   void FinishBody() override;
   void PauseResponseBody() override;
@@ -27,6 +29,7 @@
 
 private:
   std::weak_ptr<HttpClientConnection> connection_;
+  const ConnectionUse use_;
   bool anyByteSent_ = false;
 };
 
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -1,25 +1,12 @@
 #include "http/TcpHttpClient.h"
 
+#include "http/EndpointText.h"
 #include "http/HttpClientConnection.h"
 #include "http/HttpHeadWriter.h"
 #include "http/TcpClientExchange.h"
 
-#include <fmt/format.h>
-
 namespace filbertbeam {
 
-namespace {
-
-std::string
-HostField(const Endpoint& aServer)
-{
-  return aServer.address.find(':') == std::string::npos
-           ? fmt::format("{}:{}", aServer.address, aServer.port)
-           : fmt::format("[{}]:{}", aServer.address, aServer.port);
-}
-
-} // namespace
-
 std::size_t
 TcpHttpClient::EndpointHash::operator()(const Endpoint& aEndpoint) const
 {
@@ -52,7 +39,7 @@
 {
   HttpRequestHead head = aHead;
   if (!head.fields.Find("Host")) {
-    head.fields.Set("Host", HostField(aServer));
+    head.fields.Set("Host", FormatEndpoint(aServer));
   }
   if (head.framing == BodyFraming::UntilClose) {
     head.framing = BodyFraming::Chunked;
@@ -68,7 +55,7 @@
       },
       Qt::QueuedConnection);
     return std::make_shared<TcpClientExchange>(
-      std::weak_ptr<HttpClientConnection>());
+      std::weak_ptr<HttpClientConnection>(), ConnectionUse{});
   }
   std::shared_ptr<HttpClientConnection> connection;
   if (!aOptions.freshConnection) {
@@ -124,6 +111,7 @@
 TcpHttpClient::Open(const Endpoint& aServer)
 {
   auto connection = std::make_shared<HttpClientConnection>(
+    ++lastConnection_,
     aServer,
     limits_,
     context_,
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -48,6 +48,8 @@
   void RemoveConnection(HttpClientConnection& aConnection);
 
   HttpClientLimits limits_;
+  // Number of the connection that was opened last.
+  std::uint64_t lastConnection_ = 0;
   // Context object of queued events; pending ones are dropped when the client
   // is destroyed.
   QObject context_;
--- a/src/http/tests/TestEndpointText.cpp
+++ b/src/http/tests/TestEndpointText.cpp
@@ -25,7 +25,7 @@
 };
 
 // Guards against a text that is parsed as another address.
-BOOST_AUTO_TEST_CASE(AreParsedFromText)
+BOOST_AUTO_TEST_CASE(AreParsedFromTextAndFormatted)
 {
   for (const EndpointCase& row : kEndpoints) {
     std::string reason;
@@ -35,6 +35,7 @@
     if (endpoint) {
       BOOST_TEST(endpoint->address == row.address);
       BOOST_TEST(endpoint->port == row.port);
+      BOOST_TEST(FormatEndpoint(*endpoint) == row.text);
     }
   }
 }
--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -237,6 +237,26 @@
   BOOST_TEST(OpenConnections() == 1);
 }
 
+// Guards against logs that cannot tell two attempts on one connection from two
+// on different ones.
+BOOST_AUTO_TEST_CASE(AnExchangeTellsWhichConnectionCarriesIt)
+{
+  RespondToHeadsWith(kEmptyOk);
+  const auto connectionOf = [this](const HttpClientOptions& aOptions) {
+    const auto observer = Start(Get(), aOptions);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    return exchange->Connection();
+  };
+  const ConnectionUse first = connectionOf({});
+  const ConnectionUse second = connectionOf({});
+  const ConnectionUse fresh = connectionOf({ .freshConnection = true });
+  BOOST_TEST(first.exchange == 1U);
+  BOOST_TEST(second.connection == first.connection);
+  BOOST_TEST(second.exchange == 2U);
+  BOOST_TEST(fresh.connection != first.connection);
+  BOOST_TEST(fresh.exchange == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnIdleConnectionThatThePeerClosesIsRemoved)
 {
   RespondToHeadsWith(kEmptyOk, true);
--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -65,6 +65,7 @@
   {
   }
 
+  ConnectionUse Connection() const override { return connection; }
   void SendBody(ByteView aBytes) override
   {
     body.append(aBytes.data(), aBytes.size());
@@ -99,6 +100,7 @@
   const HttpRequestHead head;
   const HttpClientOptions options;
   const std::shared_ptr<HttpResponseObserver> observer;
+  ConnectionUse connection{ 1, 1 };
   std::string body;
   bool isBodyFinished = false;
   bool isPaused = false;
