Tests: Show a refusal with 503 of a request that has run

A server that has started again at its address is listed under its earlier id too, refuses requests for it and sends each refusal twice. The next attempt of the request goes to the same address under the new id, on the connection that was just used, and the copy is taken for its response.

--- /dev/null
+++ b/tests/gateway/TestRefusals.cpp
@@ -0,0 +1,151 @@
+#include "http/tests/support/RawPeers.h"
+#include "platform/standin/StoreStandIn.h"
+#include "platform/tests/support/GatewayHost.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+constexpr const char* kCurrentId = "i-current";
+
+// Returns the value of a field of a request head, or nothing.
+std::string
+FieldOf(std::string_view aHead, std::string_view aName)
+{
+  const std::string begin = fmt::format("\r\n{}: ", aName);
+  const auto at = aHead.find(begin);
+  if (at == std::string_view::npos) {
+    return "";
+  }
+  const auto value = aHead.substr(at + begin.size());
+  return std::string(value.substr(0, value.find("\r\n")));
+}
+
+// A host, and a server that has started again at its address and is listed
+// under its earlier ids as well. It refuses requests for these ids and sends
+// each refusal twice, the copy where the next response is due.
+struct RestartedServerFixture
+{
+  RestartedServerFixture()
+    : store(StoreStandIn::Create({ kLoopback, 0 }, reason))
+  {
+    store->Write("config", "main", Configuration(kMaxAttempts));
+    AddEntry(kCurrentId);
+    server.onReceived = [this](RawConnection& aConnection) {
+      const auto end = aConnection.received.find("\r\n\r\n");
+      if (end == std::string::npos) {
+        return;
+      }
+      const std::string head = aConnection.received.substr(0, end + 2);
+      aConnection.received.erase(0, end + 4);
+      OnRequest(aConnection, head);
+    };
+    host = std::make_unique<GatewayHost>("host", store->Port());
+    BOOST_TEST_REQUIRE(host->WaitUntilReady());
+    // The directory reaches the traffic thread slightly later.
+    RunFor(20ms);
+  }
+
+  void AddEntry(const std::string& aId)
+  {
+    store->Write("servers",
+                 aId,
+                 ServerEntry(server.Address().port),
+                 { { "state", "ready" }, { "sequence", 1 } });
+  }
+
+  void OnRequest(RawConnection& aConnection, std::string_view aHead)
+  {
+    const std::string copy = std::exchange(lateCopies[&aConnection], {});
+    aConnection.Send(copy);
+    const std::string id = FieldOf(aHead, "Request-Id");
+    if (FieldOf(aHead, "Expected-Instance") == kCurrentId) {
+      ran.insert(id);
+      aConnection.Send(fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                   "Response-Signature: 3e1b\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   id));
+      return;
+    }
+    const std::string refusal = fmt::format(
+      "HTTP/1.1 {}\r\nRequest-Id: {}\r\nContent-Length: 0\r\n\r\n", status, id);
+    ++refusals;
+    aConnection.Send(refusal);
+    lateCopies[&aConnection] = refusal;
+  }
+
+  // Returns the status that a caller receives for a new request.
+  int Call(const std::string& aId) const
+  {
+    RawConnection caller(host->gateway->FrontPort());
+    caller.Send(fmt::format("POST /approve/1 HTTP/1.1\r\nHost: h.example\r\n"
+                            "Request-Id: {}\r\nRequest-Timeout-Ms: 2000\r\n"
+                            "Content-Length: 0\r\n\r\n",
+                            aId));
+    BOOST_TEST(WaitUntil([&] { return caller.Count("\r\n\r\n") > 0; }, 3s));
+    return std::stoi(caller.received.substr(sizeof("HTTP/1.1")));
+  }
+
+  // Adds an earlier id, which the host doesn't know to be unused, and sends
+  // requests. Checks that none that was refused with 503 has run.
+  void CheckRefusals()
+  {
+    for (int i = 0; i < kEarlierIds; ++i) {
+      AddEntry(fmt::format("i-earlier-{}", i));
+      RunFor(kDirectoryDelay);
+      for (int j = 0; j < kRequestsPerId; ++j) {
+        const std::string id = fmt::format("request-{}-{}", i, j);
+        const int response = Call(id);
+        BOOST_TEST((response != 503 || !ran.contains(id)),
+                   id << " was refused and has run");
+      }
+    }
+    BOOST_TEST(refusals > 0);
+    BOOST_TEST(!ran.empty());
+  }
+
+  static constexpr int kMaxAttempts = 2;
+  static constexpr int kEarlierIds = 10;
+  static constexpr int kRequestsPerId = 10;
+  // The host reads a change of the servers and passes it on within this time.
+  static constexpr std::chrono::milliseconds kDirectoryDelay{ 100 };
+
+  std::string reason;
+  std::unique_ptr<StoreStandIn> store;
+  RawServer server;
+  std::unique_ptr<GatewayHost> host;
+  // Of a refusal for an earlier id.
+  std::string status = "421 Misdirected Request";
+  std::map<RawConnection*, std::string> lateCopies;
+  int refusals = 0;
+  // The ids of the requests that the server ran.
+  std::set<std::string> ran;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ARequestThatAServerRefusesTwice,
+                         RestartedServerFixture)
+
+// Guards against "not run" for a request that runs: the second copy of the
+// refusal of its first attempt is taken for the response to the next attempt at
+// the same address.
+BOOST_AUTO_TEST_CASE(IsNotRefusedAfterItHasRun)
+{
+  CheckRefusals();
+}
+
+// As above, for a server that refuses before it compares the ids.
+BOOST_AUTO_TEST_CASE(IsNotRefusedAfterItHasRunAtAServerThatWasFull)
+{
+  status = "503 Service Unavailable\r\nNot-Executed: 1";
+  CheckRefusals();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
