Http: Send no two requests with the same id on one connection

Cause: all attempts of a request carry the same id, and a response names the request, not the attempt. Two attempts went to one address and, as its connection had just become idle, on one connection, when a server that had started again was still listed under its earlier id. A late second copy of the refusal of the first was taken for the response to the second, which the server was working on. The retry then ran at a second server, or the caller was told that nothing had run. The state of the server (statements, health, path) was read from the copy as well.

Change: a request names its id to the client, and a connection that has carried a request with that id is passed over. The connection and the id together belong to one attempt, so a response proves something about that attempt only. It holds for two requests of a caller that uses an id twice, too.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -293,6 +293,7 @@
   // connection it is known not to have been sent.
   options.freshConnection =
     !route_.isIdempotent && !aOutcome.result.selection->hasRespondedRecently;
+  options.requestId = callerHeaders_.requestId;
   options.connectTimeout =
     std::min(kConnectTimeout, std::chrono::ceil<milliseconds>(Remaining()));
   ++sentAttempts_;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -187,6 +187,19 @@
   }
 }
 
+// Guards against two attempts that share a connection, where a late copy of the
+// response to the first would be taken for the response to the second.
+BOOST_AUTO_TEST_CASE(NamesItselfToTheClientInEachAttempt)
+{
+  SetDefaultRoutesAndServers();
+  Request("/once/1");
+  client.Last().Respond(MakeNotRunResponse());
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 2U);
+  for (const auto& attempt : client.exchanges) {
+    BOOST_TEST((attempt->options.requestId == "request-1"));
+  }
+}
+
 // Guards against refusals by servers that no counter shows.
 BOOST_AUTO_TEST_CASE(CountsEachRefusalOfAServer)
 {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace filbertbeam {
@@ -94,6 +95,10 @@
   // connection cannot leave the outcome of a request unknown.
   bool freshConnection = false;
   std::chrono::milliseconds connectTimeout{ 1'000 };
+  // What the responses to this request name it by, if the server repeats such
+  // an id. No two requests with the same id share a connection, since a late
+  // copy of the response to the first would be taken for that to the second.
+  std::optional<std::string> requestId = std::nullopt;
 };
 
 struct HttpClientLimits
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -11,6 +11,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
@@ -18,11 +20,21 @@
 // Maximum number of responses to earlier requests that are skipped before the
 // expected one.
 constexpr int kMaxSkippedResponses = 4;
+// A connection that has carried this many requests with an id is not kept,
+// which limits the memory for their hashes to 4 KiB.
+constexpr std::size_t kMaxCarriedIds = 1'024;
 // If a server announces how long it keeps idle connections, a connection is
 // dropped this long before that time, so that no request is sent just before
 // the server closes it.
 constexpr std::chrono::milliseconds kIdleMargin{ 1'500 };
 
+// Two ids with the same hash only cost a new connection.
+std::uint32_t
+HashOfId(std::string_view aId)
+{
+  return static_cast<std::uint32_t>(std::hash<std::string_view>()(aId));
+}
+
 void
 SetSocketNumber(const QTcpSocket& aSocket, int aLevel, int aOption, int aValue)
 {
@@ -96,14 +108,25 @@
          ProbeSocket(*socket_) == SocketCondition::Idle;
 }
 
+bool
+HttpClientConnection::HasCarried(std::string_view aRequestId) const
+{
+  return std::ranges::find(carriedIds_, HashOfId(aRequestId)) !=
+         carriedIds_.end();
+}
+
 std::shared_ptr<TcpClientExchange>
 HttpClientConnection::Begin(const HttpRequestHead& aHead,
                             std::string_view aHeadBytes,
+                            const std::optional<std::string>& aRequestId,
                             std::shared_ptr<HttpResponseObserver> aObserver)
 {
   if (state_ == State::Connected) {
     timer_.stop();
   }
+  if (aRequestId) {
+    carriedIds_.push_back(HashOfId(*aRequestId));
+  }
   ++use_.exchange;
   exchange_ = std::make_shared<TcpClientExchange>(weak_from_this(), use_);
   observer_ = std::move(aObserver);
@@ -442,7 +465,8 @@
 {
   const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
                           sentBytes_ == queuedBytes_ && parser_.KeepAlive() &&
-                          skippedResponses_ == 0;
+                          skippedResponses_ == 0 &&
+                          carriedIds_.size() < kMaxCarriedIds;
   const std::chrono::milliseconds idleTime =
     parser_.IdleTimeout()
       ? std::min(limits_.idleTimeout, *parser_.IdleTimeout() - kIdleMargin)
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -10,6 +10,7 @@
 #include <QTimer>
 
 #include <functional>
+#include <vector>
 
 namespace filbertbeam {
 
@@ -46,11 +47,14 @@
   // True if the connection is open and idle, and its peer has neither sent data
   // nor closed it.
   bool IsUsable() const;
+  // True if a request with this id has been sent on the connection.
+  bool HasCarried(std::string_view aRequestId) const;
   // Starts an exchange on a new or idle connection. aHeadBytes is the
-  // serialized request head.
+  // serialized request head; aRequestId is that of HttpClientOptions.
   std::shared_ptr<TcpClientExchange> Begin(
     const HttpRequestHead& aHead,
     std::string_view aHeadBytes,
+    const std::optional<std::string>& aRequestId,
     std::shared_ptr<HttpResponseObserver> aObserver);
   // Closes the connection; a running exchange ends without an event.
   void Discard();
@@ -91,6 +95,8 @@
 
   // Of the current exchange or, between exchanges, of the last one.
   ConnectionUse use_;
+  // Hashes of the ids of the requests that were sent on this connection.
+  std::vector<std::uint32_t> carriedIds_;
   Endpoint server_;
   const HttpClientLimits& limits_;
   QObject& context_;
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -5,6 +5,8 @@
 #include "http/HttpHeadWriter.h"
 #include "http/TcpClientExchange.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 std::size_t
@@ -57,15 +59,12 @@
     return std::make_shared<TcpClientExchange>(
       std::weak_ptr<HttpClientConnection>(), ConnectionUse{});
   }
-  std::shared_ptr<HttpClientConnection> connection;
-  if (!aOptions.freshConnection) {
-    connection = TakeIdle(aServer);
-  }
-  if (connection != nullptr) {
-    return connection->Begin(head, *bytes, std::move(aObserver));
+  if (const auto idle = TakeIdle(aServer, aOptions)) {
+    return idle->Begin(head, *bytes, aOptions.requestId, std::move(aObserver));
   }
-  connection = Open(aServer);
-  auto exchange = connection->Begin(head, *bytes, std::move(aObserver));
+  const auto connection = Open(aServer);
+  auto exchange =
+    connection->Begin(head, *bytes, aOptions.requestId, std::move(aObserver));
   connection->Connect(aOptions.connectTimeout);
   return exchange;
 }
@@ -91,15 +90,26 @@
 }
 
 std::shared_ptr<HttpClientConnection>
-TcpHttpClient::TakeIdle(const Endpoint& aServer)
+TcpHttpClient::TakeIdle(const Endpoint& aServer,
+                        const HttpClientOptions& aOptions)
 {
+  const auto isSuitable = [&aOptions](const auto& aConnection) {
+    return !aOptions.requestId || !aConnection->HasCarried(*aOptions.requestId);
+  };
   while (true) {
     const auto pool = pools_.find(aServer);
-    if (pool == pools_.end() || pool->second.idle.empty()) {
+    if (aOptions.freshConnection || pool == pools_.end()) {
+      return nullptr;
+    }
+    // The connection that was used last is the least likely to be closed by
+    // its peer.
+    auto& idle = pool->second.idle;
+    const auto found = std::find_if(idle.rbegin(), idle.rend(), isSuitable);
+    if (found == idle.rend()) {
       return nullptr;
     }
-    auto connection = std::move(pool->second.idle.back());
-    pool->second.idle.pop_back();
+    auto connection = std::move(*found);
+    idle.erase(std::next(found).base());
     if (connection->IsUsable()) {
       return connection;
     }
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -42,7 +42,11 @@
       open;
   };
 
-  std::shared_ptr<HttpClientConnection> TakeIdle(const Endpoint& aServer);
+  // Removes a connection from the pool that is usable for aOptions. Returns
+  // null if there is none.
+  std::shared_ptr<HttpClientConnection> TakeIdle(
+    const Endpoint& aServer,
+    const HttpClientOptions& aOptions);
   std::shared_ptr<HttpClientConnection> Open(const Endpoint& aServer);
   bool AddIdle(HttpClientConnection& aConnection);
   void RemoveConnection(HttpClientConnection& aConnection);
--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -237,6 +237,48 @@
   BOOST_TEST(OpenConnections() == 1);
 }
 
+// Guards against a late copy of the response to a request that is taken for the
+// response to another request with the same id.
+BOOST_AUTO_TEST_CASE(RequestsWithTheSameIdDoNotShareAConnection)
+{
+  RespondToHeadsWith(kEmptyOk);
+  const auto connectionOf = [this](std::optional<std::string> aId) {
+    HttpClientOptions options;
+    options.requestId = std::move(aId);
+    const auto observer = Start(Get(), options);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    return exchange->Connection().connection;
+  };
+  const auto first = connectionOf("a");
+  BOOST_TEST(connectionOf("b") == first);
+  const auto second = connectionOf("a");
+  BOOST_TEST(second != first);
+  BOOST_TEST(connectionOf("b") == second);
+  const auto third = connectionOf("a");
+  BOOST_TEST(third != first);
+  BOOST_TEST(third != second);
+  BOOST_TEST(OpenConnections() == 3);
+  // Requests without an id in their responses may use any of them.
+  BOOST_TEST(connectionOf(std::nullopt) == third);
+}
+
+// Guards against memory that grows with the number of requests on a connection.
+BOOST_AUTO_TEST_CASE(AConnectionIsReplacedAfterManyRequestsWithIds)
+{
+  RespondToHeadsWith(kEmptyOk);
+  constexpr std::uint64_t kMost = 1'024;
+  std::uint64_t longest = 0;
+  for (std::uint64_t i = 0; i <= kMost; ++i) {
+    HttpClientOptions options;
+    options.requestId = std::to_string(i);
+    const auto observer = Start(Get(), options);
+    BOOST_TEST_REQUIRE(WaitUntil([&] { return observer->IsOver(); }));
+    longest = std::max(longest, exchange->Connection().exchange);
+  }
+  BOOST_TEST(longest == kMost);
+  BOOST_TEST(OpenConnections() == 1);
+}
+
 // Guards against logs that cannot tell two attempts on one connection from two
 // on different ones.
 BOOST_AUTO_TEST_CASE(AnExchangeTellsWhichConnectionCarriesIt)
