Gateway: Decide in one place whether a request has certainly not run

AttemptHistory keeps the attempts of a request and derives the answer from their results: it has certainly not run if each of its attempts has ended with proof of that. A running attempt counts as one that may have run. Both responses without a server's own, at the deadline and before it, and the refusal for want of memory ask it, in RespondWithoutServer.

--- /dev/null
+++ b/src/gateway/AttemptHistory.cpp
@@ -0,0 +1,41 @@
+#include "gateway/AttemptHistory.h"
+
+namespace filbertbeam {
+
+namespace {
+
+// True for the results that prove that the attempt did not run.
+bool
+ProvesNotRun(AttemptResult aResult)
+{
+  return aResult == AttemptResult::NotExecuted ||
+         aResult == AttemptResult::WrongServer ||
+         aResult == AttemptResult::Unreachable;
+}
+
+} // namespace
+
+void
+AttemptHistory::OnStarted(const std::string& aServer)
+{
+  triedServers_.push_back(aServer);
+  ++started_;
+  ++running_;
+}
+
+void
+AttemptHistory::OnEnded(AttemptResult aResult)
+{
+  --running_;
+  unreachable_ += aResult == AttemptResult::Unreachable ? 1 : 0;
+  mayHaveRun_ = mayHaveRun_ || !ProvesNotRun(aResult);
+}
+
+void
+AttemptHistory::OnCancelled(bool aAnyByteSent)
+{
+  --running_;
+  mayHaveRun_ = mayHaveRun_ || aAnyByteSent;
+}
+
+} // namespace filbertbeam
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -120,12 +120,8 @@
   if (memory_.GrowTo(memory_.Bytes() + kBodyCopies * aBytes)) {
     return true;
   }
-  // No attempt starts before the body is complete or as long as one is sent in
-  // pieces, so the request has not run.
   context_.metrics.Count(GatewayCounter::OutOfMemory);
-  context_.metrics.Count(GatewayCounter::RefusedNotRun);
-  SendLocalResponse(kUnavailable, kNoMemory, kRetryAfter);
-  Close(kUnavailable, "not-run", kNoMemory);
+  RespondWithFailure(kNoMemory, kRetryAfter);
   return false;
 }
 
@@ -158,8 +154,8 @@
   // no room for all.
   request.excluded = context_.availability.UnavailableServers(
     context_.directory->ServersOfService(service_), context_.clock.Now());
-  request.excluded.insert(
-    request.excluded.end(), triedServers_.begin(), triedServers_.end());
+  const std::vector<std::string>& tried = attempts_.TriedServers();
+  request.excluded.insert(request.excluded.end(), tried.begin(), tried.end());
   request.avoided = context_.paths.AvoidedServers(context_.clock.Now());
   return request;
 }
@@ -277,7 +273,7 @@
                                      context_.memory,
                                      context_.clock.Now());
   runningAttempts_.push_back(attempt);
-  triedServers_.push_back(aServer.id);
+  attempts_.OnStarted(aServer.id);
   lastSelectionSource_ = aOutcome.source;
   context_.metrics.Count(GatewayCounter::Attempts);
   if (aPurpose == AttemptPurpose::Retry) {
@@ -296,7 +292,6 @@
   options.requestId = callerHeaders_.requestId;
   options.connectTimeout =
     std::min(kConnectTimeout, std::chrono::ceil<milliseconds>(Remaining()));
-  ++sentAttempts_;
   attempt->Start(context_.client, head, options, body_, isBodyComplete_);
   if (isBodyStreamed_) {
     body_ = {};
@@ -311,8 +306,9 @@
 bool
 GatewaySession::MayStartExtraAttempt() const
 {
-  return (route_.isIdempotent || !mayHaveRun_) && !isBodyStreamed_ &&
-         sentAttempts_ < route_.maxAttempts && Remaining() > kMinAttemptTime;
+  return (route_.isIdempotent || !attempts_.MayHaveRun()) && !isBodyStreamed_ &&
+         attempts_.SentAttempts() < route_.maxAttempts &&
+         Remaining() > kMinAttemptTime;
 }
 
 void
@@ -332,7 +328,8 @@
   if (!runningAttempts_.empty() || isSelecting_) {
     return;
   }
-  if (MayStartExtraAttempt() && unreachableAttempts_ < kMaxUnreachableServers) {
+  if (MayStartExtraAttempt() &&
+      attempts_.UnreachableAttempts() < kMaxUnreachableServers) {
     RequestSelection(aPurpose);
     return;
   }
@@ -349,16 +346,26 @@
     Close(head.status, "backend-failed", aReason);
     return;
   }
-  if (mayHaveRun_) {
-    context_.metrics.Count(GatewayCounter::FailedUnknown);
-    SendLocalResponse(kBadGateway, aReason, std::nullopt);
-    Close(kBadGateway, "unknown", aReason);
+  context_.metrics.Count(attempts_.MayHaveRun()
+                           ? GatewayCounter::FailedUnknown
+                           : GatewayCounter::RefusedNotRun);
+  RespondWithoutServer(kBadGateway,
+                       aReason,
+                       aRetryAfter > Duration::zero() ? aRetryAfter
+                                                      : kRetryAfter);
+}
+
+void
+GatewaySession::RespondWithoutServer(int aUnknownStatus,
+                                     std::string_view aReason,
+                                     Duration aRetryAfter)
+{
+  if (attempts_.MayHaveRun()) {
+    SendLocalResponse(aUnknownStatus, aReason, std::nullopt);
+    Close(aUnknownStatus, "unknown", aReason);
     return;
   }
-  context_.metrics.Count(GatewayCounter::RefusedNotRun);
-  SendLocalResponse(kUnavailable,
-                    aReason,
-                    aRetryAfter > Duration::zero() ? aRetryAfter : kRetryAfter);
+  SendLocalResponse(kUnavailable, aReason, aRetryAfter);
   Close(kUnavailable, "not-run", aReason);
 }
 
@@ -369,25 +376,14 @@
     return;
   }
   const auto self = shared_from_this();
-  const std::vector<AttemptPointer> attempts = runningAttempts_;
   CancelAttempts(AttemptResult::NoResponse);
-  // Checked after the connections are closed, so no byte can be sent later.
-  const bool wasSent =
-    mayHaveRun_ || std::ranges::any_of(attempts, [](const auto& aAttempt) {
-      return aAttempt->AnyByteSent();
-    });
   context_.metrics.Count(GatewayCounter::TimedOut);
   if (streamingAttempt_ != nullptr) {
     exchange_->Abort();
     Close(0, "cut", "timeout");
     return;
   }
-  const int status = wasSent ? kGatewayTimeout : kUnavailable;
-  SendLocalResponse(status,
-                    "timeout",
-                    wasSent ? std::nullopt
-                            : std::optional<Duration>(kRetryAfter));
-  Close(status, wasSent ? "unknown" : "not-run", "timeout");
+  RespondWithoutServer(kGatewayTimeout, "timeout", kRetryAfter);
 }
 
 void
@@ -436,7 +432,6 @@
     RetryOrRespond(AttemptPurpose::Retry, "not-executed");
     return;
   }
-  mayHaveRun_ = true;
   if (!IsResponseTo(callerHeaders_, headers) ||
       (IsSuccess(head.status) && !IsVerified(head, headers))) {
     EndAttempt(aAttempt, AttemptResult::Broken);
@@ -482,16 +477,13 @@
   if (!aFailure.anyByteSent) {
     EndAttempt(aAttempt, AttemptResult::Unreachable);
     context_.paths.OnUnreachable(server, context_.clock.Now());
-    --sentAttempts_;
-    ++unreachableAttempts_;
     // The attempt is returned to the budget. Its replacement is an extra
     // attempt unless it is the first that reaches a server.
-    RetryOrRespond(sentAttempts_ > 0 ? AttemptPurpose::Retry
-                                     : AttemptPurpose::Replacement,
+    RetryOrRespond(attempts_.SentAttempts() > 0 ? AttemptPurpose::Retry
+                                                : AttemptPurpose::Replacement,
                    "unreachable");
     return;
   }
-  mayHaveRun_ = true;
   EndAttempt(aAttempt, AttemptResult::Broken);
   RetryOrRespond(AttemptPurpose::Retry, "broken-response");
 }
@@ -527,7 +519,6 @@
     context_.headerCodec.ReadResponseHeaders(head);
   if (isDone_ || !IsSuccess(head.status) || !IsVerified(head, headers) ||
       !IsResponseTo(callerHeaders_, headers)) {
-    mayHaveRun_ = true;
     EndAttempt(aAttempt, AttemptResult::Broken);
     RetryOrRespond(AttemptPurpose::Retry, "unproven-response");
     return false;
@@ -545,7 +536,6 @@
   CancelAttempts(AttemptResult::Abandoned);
   runningAttempts_.push_back(attempt);
   streamingAttempt_ = attempt;
-  mayHaveRun_ = true;
   hedgeTimer_.stop();
   exchange_->SendHead(head);
   exchange_->SendBody(attempt->TakeBody());
@@ -570,7 +560,6 @@
 GatewaySession::OnNoMemory(BackendAttempt& aAttempt)
 {
   context_.metrics.Count(GatewayCounter::OutOfMemory);
-  mayHaveRun_ = true;
   EndAttempt(aAttempt, AttemptResult::Abandoned);
   // Another attempt would need the memory as well; a caller that repeats the
   // request reaches another host.
@@ -614,6 +603,7 @@
 {
   AttemptPointer attempt = aAttempt.shared_from_this();
   std::erase(runningAttempts_, attempt);
+  attempts_.OnEnded(aResult);
   context_.metrics.RecordAttempt(context_.clock.Now() - attempt->StartedAt());
   context_.selection.Finish(attempt->Handle(), aResult);
   return attempt;
@@ -625,6 +615,7 @@
   for (const AttemptPointer& attempt : std::exchange(runningAttempts_, {})) {
     context_.selection.Finish(attempt->Handle(), aResult);
     attempt->Cancel();
+    attempts_.OnCancelled(attempt->AnyByteSent());
   }
 }
 
@@ -678,10 +669,11 @@
              { "version", routing_->Version() },
              { "service", service_ },
              { "directory", context_.directory->Revision() },
-             { "servers", fmt::format("{}", fmt::join(triedServers_, ",")) },
+             { "servers",
+               fmt::format("{}", fmt::join(attempts_.TriedServers(), ",")) },
              { "chosen_by", lastSelectionSource_ },
-             { "attempts", sentAttempts_ },
-             { "unreachable", unreachableAttempts_ },
+             { "attempts", attempts_.SentAttempts() },
+             { "unreachable", attempts_.UnreachableAttempts() },
              { "status", aStatus },
              { "outcome", aOutcome },
              { "reason", aReason },
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AttemptHistory.h"
 #include "gateway/BackendAttempt.h"
 #include "gateway/GatewayContext.h"
 #include "http/HttpServerExchange.h"
@@ -67,7 +68,14 @@
   // Starts another attempt if that is allowed and responds otherwise. Does
   // nothing while another attempt is running or being selected.
   void RetryOrRespond(AttemptPurpose aPurpose, std::string_view aReason);
+  // Responds with the latest error response of a server, or without one. Call
+  // it only while no attempt is running.
   void RespondWithFailure(std::string_view aReason, Duration aRetryAfter);
+  // Responds with 503, "not run", if that is proven and with aUnknownStatus
+  // otherwise.
+  void RespondWithoutServer(int aUnknownStatus,
+                            std::string_view aReason,
+                            Duration aRetryAfter);
   void OnDeadline();
   void OnHedgeTimeout();
 
@@ -107,12 +115,7 @@
   bool isBodyStreamed_ = false;
 
   std::vector<AttemptPointer> runningAttempts_;
-  std::vector<std::string> triedServers_;
-  int sentAttempts_ = 0;
-  // Number of attempts that could not reach their server.
-  int unreachableAttempts_ = 0;
-  // True when an attempt was sent and there is no proof that it did not run.
-  bool mayHaveRun_ = false;
+  AttemptHistory attempts_;
   bool isSelecting_ = false;
   bool isDone_ = false;
   // The attempt whose response is forwarded while it arrives.
