Gateway: Write the host's own responses in one place

The session and the service each built their own: the service's refusals had no Content-Type and a Retry-After as text. LocalResponse holds status, reason and time to return. The golden session of an unknown route gains the Content-Type line; everything else is the same. test_gateway and test_platform pass.

--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -11,12 +11,12 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-// In seconds. A host that has just started usually reads its configuration
-// within this time.
-constexpr std::string_view kStartRetryAfter = "0.200";
-// In seconds. Another host can serve the request as soon as its caller has
-// opened a connection to it.
-constexpr std::string_view kOtherHostRetryAfter = "0.010";
+// A host that has just started usually reads its configuration within this
+// time.
+constexpr std::chrono::milliseconds kStartRetryAfter{ 200 };
+// Another host can serve the request as soon as its caller has opened a
+// connection to it.
+constexpr std::chrono::milliseconds kOtherHostRetryAfter{ 10 };
 
 // Memory of a request beside its bodies: its head, and the heads of the
 // responses to an attempt and to its hedge.
@@ -60,21 +60,23 @@
   // Without a configuration the routes are unknown, so "not found" might be
   // wrong.
   if (context_.routing == nullptr) {
-    Refuse(
-      *aExchange, headers, kUnavailable, "no-configuration", kStartRetryAfter);
+    Refuse(*aExchange,
+           headers,
+           { kUnavailable, "no-configuration", kStartRetryAfter });
     return nullptr;
   }
   if (!head.fields.Find("Host")) {
-    Refuse(*aExchange, headers, kBadRequest, "no-host");
+    Refuse(*aExchange, headers, { kBadRequest, "no-host" });
     return nullptr;
   }
   const Route* route = FindRoute(head);
   if (route == nullptr) {
-    Refuse(*aExchange, headers, kNotFound, "no-route");
+    Refuse(*aExchange, headers, { kNotFound, "no-route" });
     return nullptr;
   }
   if (EndsBefore(*route, headers)) {
-    Refuse(*aExchange, headers, kUnavailable, "stopping", kOtherHostRetryAfter);
+    Refuse(
+      *aExchange, headers, { kUnavailable, "stopping", kOtherHostRetryAfter });
     return nullptr;
   }
   MemoryReservation memory(context_.memory);
@@ -82,7 +84,7 @@
                      context_.memory.Limit() / kBodyReserveDivisor)) {
     context_.metrics.Count(GatewayCounter::OutOfMemory);
     Refuse(
-      *aExchange, headers, kUnavailable, "no-memory", kOtherHostRetryAfter);
+      *aExchange, headers, { kUnavailable, "no-memory", kOtherHostRetryAfter });
     return nullptr;
   }
   const auto session = std::make_shared<GatewaySession>(context_,
@@ -124,27 +126,20 @@
 void
 GatewayService::Refuse(HttpServerExchange& aExchange,
                        const CallerHeaders& aHeaders,
-                       int aStatus,
-                       std::string_view aReason,
-                       std::string_view aRetryAfter)
+                       const LocalResponse& aResponse)
 {
-  context_.metrics.Count(aStatus == kUnavailable ? GatewayCounter::RefusedNotRun
-                                                 : GatewayCounter::NotRouted);
-  HttpResponseHead head;
-  head.status = aStatus;
-  context_.headerCodec.WriteLocalResponseHeaders(head, aHeaders.requestId);
-  if (!aRetryAfter.empty()) {
-    head.fields.Set("Retry-After", aRetryAfter);
-  }
+  context_.metrics.Count(aResponse.status == kUnavailable
+                           ? GatewayCounter::RefusedNotRun
+                           : GatewayCounter::NotRouted);
   LogEvent(LogLevel::Info,
            "request_refused",
            { { "request", aHeaders.requestId },
              { "host", aExchange.Request().fields.Find("Host").value_or("") },
              { "target", aExchange.Request().target },
              { "version", context_.routing ? context_.routing->Version() : 0 },
-             { "status", aStatus },
-             { "reason", aReason } });
-  SendWholeResponse(aExchange, head, aReason);
+             { "status", aResponse.status },
+             { "reason", aResponse.reason } });
+  SendLocalResponse(aExchange, context_.headerCodec, aHeaders, aResponse);
 }
 
 } // namespace filbertbeam
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/GatewayContext.h"
+#include "gateway/LocalResponse.h"
 #include "http/HttpServer.h"
 
 namespace filbertbeam {
@@ -29,13 +30,10 @@
   const Route* FindRoute(const HttpRequestHead& aHead) const;
   // True if the process may end before the response to the request is due.
   bool EndsBefore(const Route& aRoute, const CallerHeaders& aHeaders) const;
-  // aRetryAfter is only sent with a status that reports that the request has
-  // not run.
+  // Responds to a request for which no session has been started.
   void Refuse(HttpServerExchange& aExchange,
               const CallerHeaders& aHeaders,
-              int aStatus,
-              std::string_view aReason,
-              std::string_view aRetryAfter = {});
+              const LocalResponse& aResponse);
 
   GatewayContext context_;
 };
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewaySession.h"
 
 #include "base/Log.h"
+#include "gateway/LocalResponse.h"
 #include "gateway/RequestTimeout.h"
 #include "gateway/ResponseProof.h"
 #include "http/EndpointText.h"
@@ -342,7 +343,7 @@
 {
   if (failureHead_) {
     const HttpResponseHead head = *std::exchange(failureHead_, std::nullopt);
-    ForwardResponse(head, failureBody_);
+    SendWholeResponse(*exchange_, head, failureBody_);
     Close(head.status, "backend-failed", aReason);
     return;
   }
@@ -360,13 +361,13 @@
                                      std::string_view aReason,
                                      Duration aRetryAfter)
 {
-  if (attempts_.MayHaveRun()) {
-    SendLocalResponse(aUnknownStatus, aReason, std::nullopt);
-    Close(aUnknownStatus, "unknown", aReason);
-    return;
-  }
-  SendLocalResponse(kUnavailable, aReason, aRetryAfter);
-  Close(kUnavailable, "not-run", aReason);
+  const LocalResponse response =
+    attempts_.MayHaveRun()
+      ? LocalResponse{ aUnknownStatus, aReason }
+      : LocalResponse{ kUnavailable, aReason, aRetryAfter };
+  SendLocalResponse(*exchange_, context_.headerCodec, callerHeaders_, response);
+  Close(
+    response.status, attempts_.MayHaveRun() ? "unknown" : "not-run", aReason);
 }
 
 void
@@ -448,7 +449,7 @@
       EndAttempt(aAttempt, AttemptResult::Responded);
     CancelAttempts(AttemptResult::Abandoned);
     memory_.Take(attempt->Memory());
-    ForwardResponse(head, attempt->Body());
+    SendWholeResponse(*exchange_, head, attempt->Body());
     Close(head.status, "answered", "");
     return;
   }
@@ -619,32 +620,6 @@
   }
 }
 
-void
-GatewaySession::ForwardResponse(const HttpResponseHead& aHead,
-                                std::string_view aBody)
-{
-  SendWholeResponse(*exchange_, aHead, aBody);
-}
-
-void
-GatewaySession::SendLocalResponse(int aStatus,
-                                  std::string_view aReason,
-                                  std::optional<Duration> aRetryAfter)
-{
-  HttpResponseHead head;
-  head.status = aStatus;
-  context_.headerCodec.WriteLocalResponseHeaders(head,
-                                                 callerHeaders_.requestId);
-  head.fields.Set("Content-Type", "text/plain");
-  if (aRetryAfter) {
-    head.fields.Set(
-      "Retry-After",
-      fmt::format("{:.3f}",
-                  std::chrono::duration<double>(*aRetryAfter).count()));
-  }
-  SendWholeResponse(*exchange_, head, aReason);
-}
-
 void
 GatewaySession::Close(int aStatus,
                       std::string_view aOutcome,
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -91,10 +91,6 @@
   // Removes aAttempt from the running attempts and reports its result.
   AttemptPointer EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult);
   void CancelAttempts(AttemptResult aResult);
-  void ForwardResponse(const HttpResponseHead& aHead, std::string_view aBody);
-  void SendLocalResponse(int aStatus,
-                         std::string_view aReason,
-                         std::optional<Duration> aRetryAfter);
   void Close(int aStatus, std::string_view aOutcome, std::string_view aReason);
 
   GatewayContext& context_;
