Catalog: Notice that responses to waiting watches were lost

Callers' requests reached servers that had left, and were run by services of an older configuration, for up to 26 s.

Cause: a watch waits for 25 s. If its response is lost while the store does not answer, only the time limit of the call shows it, and the watchers went on telling the others that they reach the store.

Change: a host whose watch waits reads an empty page every 3 s, as a read that may be stale (a tenth of a call). Without a response its watches are started again, as after a failure of their own.

The new tests of the follower and of the probe pass.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -242,6 +242,17 @@
   List({});
 }
 
+void
+CatalogFollower::OnCatalogUnresponsive(const CatalogFailure& aFailure)
+{
+  if (!IsWatching()) {
+    return;
+  }
+  // The response to the waiting watch is ignored from here on.
+  ++latestCall_;
+  CheckResponse(aFailure);
+}
+
 void
 CatalogFollower::OnPage(CatalogPage aPage)
 {
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -78,6 +78,14 @@
   // late. Does nothing when that change has been read or is being read.
   void CatchUp(std::uint64_t aRevision);
 
+  // True while a watch waits for its response, however long that takes.
+  bool IsWatching() const
+  {
+    return IsReachable() && revision_ != 0 && !followsPeer_;
+  }
+  // The catalog has not responded to another call of this host. The response to
+  // a watch that waits may have been lost as well, so it is started again.
+  void OnCatalogUnresponsive(const CatalogFailure& aFailure);
   // The catalog responds to a peer, as the peer has reported.
   void OnCatalogResponds() { missing_.OnCatalogResponds(); }
   // While a peer is followed, no watch is started: the caller passes what the
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -221,6 +221,33 @@
   BOOST_TEST(catalog.wait.count() == longest.count());
 }
 
+// Guards against changes that stay hidden for the whole wait of a watch, since
+// the response to it was lost while the catalog did not respond.
+BOOST_AUTO_TEST_CASE(StartsItsWatchAgainWhenAnotherCallGotNoResponse)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  BOOST_TEST(follower.IsWatching());
+  follower.OnCatalogUnresponsive({ CatalogError::Unavailable, "test" });
+  BOOST_TEST(!follower.IsReachable());
+  BOOST_TEST(!follower.IsWatching());
+  BOOST_REQUIRE(WaitUntil([&] { return catalog.watches.size() == 2; }));
+  // Late, after the watch was given up.
+  catalog.RespondToWatch(Changes({ { Object("x", 9), false } }, 9));
+  BOOST_TEST(names == "a ");
+  catalog.RespondToWatch(Changes({ { Object("b", 4), false } }, 4));
+  BOOST_TEST(follower.IsReachable());
+  BOOST_TEST(names == "a b ");
+}
+
+// Guards against a failure that is counted by hosts that wait for no response.
+BOOST_AUTO_TEST_CASE(IgnoresAnUnresponsiveCatalogWhileItFollowsAPeer)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  follower.SetFollowsPeer(true);
+  follower.OnCatalogUnresponsive({ CatalogError::Unavailable, "test" });
+  BOOST_TEST(follower.IsReachable());
+}
+
 BOOST_AUTO_TEST_CASE(ListsAgainWhenTheHistoryHasExpired)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
--- /dev/null
+++ b/src/catalog/tests/TestCatalogProbe.cpp
@@ -0,0 +1,68 @@
+#include "catalog/CatalogProbe.h"
+#include "catalog/tests/support/CatalogStub.h"
+#include "http/tests/support/EventLoop.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+class ProbedCatalog final : public CatalogStub
+{
+public:
+  void List(Collection,
+            std::string_view,
+            ListFreshness aFreshness,
+            PageCallback aCallback) override
+  {
+    freshness = aFreshness;
+    lists.push_back(std::move(aCallback));
+  }
+
+  void Respond(CatalogError aError)
+  {
+    CatalogPage page;
+    page.failure.error = aError;
+    lists.back()(page);
+  }
+
+  ListFreshness freshness = ListFreshness::Newest;
+  std::vector<PageCallback> lists;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AProbeOfTheCatalog)
+
+// Guards against a catalog that stops responding and is not noticed before the
+// end of a watch, and against calls that nobody needs.
+BOOST_AUTO_TEST_CASE(ReportsThatTheCatalogDoesNotRespond)
+{
+  ProbedCatalog catalog;
+  bool isNeeded = false;
+  int failures = 0;
+  CatalogProbe probe(
+    catalog,
+    [&] { return isNeeded; },
+    [&](const CatalogFailure&) { ++failures; });
+  probe.Start();
+  RunFor(kCatalogProbeInterval + 100ms);
+  BOOST_TEST(catalog.lists.empty());
+  isNeeded = true;
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.lists.empty(); },
+                               kCatalogProbeInterval + 100ms));
+  BOOST_TEST((catalog.freshness == ListFreshness::MayBeStale));
+  catalog.Respond(CatalogError::None);
+  catalog.Respond(CatalogError::Refused);
+  BOOST_TEST(failures == 0);
+  catalog.Respond(CatalogError::Unavailable);
+  BOOST_TEST(failures == 1);
+  isNeeded = false;
+  catalog.Respond(CatalogError::Unavailable);
+  BOOST_TEST(failures == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -183,6 +183,7 @@
                        settings_.processorCores };
   watchSharing_ =
     std::make_unique<WatchSharing>(self,
+                                   catalog_,
                                    *configurationFollower_,
                                    *serverFollower_,
                                    clock_,
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -61,6 +61,7 @@
 }
 
 WatchSharing::WatchSharing(PeerHost aSelf,
+                           ObjectCatalog& aCatalog,
                            CatalogFollower& aConfiguration,
                            CatalogFollower& aServers,
                            const Clock& aClock,
@@ -68,6 +69,13 @@
   : self_(std::move(aSelf))
   , configuration_(aConfiguration)
   , servers_(aServers)
+  , probe_(
+      aCatalog,
+      [this] { return configuration_.IsWatching() || servers_.IsWatching(); },
+      [this](const CatalogFailure& aFailure) {
+        configuration_.OnCatalogUnresponsive(aFailure);
+        servers_.OnCatalogUnresponsive(aFailure);
+      })
   , clock_(aClock)
   , sendHeartbeat_(std::move(aSendHeartbeat))
   , election_(self_.name, self_.processorCores)
@@ -80,6 +88,7 @@
 WatchSharing::Start()
 {
   tickTimer_.start(kTick);
+  probe_.Start();
 }
 
 void
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -2,6 +2,7 @@
 
 #include "balancing/SelectionMessages.h"
 #include "catalog/CatalogFollower.h"
+#include "catalog/CatalogProbe.h"
 #include "gateway/PeerSnapshot.h"
 #include "gateway/WatcherElection.h"
 #include "store/PlatformClient.h"
@@ -27,6 +28,7 @@
   // References have to outlive the object. aSendHeartbeat has to send a
   // heartbeat to the hosts of aSelf's failure domain.
   WatchSharing(PeerHost aSelf,
+               ObjectCatalog& aCatalog,
                CatalogFollower& aConfiguration,
                CatalogFollower& aServers,
                const Clock& aClock,
@@ -75,6 +77,7 @@
   const PeerHost self_;
   CatalogFollower& configuration_;
   CatalogFollower& servers_;
+  CatalogProbe probe_;
   const Clock& clock_;
   const HeartbeatSender sendHeartbeat_;
   WatcherElection election_;
