Gateway: Believe "not run" only with a status that agrees

A server's statement that it did not run a request was believed with any status, so also beside a signed success. A request that is not idempotent was then sent to a second server (TWICE), or its caller was told that it had not run (REFUSED). The statement is sent with 400, 421, 429 and 503; a server's own 500, and its 504 at the deadline, count as run.

Trace of the test on: POST, response 200 with the id, the signature and the statement; the session starts a second attempt at another server.

Change: the statement counts with a 4xx or 503 only. A response with another status is treated as if it lacked the statement: a signed success and a 500 or 504 reach the caller, an unsigned success becomes 502. No response of a server that keeps to the protocol is treated in another way.

--- a/src/gateway/ResponseProof.cpp
+++ b/src/gateway/ResponseProof.cpp
@@ -9,6 +9,14 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
+// True for the statuses that agree with the statement that the request was not
+// run. A server that sends another one, a success for example, has run it.
+bool
+MayStateNotRun(int aStatus)
+{
+  return (aStatus >= 400 && aStatus < 500) || aStatus == kUnavailable;
+}
+
 } // namespace
 
 bool
@@ -35,7 +43,8 @@
                 const HttpResponseHead& aHead,
                 const ResponseHeaders& aResponse)
 {
-  return (aResponse.isNotExecuted || aHead.status == kMisdirected) &&
+  const bool isStated = aResponse.isNotExecuted && MayStateNotRun(aHead.status);
+  return (isStated || aHead.status == kMisdirected) &&
          !aRequest.requestId.empty() && IsResponseTo(aRequest, aResponse);
 }
 
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -224,9 +224,14 @@
 
   static HttpResponseHead MakeNotRunResponse()
   {
-    HttpResponseHead head = MakeResponse(503, false);
-    head.fields.Add("Not-Run", "1");
-    return head;
+    return WithNotRun(MakeResponse(503, false));
+  }
+
+  // Adds the statement of a server that it did not run the request.
+  static HttpResponseHead WithNotRun(HttpResponseHead aHead)
+  {
+    aHead.fields.Add("Not-Run", "1");
+    return aHead;
   }
 
   PausableClock clock;
