Balancing: Judge a server only by attempts at its current run

The results of attempts are applied to the server with the attempt's id. A server that starts again under its id begins with no history, but attempts at its earlier run that were still pending were then applied to the new run: six broken ones made it unhealthy with a probability of 0.98 from its first moment, and a response to one counted as a sign that the new run responds, which allows idle connections for requests that are not idempotent.

Change: a pending attempt keeps the start of the run that it was sent to. Its result counts in the budget, and for the share of failed attempts of the service, but not for a later run.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -267,6 +267,7 @@
   const std::uint64_t ticket = ++nextTicket_;
   tickets_.emplace(ticket,
                    PendingAttempt{ aServer,
+                                   server.startedAt,
                                    aRequest.service,
                                    aRequest.host,
                                    latencyClass,
@@ -453,7 +454,9 @@
   UpdateBudget(attempt, aResult, aNow);
   UpdateFailingShare(attempt, aResult);
   const auto found = servers_.find(attempt.server);
-  if (found == servers_.end()) {
+  if (found == servers_.end() ||
+      found->second.startedAt != attempt.serverStartedAt) {
+    // The result says nothing about a later run of the server.
     return;
   }
   ServerState& server = found->second;
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -58,6 +58,8 @@
   struct PendingAttempt
   {
     std::string server;
+    // Identifies the run of the server.
+    std::int64_t serverStartedAt = 0;
     std::string service;
     std::string host;
     std::string latencyClass;
--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -51,6 +51,28 @@
     return request;
   }
 
+  // Selects aServer for a request of the host with the number aHost.
+  Selection SelectOnly(const std::string& aServer, int aHost)
+  {
+    SelectionRequest request = Request(true);
+    request.host = "host-" + std::to_string(aHost);
+    for (const BackendServerRecord& record : records) {
+      if (record.id != aServer) {
+        request.excluded.push_back(record.id);
+      }
+    }
+    const auto selection = selector.Select(request, clock.Now()).selection;
+    BOOST_TEST_REQUIRE(selection.has_value());
+    return *selection;
+  }
+
+  // Starts the server with the number aServer again under its id.
+  void RestartServer(std::size_t aServer)
+  {
+    ++records[aServer].startedAt;
+    Publish();
+  }
+
   // Selects a server and finishes its attempt after 200 ms, unless the server
   // is in aUnresponsive.
   std::string ServeOne(const std::set<std::string>& aUnresponsive = {})
@@ -550,22 +572,43 @@
 BOOST_AUTO_TEST_CASE(ARestartedServerStartsWithNoHistory)
 {
   for (int i = 0; i < 6; ++i) {
-    SelectionRequest request = Request(true);
-    request.host = "host-" + std::to_string(i);
-    for (const BackendServerRecord& record : records) {
-      if (record.id != "server-2") {
-        request.excluded.push_back(record.id);
-      }
-    }
-    const auto selection = selector.Select(request, clock.Now()).selection;
-    selector.Finish(selection->ticket, AttemptResult::Broken, clock.Now());
+    const Selection selection = SelectOnly("server-2", i);
+    selector.Finish(selection.ticket, AttemptResult::Broken, clock.Now());
   }
   BOOST_TEST(selector.UnhealthyProbability("server-2", clock.Now()) > 0.5);
-  records[2].startedAt = 1;
-  Publish();
+  RestartServer(2);
   BOOST_TEST(selector.UnhealthyProbability("server-2", clock.Now()) < 0.1);
 }
 
+// Guards against applying the results of attempts at an earlier run of a
+// server, most of which are known only after it has started again.
+BOOST_AUTO_TEST_CASE(ARestartedServerIsNotJudgedByItsEarlierAttempts)
+{
+  constexpr int kAttempts = 6;
+  std::vector<std::uint64_t> tickets;
+  tickets.reserve(kAttempts);
+  for (int i = 0; i < kAttempts; ++i) {
+    tickets.push_back(SelectOnly("server-2", i).ticket);
+  }
+  RestartServer(2);
+  for (const std::uint64_t ticket : tickets) {
+    selector.Finish(ticket, AttemptResult::Broken, clock.Now());
+  }
+  BOOST_TEST(selector.PendingAttempts() == 0);
+  BOOST_TEST(selector.UnhealthyProbability("server-2", clock.Now()) < 0.1);
+}
+
+// Guards against an idle connection to an earlier run of a server, on which the
+// outcome of a request would be unknown.
+BOOST_AUTO_TEST_CASE(ARestartedServerHasNotRespondedToItsEarlierAttempts)
+{
+  clock.Advance(10s);
+  const Selection earlier = SelectOnly("server-2", 0);
+  RestartServer(2);
+  selector.Finish(earlier.ticket, AttemptResult::Responded, clock.Now());
+  BOOST_TEST(!SelectOnly("server-2", 1).hasRespondedRecently);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Latencies)
