Tests: Share no connection between concurrent requests with the same id

Two guards for the choice of a connection by request id, found while it was reviewed; both pass on:

- 400 requests with 12 ids, five at a time, each started within the last event of an earlier one, some on connections that their server closes.
The server sees no id twice on a connection.
- Requests without an id share no connection, since nothing tells a late copy of the response to one from the response to another.

--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -1,3 +1,4 @@
+#include "base/SeededRandom.h"
 #include "http/HttpClient.h"
 #include "http/tests/support/EventLoop.h"
 #include "http/tests/support/RawPeers.h"
@@ -11,7 +12,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <map>
 #include <ostream>
+#include <set>
 
 using namespace filbertbeam;
 using namespace filbertbeam::testing;
@@ -262,6 +265,66 @@
   BOOST_TEST(connectionOf(std::nullopt) == third);
 }
 
+// Requests without an id have an empty one in common: nothing tells a late copy
+// of the response to one from the response to another.
+BOOST_AUTO_TEST_CASE(RequestsWithAnEmptyIdDoNotShareAConnection)
+{
+  RespondToHeadsWith(kEmptyOk);
+  for (std::size_t i = 1; i <= 3; ++i) {
+    HttpClientOptions options;
+    options.requestId = "";
+    const auto observer = Start(Get(), options);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    BOOST_TEST(server.connections.size() == i);
+  }
+}
+
+// Guards against a connection that is taken for a request with an id that it
+// has carried, whatever the order in which requests begin and end. Each request
+// is started within the last event of an earlier one.
+BOOST_AUTO_TEST_CASE(ConcurrentRequestsWithTheSameIdDoNotShareAConnection)
+{
+  constexpr std::size_t kRequests = 400;
+  constexpr int kConcurrentRequests = 5;
+  constexpr std::uint64_t kIds = 12;
+  SeededRandom random(7);
+  std::map<const RawConnection*, std::set<std::string>> idsByConnection;
+  int repeatedIds = 0;
+  server.onReceived = [&](RawConnection& aConnection) {
+    if (!aConnection.received.ends_with("\r\n\r\n")) {
+      return;
+    }
+    const std::string head = std::exchange(aConnection.received, {});
+    const std::string target = head.substr(0, head.find(" HTTP/1.1"));
+    repeatedIds += idsByConnection[&aConnection].insert(target).second ? 0 : 1;
+    aConnection.Send(random.Below(10) == 0
+                       ? "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                         "Content-Length: 0\r\n\r\n"
+                       : kEmptyOk);
+  };
+  std::size_t started = 0;
+  std::size_t ended = 0;
+  std::function<void()> startNext = [&] {
+    if (started == kRequests) {
+      return;
+    }
+    ++started;
+    HttpClientOptions options;
+    options.requestId = std::to_string(random.Below(kIds));
+    const auto observer = Start(Get('/' + *options.requestId), options);
+    observer->onOver = [&, raw = observer.get()] {
+      ended += static_cast<std::size_t>(raw->ends);
+      startNext();
+    };
+  };
+  for (int i = 0; i < kConcurrentRequests; ++i) {
+    startNext();
+  }
+  BOOST_TEST(WaitUntil([&] { return ended == kRequests; }));
+  BOOST_TEST(repeatedIds == 0);
+  BOOST_TEST(server.connections.size() < kRequests / 2);
+}
+
 // Guards against memory that grows with the number of requests on a connection.
 BOOST_AUTO_TEST_CASE(AConnectionIsReplacedAfterManyRequestsWithIds)
 {
