Balancing: Number the queries of each run of a host anew

A host numbers its queries to owners from 1. After it had started again at its address, the response of an owner that had been paused meanwhile, to a query of the host's earlier run, was taken for the response to the new query with the same number: a server selected for another request, with the tried servers of that one, its purpose and its ticket. The sender of a request still checks the service and the state of the server and names it in the request, so no request ran twice or at a wrong server by this.

Change: the first number is random, as that of tickets is. It is not drawn from the seeded numbers of decisions, whose sequence stays.

Measured: the new test got the server of the earlier query on and gets its own; test_balancing and test_gateway pass.

--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -1,6 +1,7 @@
 #include "balancing/SelectionService.h"
 
 #include "base/Log.h"
+#include "base/SeededRandom.h"
 
 #include <algorithm>
 #include <array>
@@ -58,6 +59,9 @@
   , selector_(aSettings.budget, aRandom)
   , directory_(
       std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
+  // Prevents responses to queries of an earlier run of this host from matching
+  // new ones. The ids affect no decision, so no seed needs to reproduce them.
+  , nextQueryId_((SeededRandom().Next() >> 24) << 16)
 {
   queryTimer_.setSingleShot(true);
   queryTimer_.setTimerType(Qt::PreciseTimer);
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -180,7 +180,7 @@
   // Reports sent since the last resend, by owner; few at a time.
   std::vector<std::pair<Endpoint, SelectionReport>> reportsToResend_;
   QTimer reportTimer_;
-  std::uint64_t nextQueryId_ = 1;
+  std::uint64_t nextQueryId_;
   KnownVersions known_;
   VersionsHandler onNewerVersions_;
   AnnouncementHandler onAnnouncement_;
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -1,4 +1,5 @@
 #include "balancing/SelectionService.h"
+#include "base/Digest.h"
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "http/tests/support/EventLoop.h"
@@ -17,13 +18,16 @@
 
 struct Host
 {
-  explicit Host(const std::string& aName)
+  explicit Host(const std::string& aName,
+                std::uint16_t aPort = 0,
+                std::uint64_t aSeed = 1)
     : name(aName)
+    , random(aSeed)
   {
     SelectionServiceSettings settings;
     settings.host = aName;
     settings.domain = "piarco";
-    settings.listen = { kLoopback, 0 };
+    settings.listen = { kLoopback, aPort };
     settings.budget = { 0.2, 10, 10s };
     std::string reason;
     service = SelectionService::Create(settings, clock, random, reason);
@@ -65,10 +69,55 @@
 
   std::string name;
   SystemClock clock;
-  SeededRandom random{ 1 };
+  SeededRandom random;
   std::unique_ptr<SelectionService> service;
 };
 
+// An owner of every service that receives queries and leaves the responses to
+// the test.
+struct SilentOwner
+{
+  SilentOwner()
+    : socket(DatagramSocket::Create({ kLoopback, 0 }, reason))
+  {
+    BOOST_TEST_REQUIRE(socket != nullptr, reason);
+    socket->SetHandler([this](const Endpoint& aSender, ByteView aBytes) {
+      const auto message = DecodeSelectionMessage(aBytes);
+      if (message && std::holds_alternative<SelectionQuery>(*message)) {
+        queries.push_back(std::get<SelectionQuery>(*message).queryId);
+        requester = aSender;
+      }
+    });
+  }
+
+  // Becomes the only other host that aHost knows, with the higher rank.
+  PeerHost AddressFor(const std::string& aHost) const
+  {
+    const std::uint64_t key = StableHash("permits");
+    int number = 0;
+    while (StableHash("owner-" + std::to_string(number), key) <
+           StableHash(aHost, key)) {
+      ++number;
+    }
+    return { "owner-" + std::to_string(number),
+             "piarco",
+             socket->LocalEndpoint() };
+  }
+
+  void Respond(std::uint64_t aQueryId, const std::string& aServer)
+  {
+    SelectionResponse response;
+    response.queryId = aQueryId;
+    response.result.selection = Selection{ 1, aServer, 100ms, false };
+    socket->Send(requester, EncodeSelectionMessage(response));
+  }
+
+  std::string reason;
+  std::unique_ptr<DatagramSocket> socket;
+  Endpoint requester;
+  std::vector<std::uint64_t> queries;
+};
+
 // Relays datagrams between a host and the owner, and drops those that the test
 // selects.
 class LossyPath
@@ -178,6 +227,36 @@
   BOOST_TEST(requester.Select().source == "self");
 }
 
+// Guards against the response to a query of an earlier run of the host, from an
+// owner that was paused meanwhile, that is taken for the response to another
+// query.
+BOOST_AUTO_TEST_CASE(ARestartedHostIgnoresResponsesToItsEarlierQueries)
+{
+  SilentOwner owner;
+  auto host = std::make_unique<Host>("host", 0, 1);
+  const std::uint16_t port = host->service->LocalEndpoint().port;
+  host->service->SetHosts({ owner.AddressFor("host") });
+  SelectionRequest request;
+  request.service = "permits";
+  request.latencyObjective = 1s;
+  request.remaining = 2s;
+  host->service->Select(request, [](const SelectionOutcome&) {});
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return owner.queries.size() == 1; }));
+  host.reset();
+
+  host = std::make_unique<Host>("host", port, 2);
+  host->service->SetHosts({ owner.AddressFor("host") });
+  std::optional<SelectionOutcome> outcome;
+  host->service->Select(
+    request, [&](const SelectionOutcome& aOutcome) { outcome = aOutcome; });
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return owner.queries.size() == 2; }));
+  owner.Respond(owner.queries.front(), "earlier");
+  owner.Respond(owner.queries.back(), "server");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }));
+  BOOST_TEST(outcome->source == "owner");
+  BOOST_TEST(outcome->result.selection->backendServer == "server");
+}
+
 // Guards against a host that stays behind because its own watch of the catalog
 // is broken.
 BOOST_AUTO_TEST_CASE(AHostIsNotifiedWhenAPeerHasReadANewerVersion)
