Owner: Give each attempt at a backend server its own observer

Callers could get 502 or 503 for an idempotent request whose retry had not been sent yet, and "unknown" for one of which no byte had left the host.

Cause: OwnerSession was the observer of all attempts of its request. A failure that the client had queued when the trial was given up was taken for one of the next attempt, which was not cancelled either. And every failed trial counted as one that may have run, also one whose connection was refused.

Change: ServerAttempt carries one attempt, drops its events once it is cancelled, and says whether the request may have run in it. The session asks it in one place, when the attempt has ended and no byte can be sent any more (OnDeadline asked before), and a refusal states "not-run" only if no attempt may have run. No caller of Refuse chooses the outcome any more.

That the client delivers such a queued failure was read, not seen in a run with sockets.

The tests' owner is in a header of its own, ends its requests, and the fake client drops its observers as the real one does: timers of sessions left by one test fired in another.

--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -99,7 +99,7 @@
   const Endpoint server;
   const HttpRequestHead head;
   const HttpClientOptions options;
-  const std::shared_ptr<HttpResponseObserver> observer;
+  std::shared_ptr<HttpResponseObserver> observer;
   ConnectionUse connection{ 1, 1 };
   std::string body;
   bool isBodyFinished = false;
@@ -112,6 +112,17 @@
 class FakeHttpClient final : public HttpClient
 {
 public:
+  FakeHttpClient() = default;
+  ~FakeHttpClient() override
+  {
+    // As by the real client; an observer may own its exchange.
+    for (const auto& exchange : exchanges) {
+      exchange->observer.reset();
+    }
+  }
+  FakeHttpClient(const FakeHttpClient&) = delete;
+  FakeHttpClient& operator=(const FakeHttpClient&) = delete;
+
   std::shared_ptr<HttpClientExchange> Start(
     const Endpoint& aServer,
     const HttpRequestHead& aHead,
--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -1,6 +1,7 @@
 #include "owner/OwnerSession.h"
 
 #include "http/ProblemDetails.h"
+#include "relay/Outcome.h"
 #include "relay/RelayFields.h"
 #include "relay/RelayLoad.h"
 
@@ -110,7 +111,7 @@
 {
   holdsSlot_ = true;
   if (state_ != State::Queued) {
-    ReleaseSlot(AttemptResult::Cancelled);
+    EndAttempt(AttemptResult::Cancelled);
     return;
   }
   // The deadline may have passed while the process was suspended; the request
@@ -119,8 +120,8 @@
   const auto remaining =
     std::chrono::floor<std::chrono::milliseconds>(deadline_ - assignedAt_);
   if (remaining.count() <= 0) {
-    ReleaseSlot(AttemptResult::Cancelled);
-    Refuse(504, "deadline-passed", Outcome::NotRun);
+    EndAttempt(AttemptResult::Cancelled);
+    Refuse(504, "deadline-passed");
     return;
   }
   state_ = State::Running;
@@ -131,17 +132,13 @@
     trialTimer_.start(kTrialTimeout);
   }
 
-  HttpClientOptions options;
-  // If an idle connection turns out to be closed, the outcome of a
-  // non-idempotent request on it is unknown.
-  options.freshConnection = !request_.isIdempotent;
-  backendExchange_ =
-    client_.Start({ aBackendServer.address, aBackendServer.port },
+  attempt_ = std::make_shared<ServerAttempt>(shared_from_this());
+  attempt_->Start(client_,
+                  { aBackendServer.address, aBackendServer.port },
                   BackendRequestHead(remaining),
-                  options,
-                  shared_from_this());
+                  request_.isIdempotent);
   if (exchange_->Request().framing == BodyFraming::None) {
-    backendExchange_->FinishBody();
+    attempt_->Exchange().FinishBody();
   }
   exchange_->ResumeRequestBody();
 }
@@ -153,15 +150,14 @@
     return;
   }
   const RefusalResponse response = ResponseTo(aReason);
-  Refuse(response.status, response.reason, Outcome::NotRun);
+  Refuse(response.status, response.reason);
 }
 
 void
-OwnerSession::Refuse(int aStatus, std::string_view aReason, Outcome aOutcome)
+OwnerSession::Refuse(int aStatus, std::string_view aReason)
 {
   state_ = State::Done;
-  const Outcome outcome =
-    mayHaveRun_ && aOutcome == Outcome::NotRun ? Outcome::Unknown : aOutcome;
+  const Outcome outcome = mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun;
   ProblemDetails problem;
   problem.status = aStatus;
   problem.title = std::string(aReason);
@@ -179,8 +175,14 @@
 }
 
 void
-OwnerSession::ReleaseSlot(AttemptResult aResult)
+OwnerSession::EndAttempt(AttemptResult aResult)
 {
+  if (attempt_) {
+    // Cancelled first, since a byte may be sent until then.
+    attempt_->Cancel();
+    mayHaveRun_ = mayHaveRun_ || attempt_->MayHaveRun();
+    attempt_.reset();
+  }
   deadlineTimer_.stop();
   trialTimer_.stop();
   if (!holdsSlot_) {
@@ -193,11 +195,11 @@
 void
 OwnerSession::OnRequestBody(ByteView aBytes)
 {
-  if (!backendExchange_ || state_ == State::Done) {
+  if (!attempt_) {
     return;
   }
-  backendExchange_->SendBody(aBytes);
-  if (backendExchange_->UnsentBytes() > kMaxUnsentBytes) {
+  attempt_->Exchange().SendBody(aBytes);
+  if (attempt_->Exchange().UnsentBytes() > kMaxUnsentBytes) {
     exchange_->PauseRequestBody();
   }
 }
@@ -205,9 +207,8 @@
 void
 OwnerSession::OnRequestEnd()
 {
-  if (backendExchange_ && state_ != State::Done &&
-      exchange_->Request().framing != BodyFraming::None) {
-    backendExchange_->FinishBody();
+  if (attempt_ && exchange_->Request().framing != BodyFraming::None) {
+    attempt_->Exchange().FinishBody();
   }
 }
 
@@ -220,8 +221,8 @@
 void
 OwnerSession::OnResponseWritable()
 {
-  if (backendExchange_) {
-    backendExchange_->ResumeResponseBody();
+  if (attempt_) {
+    attempt_->Exchange().ResumeResponseBody();
   }
 }
 
@@ -236,10 +237,7 @@
     shard_->Cancel(id_);
     return;
   }
-  if (backendExchange_) {
-    backendExchange_->Cancel();
-  }
-  ReleaseSlot(AttemptResult::Cancelled);
+  EndAttempt(AttemptResult::Cancelled);
 }
 
 void
@@ -259,14 +257,13 @@
   trialTimer_.stop();
   shard_->OnResponseHead(id_);
   if (shedStatus_ && aHead.status == *shedStatus_) {
-    backendExchange_->Cancel();
-    ReleaseSlot(AttemptResult::Shed);
+    attempt_->OnShed();
+    EndAttempt(AttemptResult::Shed);
     OnShed();
     return;
   }
   if (aHead.status >= kFirstServerError && CanRequeueFailedTrial()) {
-    backendExchange_->Cancel();
-    ReleaseSlot(AttemptResult::Failure);
+    EndAttempt(AttemptResult::Failure);
     RequeueFailedTrial();
     return;
   }
@@ -298,12 +295,11 @@
   // scheduler pauses sending to the server that shed it.
   const bool hasBody = exchange_->Request().framing != BodyFraming::None;
   if (hasBody || shedRetries_ >= kMaxShedRetries) {
-    Refuse(503, "backend-shed", Outcome::NotRun);
+    Refuse(503, "backend-shed");
     return;
   }
   ++shedRetries_;
   state_ = State::Queued;
-  backendExchange_.reset();
   Submit();
 }
 
@@ -315,7 +311,7 @@
   }
   exchange_->SendBody(aBytes);
   if (exchange_->UnsentBytes() > kMaxUnsentBytes) {
-    backendExchange_->PauseResponseBody();
+    attempt_->Exchange().PauseResponseBody();
   }
 }
 
@@ -327,19 +323,19 @@
   }
   state_ = State::Done;
   exchange_->Finish();
-  ReleaseSlot(responseStatus_ >= kFirstServerError ? AttemptResult::Failure
-                                                   : AttemptResult::Success);
+  EndAttempt(responseStatus_ >= kFirstServerError ? AttemptResult::Failure
+                                                  : AttemptResult::Success);
 }
 
 void
 OwnerSession::OnExchangeFailed(const HttpFailure& aFailure)
 {
-  // The code that cancels an exchange decides itself how the request continues.
+  // The client gave up the exchange by itself; the deadline ends the request.
   if (aFailure.kind == HttpFailureKind::Cancelled || state_ == State::Done) {
     return;
   }
   const State before = state_;
-  ReleaseSlot(AttemptResult::Failure);
+  EndAttempt(AttemptResult::Failure);
   if (before == State::Responding) {
     state_ = State::Done;
     exchange_->Abort();
@@ -350,10 +346,10 @@
     return;
   }
   if (aFailure.anyByteSent) {
-    Refuse(502, "backend-connection-lost", Outcome::Unknown);
+    Refuse(502, "backend-connection-lost");
     return;
   }
-  Refuse(503, "backend-unreachable", Outcome::NotRun);
+  Refuse(503, "backend-unreachable");
 }
 
 void
@@ -362,19 +358,19 @@
   if (state_ != State::Running) {
     return;
   }
-  backendExchange_->Cancel();
-  ReleaseSlot(AttemptResult::Failure);
+  const auto self = shared_from_this();
+  EndAttempt(AttemptResult::Failure);
   if (CanRequeueFailedTrial()) {
     RequeueFailedTrial();
     return;
   }
-  Refuse(502, "trial-failed", Outcome::Unknown);
+  Refuse(502, "trial-failed");
 }
 
 bool
 OwnerSession::CanRequeueFailedTrial() const
 {
-  return isTrial_ && !mayHaveRun_ && request_.isIdempotent &&
+  return isTrial_ && !hasFailedTrial_ && request_.isIdempotent &&
          exchange_->Request().framing == BodyFraming::None;
 }
 
@@ -384,9 +380,8 @@
   // The server was ejected, and this request was only chosen to test it. It is
   // queued again, once, for a server that is in use.
   isTrial_ = false;
-  mayHaveRun_ = true;
+  hasFailedTrial_ = true;
   state_ = State::Queued;
-  backendExchange_.reset();
   Submit();
 }
 
@@ -396,21 +391,17 @@
   if (state_ == State::Done) {
     return;
   }
+  const auto self = shared_from_this();
   // The caller chooses the deadline, so it says nothing about the backend
   // server. A slow server is detected by the age of its pending requests.
   const State before = state_;
-  const bool anyByteSent = backendExchange_ && backendExchange_->AnyByteSent();
+  EndAttempt(AttemptResult::Cancelled);
   if (before == State::Responding) {
     state_ = State::Done;
     exchange_->Abort();
-  } else {
-    Refuse(
-      504, "deadline-passed", anyByteSent ? Outcome::Unknown : Outcome::NotRun);
-  }
-  if (backendExchange_) {
-    backendExchange_->Cancel();
+    return;
   }
-  ReleaseSlot(AttemptResult::Cancelled);
+  Refuse(504, "deadline-passed");
 }
 
 } // namespace filbertbeam
--- a/src/owner/OwnerSession.h
+++ b/src/owner/OwnerSession.h
@@ -4,7 +4,7 @@
 #include "http/HttpClient.h"
 #include "http/HttpServerExchange.h"
 #include "owner/OwnedShard.h"
-#include "relay/Outcome.h"
+#include "owner/ServerAttempt.h"
 #include "relay/RelayRequest.h"
 
 #include <QTimer>
@@ -63,9 +63,11 @@
 
   HttpRequestHead BackendRequestHead(
     std::chrono::milliseconds aRemaining) const;
-  void Refuse(int aStatus, std::string_view aReason, Outcome aOutcome);
-  // Ends the attempt and returns its slot.
-  void ReleaseSlot(AttemptResult aResult);
+  // The outcome in the response follows from all attempts, none of which may be
+  // running any more.
+  void Refuse(int aStatus, std::string_view aReason);
+  // Cancels the attempt if it is running, and returns its slot.
+  void EndAttempt(AttemptResult aResult);
   void Submit();
   void OnShed();
   void OnDeadline();
@@ -88,10 +90,12 @@
   int responseStatus_ = 0;
   int shedRetries_ = 0;
   bool isTrial_ = false;
-  // Set after a failed trial, in which the request may have run.
+  bool hasFailedTrial_ = false;
+  // True if the request may have run in an attempt that has ended.
   bool mayHaveRun_ = false;
   std::string backendServer_;
-  std::shared_ptr<HttpClientExchange> backendExchange_;
+  // Null while no attempt is running.
+  std::shared_ptr<ServerAttempt> attempt_;
   QTimer deadlineTimer_;
   QTimer trialTimer_;
 };
--- /dev/null
+++ b/src/owner/ServerAttempt.cpp
@@ -0,0 +1,86 @@
+#include "owner/ServerAttempt.h"
+
+#include <utility>
+
+namespace filbertbeam {
+
+ServerAttempt::ServerAttempt(std::shared_ptr<HttpResponseObserver> aObserver)
+  : observer_(std::move(aObserver))
+{
+}
+
+void
+ServerAttempt::Start(HttpClient& aClient,
+                     const Endpoint& aServer,
+                     const HttpRequestHead& aHead,
+                     bool aIsIdempotent)
+{
+  HttpClientOptions options;
+  // If an idle connection turns out to be closed, the outcome of a
+  // non-idempotent request on it is unknown.
+  options.freshConnection = !aIsIdempotent;
+  exchange_ = aClient.Start(aServer, aHead, options, shared_from_this());
+}
+
+void
+ServerAttempt::Cancel()
+{
+  observer_.reset();
+  exchange_->Cancel();
+}
+
+bool
+ServerAttempt::MayHaveRun() const
+{
+  return exchange_->AnyByteSent() && !isShed_;
+}
+
+void
+ServerAttempt::OnRequestSent()
+{
+  if (const auto observer = observer_) {
+    observer->OnRequestSent();
+  }
+}
+
+void
+ServerAttempt::OnRequestWritable()
+{
+  if (const auto observer = observer_) {
+    observer->OnRequestWritable();
+  }
+}
+
+void
+ServerAttempt::OnResponseHead(const HttpResponseHead& aHead)
+{
+  if (const auto observer = observer_) {
+    observer->OnResponseHead(aHead);
+  }
+}
+
+void
+ServerAttempt::OnResponseBody(ByteView aBytes)
+{
+  if (const auto observer = observer_) {
+    observer->OnResponseBody(aBytes);
+  }
+}
+
+void
+ServerAttempt::OnResponseEnd()
+{
+  if (const auto observer = std::exchange(observer_, nullptr)) {
+    observer->OnResponseEnd();
+  }
+}
+
+void
+ServerAttempt::OnExchangeFailed(const HttpFailure& aFailure)
+{
+  if (const auto observer = std::exchange(observer_, nullptr)) {
+    observer->OnExchangeFailed(aFailure);
+  }
+}
+
+} // namespace filbertbeam
--- a/src/owner/tests/TestOwnerService.cpp
+++ b/src/owner/tests/TestOwnerService.cpp
@@ -1,13 +1,5 @@
-#include "FakeHttp.h"
-#include "NullEventSink.h"
-
-#include "base/ManualClock.h"
-#include "base/SeededRandom.h"
-#include "owner/OwnerService.h"
-#include "relay/RelayFields.h"
-
-#include <QCoreApplication>
-#include <QElapsedTimer>
+#include "EventLoop.h"
+#include "OwnerFixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,119 +8,20 @@
 
 namespace {
 
-class FakeAuthenticator final : public RelayAuthenticator
-{
-public:
-  bool Authenticate(const HttpRequestHead&, std::string& aReason) override
-  {
-    aReason = isAuthentic ? "" : "the signature does not match";
-    return isAuthentic;
-  }
-
-  bool isAuthentic = true;
-};
-
-class NoInternalHandler final : public InternalRequestHandler
+struct FakeClientHolder
 {
-public:
-  void HandleRequest(HttpServerExchange&) override {}
+  FakeHttpClient client;
 };
 
-// Runs the event loop long enough for the decisions that are queued on it.
-void
-RunEventLoop()
-{
-  QElapsedTimer timer;
-  timer.start();
-  constexpr qint64 kDurationMs = 20;
-  while (timer.elapsed() < kDurationMs) {
-    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-  }
-}
-
-// An owner of one shard, whose only backend server has two slots.
+// The test takes the part of the backend server.
 struct OwnerFixture
+  : FakeClientHolder
+  , OwnerSetup
 {
   OwnerFixture()
-    : service(authenticator, internalHandler, client, clock, random, events)
-  {
-    Configure(false);
-    SetOwner(true);
-  }
-
-  void Configure(bool aIsLeaving, std::optional<int> aShedStatus = 503)
-  {
-    Service wholesale;
-    wholesale.name = "wholesale";
-    wholesale.shedStatus = aShedStatus;
-    BackendServer server;
-    server.name = "wholesale-1";
-    server.address = "127.0.0.9";
-    server.port = 9;
-    server.region = "th-north";
-    server.domain = "th-north-a";
-    server.slots = 2;
-    server.isLeaving = aIsLeaving;
-    wholesale.backendServers = { server };
-    Configuration::Content content;
-    content.services = { wholesale };
-    service.SetConfiguration(Configuration::Create(++revision, content));
-  }
-
-  void SetOwner(bool aIsOwner)
-  {
-    std::vector<Member> members(2);
-    members[0].host = "self";
-    members[1].host = "other";
-    for (Member& member : members) {
-      member.region = "th-north";
-      member.domain = "th-north-a";
-      member.incarnation = 1;
-    }
-    members[aIsOwner ? 1 : 0].state = HostState::Unreachable;
-    service.SetView(MembershipView::Create("self", members, false));
-  }
-
-  std::shared_ptr<FakeServerExchange> Send(
-    std::string_view aMethod,
-    std::string_view aRemaining = "1000",
-    BodyFraming aFraming = BodyFraming::None)
+    : OwnerSetup(client, { "127.0.0.9", 9 })
   {
-    HttpRequestHead head;
-    head.framing = aFraming;
-    head.method = aMethod;
-    head.target = "/photos/1";
-    head.fields.Set(kShardField, "wholesale/th-north-a/0");
-    head.fields.Set(kCustomerField, "partner");
-    head.fields.Set(kPromiseField, "10");
-    head.fields.Set(kClassField, "in-contract");
-    head.fields.Set(kIdempotentField, aMethod == "GET" ? "1" : "0");
-    head.fields.Set(kRemainingField, aRemaining);
-    head.fields.Set(kRequestIdField, "r1");
-    auto exchange = std::make_shared<FakeServerExchange>(head);
-    observer = service.OnRequest(exchange);
-    RunEventLoop();
-    return exchange;
   }
-
-  static bool HasRefusal(const FakeServerExchange& aExchange,
-                         std::string_view aReason,
-                         std::string_view aOutcome)
-  {
-    const HttpFields& fields = aExchange.response.fields;
-    return fields.Find(kRefusalField) == aReason &&
-           fields.Find(kOutcomeField) == aOutcome;
-  }
-
-  FakeAuthenticator authenticator;
-  NoInternalHandler internalHandler;
-  NullEventSink events;
-  FakeHttpClient client;
-  ManualClock clock;
-  SeededRandom random{ 1 };
-  OwnerService service;
-  std::uint64_t revision = 0;
-  std::shared_ptr<HttpRequestObserver> observer;
 };
 
 HttpResponseHead
@@ -140,6 +33,37 @@
   return head;
 }
 
+// One of four backend servers was ejected, and the next request is a trial of
+// it.
+struct TrialFixture : OwnerFixture
+{
+  TrialFixture()
+  {
+    Configure(false, 503, 4);
+    RunEventLoop();
+    clock.Advance(kColdTime);
+    constexpr int kMaxRequests = 200;
+    for (int i = 0; i < kMaxRequests && !IsEjected(); ++i) {
+      clock.Advance(std::chrono::milliseconds(10));
+      Send("GET");
+      const bool isFailing = client.Last().server.port == ejected.port;
+      client.Last().Respond(Response(isFailing ? 500 : 200));
+    }
+    clock.Advance(kFirstEjection);
+  }
+
+  bool IsEjected() const
+  {
+    const std::vector<ServerReport> reports = service.Report();
+    return !reports.empty() && reports.front().state == ServerState::Ejected;
+  }
+
+  static constexpr std::chrono::seconds kColdTime{ 11 };
+  static constexpr std::chrono::seconds kFirstEjection{ 6 };
+  static constexpr std::chrono::seconds kSecondEjection{ 11 };
+  const Endpoint ejected{ "127.0.0.9", 9 };
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(Owner, OwnerFixture)
@@ -248,6 +172,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(ATrial, TrialFixture)
+
+// Guards against a request that ends with the failure of an earlier attempt,
+// which the client had already queued when the attempt was given up.
+BOOST_AUTO_TEST_CASE(ThatWasGivenUpSaysNothingAboutTheNextAttempt)
+{
+  const auto exchange = Send("GET");
+  const auto trial = client.exchanges.back();
+  BOOST_REQUIRE(trial->server.port == ejected.port);
+  BOOST_REQUIRE(WaitUntil([&] { return trial->isCancelled; }));
+  trial->Fail(HttpFailureKind::Closed);
+  RunEventLoop();
+  BOOST_TEST(exchange->heads == 0);
+  BOOST_REQUIRE(client.exchanges.back() != trial);
+  trial->observer->OnResponseHead(Response(500));
+  client.Last().Respond(Response(200));
+  BOOST_TEST(exchange->response.status == 200);
+}
+
+// Guards against "not-run" of the last attempt although the trial may have run,
+// and against "unknown" although no byte of either was sent.
+BOOST_AUTO_TEST_CASE(CountsForTheOutcomeIfItWasSent)
+{
+  for (const bool isSent : { true, false }) {
+    const auto exchange = Send("GET");
+    BOOST_REQUIRE(client.Last().server.port == ejected.port);
+    client.Last().anyByteSent = isSent;
+    client.Last().Fail(HttpFailureKind::Closed);
+    RunEventLoop();
+    BOOST_REQUIRE(client.Last().server.port != ejected.port);
+    client.Last().Fail(HttpFailureKind::Connect);
+    BOOST_TEST(HasRefusal(
+      *exchange, "backend-unreachable", isSent ? "unknown" : "not-run"));
+    clock.Advance(kSecondEjection);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Sending)
 
 // Guards against reusing an idle connection, which the server may have closed,
