Owner: Take a shed on a used connection for proof only if it names its request

Callers of idempotent requests could get 503 "not-run" (backend-shed) while a backend server worked on their request.

Cause: idempotent requests use connections that carried other requests before. Responses of backend servers belong to whatever request is due on their connection, so a shed that was sent late, for an earlier request, counted as the refusal of this one. Attempts of one request could share a connection too.

Change: ServerAttempt takes a shed for proof on a connection that carried no other request before, or if it repeats the X-Request-Id that the owner sent; the client is told that id, so that no two attempts of a request share a connection. Without proof the outcome is "unknown", and the request is queued again or retried as before: it is idempotent, as others always use a new connection.

Measured with real connections, in test_owner: on the code before, CarriesNoProofInAShedThatNamesNoRequest and CarriesNoTwoAttemptsOfARequest fail ("not-run"; one connection); CarriesProofInAShedThatNamesTheRequest passes on both.

--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -101,7 +101,7 @@
   HttpRequestHead head = exchange_->Request();
   StripRelayFields(head.fields);
   head.fields.Set(kCustomerField, request_.customer);
-  head.fields.Set("X-Request-Id", request_.requestId);
+  head.fields.Set(kBackendRequestIdField, request_.requestId);
   head.fields.Set(kRequestTimeoutField, fmt::format("{}", aRemaining.count()));
   return head;
 }
@@ -132,7 +132,8 @@
     trialTimer_.start(kTrialTimeout);
   }
 
-  attempt_ = std::make_shared<ServerAttempt>(shared_from_this());
+  attempt_ =
+    std::make_shared<ServerAttempt>(shared_from_this(), request_.requestId);
   attempt_->Start(client_,
                   { aBackendServer.address, aBackendServer.port },
                   BackendRequestHead(remaining),
@@ -257,7 +258,7 @@
   trialTimer_.stop();
   shard_->OnResponseHead(id_);
   if (shedStatus_ && aHead.status == *shedStatus_) {
-    attempt_->OnShed();
+    attempt_->OnShed(aHead);
     EndAttempt(AttemptResult::Shed);
     OnShed();
     return;
@@ -291,8 +292,10 @@
 void
 OwnerSession::OnShed()
 {
-  // A shed request did not run. Without a body it can be queued again here; the
-  // scheduler pauses sending to the server that shed it.
+  // Without a body, the request can be queued again here; the scheduler pauses
+  // sending to the server that shed it. If the response does not prove that the
+  // request did not run, the request is idempotent, as others use a new
+  // connection.
   const bool hasBody = exchange_->Request().framing != BodyFraming::None;
   if (hasBody || shedRetries_ >= kMaxShedRetries) {
     Refuse(503, "backend-shed");
--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -4,8 +4,10 @@
 
 namespace filbertbeam {
 
-ServerAttempt::ServerAttempt(std::shared_ptr<HttpResponseObserver> aObserver)
+ServerAttempt::ServerAttempt(std::shared_ptr<HttpResponseObserver> aObserver,
+                             std::string aRequestId)
   : observer_(std::move(aObserver))
+  , requestId_(std::move(aRequestId))
 {
 }
 
@@ -19,6 +21,7 @@
   // If an idle connection turns out to be closed, the outcome of a
   // non-idempotent request on it is unknown.
   options.freshConnection = !aIsIdempotent;
+  options.requestId = requestId_;
   exchange_ = aClient.Start(aServer, aHead, options, shared_from_this());
 }
 
@@ -29,10 +32,26 @@
   exchange_->Cancel();
 }
 
+void
+ServerAttempt::OnShed(const HttpResponseHead& aHead)
+{
+  isProvenRefused_ = IsProvenResponse(aHead);
+}
+
 bool
 ServerAttempt::MayHaveRun() const
 {
-  return exchange_->AnyByteSent() && !isShed_;
+  return exchange_->AnyByteSent() && !isProvenRefused_;
+}
+
+bool
+ServerAttempt::IsProvenResponse(const HttpResponseHead& aHead) const
+{
+  // On a connection that carried other requests before, any response may be a
+  // late one to them, unless it names its request. No other attempt of this
+  // request used the connection.
+  return exchange_->Connection().exchange == 1 ||
+         aHead.fields.Find(kBackendRequestIdField) == requestId_;
 }
 
 void
--- /dev/null
+++ b/src/owner/tests/TestKeptConnections.cpp
@@ -0,0 +1,93 @@
+#include "OwnerFixture.h"
+#include "RawPeers.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+
+namespace {
+
+struct BackendServerHolder
+{
+  RawServer server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create({});
+};
+
+// An owner with real connections to its backend server, whose responses the
+// test chooses.
+struct ConnectionFixture
+  : BackendServerHolder
+  , OwnerSetup
+{
+  ConnectionFixture()
+    : OwnerSetup(*client, server.Address())
+  {
+  }
+
+  // Sends a request with this id, for whose head the server sends aBytes.
+  std::shared_ptr<FakeServerExchange> Exchange(
+    std::string_view aRequestId,
+    const std::string& aBytes,
+    BodyFraming aFraming = BodyFraming::None)
+  {
+    server.onReceived = [aBytes](RawConnection& aConnection) {
+      aConnection.Send(aBytes);
+    };
+    for (const auto& connection : server.connections) {
+      connection->onReceived = server.onReceived;
+    }
+    auto exchange = Send("GET", "1000", aFraming, aRequestId);
+    RunEventLoop();
+    return exchange;
+  }
+
+  static std::string Response(std::string_view aStatus,
+                              std::string_view aBody,
+                              std::string_view aRequestId = {})
+  {
+    std::string response = "HTTP/1.1 " + std::string(aStatus) + "\r\n";
+    if (!aRequestId.empty()) {
+      response += "X-Request-Id: " + std::string(aRequestId) + "\r\n";
+    }
+    return response + "Content-Length: " + std::to_string(aBody.size()) +
+           "\r\n\r\n" + std::string(aBody);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AKeptConnection, ConnectionFixture)
+
+// Guards against "not-run" because of a shed that was sent for an earlier
+// request of the connection, while the backend server runs this one.
+BOOST_AUTO_TEST_CASE(CarriesNoProofInAShedThatNamesNoRequest)
+{
+  const auto first = Exchange("r1", Response("200 OK", "first"));
+  BOOST_TEST(first->body == "first");
+  const auto second = Exchange(
+    "r2", Response("503 Service Unavailable", ""), BodyFraming::Length);
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(HasRefusal(*second, "backend-shed", "unknown"));
+}
+
+// Guards against "unknown" for every idempotent request that was shed.
+BOOST_AUTO_TEST_CASE(CarriesProofInAShedThatNamesTheRequest)
+{
+  Exchange("r1", Response("200 OK", "first", "r1"));
+  const auto second = Exchange(
+    "r2", Response("503 Service Unavailable", "", "r2"), BodyFraming::Length);
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(HasRefusal(*second, "backend-shed", "not-run"));
+}
+
+// Guards against a late copy of the response to the first attempt of a request
+// that is taken for the response to the second.
+BOOST_AUTO_TEST_CASE(CarriesNoTwoAttemptsOfARequest)
+{
+  Exchange("r1", Response("500 Internal Server Error", "first", "r1"));
+  Exchange("r1", Response("200 OK", "second", "r1"));
+  BOOST_TEST(server.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
