Owner: Skip a response that names an earlier request of its connection

Cause: the owner didn't compare what responses name. Its backend servers need not repeat X-Request-Id, so it can't require it either.

Change: a response that repeats the id of an earlier request on its connection is skipped, by the means that the gateway uses, and its connection is not kept afterwards. A response with another name, or without one, is taken as before. The hashes of the ids have 64 bits, since a collision would now cost a response.

Left: a late copy that names no request still reaches the next caller of an idempotent request. A server that answers from a cache together with the X-Request-Id of the request that filled it would have such a response skipped when both requests used one connection; the second then waits until its deadline.

--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace filbertbeam {
 
@@ -71,6 +72,9 @@
   virtual ~HttpClientExchange() = default;
 
   virtual ConnectionUse Connection() const = 0;
+  // True if a request with this id was sent on the connection. Always false
+  // after the exchange has ended.
+  virtual bool HasConnectionCarried(std::string_view aRequestId) const = 0;
 
   virtual void SendBody(ByteView aBytes) = 0;
   // Marks the request body as complete.
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -21,18 +21,20 @@
 // expected one.
 constexpr int kMaxSkippedResponses = 4;
 // A connection that has carried this many requests with an id is not kept,
-// which limits the memory for their hashes to 4 KiB.
+// which limits the memory for their hashes to 8 KiB.
 constexpr std::size_t kMaxCarriedIds = 1'024;
 // If a server announces how long it keeps idle connections, a connection is
 // dropped this long before that time, so that no request is sent just before
 // the server closes it.
 constexpr std::chrono::milliseconds kIdleMargin{ 1'500 };
 
-// Two ids with the same hash only cost a new connection.
-std::uint32_t
+// 64 bits, so that the id of another system in a response is not taken for one
+// of the connection.
+std::size_t
 HashOfId(std::string_view aId)
 {
-  return static_cast<std::uint32_t>(std::hash<std::string_view>()(aId));
+  static_assert(sizeof(std::size_t) == 8);
+  return std::hash<std::string_view>()(aId);
 }
 
 void
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -96,7 +96,7 @@
   // Of the current exchange or, between exchanges, of the last one.
   ConnectionUse use_;
   // Hashes of the ids of the requests that were sent on this connection.
-  std::vector<std::uint32_t> carriedIds_;
+  std::vector<std::size_t> carriedIds_;
   Endpoint server_;
   const HttpClientLimits& limits_;
   QObject& context_;
--- a/src/http/TcpClientExchange.cpp
+++ b/src/http/TcpClientExchange.cpp
@@ -12,6 +12,13 @@
 {
 }
 
+bool
+TcpClientExchange::HasConnectionCarried(std::string_view aRequestId) const
+{
+  const auto connection = connection_.lock();
+  return connection && connection->HasCarried(aRequestId);
+}
+
 void
 TcpClientExchange::SendBody(ByteView aBytes)
 {
--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -299,6 +299,22 @@
   BOOST_TEST(fresh.exchange == 1U);
 }
 
+// Guards against a late response to an earlier request that cannot be told from
+// that of a server which names its responses as it likes.
+BOOST_AUTO_TEST_CASE(AnExchangeTellsWhichRequestsItsConnectionCarried)
+{
+  RespondToHeadsWith(kEmptyOk);
+  const auto first = Start(Get(), { .requestId = "a" });
+  BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
+  Start(Get(), { .requestId = "b" });
+  BOOST_TEST(exchange->Connection().exchange == 2U);
+  BOOST_TEST(exchange->HasConnectionCarried("a"));
+  BOOST_TEST(exchange->HasConnectionCarried("b"));
+  BOOST_TEST(!exchange->HasConnectionCarried("c"));
+  Start(Get(), { .freshConnection = true, .requestId = "c" });
+  BOOST_TEST(!exchange->HasConnectionCarried("a"));
+}
+
 BOOST_AUTO_TEST_CASE(AnIdleConnectionThatThePeerClosesIsRemoved)
 {
   RespondToHeadsWith(kEmptyOk, true);
--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -70,6 +70,15 @@
   }
 }
 
+bool
+ServerAttempt::IsOwnResponse(const HttpResponseHead& aHead)
+{
+  // Servers may name their responses in other ways than by the request's id, so
+  // only the id of an earlier request on the connection proves a late response.
+  const auto id = aHead.fields.Find(kBackendRequestIdField);
+  return !id || id == requestId_ || !exchange_->HasConnectionCarried(*id);
+}
+
 void
 ServerAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
--- a/src/owner/ServerAttempt.h
+++ b/src/owner/ServerAttempt.h
@@ -42,6 +42,7 @@
 
   void OnRequestSent() override;
   void OnRequestWritable() override;
+  bool IsOwnResponse(const HttpResponseHead& aHead) override;
   void OnResponseHead(const HttpResponseHead& aHead) override;
   void OnResponseBody(ByteView aBytes) override;
   void OnResponseEnd() override;
--- a/src/owner/tests/TestKeptConnections.cpp
+++ b/src/owner/tests/TestKeptConnections.cpp
@@ -81,6 +81,28 @@
   BOOST_TEST(HasRefusal(*second, "backend-shed", "not-run"));
 }
 
+// Guards against a caller that gets a late second copy of the response to
+// another request.
+BOOST_AUTO_TEST_CASE(CarriesNoResponseThatNamesAnEarlierRequest)
+{
+  const std::string first = Response("200 OK", "first", "r1");
+  BOOST_TEST(Exchange("r1", first)->body == "first");
+  const auto second =
+    Exchange("r2", first + Response("200 OK", "second", "r2"));
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(second->body == "second");
+}
+
+// Guards against a skipped response of a backend server that names its
+// responses as it likes.
+BOOST_AUTO_TEST_CASE(CarriesAResponseThatNamesNoRequestOfTheOwner)
+{
+  Exchange("r1", Response("200 OK", "first", "backend-1"));
+  const auto second = Exchange("r2", Response("200 OK", "second", "backend-2"));
+  BOOST_TEST(server.connections.size() == 1U);
+  BOOST_TEST(second->body == "second");
+}
+
 // Guards against a late copy of the response to the first attempt of a request
 // that is taken for the response to the second.
 BOOST_AUTO_TEST_CASE(CarriesNoTwoAttemptsOfARequest)
