Entry: Pass on no response that states no outcome

A caller whose upload stalled got the 408 of the owner's HTTP server, a promise that nothing ran, after a part of the body had been passed on. With an Idempotency-Key, the claim counted as run and stored the 408, so that each later try with the key got it as well.

Cause: a relayed response without Filbertbeam-Refusal was taken for that of a backend server. The owner's HTTP server answers by itself when a head or body is late, malformed or too large, or when it has too many connections, and knows nothing of the request's outcome.

Change: a response counts as that of a backend server only if the owner states "ran" in it. Any other is a failed attempt with an unknown outcome (502, malformed-owner-response): idempotent requests are retried, claims abandoned.

--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -45,6 +45,16 @@
   return fmt::format("{:016x}", aRandom.Next());
 }
 
+// Returns what the owner reports in a relayed response.
+Outcome
+ReportedOutcome(const HttpFields& aFields)
+{
+  const auto field = aFields.Find(kOutcomeField);
+  const std::optional<Outcome> outcome =
+    field ? ParseOutcome(*field) : std::nullopt;
+  return outcome.value_or(Outcome::Unknown);
+}
+
 bool
 IsRetryableStatus(int aStatus)
 {
@@ -326,15 +336,18 @@
       context_.selector.OnLoadReport(aAttempt.Shard(), *load);
     }
   }
-  const auto outcomeField = aHead.fields.Find(kOutcomeField);
-  const std::optional<Outcome> outcome =
-    outcomeField ? ParseOutcome(*outcomeField) : std::nullopt;
+  const Outcome outcome = ReportedOutcome(aHead.fields);
   if (const auto refusal = aHead.fields.Find(kRefusalField)) {
     // A signature that the owner rejects is an error between hosts, not an
     // error of the caller, so the caller gets a 503.
     const int status = refusal == kNotAuthentic ? 503 : aHead.status;
-    OnRejected(
-      { status, std::string(*refusal), outcome.value_or(Outcome::Unknown) });
+    OnRejected({ status, std::string(*refusal), outcome });
+    return;
+  }
+  if (outcome != Outcome::Ran) {
+    // Sent by something other than a session of the owner, for example by its
+    // HTTP server, which doesn't know what became of the request.
+    OnRejected({ 502, "malformed-owner-response", Outcome::Unknown });
     return;
   }
   if (IsRetryableStatus(aHead.status) &&
--- a/src/entry/tests/EntryFixture.h
+++ b/src/entry/tests/EntryFixture.h
@@ -116,7 +116,13 @@
 struct EntryFixture
 {
   EntryFixture()
-    : service(EntryContext{ client,
+    : EntryFixture(client)
+  {
+  }
+
+  // aClient carries the relayed requests in place of the fake one.
+  explicit EntryFixture(HttpClient& aClient)
+    : service(EntryContext{ aClient,
                             claims,
                             *limiter,
                             *retryBudget,
--- a/src/entry/tests/TestEntrySession.cpp
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -270,6 +270,19 @@
   BOOST_TEST(HasStatusAndOutcome(*exchange, 503, "unknown"));
 }
 
+// Guards against passing on what no session of the owner has sent, such as the
+// "not-run" of its HTTP server for a request of which a part was relayed.
+BOOST_AUTO_TEST_CASE(TreatAResponseWithoutAnOutcomeAsUnknown)
+{
+  for (const int status : { 408, 421, 429, 503, 200 }) {
+    const auto exchange = Send(Head("POST", "/permits"), "{}");
+    HttpResponseHead head;
+    head.status = status;
+    client.Last().Respond(head, "{\"outcome\":\"not-run\"}");
+    BOOST_TEST(HasStatusAndOutcome(*exchange, 502, "unknown"));
+  }
+}
+
 // Guards against reporting "not-run" of the last attempt although an earlier
 // attempt may have run.
 BOOST_AUTO_TEST_CASE(ReportUnknownAfterAnAttemptThatMayHaveRun)
@@ -409,6 +422,19 @@
   BOOST_TEST(claims.abandoned == 0);
 }
 
+// Guards against a key that counts as used, or as free, because of a response
+// that no session of the owner has sent.
+BOOST_AUTO_TEST_CASE(StaysUndecidedAfterAResponseWithoutAnOutcome)
+{
+  Send(KeyedHead(), "{}");
+  HttpResponseHead head;
+  head.status = 408;
+  client.Last().Respond(head);
+  BOOST_TEST(!claims.completedStatus.has_value());
+  BOOST_TEST(claims.released == 0);
+  BOOST_TEST(claims.abandoned == 1);
+}
+
 // Guards against a lost connection after which the caller can never get
 // another outcome than "unknown".
 BOOST_AUTO_TEST_CASE(ContinuesWhenItsCallerDisconnects)
