--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -66,6 +66,7 @@
   }
 
   ConnectionUse Connection() const override { return connection; }
+  bool HasConnectionCarried(std::string_view) const override { return false; }
   void SendBody(ByteView aBytes) override
   {
     body.append(aBytes.data(), aBytes.size());
@@ -99,7 +100,7 @@
   const Endpoint server;
   const HttpRequestHead head;
   const HttpClientOptions options;
-  const std::shared_ptr<HttpResponseObserver> observer;
+  std::shared_ptr<HttpResponseObserver> observer;
   ConnectionUse connection{ 1, 1 };
   std::string body;
   bool isBodyFinished = false;
@@ -112,6 +113,17 @@
 class FakeHttpClient final : public HttpClient
 {
 public:
+  FakeHttpClient() = default;
+  ~FakeHttpClient() override
+  {
+    // As by the real client; an observer may own its exchange.
+    for (const auto& exchange : exchanges) {
+      exchange->observer.reset();
+    }
+  }
+  FakeHttpClient(const FakeHttpClient&) = delete;
+  FakeHttpClient& operator=(const FakeHttpClient&) = delete;
+
   std::shared_ptr<HttpClientExchange> Start(
     const Endpoint& aServer,
     const HttpRequestHead& aHead,
