Http: Count bytes that are sent within the event of a write

Cause: the client counted bytesWritten, which Qt does not emit within a slot of itself. If an observer runs an event loop in OnRequestSent, the exchange can end and the next one can be sent on the same connection, with no byte of it counted: it was stated as not sent and had arrived. No observer of this repository runs an event loop there, so this can't be what the users saw.

Change: the client counts channelBytesWritten, which is emitted in every case.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -81,10 +81,12 @@
     socket_, &QTcpSocket::connected, &receiver_, [this] { OnConnected(); });
   QObject::connect(
     socket_, &QTcpSocket::readyRead, &receiver_, [this] { OnReadyRead(); });
+  // Unlike bytesWritten, this signal is emitted within a slot of itself too.
+  // Otherwise bytes would not be counted while an observer runs an event loop.
   QObject::connect(socket_,
-                   &QTcpSocket::bytesWritten,
+                   &QTcpSocket::channelBytesWritten,
                    &receiver_,
-                   [this](qint64 aBytes) { OnBytesWritten(aBytes); });
+                   [this](int, qint64 aBytes) { OnBytesWritten(aBytes); });
   QObject::connect(
     socket_, &QTcpSocket::disconnected, &receiver_, [this] { OnPeerClosed(); });
   QObject::connect(
--- a/src/http/tests/support/RecordingObserver.h
+++ b/src/http/tests/support/RecordingObserver.h
@@ -16,6 +16,9 @@
   {
     ++events;
     ++requestsSent;
+    if (onSent) {
+      onSent();
+    }
   }
   void OnRequestWritable() override
   {
@@ -28,6 +31,9 @@
   {
     ++events;
     head = aHead;
+    if (onHead) {
+      onHead();
+    }
   }
   void OnResponseBody(ByteView aBytes) override
   {
@@ -69,7 +75,9 @@
   std::string body;
   std::uint64_t bodyBytes = 0;
   bool keepsBody = true;
+  std::function<void()> onSent;
   std::function<void()> onWritable;
+  std::function<void()> onHead;
   std::function<void(ByteView)> onBody;
   std::function<void()> onOver;
 };
