Tests: Move the options of a fake exchange

The linter reports the copy since the options hold an optional string. Measured: check-lint on the tests of gateway, entry and owner failed with it and passes without.

--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -60,7 +60,7 @@
                      std::shared_ptr<HttpResponseObserver> aObserver)
     : server(std::move(aServer))
     , head(std::move(aHead))
-    , options(aOptions)
+    , options(std::move(aOptions))
     , observer(std::move(aObserver))
   {
   }
