Http: Let the application answer a request whose body does not arrive

The daemon's callers saw 408 together with the outcome "unknown".

Cause: HttpServerConnection answered a body that arrives too slowly by itself, before it told the application, and can't know what the application has done with the part that it has.

Change: HttpRequestObserver::OnRequestFailed. The application ends whatever could still run the request, then responds: 408 if no byte was sent, else 504 with the outcome "unknown". If it doesn't respond, the server sends the status that promises nothing, or closes the connection if a response has begun. GatewaySession, EntrySession and OwnerSession close their connections first and read AnyByteSent afterwards, so that the evidence is final; selections and claims that arrive later find an ended session. Invalid and oversized bodies (400, 413) take the same way. The responses now carry the headers of the application (Request-Id), and the owner's name their outcome to the entry host. request_closed says what was answered, instead of outcome=caller-left with status=0. GatewaySettings::bodyGrace lets tests shorten the 10 s, which stay.

--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -126,6 +126,28 @@
   }
 }
 
+void
+EntrySession::OnRequestFailed(const RequestFailure& aFailure)
+{
+  if (phase_ == Phase::Done) {
+    return;
+  }
+  const std::shared_ptr<EntrySession> self = shared_from_this();
+  if (phase_ == Phase::Responding) {
+    OnAttemptFailed(*attempt_,
+                    { HttpFailureKind::Cancelled, true, aFailure.reason });
+    return;
+  }
+  const std::shared_ptr<RelayAttempt> attempt = attempt_;
+  ReleaseAttempt();
+  // Checked after the connection is closed, so no byte can be sent later.
+  const bool mayHaveRun = mayHaveRun_ || (attempt && attempt->AnyByteSent());
+  RespondWithError(
+    { mayHaveRun ? aFailure.statusIfUnknown : aFailure.statusIfNotRun,
+      "incomplete-body",
+      mayHaveRun ? Outcome::Unknown : Outcome::NotRun });
+}
+
 void
 EntrySession::Admit()
 {
--- a/src/entry/RefusalReason.cpp
+++ b/src/entry/RefusalReason.cpp
@@ -30,6 +30,9 @@
   if (aReason == "wait-exceeded" || aReason == "no-backend-server") {
     return "No backend server of the service could take the request.";
   }
+  if (aReason == "incomplete-body") {
+    return "The rest of the request body is invalid or arrived too slowly.";
+  }
   if (aReason == "deadline-passed") {
     return "The deadline of the request passed.";
   }
--- a/src/entry/tests/TestEntrySession.cpp
+++ b/src/entry/tests/TestEntrySession.cpp
@@ -445,4 +445,112 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A request with an idempotency key whose body of 200 KiB arrives in parts.
+struct UploadFixture : EntryFixture
+{
+  UploadFixture()
+  {
+    HttpRequestHead head = Head("POST", "/permits");
+    head.fields.Set("Idempotency-Key", "permit-42");
+    head.framing = BodyFraming::Length;
+    head.contentLength = 2 * block.size();
+    exchange = std::make_shared<FakeServerExchange>(head);
+  }
+
+  // Sends the head and the first aBytes of the body.
+  void Begin(std::size_t aBytes)
+  {
+    observer = service.OnRequest(exchange);
+    observer->OnRequestBody(std::string_view(block).substr(0, aBytes));
+  }
+
+  const std::string block = std::string(100 * 1024, 'x');
+  const RequestFailure tooSlow{ 408, 504, "too slow" };
+  std::shared_ptr<FakeServerExchange> exchange;
+};
+
+BOOST_FIXTURE_TEST_SUITE(OfWhichTheRestOfTheBodyIsNotRead, UploadFixture)
+
+// Guards against the promise "not run" for an upload of which an owner has a
+// part.
+BOOST_AUTO_TEST_CASE(PromisesNothingAfterAByteWasSent)
+{
+  Begin(block.size());
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+  client.Last().anyByteSent = true;
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(HasStatusAndOutcome(*exchange, 504, "unknown"));
+  BOOST_TEST(client.Last().isCancelled);
+  BOOST_TEST(claims.abandoned == 1);
+  BOOST_TEST(claims.released == 0);
+}
+
+// Guards against evidence that is read while bytes can still be sent.
+BOOST_AUTO_TEST_CASE(PromisesNothingIfAByteIsSentAtTheLastMoment)
+{
+  Begin(block.size());
+  FakeClientExchange& relay = client.Last();
+  relay.onCancel = [&relay] { relay.anyByteSent = true; };
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(HasStatusAndOutcome(*exchange, 504, "unknown"));
+  BOOST_TEST(claims.abandoned == 1);
+}
+
+// Guards against an uncertain response, and a claimed key, for a request that
+// has not left the host.
+BOOST_AUTO_TEST_CASE(IsNotRunIfNoByteWasSent)
+{
+  Begin(block.size());
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(HasStatusAndOutcome(*exchange, 408, "not-run"));
+  BOOST_TEST(client.Last().isCancelled);
+  BOOST_TEST(claims.released == 1);
+  BOOST_TEST(claims.abandoned == 0);
+}
+
+// Guards against a promise that a later event breaks.
+BOOST_AUTO_TEST_CASE(IsNeverSentAfterItsRefusal)
+{
+  Begin(1);
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(HasStatusAndOutcome(*exchange, 408, "not-run"));
+  observer->OnRequestBody(block);
+  observer->OnRequestEnd();
+  observer->OnRequestClosed(true);
+  BOOST_TEST(client.exchanges.empty());
+  BOOST_TEST(claims.requests.empty());
+  BOOST_TEST(exchange->heads == 1);
+}
+
+// Guards against a claim that is granted after the refusal and sends the
+// request or is never released.
+BOOST_AUTO_TEST_CASE(IsNotSentByAClaimThatIsGrantedAfterItsRefusal)
+{
+  claims.immediateResult.reset();
+  Begin(block.size());
+  BOOST_TEST_REQUIRE(claims.requests.size() == 1U);
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(HasStatusAndOutcome(*exchange, 408, "not-run"));
+  claims.callback(FakeClaimRegistry::Granted());
+  BOOST_TEST(client.exchanges.empty());
+  BOOST_TEST(claims.released == 1);
+}
+
+// Guards against a second response within the one that has begun.
+BOOST_AUTO_TEST_CASE(IsAbortedIfItsResponseHasBegun)
+{
+  Begin(block.size());
+  const auto relay = client.exchanges.at(0);
+  relay->anyByteSent = true;
+  relay->observer->OnResponseHead(Ok(10));
+  observer->OnRequestFailed(tooSlow);
+  BOOST_TEST(exchange->isAborted);
+  BOOST_TEST(exchange->heads == 1);
+  BOOST_TEST(relay->isCancelled);
+  BOOST_TEST(claims.completedStatus.value() == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -143,6 +143,33 @@
   }
 }
 
+void
+GatewaySession::OnRequestFailed(const RequestFailure& aFailure)
+{
+  if (isDone_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const std::vector<AttemptPointer> attempts = runningAttempts_;
+  CancelAttempts(AttemptResult::Abandoned);
+  if (streamingAttempt_ != nullptr) {
+    exchange_->Abort();
+    Close(0, "cut", aFailure.reason);
+    return;
+  }
+  // Checked after the connections are closed, so no byte can be sent later.
+  const bool wasSent =
+    mayHaveRun_ || std::ranges::any_of(attempts, [](const auto& aAttempt) {
+      return aAttempt->AnyByteSent();
+    });
+  const int status =
+    wasSent ? aFailure.statusIfUnknown : aFailure.statusIfNotRun;
+  context_.metrics.Count(wasSent ? GatewayCounter::FailedUnknown
+                                 : GatewayCounter::RefusedNotRun);
+  SendLocalResponse(status, aFailure.reason, std::nullopt);
+  Close(status, wasSent ? "unknown" : "not-run", aFailure.reason);
+}
+
 SelectionRequest
 GatewaySession::MakeSelectionRequest(AttemptPurpose aPurpose) const
 {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -34,6 +34,7 @@
 
   void OnRequestBody(ByteView aBytes) override;
   void OnRequestEnd() override;
+  void OnRequestFailed(const RequestFailure& aFailure) override;
   void OnResponseWritable() override;
   void OnRequestClosed(bool aIsComplete) override;
 
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
-#include "http/HttpMessage.h"
+#include "http/HttpServer.h"
 
 #include <optional>
 #include <string>
@@ -44,6 +44,9 @@
   // A leaving backend server receives no request later than this after the
   // catalog shows that it leaves.
   Duration drainTime = std::chrono::seconds(2);
+  // Window in which the body of a caller's request has to arrive at a minimum
+  // rate.
+  std::chrono::milliseconds bodyGrace = HttpServerLimits{}.bodyGrace;
 
   bool operator==(const GatewaySettings&) const = default;
 };
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -49,9 +49,10 @@
 }
 
 HttpServerLimits
-ServerLimits(const CallerLimits& aLimits)
+ServerLimits(const CallerLimits& aLimits, std::chrono::milliseconds aBodyGrace)
 {
   HttpServerLimits limits;
+  limits.bodyGrace = aBodyGrace;
   limits.headBytes = aLimits.headBytes;
   limits.bodyBytes = aLimits.bodyBytes;
   limits.headTimeout =
@@ -98,8 +99,11 @@
                     nullptr,
                     std::make_shared<BackendDirectory>(
                       0, std::vector<BackendServerRecord>()) });
-  runtime->server_ = HttpServer::Create(
-    aSettings.front, ServerLimits({}), *runtime->service_, aReason);
+  runtime->server_ = HttpServer::Create(aSettings.front,
+                                        ServerLimits({}, aSettings.bodyGrace),
+                                        *runtime->service_,
+                                        aReason);
+  runtime->bodyGrace_ = aSettings.bodyGrace;
   return runtime->server_ ? std::move(runtime) : nullptr;
 }
 
@@ -107,7 +111,7 @@
 TrafficRuntime::SetRouting(const std::shared_ptr<const RoutingTable>& aRouting)
 {
   service_->SetRouting(aRouting);
-  server_->SetLimits(ServerLimits(aRouting->Limits()));
+  server_->SetLimits(ServerLimits(aRouting->Limits(), bodyGrace_));
 }
 
 void
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -52,6 +52,7 @@
 private:
   TrafficRuntime() = default;
 
+  std::chrono::milliseconds bodyGrace_{};
   SeededRandom random_;
   std::unique_ptr<MemoryBudget> memory_;
   std::unique_ptr<HttpClient> client_;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -9,7 +9,8 @@
 namespace filbertbeam {
 
 // Resource limits of a server and its connections. A violation gets a
-// problem+json response (400, 408, 413, 431) and closes the connection.
+// problem+json response (400, 408, 413, 431) and closes the connection. Once
+// the application has the request, it decides on the response.
 struct HttpServerLimits
 {
   std::size_t headBytes = 16 * 1024;
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -18,6 +18,8 @@
 // connection.
 constexpr std::chrono::seconds kLingerTime{ 2 };
 constexpr std::size_t kLingerBytes = 8 * 1024 * 1024;
+constexpr int kRequestTimeout = 408;
+constexpr int kGatewayTimeout = 504;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 Instant
@@ -26,6 +28,30 @@
   return std::chrono::steady_clock::now();
 }
 
+struct ProblemResponse
+{
+  HttpResponseHead head;
+  std::string body;
+};
+
+ProblemResponse
+MakeProblemResponse(int aStatus,
+                    std::string_view aReason,
+                    std::string_view aOutcome)
+{
+  ProblemDetails problem;
+  problem.status = aStatus;
+  problem.detail = aReason;
+  problem.outcome = aOutcome;
+  ProblemResponse response;
+  response.head = ProblemHead(problem);
+  problem.title = response.head.reason;
+  response.body = ProblemBody(problem);
+  response.head.framing = BodyFraming::Length;
+  response.head.contentLength = response.body.size();
+  return response;
+}
+
 bool
 HasBody(const HttpRequestHead& aHead)
 {
@@ -101,7 +127,7 @@
   if (exchanges_.empty()) {
     if (isHeadStarted_) {
       if (aNow - headBegin_ >= limits_.headTimeout) {
-        Refuse(408, "the request head did not arrive in time");
+        RefuseHead(kRequestTimeout, "the request head did not arrive in time");
       }
     } else if (aNow - idleSince_ >= limits_.idleTimeout) {
       Close();
@@ -120,7 +146,9 @@
     requestProgress_.Reset();
   } else if (!requestProgress_.Check(
                aNow, limits_.bodyGrace, limits_.bodyRate)) {
-    Refuse(408, "the request body arrives too slowly");
+    FailRequest({ kRequestTimeout,
+                  kGatewayTimeout,
+                  "the request body arrives too slowly" });
   }
 }
 
@@ -205,7 +233,7 @@
       HandleEnd();
       return true;
     case HttpParseStep::Failed:
-      Refuse(parser_.FailureStatus(), parser_.LastReason());
+      OnParseFailure();
       return false;
   }
   return false;
@@ -552,41 +580,77 @@
 }
 
 void
-HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
+HttpServerConnection::OnParseFailure()
+{
+  const int status = parser_.FailureStatus();
+  const std::string reason = parser_.LastReason();
+  if (IsBodyArriving()) {
+    FailRequest({ status, status, reason });
+  } else {
+    RefuseHead(status, reason);
+  }
+}
+
+bool
+HttpServerConnection::IsBodyArriving() const
+{
+  return !exchanges_.empty() && !exchanges_.back()->State().isRequestEnded;
+}
+
+void
+HttpServerConnection::RefuseHead(int aStatus, std::string_view aReason)
 {
   const auto self = shared_from_this();
-  // The response belongs to the request that is arriving. While preceding
-  // requests have no response, the caller would take it for one of theirs.
-  const bool isArriving =
-    !exchanges_.empty() && !exchanges_.back()->State().isRequestEnded;
-  const std::size_t before = exchanges_.size() - (isArriving ? 1 : 0);
-  if (before > 0 || (isArriving && exchanges_.back()->State().isHeadSent)) {
+  // While preceding requests have no response, the caller would take this one
+  // for one of theirs.
+  if (!exchanges_.empty()) {
     Close();
     return;
   }
-  const bool isHeadRequest =
-    isArriving && exchanges_.back()->Request().method == "HEAD";
-  ProblemDetails problem;
-  problem.status = aStatus;
-  problem.detail = aReason;
-  problem.outcome = isArriving ? "unknown" : "not-run";
-  HttpResponseHead head = ProblemHead(problem);
-  problem.title = head.reason;
-  const std::string body = ProblemBody(problem);
-  head.framing = BodyFraming::Length;
-  head.contentLength = body.size();
+  // The application has not seen the request.
+  const ProblemResponse response =
+    MakeProblemResponse(aStatus, aReason, "not-run");
   std::string reason;
-  const auto bytes = WriteResponseHead(head, { false, isHeadRequest }, reason);
+  const auto bytes = WriteResponseHead(response.head, { false, false }, reason);
   phase_ = Phase::Closing;
   lingerUntil_ = Now() + kLingerTime;
-  NotifyExchangesClosed();
   WriteToSocket(*bytes);
-  if (!isHeadRequest) {
-    WriteToSocket(body);
-  }
+  WriteToSocket(response.body);
   DiscardInput();
 }
 
+void
+HttpServerConnection::FailRequest(const RequestFailure& aFailure)
+{
+  const auto self = shared_from_this();
+  const auto exchange = exchanges_.back();
+  TcpServerExchange::ExchangeState& state = exchange->State();
+  if (!IsFront(*exchange)) {
+    Close();
+    return;
+  }
+  // Only the application knows whether the request may have run.
+  if (const auto observer = state.observer) {
+    observer->OnRequestFailed(aFailure);
+  }
+  if (phase_ != Phase::Open || state.isFinished) {
+    return;
+  }
+  if (state.isHeadSent) {
+    Close();
+    return;
+  }
+  exchange->Detach();
+  if (const auto observer = std::exchange(state.observer, nullptr)) {
+    observer->OnRequestClosed(false);
+  }
+  const ProblemResponse response =
+    MakeProblemResponse(aFailure.statusIfUnknown, aFailure.reason, "unknown");
+  SendHead(*exchange, response.head);
+  SendBody(*exchange, response.body);
+  Finish(*exchange);
+}
+
 void
 HttpServerConnection::BeginLingerIfWritten()
 {
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -89,8 +89,15 @@
   void CompleteIfWritten();
   void CompleteExchange();
   void BeginNextResponse();
-  // Sends a problem response to invalid input and closes the connection.
-  void Refuse(int aStatus, std::string_view aReason);
+  void OnParseFailure();
+  // True while the body of the last request has not been read to its end.
+  bool IsBodyArriving() const;
+  // Sends a problem response to a request whose head is invalid or incomplete
+  // and closes the connection.
+  void RefuseHead(int aStatus, std::string_view aReason);
+  // Ends the request whose body is arriving: the application responds, or the
+  // server in its place, and the connection closes.
+  void FailRequest(const RequestFailure& aFailure);
   void SendContinueIfDue(TcpServerExchange& aExchange);
   void NotifyExchangesClosed();
   void BeginLingerIfWritten();
--- a/src/http/HttpServerExchange.cpp
+++ b/src/http/HttpServerExchange.cpp
@@ -2,6 +2,11 @@
 
 namespace filbertbeam {
 
+void
+HttpRequestObserver::OnRequestFailed(const RequestFailure&)
+{
+}
+
 void
 SendWholeResponse(HttpServerExchange& aExchange,
                   HttpResponseHead aHead,
--- a/src/http/HttpServerExchange.h
+++ b/src/http/HttpServerExchange.h
@@ -3,9 +3,21 @@
 #include "http/HttpMessage.h"
 
 #include <memory>
+#include <string>
 
 namespace filbertbeam {
 
+// Why the rest of a request body is not read.
+struct RequestFailure
+{
+  // Status of the response to a request that has not run and never will.
+  int statusIfNotRun = 408;
+  // Status of the response to any other request. It does not promise that the
+  // request has not run.
+  int statusIfUnknown = 504;
+  std::string reason;
+};
+
 // Receives the events of one request. The exchange holds a shared reference
 // until OnRequestClosed, so a session that observes its exchange stays alive
 // as long as it is needed.
@@ -17,6 +29,12 @@
   virtual void OnRequestBody(ByteView aBytes) = 0;
   // Called when the whole body has arrived.
   virtual void OnRequestEnd() = 0;
+  // Called instead of OnRequestEnd when the rest of the body arrives too slowly
+  // or is invalid. An observer that responds during this call has to end
+  // whatever could still run the request first. Otherwise the server sends
+  // statusIfUnknown, or closes the connection if the response has begun. The
+  // connection closes after the response.
+  virtual void OnRequestFailed(const RequestFailure& aFailure);
   // Called when the number of unsent response bytes falls to the low watermark
   // after it reached the high watermark.
   virtual void OnResponseWritable() = 0;
--- a/src/http/tests/support/RecordingApplication.h
+++ b/src/http/tests/support/RecordingApplication.h
@@ -36,6 +36,13 @@
       onEnd(*this);
     }
   }
+  void OnRequestFailed(const RequestFailure& aFailure) override
+  {
+    ++failures;
+    if (onFailed) {
+      onFailed(*this, aFailure);
+    }
+  }
   void OnResponseWritable() override
   {
     if (onWritable) {
@@ -61,10 +68,12 @@
   std::uint64_t bodyBytes = 0;
   bool keepsBody = true;
   int ends = 0;
+  int failures = 0;
   int closes = 0;
   bool isComplete = false;
   std::function<void(RecordingSession&)> onBody;
   std::function<void(RecordingSession&)> onEnd;
+  std::function<void(RecordingSession&, const RequestFailure&)> onFailed;
   std::function<void(RecordingSession&)> onWritable;
 };
 
--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -211,6 +211,32 @@
   }
 }
 
+void
+OwnerSession::OnRequestFailed(const RequestFailure& aFailure)
+{
+  if (state_ == State::Done) {
+    return;
+  }
+  const State before = std::exchange(state_, State::Done);
+  if (before == State::Queued) {
+    shard_->Cancel(id_);
+  }
+  if (backendExchange_) {
+    backendExchange_->Cancel();
+  }
+  ReleaseSlot(AttemptResult::Cancelled);
+  if (before == State::Responding) {
+    exchange_->Abort();
+    return;
+  }
+  // Checked after the connection is closed, so no byte can be sent later.
+  const bool mayHaveRun =
+    mayHaveRun_ || (backendExchange_ && backendExchange_->AnyByteSent());
+  Refuse(mayHaveRun ? aFailure.statusIfUnknown : aFailure.statusIfNotRun,
+         "incomplete-body",
+         mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
+}
+
 void
 OwnerSession::OnRequestWritable()
 {
--- a/src/owner/tests/TestOwnerService.cpp
+++ b/src/owner/tests/TestOwnerService.cpp
@@ -248,6 +248,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OfARequestOfWhichTheRestIsNotRead)
+
+const RequestFailure kTooSlow{ 408, 504, "too slow" };
+
+// Guards against the promise "not run" for a body of which the backend server
+// has a part.
+BOOST_AUTO_TEST_CASE(IsUnknownAfterAByteWasSent)
+{
+  const auto exchange = Send("POST", "1000", BodyFraming::Length);
+  client.Last().anyByteSent = true;
+  observer->OnRequestFailed(kTooSlow);
+  BOOST_TEST(exchange->response.status == 504);
+  BOOST_TEST(HasRefusal(*exchange, "incomplete-body", "unknown"));
+  BOOST_TEST(client.Last().isCancelled);
+  client.Last().Fail(HttpFailureKind::Cancelled);
+  BOOST_TEST(exchange->heads == 1);
+}
+
+// Guards against evidence that is read while bytes can still be sent.
+BOOST_AUTO_TEST_CASE(IsUnknownIfAByteIsSentAtTheLastMoment)
+{
+  const auto exchange = Send("POST", "1000", BodyFraming::Length);
+  FakeClientExchange& sent = client.Last();
+  sent.onCancel = [&sent] { sent.anyByteSent = true; };
+  observer->OnRequestFailed(kTooSlow);
+  BOOST_TEST(exchange->response.status == 504);
+  BOOST_TEST(HasRefusal(*exchange, "incomplete-body", "unknown"));
+}
+
+// Guards against a slot that is not freed, and against an uncertain outcome
+// while the backend server cannot be reached.
+BOOST_AUTO_TEST_CASE(IsNotRunIfNoByteWasSent)
+{
+  Send("GET");
+  const auto exchange = Send("POST", "1000", BodyFraming::Length);
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 2U);
+  observer->OnRequestFailed(kTooSlow);
+  BOOST_TEST(exchange->response.status == 408);
+  BOOST_TEST(HasRefusal(*exchange, "incomplete-body", "not-run"));
+  BOOST_TEST(client.Last().isCancelled);
+  Send("GET");
+  BOOST_TEST(client.exchanges.size() == 3U);
+}
+
+// Guards against a request that is assigned a backend server after its refusal.
+BOOST_AUTO_TEST_CASE(IsNotRunInTheQueue)
+{
+  Send("GET");
+  Send("GET");
+  const auto queued = Send("POST", "1000", BodyFraming::Length);
+  observer->OnRequestFailed(kTooSlow);
+  BOOST_TEST(HasRefusal(*queued, "incomplete-body", "not-run"));
+  client.exchanges[0]->Respond(Response(200));
+  RunEventLoop();
+  BOOST_TEST(client.exchanges.size() == 2U);
+  BOOST_TEST(queued->heads == 1);
+}
+
+// Guards against a second response within the one that has begun.
+BOOST_AUTO_TEST_CASE(IsAnAbortIfItsResponseHasBegun)
+{
+  const auto exchange = Send("POST", "1000", BodyFraming::Length);
+  client.Last().anyByteSent = true;
+  client.Last().observer->OnResponseHead(Response(200));
+  observer->OnRequestFailed(kTooSlow);
+  BOOST_TEST(exchange->isAborted);
+  BOOST_TEST(exchange->heads == 1);
+  BOOST_TEST(client.Last().isCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Sending)
 
 // Guards against reusing an idle connection, which the server may have closed,
