Http: Finish earlier requests before a failed body closes the connection

Callers that pipeline lost the responses to requests that were running when the body of a later request of the connection turned out to be invalid or arrived too slowly: the connection was closed at once.

Cause: the error response couldn't wait behind earlier ones, since it was written past the exchanges.

Change: it is the response of its exchange now, as any other, and so is sent in order. The connection closes after it.

Measured: GetResponsesBeforeThatToAnInvalidBody failed before (no response at all) and passes; test_http passes three times. An invalid head behind running requests still closes the connection at once.

--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -625,10 +625,6 @@
   const auto self = shared_from_this();
   const auto exchange = exchanges_.back();
   TcpServerExchange::ExchangeState& state = exchange->State();
-  if (!IsFront(*exchange)) {
-    Close();
-    return;
-  }
   // Only the application knows whether the request may have run.
   if (const auto observer = state.observer) {
     observer->OnRequestFailed(aFailure);
--- a/src/http/tests/TestHttpPipelining.cpp
+++ b/src/http/tests/TestHttpPipelining.cpp
@@ -125,6 +125,26 @@
   BOOST_TEST(!Session(1).isComplete);
 }
 
+// Guards against running requests that are cut off because the body of a later
+// one is invalid.
+BOOST_AUTO_TEST_CASE(GetResponsesBeforeThatToAnInvalidBody)
+{
+  caller.Send(Get("/concurrent/1") +
+              Get("/concurrent/2", "Transfer-Encoding: chunked\r\n") + "x\r\n");
+  BOOST_TEST_REQUIRE(WaitForRequests(2));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(caller.received.empty());
+  Session(0).Respond("first");
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  const auto first = caller.received.find("first");
+  const auto error = caller.received.find("HTTP/1.1 400");
+  BOOST_TEST(first < error);
+  BOOST_TEST(caller.Count("HTTP/1.1 ") == 2);
+  BOOST_TEST(caller.Count("Connection: close") == 1);
+  BOOST_TEST(Session(0).isComplete);
+  BOOST_TEST(Session(1).failures == 1);
+}
+
 // Guards against an error response that is taken for the response to another
 // request.
 BOOST_AUTO_TEST_CASE(DoNotGetTheErrorResponseOfALaterOne)
