Http: Read what has arrived before time limits after a suspension

Callers of a host that had been suspended for longer than its time limits could get 408 for a request whose rest had arrived meanwhile, or lose an idle connection with a request in it. (No promise was broken by it: the request had not been read.)

Cause: the event loop may call timers that are due before it reads sockets that became readable while it handled other events. GLib's loop, Qt's default on Linux, calls them in the order that is safe; Qt's own loop (QT_NO_GLIB=1, or a Qt that is built without GLib) doesn't.

Change: the first check of time limits that comes late, after three of its intervals, is skipped, so that input is read before the next. Never two in a row, so that the limits hold on a host that is busy all the time.

--- a/src/http/TcpHttpServer.cpp
+++ b/src/http/TcpHttpServer.cpp
@@ -17,9 +17,12 @@
 
 constexpr int kListenBacklog = 1024;
 // Bounds of the interval at which time limits are checked; a limit may be
-// exceeded by up to one interval.
+// exceeded by one interval, and by another after a suspension of the host.
 constexpr std::chrono::milliseconds kMinCheckInterval{ 5 };
 constexpr std::chrono::milliseconds kMaxCheckInterval{ 200 };
+// After this number of intervals without a check, the host was suspended or
+// busy.
+constexpr int kLateChecks = 3;
 
 std::string
 OverloadResponse()
@@ -43,6 +46,7 @@
                              HttpApplication& aApplication)
   : limits_(aLimits)
   , application_(aApplication)
+  , lastCheck_(std::chrono::steady_clock::now())
 {
   server_.setListenBacklogSize(kListenBacklog);
   server_.setMaxPendingConnections(kListenBacklog);
@@ -177,11 +181,27 @@
     server_.resumeAccepting();
   }
   const Instant now = std::chrono::steady_clock::now();
+  if (IsCheckAfterSuspension(now)) {
+    return;
+  }
   for (const auto& connection : Connections()) {
     connection->CheckTimeLimits(now);
   }
 }
 
+bool
+TcpHttpServer::IsCheckAfterSuspension(Instant aNow)
+{
+  // The event loop may call timers before it reads what has arrived while the
+  // host was suspended. Checks of a host that is late every time are not all
+  // skipped.
+  const bool isLate =
+    aNow - lastCheck_ > kLateChecks * timer_.intervalAsDuration();
+  lastCheck_ = aNow;
+  isCheckSkipped_ = isLate && !isCheckSkipped_;
+  return isCheckSkipped_;
+}
+
 std::vector<std::shared_ptr<HttpServerConnection>>
 TcpHttpServer::Connections() const
 {
--- a/src/http/TcpHttpServer.h
+++ b/src/http/TcpHttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Clock.h"
 #include "http/HttpServer.h"
 
 #include <QTcpServer>
@@ -33,6 +34,9 @@
 private:
   void Accept();
   void CheckTimeLimits();
+  // True once after a suspension of the host: its input is read before the time
+  // limits are applied.
+  bool IsCheckAfterSuspension(Instant aNow);
   void SetCheckInterval();
   std::vector<std::shared_ptr<HttpServerConnection>> Connections() const;
 
@@ -45,6 +49,8 @@
   bool isAcceptingPaused_ = false;
   bool isClosingAfterResponses_ = false;
   QTimer timer_;
+  Instant lastCheck_;
+  bool isCheckSkipped_ = false;
   std::unordered_map<HttpServerConnection*,
                      std::shared_ptr<HttpServerConnection>>
     connections_;
--- a/src/http/tests/TestHttpServer.cpp
+++ b/src/http/tests/TestHttpServer.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <ostream>
+#include <thread>
 
 using namespace filbertbeam;
 using namespace filbertbeam::testing;
@@ -95,6 +96,46 @@
   }
 };
 
+HttpServerLimits
+LimitsShorterThanASuspension()
+{
+  HttpServerLimits limits;
+  limits.headTimeout = std::chrono::milliseconds(300);
+  limits.bodyGrace = std::chrono::milliseconds(300);
+  limits.idleTimeout = std::chrono::milliseconds(300);
+  return limits;
+}
+
+// A host that is suspended for longer than the time limits while it handles an
+// event, so that its timers are due before it can read what has arrived.
+struct SuspendedHostFixture : ServerFixture
+{
+  SuspendedHostFixture()
+    : ServerFixture(LimitsShorterThanASuspension())
+    , caller(server->Port())
+    , other(server->Port())
+  {
+  }
+
+  // Suspends the host; aBytes of the caller arrive meanwhile.
+  void SuspendWhileArriving(std::string_view aBytes)
+  {
+    const std::size_t before = application.sessions.size();
+    application.onRequest = [&](RecordingSession&) {
+      caller.Send(aBytes);
+      caller.Socket().flush();
+      std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    };
+    other.Send(kGet);
+    BOOST_TEST_REQUIRE(
+      WaitUntil([&] { return application.sessions.size() > before; }));
+    application.onRequest = nullptr;
+  }
+
+  RawConnection caller;
+  RawConnection other;
+};
+
 struct BadInput
 {
   const char* name;
@@ -567,6 +608,60 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AfterASuspensionOfTheHost, SuspendedHostFixture)
+
+// Guards against a caller that is taken for a slow one because the host itself
+// did not read what had arrived.
+BOOST_AUTO_TEST_CASE(ABodyThatHasArrivedIsRead)
+{
+  caller.Send(Post("Content-Length: 2000\r\n", "a"));
+  BOOST_TEST_REQUIRE(WaitUntil([&] {
+    return !application.sessions.empty() &&
+           application.sessions[0]->bodyBytes == 1;
+  }));
+  RunFor(std::chrono::milliseconds(100));
+  SuspendWhileArriving(std::string(1999, 'a'));
+  BOOST_TEST(WaitUntil([&] { return !caller.received.empty(); }));
+  BOOST_TEST(StatusOf(caller.received) == 200, caller.received);
+}
+
+BOOST_AUTO_TEST_CASE(AHeadThatHasArrivedIsRead)
+{
+  caller.Send("GET /a HTTP/1.1\r\n");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return server->OpenConnections() == 2; }));
+  RunFor(std::chrono::milliseconds(50));
+  SuspendWhileArriving("Host: h\r\n\r\n");
+  BOOST_TEST(WaitUntil([&] { return !caller.received.empty(); }));
+  BOOST_TEST(StatusOf(caller.received) == 200, caller.received);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatHasArrivedOnAnIdleConnectionIsRead)
+{
+  caller.Send(kGet);
+  BOOST_TEST_REQUIRE(
+    WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 1; }));
+  SuspendWhileArriving(kGet);
+  BOOST_TEST(WaitUntil(
+    [&] { return caller.Count("HTTP/1.1 200") == 2 || caller.isClosed; }));
+  BOOST_TEST(caller.Count("HTTP/1.1 200") == 2);
+}
+
+// Guards against time limits that no longer hold after a suspension.
+BOOST_AUTO_TEST_CASE(ACallerThatSendsNothingIsStillRefused)
+{
+  caller.Send(Post("Content-Length: 2000\r\n", "a"));
+  BOOST_TEST_REQUIRE(WaitUntil([&] {
+    return !application.sessions.empty() &&
+           application.sessions[0]->bodyBytes == 1;
+  }));
+  RunFor(std::chrono::milliseconds(100));
+  SuspendWhileArriving("a");
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(StatusOf(caller.received) == 504);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Exchanges, ServerFixture)
 
 // Guards against responses in another order than the requests when a later one
