--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -140,6 +140,24 @@
   }
 }
 
+void
+GatewaySession::OnRequestFailed(const RequestFailure& aFailure)
+{
+  if (isDone_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  CancelAttempts(AttemptResult::Abandoned);
+  if (streamingAttempt_ != nullptr) {
+    exchange_->Abort();
+    Close(0, "cut", aFailure.reason);
+    return;
+  }
+  CountFailure();
+  RespondLocally(
+    { aFailure.statusIfNotRun, aFailure.statusIfUnknown, aFailure.reason });
+}
+
 SelectionRequest
 GatewaySession::MakeSelectionRequest(AttemptPurpose aPurpose) const
 {
@@ -347,27 +365,35 @@
     Close(head.status, "backend-failed", aReason);
     return;
   }
+  CountFailure();
+  RespondLocally(
+    { kUnavailable,
+      kBadGateway,
+      aReason,
+      aRetryAfter > Duration::zero() ? aRetryAfter : kRetryAfter });
+}
+
+void
+GatewaySession::CountFailure()
+{
   context_.metrics.Count(attempts_.MayHaveRun()
                            ? GatewayCounter::FailedUnknown
                            : GatewayCounter::RefusedNotRun);
-  RespondWithoutServer(kBadGateway,
-                       aReason,
-                       aRetryAfter > Duration::zero() ? aRetryAfter
-                                                      : kRetryAfter);
 }
 
 void
-GatewaySession::RespondWithoutServer(int aUnknownStatus,
-                                     std::string_view aReason,
-                                     Duration aRetryAfter)
-{
-  const LocalResponse response =
-    attempts_.MayHaveRun()
-      ? LocalResponse{ aUnknownStatus, aReason }
-      : LocalResponse{ kUnavailable, aReason, aRetryAfter };
+GatewaySession::RespondLocally(const LocalOutcome& aOutcome)
+{
+  const bool mayHaveRun = attempts_.MayHaveRun();
+  LocalResponse response;
+  response.status =
+    mayHaveRun ? aOutcome.statusIfUnknown : aOutcome.statusIfNotRun;
+  response.reason = aOutcome.reason;
+  if (!mayHaveRun) {
+    response.retryAfter = aOutcome.retryAfter;
+  }
   SendLocalResponse(*exchange_, context_.headerCodec, callerHeaders_, response);
-  Close(
-    response.status, attempts_.MayHaveRun() ? "unknown" : "not-run", aReason);
+  Close(response.status, mayHaveRun ? "unknown" : "not-run", aOutcome.reason);
 }
 
 void
@@ -384,7 +410,7 @@
     Close(0, "cut", "timeout");
     return;
   }
-  RespondWithoutServer(kGatewayTimeout, "timeout", kRetryAfter);
+  RespondLocally({ kUnavailable, kGatewayTimeout, "timeout", kRetryAfter });
 }
 
 void
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -35,6 +35,7 @@
 
   void OnRequestBody(ByteView aBytes) override;
   void OnRequestEnd() override;
+  void OnRequestFailed(const RequestFailure& aFailure) override;
   void OnResponseWritable() override;
   void OnRequestClosed(bool aIsComplete) override;
 
@@ -49,6 +50,16 @@
 private:
   using AttemptPointer = std::shared_ptr<BackendAttempt>;
 
+  // A response without that of a server.
+  struct LocalOutcome
+  {
+    int statusIfNotRun = 0;
+    int statusIfUnknown = 0;
+    std::string_view reason;
+    // When the caller may return if the request has not run.
+    std::optional<Duration> retryAfter = std::nullopt;
+  };
+
   Duration Remaining() const;
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
   // True when this host may send a request of the service to aServer now.
@@ -71,11 +82,10 @@
   // Responds with the latest error response of a server, or without one. Call
   // it only while no attempt is running.
   void RespondWithFailure(std::string_view aReason, Duration aRetryAfter);
-  // Responds with 503, "not run", if that is proven and with aUnknownStatus
-  // otherwise.
-  void RespondWithoutServer(int aUnknownStatus,
-                            std::string_view aReason,
-                            Duration aRetryAfter);
+  // Responds "not run" if that is proven, and with the status that promises
+  // nothing otherwise.
+  void RespondLocally(const LocalOutcome& aOutcome);
+  void CountFailure();
   void OnDeadline();
   void OnHedgeTimeout();
 
--- a/src/http/tests/TestHttpServer.cpp
+++ b/src/http/tests/TestHttpServer.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <ostream>
+#include <thread>
 
 using namespace filbertbeam;
 using namespace filbertbeam::testing;
@@ -95,6 +96,46 @@
   }
 };
 
+HttpServerLimits
+LimitsShorterThanASuspension()
+{
+  HttpServerLimits limits;
+  limits.headTimeout = std::chrono::milliseconds(300);
+  limits.bodyGrace = std::chrono::milliseconds(300);
+  limits.idleTimeout = std::chrono::milliseconds(300);
+  return limits;
+}
+
+// A host that is suspended for longer than the time limits while it handles an
+// event, so that its timers are due before it can read what has arrived.
+struct SuspendedHostFixture : ServerFixture
+{
+  SuspendedHostFixture()
+    : ServerFixture(LimitsShorterThanASuspension())
+    , caller(server->Port())
+    , other(server->Port())
+  {
+  }
+
+  // Suspends the host; aBytes of the caller arrive meanwhile.
+  void SuspendWhileArriving(std::string_view aBytes)
+  {
+    const std::size_t before = application.sessions.size();
+    application.onRequest = [&](RecordingSession&) {
+      caller.Send(aBytes);
+      caller.Socket().flush();
+      std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    };
+    other.Send(kGet);
+    BOOST_TEST_REQUIRE(
+      WaitUntil([&] { return application.sessions.size() > before; }));
+    application.onRequest = nullptr;
+  }
+
+  RawConnection caller;
+  RawConnection other;
+};
+
 struct BadInput
 {
   const char* name;
@@ -367,14 +408,107 @@
   BOOST_TEST(caller.Count("HTTP/1.1 408") == 1);
 }
 
-BOOST_AUTO_TEST_CASE(ASlowBodyIsAnswered408WithUnknownOutcome)
+BOOST_AUTO_TEST_SUITE(ASlowBody)
+
+// Guards against the promise of 408 for a request of which the application may
+// have passed a part on.
+BOOST_AUTO_TEST_CASE(
+  IsAnswered504WithUnknownOutcomeUnlessTheApplicationResponds)
 {
   RawConnection caller(server->Port());
   caller.Send(Post("Content-Length: 100\r\n", "a"));
   BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
-  BOOST_TEST(StatusOf(caller.received) == 408);
+  BOOST_TEST(StatusOf(caller.received) == 504);
   BOOST_TEST(OutcomeOf(caller.received) == "unknown");
-  BOOST_TEST(application.sessions.at(0)->closes == 1);
+  BOOST_TEST(caller.Count("HTTP/1.1 ") == 1);
+  BOOST_TEST(caller.Count("Connection: close\r\n") == 1);
+  const RecordingSession& session = *application.sessions.at(0);
+  BOOST_TEST(session.failures == 1);
+  BOOST_TEST(session.ends == 0);
+  BOOST_TEST(session.closes == 1);
+  BOOST_TEST(!session.isComplete);
+}
+
+// Guards against an uncertain response to a request that the application has
+// kept back.
+BOOST_AUTO_TEST_CASE(IsAnswered408IfTheApplicationSaysThatItHasNotRun)
+{
+  application.onRequest = [](RecordingSession& aSession) {
+    aSession.onFailed = [](RecordingSession& aFailed,
+                           const RequestFailure& aFailure) {
+      aFailed.Respond(aFailure.reason, aFailure.statusIfNotRun);
+    };
+  };
+  RawConnection caller(server->Port());
+  caller.Send(Post("Content-Length: 100\r\n", "a"));
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(StatusOf(caller.received) == 408);
+  BOOST_TEST(BodyOf(caller.received) == "the request body arrives too slowly");
+  BOOST_TEST(caller.Count("HTTP/1.1 ") == 1);
+  BOOST_TEST(caller.Count("Connection: close\r\n") == 1);
+  const RecordingSession& session = *application.sessions.at(0);
+  BOOST_TEST(session.failures == 1);
+  BOOST_TEST(session.closes == 1);
+  BOOST_TEST(session.isComplete);
+}
+
+// Guards against an application that gets the rest of a body, and could pass it
+// on, after the request has been given up.
+BOOST_AUTO_TEST_CASE(IsNotReadOnAfterItsResponse)
+{
+  RawConnection caller(server->Port());
+  caller.onReceived = [](RawConnection& aCaller) {
+    aCaller.Send(std::string(99, 'b') + kGet);
+  };
+  caller.Send(Post("Content-Length: 100\r\n", "a"));
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(application.sessions.size() == 1U);
+  BOOST_TEST(application.sessions.at(0)->body == "a");
+  BOOST_TEST(application.sessions.at(0)->ends == 0);
+}
+
+// Guards against a second response within the first.
+BOOST_AUTO_TEST_CASE(ClosesTheConnectionIfTheResponseHasBegun)
+{
+  application.onRequest = [](RecordingSession& aSession) {
+    aSession.onBody = [](RecordingSession& aArriving) {
+      HttpResponseHead head;
+      head.status = 200;
+      head.framing = BodyFraming::Chunked;
+      aArriving.exchange->SendHead(head);
+    };
+  };
+  RawConnection caller(server->Port());
+  caller.Send(Post("Content-Length: 100\r\n", "a"));
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(StatusOf(caller.received) == 200);
+  BOOST_TEST(BodyOf(caller.received).empty());
+  const RecordingSession& session = *application.sessions.at(0);
+  BOOST_TEST(session.failures == 1);
+  BOOST_TEST(session.closes == 1);
+  BOOST_TEST(!session.isComplete);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against an application that is not told why a body ends, and against a
+// response that does not say what it knows.
+BOOST_AUTO_TEST_CASE(AnInvalidBodyIsAnsweredByTheApplication)
+{
+  application.onRequest = [](RecordingSession& aSession) {
+    aSession.onFailed = [](RecordingSession& aFailed,
+                           const RequestFailure& aFailure) {
+      BOOST_TEST(aFailure.statusIfNotRun == 400);
+      BOOST_TEST(aFailure.statusIfUnknown == 400);
+      aFailed.Respond("not passed on", aFailure.statusIfNotRun);
+    };
+  };
+  RawConnection caller(server->Port());
+  caller.Send(Chunked("1\r\na\r\nx\r\n"));
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(StatusOf(caller.received) == 400);
+  BOOST_TEST(BodyOf(caller.received) == "not passed on");
+  BOOST_TEST(application.sessions.at(0)->failures == 1);
 }
 
 // Guards against a timeout for a caller whose body the application has paused.
@@ -474,6 +608,60 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AfterASuspensionOfTheHost, SuspendedHostFixture)
+
+// Guards against a caller that is taken for a slow one because the host itself
+// did not read what had arrived.
+BOOST_AUTO_TEST_CASE(ABodyThatHasArrivedIsRead)
+{
+  caller.Send(Post("Content-Length: 2000\r\n", "a"));
+  BOOST_TEST_REQUIRE(WaitUntil([&] {
+    return !application.sessions.empty() &&
+           application.sessions[0]->bodyBytes == 1;
+  }));
+  RunFor(std::chrono::milliseconds(100));
+  SuspendWhileArriving(std::string(1999, 'a'));
+  BOOST_TEST(WaitUntil([&] { return !caller.received.empty(); }));
+  BOOST_TEST(StatusOf(caller.received) == 200, caller.received);
+}
+
+BOOST_AUTO_TEST_CASE(AHeadThatHasArrivedIsRead)
+{
+  caller.Send("GET /a HTTP/1.1\r\n");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return server->OpenConnections() == 2; }));
+  RunFor(std::chrono::milliseconds(50));
+  SuspendWhileArriving("Host: h\r\n\r\n");
+  BOOST_TEST(WaitUntil([&] { return !caller.received.empty(); }));
+  BOOST_TEST(StatusOf(caller.received) == 200, caller.received);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatHasArrivedOnAnIdleConnectionIsRead)
+{
+  caller.Send(kGet);
+  BOOST_TEST_REQUIRE(
+    WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 1; }));
+  SuspendWhileArriving(kGet);
+  BOOST_TEST(WaitUntil(
+    [&] { return caller.Count("HTTP/1.1 200") == 2 || caller.isClosed; }));
+  BOOST_TEST(caller.Count("HTTP/1.1 200") == 2);
+}
+
+// Guards against time limits that no longer hold after a suspension.
+BOOST_AUTO_TEST_CASE(ACallerThatSendsNothingIsStillRefused)
+{
+  caller.Send(Post("Content-Length: 2000\r\n", "a"));
+  BOOST_TEST_REQUIRE(WaitUntil([&] {
+    return !application.sessions.empty() &&
+           application.sessions[0]->bodyBytes == 1;
+  }));
+  RunFor(std::chrono::milliseconds(100));
+  SuspendWhileArriving("a");
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(StatusOf(caller.received) == 504);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Exchanges, ServerFixture)
 
 // Guards against responses in another order than the requests when a later one
--- a/src/owner/OwnerSession.cpp
+++ b/src/owner/OwnerSession.cpp
@@ -213,6 +213,26 @@
   }
 }
 
+void
+OwnerSession::OnRequestFailed(const RequestFailure& aFailure)
+{
+  if (state_ == State::Done) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const State before = std::exchange(state_, State::Done);
+  if (before == State::Queued) {
+    shard_->Cancel(id_);
+  }
+  EndAttempt(AttemptResult::Cancelled);
+  if (before == State::Responding) {
+    exchange_->Abort();
+    return;
+  }
+  Refuse(mayHaveRun_ ? aFailure.statusIfUnknown : aFailure.statusIfNotRun,
+         "incomplete-body");
+}
+
 void
 OwnerSession::OnRequestWritable()
 {
