--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -76,7 +76,8 @@
 bool
 BackendAttempt::AnyByteSent() const
 {
-  return exchange_ && exchange_->AnyByteSent();
+  // A response or a failure has ended the exchange, which is no proof.
+  return exchange_ == nullptr || exchange_->AnyByteSent();
 }
 
 std::size_t
@@ -125,8 +126,8 @@
            "foreign_response_dropped",
            { { "request", requestId_ },
              { "server", server_.id },
-             { "connection", connection_.connection },
-             { "exchange", connection_.exchange },
+             { "connection", connection_.connectionNumber },
+             { "exchange", connection_.exchangeNumber },
              { "response_to", headers.requestId },
              { "status", aHead.status } });
   return false;
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -69,8 +69,8 @@
   Instant StartedAt() const { return startedAt_; }
   // The connection of the attempt, for logs.
   const ConnectionUse& Connection() const { return connection_; }
-  // True once at least one byte of the request was passed to the operating
-  // system. Final after Cancel; call it only before the response has ended.
+  // False only if no byte of the request was passed to the operating system.
+  // Final after Cancel.
   bool AnyByteSent() const;
   std::size_t UnsentBytes() const;
   const HttpResponseHead& Head() const { return head_; }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -56,13 +56,13 @@
   virtual void OnExchangeFailed(const HttpFailure& aFailure) = 0;
 };
 
-// The connection that carries an exchange.
+// The connection that carries an exchange, and the exchange's place on it.
 struct ConnectionUse
 {
-  // Number of the connection; unique within its client.
-  std::uint64_t connection = 0;
-  // Number of the exchange on its connection, from 1 on a new one.
-  std::uint64_t exchange = 0;
+  // Unique within the client.
+  std::uint64_t connectionNumber = 0;
+  // 1 for the first exchange of a connection.
+  std::uint64_t exchangeNumber = 0;
 };
 
 // One request and its response, as seen by the client.
@@ -72,9 +72,9 @@
   virtual ~HttpClientExchange() = default;
 
   virtual ConnectionUse Connection() const = 0;
-  // True if a request with this id was sent on the connection. Always false
-  // after the exchange has ended.
-  virtual bool HasConnectionCarried(std::string_view aRequestId) const = 0;
+  // False if no request with this id was sent on the connection, this one
+  // included. Always false after the exchange has ended.
+  virtual bool MayHaveCarried(std::string_view aRequestId) const = 0;
 
   virtual void SendBody(ByteView aBytes) = 0;
   // Marks the request body as complete.
@@ -99,9 +99,10 @@
   // connection cannot leave the outcome of a request unknown.
   bool freshConnection = false;
   std::chrono::milliseconds connectTimeout{ 1'000 };
-  // What the responses to this request name it by, if the server repeats such
-  // an id. No two requests with the same id share a connection, since a late
-  // copy of the response to the first would be taken for that to the second.
+  // The id by which servers name this request in their responses, if they do.
+  // A connection that has carried a request with this id is not used, since a
+  // late copy of the response to it would be taken for that to this request.
+  // An empty id is an id as well.
   std::optional<std::string> requestId = std::nullopt;
 };
 
@@ -119,8 +120,9 @@
 };
 
 // An HTTP/1.1 client that sends every request at most once and never retries by
-// itself. A connection carries one exchange at a time, so a response cannot
-// reach the wrong exchange. Not thread-safe; runs on the event loop of the
+// itself. A connection carries one exchange at a time. A late copy of an
+// earlier response is recognised by IsOwnResponse and
+// HttpClientOptions::requestId. Not thread-safe; runs on the event loop of the
 // thread that creates it.
 class HttpClient
 {
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -22,7 +22,7 @@
 constexpr int kMaxSkippedResponses = 4;
 // A connection that has carried this many requests with an id is not kept,
 // which limits the memory for their hashes to 8 KiB.
-constexpr std::size_t kMaxCarriedIds = 1'024;
+constexpr std::size_t kMaxRequestIds = 1'024;
 // If a server announces how long it keeps idle connections, a connection is
 // dropped this long before that time, so that no request is sent just before
 // the server closes it.
@@ -113,10 +113,10 @@
 }
 
 bool
-HttpClientConnection::HasCarried(std::string_view aRequestId) const
+HttpClientConnection::MayHaveCarried(std::string_view aRequestId) const
 {
-  return std::ranges::find(carriedIds_, HashOfId(aRequestId)) !=
-         carriedIds_.end();
+  return std::ranges::find(requestIdHashes_, HashOfId(aRequestId)) !=
+         requestIdHashes_.end();
 }
 
 std::shared_ptr<TcpClientExchange>
@@ -129,9 +129,9 @@
     timer_.stop();
   }
   if (aRequestId) {
-    carriedIds_.push_back(HashOfId(*aRequestId));
+    requestIdHashes_.push_back(HashOfId(*aRequestId));
   }
-  ++use_.exchange;
+  ++use_.exchangeNumber;
   exchange_ = std::make_shared<TcpClientExchange>(weak_from_this(), use_);
   observer_ = std::move(aObserver);
   queuedBytes_ = 0;
@@ -470,7 +470,7 @@
   const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
                           sentBytes_ == queuedBytes_ && parser_.KeepAlive() &&
                           skippedResponses_ == 0 &&
-                          carriedIds_.size() < kMaxCarriedIds;
+                          requestIdHashes_.size() < kMaxRequestIds;
   const std::chrono::milliseconds idleTime =
     parser_.IdleTimeout()
       ? std::min(limits_.idleTimeout, *parser_.IdleTimeout() - kIdleMargin)
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -47,8 +47,8 @@
   // True if the connection is open and idle, and its peer has neither sent data
   // nor closed it.
   bool IsUsable() const;
-  // True if a request with this id has been sent on the connection.
-  bool HasCarried(std::string_view aRequestId) const;
+  // False if no request with this id has been sent on the connection.
+  bool MayHaveCarried(std::string_view aRequestId) const;
   // Starts an exchange on a new or idle connection. aHeadBytes is the
   // serialized request head; aRequestId is that of HttpClientOptions.
   std::shared_ptr<TcpClientExchange> Begin(
@@ -95,8 +95,8 @@
 
   // Of the current exchange or, between exchanges, of the last one.
   ConnectionUse use_;
-  // Hashes of the ids of the requests that were sent on this connection.
-  std::vector<std::size_t> carriedIds_;
+  // Of the requests that were sent on this connection.
+  std::vector<std::size_t> requestIdHashes_;
   Endpoint server_;
   const HttpClientLimits& limits_;
   QObject& context_;
--- a/src/http/HttpFields.cpp
+++ b/src/http/HttpFields.cpp
@@ -2,6 +2,8 @@
 
 #include "http/ConnectionFields.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 void
@@ -39,4 +41,14 @@
   return std::nullopt;
 }
 
+std::optional<std::string_view>
+HttpFields::FindOnly(std::string_view aName) const
+{
+  const auto count =
+    std::ranges::count_if(fields_, [aName](const HttpField& aField) {
+      return EqualsIgnoringCase(aField.name, aName);
+    });
+  return count == 1 ? Find(aName) : std::nullopt;
+}
+
 } // namespace filbertbeam
--- a/src/http/HttpFields.h
+++ b/src/http/HttpFields.h
@@ -24,6 +24,8 @@
 
   // Returns the value of the first field of this name.
   std::optional<std::string_view> Find(std::string_view aName) const;
+  // As Find, but returns nothing if there are several fields of this name.
+  std::optional<std::string_view> FindOnly(std::string_view aName) const;
 
   const std::vector<HttpField>& All() const { return fields_; }
 
--- a/src/http/TcpClientExchange.cpp
+++ b/src/http/TcpClientExchange.cpp
@@ -13,10 +13,10 @@
 }
 
 bool
-TcpClientExchange::HasConnectionCarried(std::string_view aRequestId) const
+TcpClientExchange::MayHaveCarried(std::string_view aRequestId) const
 {
   const auto connection = connection_.lock();
-  return connection && connection->HasCarried(aRequestId);
+  return connection && connection->MayHaveCarried(aRequestId);
 }
 
 void
--- a/src/http/TcpClientExchange.h
+++ b/src/http/TcpClientExchange.h
@@ -15,7 +15,7 @@
                     const ConnectionUse& aUse);
 
   ConnectionUse Connection() const override { return use_; }
-  bool HasConnectionCarried(std::string_view aRequestId) const override;
+  bool MayHaveCarried(std::string_view aRequestId) const override;
   void SendBody(ByteView aBytes) override;
   void FinishBody() override;
   void PauseResponseBody() override;
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -94,7 +94,8 @@
                         const HttpClientOptions& aOptions)
 {
   const auto isSuitable = [&aOptions](const auto& aConnection) {
-    return !aOptions.requestId || !aConnection->HasCarried(*aOptions.requestId);
+    return !aOptions.requestId ||
+           !aConnection->MayHaveCarried(*aOptions.requestId);
   };
   while (true) {
     const auto pool = pools_.find(aServer);
--- a/src/http/tests/TestHttpClient.cpp
+++ b/src/http/tests/TestHttpClient.cpp
@@ -250,7 +250,7 @@
     options.requestId = std::move(aId);
     const auto observer = Start(Get(), options);
     BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
-    return exchange->Connection().connection;
+    return exchange->Connection().connectionNumber;
   };
   const auto first = connectionOf("a");
   BOOST_TEST(connectionOf("b") == first);
@@ -336,7 +336,7 @@
     options.requestId = std::to_string(i);
     const auto observer = Start(Get(), options);
     BOOST_TEST_REQUIRE(WaitUntil([&] { return observer->IsOver(); }));
-    longest = std::max(longest, exchange->Connection().exchange);
+    longest = std::max(longest, exchange->Connection().exchangeNumber);
   }
   BOOST_TEST(longest == kMost);
   BOOST_TEST(OpenConnections() == 1);
@@ -355,11 +355,11 @@
   const ConnectionUse first = connectionOf({});
   const ConnectionUse second = connectionOf({});
   const ConnectionUse fresh = connectionOf({ .freshConnection = true });
-  BOOST_TEST(first.exchange == 1U);
-  BOOST_TEST(second.connection == first.connection);
-  BOOST_TEST(second.exchange == 2U);
-  BOOST_TEST(fresh.connection != first.connection);
-  BOOST_TEST(fresh.exchange == 1U);
+  BOOST_TEST(first.exchangeNumber == 1U);
+  BOOST_TEST(second.connectionNumber == first.connectionNumber);
+  BOOST_TEST(second.exchangeNumber == 2U);
+  BOOST_TEST(fresh.connectionNumber != first.connectionNumber);
+  BOOST_TEST(fresh.exchangeNumber == 1U);
 }
 
 // Guards against a late response to an earlier request that cannot be told from
@@ -370,12 +370,12 @@
   const auto first = Start(Get(), { .requestId = "a" });
   BOOST_TEST(WaitUntil([&] { return first->IsOver(); }));
   Start(Get(), { .requestId = "b" });
-  BOOST_TEST(exchange->Connection().exchange == 2U);
-  BOOST_TEST(exchange->HasConnectionCarried("a"));
-  BOOST_TEST(exchange->HasConnectionCarried("b"));
-  BOOST_TEST(!exchange->HasConnectionCarried("c"));
+  BOOST_TEST(exchange->Connection().exchangeNumber == 2U);
+  BOOST_TEST(exchange->MayHaveCarried("a"));
+  BOOST_TEST(exchange->MayHaveCarried("b"));
+  BOOST_TEST(!exchange->MayHaveCarried("c"));
   Start(Get(), { .freshConnection = true, .requestId = "c" });
-  BOOST_TEST(!exchange->HasConnectionCarried("a"));
+  BOOST_TEST(!exchange->MayHaveCarried("a"));
 }
 
 BOOST_AUTO_TEST_CASE(AnIdleConnectionThatThePeerClosesIsRemoved)
--- a/src/http/tests/TestHttpClientEvidence.cpp
+++ b/src/http/tests/TestHttpClientEvidence.cpp
@@ -140,8 +140,8 @@
     const auto first = Start(5);
     BOOST_REQUIRE(WaitUntil([&] { return first->observer->IsOver(); }));
     const auto second = Start(5);
-    BOOST_TEST(second->exchange->Connection().connection ==
-               first->exchange->Connection().connection);
+    BOOST_TEST(second->exchange->Connection().connectionNumber ==
+               first->exchange->Connection().connectionNumber);
     RunTurns(turns, std::chrono::microseconds(blockedMicroseconds));
     GiveUpOn(*second, way);
   }
@@ -282,8 +282,8 @@
     BOOST_REQUIRE(WaitUntil([&] { return first->observer->IsOver(); }));
     server.SetBehavior({});
     second = Start(5);
-    BOOST_TEST(second->exchange->Connection().connection ==
-               first->exchange->Connection().connection);
+    BOOST_TEST(second->exchange->Connection().connectionNumber ==
+               first->exchange->Connection().connectionNumber);
     BOOST_TEST(WaitUntil(
       [&] { return server.Count("POST " + second->target + " ") == 1; }));
     second->GiveUp();
--- a/src/http/tests/support/FakeHttp.h
+++ b/src/http/tests/support/FakeHttp.h
@@ -67,7 +67,7 @@
   }
 
   ConnectionUse Connection() const override { return connection; }
-  bool HasConnectionCarried(std::string_view) const override { return false; }
+  bool MayHaveCarried(std::string_view) const override { return false; }
   void SendBody(ByteView aBytes) override
   {
     body.append(aBytes.data(), aBytes.size());
--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -50,7 +50,7 @@
   // On a connection that carried other requests before, any response may be a
   // late one to them, unless it names its request. No other attempt of this
   // request used the connection.
-  return exchange_->Connection().exchange == 1 ||
+  return exchange_->Connection().exchangeNumber == 1 ||
          aHead.fields.Find(kBackendRequestIdField) == requestId_;
 }
 
@@ -76,7 +76,7 @@
   // Servers may name their responses in other ways than by the request's id, so
   // only the id of an earlier request on the connection proves a late response.
   const auto id = aHead.fields.Find(kBackendRequestIdField);
-  return !id || id == requestId_ || !exchange_->HasConnectionCarried(*id);
+  return !id || id == requestId_ || !exchange_->MayHaveCarried(*id);
 }
 
 void
