--- a/src/http/tests/support/RandomPauses.h
+++ b/src/http/tests/support/RandomPauses.h
@@ -31,19 +31,19 @@
 
 // Pauses the threads of this process at random moments and at any instruction,
 // within system calls too, as SIGSTOP does from outside. There can be one at a
-// time.
+// time. The time from one pause to the next is less than aMaxInterval.
 class RandomPauses
 {
 public:
-  explicit RandomPauses(std::uint64_t aSeed)
+  RandomPauses(std::uint64_t aSeed, std::chrono::microseconds aMaxInterval)
   {
     SetHandler(&OnSignal);
-    thread_ = std::jthread([aSeed](const std::stop_token& aStop) {
+    thread_ = std::jthread([aSeed, aMaxInterval](const std::stop_token& aStop) {
       ExemptThreadFromPauses();
       SeededRandom random(aSeed);
       while (!aStop.stop_requested()) {
         std::this_thread::sleep_for(
-          std::chrono::microseconds(random.Below(kMaxInterval.count())));
+          std::chrono::microseconds(random.Below(aMaxInterval.count())));
         PauseThreads();
       }
     });
@@ -59,7 +59,6 @@
   RandomPauses& operator=(const RandomPauses&) = delete;
 
 private:
-  static constexpr std::chrono::microseconds kMaxInterval{ 20'000 };
   static constexpr timespec kPause{ 0, 2'000'000 }; // 2 ms
 
   static void SetHandler(void (*aHandler)(int))
