Entry: Ask in one place whether a given-up request may have run

At the deadline, after an incomplete body and when the caller leaves, three places read AnyByteSent, two of them before the connection was closed, and one forgot an earlier attempt that may have run. CancelAttempt answers for all three, after the attempt is cancelled. No test could be made to fail before: only idempotent requests are retried, and they hold no claim. test_entry passes.

--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -148,10 +148,7 @@
                     { HttpFailureKind::Cancelled, true, aFailure.reason });
     return;
   }
-  const std::shared_ptr<RelayAttempt> attempt = attempt_;
-  ReleaseAttempt();
-  // Checked after the connection is closed, so no byte can be sent later.
-  const bool mayHaveRun = mayHaveRun_ || (attempt && attempt->AnyByteSent());
+  const bool mayHaveRun = CancelAttempt();
   RespondWithError(
     { mayHaveRun ? aFailure.statusIfUnknown : aFailure.statusIfNotRun,
       "incomplete-body",
@@ -675,6 +672,15 @@
   attempt->Cancel();
 }
 
+bool
+EntrySession::CancelAttempt()
+{
+  const std::shared_ptr<RelayAttempt> attempt = attempt_;
+  ReleaseAttempt();
+  // No byte can be sent any more.
+  return mayHaveRun_ || (attempt && attempt->AnyByteSent());
+}
+
 void
 EntrySession::OnDeadline()
 {
@@ -684,10 +690,10 @@
                     { HttpFailureKind::Cancelled, true, "deadline passed" });
     return;
   }
-  const bool anyByteSent = attempt_ && attempt_->AnyByteSent();
+  const bool mayHaveRun = CancelAttempt();
   RespondWithError({ 504,
                      "deadline-passed",
-                     anyByteSent ? Outcome::Unknown : Outcome::NotRun });
+                     mayHaveRun ? Outcome::Unknown : Outcome::NotRun });
 }
 
 void
@@ -707,9 +713,7 @@
   phase_ = Phase::Done;
   deadlineTimer_.stop();
   retryTimer_.stop();
-  const bool anyByteSent = attempt_ && attempt_->AnyByteSent();
-  ReleaseAttempt();
-  SettleClaim(anyByteSent ? Outcome::Unknown : Outcome::NotRun);
+  SettleClaim(CancelAttempt() ? Outcome::Unknown : Outcome::NotRun);
 }
 
 } // namespace filbertbeam
--- a/src/entry/EntrySession.h
+++ b/src/entry/EntrySession.h
@@ -90,6 +90,9 @@
   void RecordServiceLevel(bool aIsFailed);
   void OnDeadline();
   void ReleaseAttempt();
+  // Gives up the running attempt, if there is one. Returns false if it is
+  // certain that the request has not run in any attempt.
+  bool CancelAttempt();
 
   Duration Remaining() const;
 
