Daemon: Wait until the host is not isolated before it is ready

Callers of a host that had just started could get 503 backend-shed for an idempotent GET (test_fleet_path, ForwardsConcurrentResponsesUnchanged).

Cause, from the trace of a failing run: a host starts as isolated and stays so until a partner reports to receive its heartbeats. It was ready as soon as it knew all incarnations. About 6 ms after that it relayed four requests for its own shard to another host, which served them in the grace period of ownership, while the other hosts relayed to the new host. Each owner assigned all four slots. The four requests were shed; three of them were shed four times within 51 ms, one of these was served after a retry of the entry host, and the other two found no retry budget.

The host is now not ready while it is isolated, for at most the 10 s that it waits for incarnations.

--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -114,7 +114,10 @@
   if (clock_.Now() - startedAt_ > kMaxWaitForMembers) {
     return true;
   }
-  if (!publishedView_) {
+  // While this host regards itself as isolated, it relays the requests of its
+  // own shards to another host. Hosts that have its record relay them to it, so
+  // both would assign the same slots.
+  if (!publishedView_ || publishedView_->IsIsolated()) {
     return false;
   }
   const auto hasKnownIncarnation = [](const Member& aMember) {
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -69,8 +69,9 @@
   {
     return publishedView_;
   }
-  // Returns false for a short time after Start, while the incarnations of other
-  // live hosts are unknown: they would refuse this host's requests.
+  // Returns false for a short time after Start, while this host is isolated or
+  // the incarnations of other live hosts are unknown: they would refuse this
+  // host's requests.
   bool IsViewUsable();
   std::size_t MemoryBytes() const { return heartbeats_.MemoryBytes(); }
 
