--- a/src/catalog/CatalogProbe.cpp
+++ b/src/catalog/CatalogProbe.cpp
@@ -2,13 +2,6 @@
 
 namespace filbertbeam {
 
-namespace {
-
-// Sorts after the names of all objects, so that the page is empty.
-constexpr std::string_view kAfterAllNames = "~";
-
-} // namespace
-
 CatalogProbe::CatalogProbe(ObjectCatalog& aCatalog,
                            Predicate aIsNeeded,
                            FailureHandler aOnFailure)
@@ -32,16 +25,12 @@
     return;
   }
   isChecking_ = true;
-  catalog_.List(Collection::Configuration,
-                kAfterAllNames,
-                ListFreshness::MayBeStale,
-                [this](const CatalogPage& aPage) {
-                  isChecking_ = false;
-                  if (aPage.failure.error == CatalogError::Unavailable &&
-                      isNeeded_()) {
-                    onFailure_(aPage.failure);
-                  }
-                });
+  catalog_.Probe([this](const CatalogFailure& aFailure) {
+    isChecking_ = false;
+    if (aFailure.error == CatalogError::Unavailable && isNeeded_()) {
+      onFailure_(aFailure);
+    }
+  });
 }
 
 } // namespace filbertbeam
--- a/src/catalog/CountingCatalog.cpp
+++ b/src/catalog/CountingCatalog.cpp
@@ -12,11 +12,9 @@
 constexpr std::array<std::string_view, 6> kCollectionNames{
   "configuration", "backend-servers", "hosts", "members", "objects", "claims"
 };
-constexpr std::array<std::string_view, 5> kCallNames{ "list_page",
-                                                      "stale_list_page",
-                                                      "watch",
-                                                      "read",
-                                                      "write" };
+constexpr std::array<std::string_view, 6> kCallNames{
+  "list_page", "stale_list_page", "watch", "read", "write", "probe"
+};
 
 } // namespace
 
@@ -160,4 +158,11 @@
   catalog_.Remove(aCollection, aName, std::move(aCallback));
 }
 
+void
+CountingCatalog::Probe(ProbeCallback aCallback)
+{
+  Count(Collection::Configuration, CatalogCall::Probe);
+  catalog_.Probe(std::move(aCallback));
+}
+
 } // namespace filbertbeam
--- a/src/catalog/CountingCatalog.h
+++ b/src/catalog/CountingCatalog.h
@@ -16,6 +16,9 @@
   Read,
   // A creation, replacement or removal.
   Write,
+  // A check whether the catalog responds; counted as a call for the
+  // configuration.
+  Probe,
 };
 
 // Counts the calls to a catalog by collection and kind, since each call costs
@@ -60,12 +63,13 @@
   void Remove(Collection aCollection,
               std::string_view aName,
               WriteCallback aCallback) override;
+  void Probe(ProbeCallback aCallback) override;
 
 private:
   static constexpr std::size_t kCollections =
     static_cast<std::size_t>(Collection::Claims) + 1;
   static constexpr std::size_t kCalls =
-    static_cast<std::size_t>(CatalogCall::Write) + 1;
+    static_cast<std::size_t>(CatalogCall::Probe) + 1;
 
   void Count(Collection aCollection, CatalogCall aCall);
 
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -123,6 +123,7 @@
   using ChangesCallback = std::function<void(CatalogChanges)>;
   using EntryCallback = std::function<void(CatalogEntry)>;
   using WriteCallback = std::function<void(const CatalogFailure&)>;
+  using ProbeCallback = std::function<void(const CatalogFailure&)>;
 
   virtual ~ObjectCatalog() = default;
 
@@ -161,6 +162,9 @@
   virtual void Remove(Collection aCollection,
                       std::string_view aName,
                       WriteCallback aCallback) = 0;
+  // Makes the cheapest call that shows whether the catalog responds. A response
+  // that reports no object is no failure.
+  virtual void Probe(ProbeCallback aCallback) = 0;
 };
 
 } // namespace filbertbeam
--- a/src/catalog/tests/TestCatalogProbe.cpp
+++ b/src/catalog/tests/TestCatalogProbe.cpp
@@ -13,24 +13,19 @@
 class ProbedCatalog final : public CatalogStub
 {
 public:
-  void List(Collection,
-            std::string_view,
-            ListFreshness aFreshness,
-            PageCallback aCallback) override
+  void Probe(ProbeCallback aCallback) override
   {
-    freshness = aFreshness;
-    lists.push_back(std::move(aCallback));
+    probes.push_back(std::move(aCallback));
   }
 
   void Respond(CatalogError aError)
   {
-    CatalogPage page;
-    page.failure.error = aError;
-    lists.back()(page);
+    CatalogFailure failure;
+    failure.error = aError;
+    probes.back()(failure);
   }
 
-  ListFreshness freshness = ListFreshness::Newest;
-  std::vector<PageCallback> lists;
+  std::vector<ProbeCallback> probes;
 };
 
 } // namespace
@@ -50,11 +45,10 @@
     [&](const CatalogFailure&) { ++failures; });
   probe.Start();
   RunFor(kCatalogProbeInterval + 100ms);
-  BOOST_TEST(catalog.lists.empty());
+  BOOST_TEST(catalog.probes.empty());
   isNeeded = true;
-  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.lists.empty(); },
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.probes.empty(); },
                                kCatalogProbeInterval + 100ms));
-  BOOST_TEST((catalog.freshness == ListFreshness::MayBeStale));
   catalog.Respond(CatalogError::None);
   catalog.Respond(CatalogError::Refused);
   BOOST_TEST(failures == 0);
--- a/src/catalog/tests/TestCountingCatalog.cpp
+++ b/src/catalog/tests/TestCountingCatalog.cpp
@@ -22,11 +22,12 @@
   catalog.Replace(Collection::Claims, "a", {}, 1, {});
   catalog.Put(Collection::Hosts, "a", {}, {});
   catalog.Remove(Collection::Hosts, "a", {});
+  catalog.Probe({});
   BOOST_TEST(catalog.Calls(Collection::BackendServers, CatalogCall::Watch) ==
              2U);
-  BOOST_TEST(catalog.TotalCalls() == 9U);
+  BOOST_TEST(catalog.TotalCalls() == 10U);
   BOOST_TEST(catalog.FormatForLog() ==
-             "backend-servers:watch=2 hosts:list_page=1 "
+             "configuration:probe=1 backend-servers:watch=2 hosts:list_page=1 "
              "hosts:stale_list_page=1 hosts:write=2 objects:read=1 "
              "claims:write=2");
   BOOST_TEST(catalog.FormatMetrics().find(
--- a/src/catalog/tests/support/CatalogStub.h
+++ b/src/catalog/tests/support/CatalogStub.h
@@ -38,6 +38,7 @@
   {
   }
   void Remove(Collection, std::string_view, WriteCallback) override {}
+  void Probe(ProbeCallback) override {}
 };
 
 } // namespace filbertbeam::testing
