--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -145,6 +145,7 @@
 void
 BackendAttempt::OnResponseBody(ByteView aBytes)
 {
+  bodyBytes_ += aBytes.size();
   if (isStreaming_) {
     if (const auto observer = observer_.lock()) {
       observer->OnAttemptBody(*this, aBytes);
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -27,6 +27,8 @@
   ChosenWithoutOwner,
   // Requests that were refused or failed for want of memory.
   OutOfMemory,
+  // Bytes of servers that belong to no open exchange, by connection.
+  StrayBytes,
 };
 
 // Counters and histograms of this host's traffic. Safe to use from any thread.
@@ -42,7 +44,7 @@
 
 private:
   static constexpr std::size_t kCounters =
-    static_cast<std::size_t>(GatewayCounter::OutOfMemory) + 1;
+    static_cast<std::size_t>(GatewayCounter::StrayBytes) + 1;
 
   std::array<std::atomic<std::uint64_t>, kCounters> counters_{};
   LatencyHistogram latency_;
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -385,6 +385,7 @@
 GatewaySession::RespondLocally(const LocalOutcome& aOutcome)
 {
   const bool mayHaveRun = attempts_.MayHaveRun();
+  forwarded_ = {};
   LocalResponse response;
   response.status =
     mayHaveRun ? aOutcome.statusIfUnknown : aOutcome.statusIfNotRun;
@@ -441,6 +442,7 @@
 {
   if (streamingAttempt_.get() == &aAttempt) {
     EndAttempt(aAttempt, AttemptResult::Responded);
+    SetForwarded(aAttempt);
     exchange_->Finish();
     Close(aAttempt.Head().status, "answered", "streamed");
     return;
@@ -475,12 +477,14 @@
       EndAttempt(aAttempt, AttemptResult::Responded);
     CancelAttempts(AttemptResult::Abandoned);
     memory_.Take(attempt->Memory());
+    SetForwarded(*attempt);
     SendWholeResponse(*exchange_, head, attempt->Body());
     Close(head.status, "answered", "");
     return;
   }
   const AttemptPointer attempt = EndAttempt(aAttempt, AttemptResult::Failed);
   if (!MeansNotRun(head.status)) {
+    SetForwarded(*attempt);
     failureHead_ = head;
     failureBody_ = attempt->TakeBody();
     memory_.Take(attempt->Memory());
@@ -636,6 +640,14 @@
   return attempt;
 }
 
+void
+GatewaySession::SetForwarded(const BackendAttempt& aAttempt)
+{
+  forwarded_ = { aAttempt.Connection(),
+                 aAttempt.Head().framing,
+                 aAttempt.BodyBytes() };
+}
+
 void
 GatewaySession::CancelAttempts(AttemptResult aResult)
 {
@@ -678,6 +690,10 @@
              { "status", aStatus },
              { "outcome", aOutcome },
              { "reason", aReason },
+             { "connection", forwarded_.connection.connectionNumber },
+             { "exchange", forwarded_.connection.exchangeNumber },
+             { "framing", ToString(forwarded_.framing) },
+             { "body", forwarded_.bodyBytes },
              { "ms", ToMilliseconds(latency) } });
 }
 
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -60,6 +60,15 @@
     std::optional<Duration> retryAfter = std::nullopt;
   };
 
+  // Where the response that is forwarded came from, and its form; for logs.
+  struct ForwardedResponse
+  {
+    ConnectionUse connection;
+    BodyFraming framing = BodyFraming::None;
+    // Size in bytes of the body that was received.
+    std::uint64_t bodyBytes = 0;
+  };
+
   Duration Remaining() const;
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
   // True when this host may send a request of the service to aServer now.
@@ -101,6 +110,8 @@
   // Removes aAttempt from the running attempts and reports its result.
   AttemptPointer EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult);
   void CancelAttempts(AttemptResult aResult);
+  // Records aAttempt's response as the one that is forwarded.
+  void SetForwarded(const BackendAttempt& aAttempt);
   void Close(int aStatus, std::string_view aOutcome, std::string_view aReason);
 
   GatewayContext& context_;
@@ -130,6 +141,7 @@
   // succeeds.
   std::optional<HttpResponseHead> failureHead_;
   std::string failureBody_;
+  ForwardedResponse forwarded_;
 
   std::string_view lastSelectionSource_ = "none";
   QTimer deadlineTimer_;
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -1,6 +1,8 @@
 #include "gateway/TrafficRuntime.h"
 
+#include "base/Log.h"
 #include "gateway/BackendAttempt.h"
+#include "http/EndpointText.h"
 
 namespace filbertbeam {
 
@@ -62,6 +64,18 @@
   return limits;
 }
 
+void
+OnStrayBytes(GatewayMetrics& aMetrics, const StrayBytes& aBytes)
+{
+  aMetrics.Count(GatewayCounter::StrayBytes);
+  LogEvent(LogLevel::Info,
+           "stray_bytes",
+           { { "address", FormatEndpoint(aBytes.server) },
+             { "connection", aBytes.use.connectionNumber },
+             { "exchange", aBytes.use.exchangeNumber },
+             { "place", ToString(aBytes.place) } });
+}
+
 } // namespace
 
 std::unique_ptr<TrafficRuntime>
@@ -77,7 +91,10 @@
   limits.idleConnections = kIdleConnectionsPerServer;
   limits.idleTimeout = kIdleTimeout;
   limits.unresponsivePeerTimeout = kUnresponsiveTimeout;
-  runtime->client_ = HttpClient::Create(limits);
+  runtime->client_ =
+    HttpClient::Create(limits, [&aMetrics](const StrayBytes& aBytes) {
+      OnStrayBytes(aMetrics, aBytes);
+    });
   runtime->selection_ = SelectionService::Create(
     SelectionSettings(aSettings), aClock, runtime->random_, aReason);
   if (!runtime->selection_) {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -2,6 +2,8 @@
 
 #include "http/TcpHttpClient.h"
 
+#include <utility>
+
 namespace filbertbeam {
 
 bool
@@ -11,9 +13,9 @@
 }
 
 std::unique_ptr<HttpClient>
-HttpClient::Create(const HttpClientLimits& aLimits)
+HttpClient::Create(const HttpClientLimits& aLimits, StrayBytesHandler aHandler)
 {
-  return std::make_unique<TcpHttpClient>(aLimits);
+  return std::make_unique<TcpHttpClient>(aLimits, std::move(aHandler));
 }
 
 } // namespace filbertbeam
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "http/HttpMessage.h"
+#include "http/StrayBytes.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,15 +58,6 @@
   virtual void OnExchangeFailed(const HttpFailure& aFailure) = 0;
 };
 
-// The connection that carries an exchange, and the exchange's place on it.
-struct ConnectionUse
-{
-  // Unique within the client.
-  std::uint64_t connectionNumber = 0;
-  // 1 for the first exchange of a connection.
-  std::uint64_t exchangeNumber = 0;
-};
-
 // One request and its response, as seen by the client.
 class HttpClientExchange
 {
@@ -129,7 +122,11 @@
 public:
   virtual ~HttpClient() = default;
 
-  static std::unique_ptr<HttpClient> Create(const HttpClientLimits& aLimits);
+  using StrayBytesHandler = std::function<void(const StrayBytes&)>;
+
+  // aHandler may be empty; it must not use the client.
+  static std::unique_ptr<HttpClient> Create(const HttpClientLimits& aLimits,
+                                            StrayBytesHandler aHandler = {});
 
   // Starts an exchange. The event loop delivers the events, never during this
   // call. The head is sent with the given fields; Host is added if it is
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -112,6 +112,16 @@
          ProbeSocket(*socket_) == SocketCondition::Idle;
 }
 
+bool
+HttpClientConnection::CheckUsable()
+{
+  if (HasUnreadInput()) {
+    ReportStrayBytes(StrayBytesPlace::Idle);
+    return false;
+  }
+  return IsUsable();
+}
+
 bool
 HttpClientConnection::MayHaveCarried(std::string_view aRequestId) const
 {
@@ -293,6 +303,7 @@
   if (exchange_ == nullptr) {
     // No response is expected; these bytes would be taken for the next
     // response.
+    ReportStrayBytes(StrayBytesPlace::Idle);
     Close();
     return;
   }
@@ -451,6 +462,7 @@
 HttpClientConnection::SkipResponse()
 {
   ++skippedResponses_;
+  ReportStrayBytes(StrayBytesPlace::BeforeResponse);
   if (!parser_.KeepAlive()) {
     Fail(HttpFailureKind::Closed,
          "the connection ended with a response to another request");
@@ -464,6 +476,20 @@
   parser_.Reset(method_);
 }
 
+bool
+HttpClientConnection::HasUnreadInput() const
+{
+  return !input_.Bytes().empty() ||
+         (state_ == State::Connected &&
+          ProbeSocket(*socket_) == SocketCondition::HasInput);
+}
+
+void
+HttpClientConnection::ReportStrayBytes(StrayBytesPlace aPlace)
+{
+  handlers_.onStrayBytes({ server_, use_, aPlace });
+}
+
 void
 HttpClientConnection::CompleteExchange()
 {
@@ -475,6 +501,9 @@
     parser_.IdleTimeout()
       ? std::min(limits_.idleTimeout, *parser_.IdleTimeout() - kIdleMargin)
       : limits_.idleTimeout;
+  if (HasUnreadInput()) {
+    ReportStrayBytes(StrayBytesPlace::AfterResponse);
+  }
   exchange_->Detach(AnyByteSent());
   exchange_.reset();
   const auto observer = std::exchange(observer_, nullptr);
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -27,6 +27,7 @@
     // Returns true if the connection is kept for another exchange.
     std::function<bool(HttpClientConnection&)> onIdle;
     std::function<void(HttpClientConnection&)> onClosed;
+    std::function<void(const StrayBytes&)> onStrayBytes;
   };
 
   // aNumber identifies the connection within its client. aContext is the
@@ -47,6 +48,8 @@
   // True if the connection is open and idle, and its peer has neither sent data
   // nor closed it.
   bool IsUsable() const;
+  // As IsUsable, but reports bytes that the peer has sent meanwhile.
+  bool CheckUsable();
   // False if no request with this id has been sent on the connection.
   bool MayHaveCarried(std::string_view aRequestId) const;
   // Starts an exchange on a new or idle connection. aHeadBytes is the
@@ -90,6 +93,8 @@
   void Write(std::string_view aBytes);
   void CompleteExchange();
   void SkipResponse();
+  bool HasUnreadInput() const;
+  void ReportStrayBytes(StrayBytesPlace aPlace);
   void Fail(HttpFailureKind aKind, std::string aReason);
   void Close();
 
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace filbertbeam {
 
@@ -25,6 +26,10 @@
   UntilClose,
 };
 
+// Returns a lower-case name for logs.
+std::string_view
+ToString(BodyFraming aFraming);
+
 // Fields that frame a message or apply to one connection only (Content-Length,
 // Transfer-Encoding, Connection, Keep-Alive, TE, Trailer, Upgrade, Proxy-*) are
 // not part of the member fields: they are parsed into, and written from,
--- /dev/null
+++ b/src/http/StrayBytes.cpp
@@ -0,0 +1,19 @@
+#include "http/StrayBytes.h"
+
+namespace filbertbeam {
+
+std::string_view
+ToString(StrayBytesPlace aPlace)
+{
+  switch (aPlace) {
+    case StrayBytesPlace::Idle:
+      return "idle";
+    case StrayBytesPlace::BeforeResponse:
+      return "before-response";
+    case StrayBytesPlace::AfterResponse:
+      return "after-response";
+  }
+  return "";
+}
+
+} // namespace filbertbeam
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -15,8 +15,10 @@
   return std::hash<std::string>()(aEndpoint.address) * 31 + aEndpoint.port;
 }
 
-TcpHttpClient::TcpHttpClient(const HttpClientLimits& aLimits)
+TcpHttpClient::TcpHttpClient(const HttpClientLimits& aLimits,
+                             StrayBytesHandler aHandler)
   : limits_(aLimits)
+  , onStrayBytes_(std::move(aHandler))
 {
 }
 
@@ -111,7 +113,7 @@
     }
     auto connection = std::move(*found);
     idle.erase(std::next(found).base());
-    if (connection->IsUsable()) {
+    if (connection->CheckUsable()) {
       return connection;
     }
     connection->Discard();
@@ -126,12 +128,14 @@
     aServer,
     limits_,
     context_,
-    HttpClientConnection::Handlers{ [this](HttpClientConnection& aConnection) {
-                                     return AddIdle(aConnection);
-                                   },
-                                    [this](HttpClientConnection& aConnection) {
-                                      RemoveConnection(aConnection);
-                                    } });
+    HttpClientConnection::Handlers{
+      [this](HttpClientConnection& aConnection) {
+        return AddIdle(aConnection);
+      },
+      [this](HttpClientConnection& aConnection) {
+        RemoveConnection(aConnection);
+      },
+      [this](const StrayBytes& aBytes) { OnStrayBytes(aBytes); } });
   pools_[aServer].open.emplace(connection.get(), connection);
   return connection;
 }
@@ -163,4 +167,12 @@
   }
 }
 
+void
+TcpHttpClient::OnStrayBytes(const StrayBytes& aBytes)
+{
+  if (onStrayBytes_) {
+    onStrayBytes_(aBytes);
+  }
+}
+
 } // namespace filbertbeam
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -15,7 +15,7 @@
 class TcpHttpClient final : public HttpClient
 {
 public:
-  explicit TcpHttpClient(const HttpClientLimits& aLimits);
+  TcpHttpClient(const HttpClientLimits& aLimits, StrayBytesHandler aHandler);
   ~TcpHttpClient() override;
   TcpHttpClient(const TcpHttpClient&) = delete;
   TcpHttpClient& operator=(const TcpHttpClient&) = delete;
@@ -50,8 +50,10 @@
   std::shared_ptr<HttpClientConnection> Open(const Endpoint& aServer);
   bool AddIdle(HttpClientConnection& aConnection);
   void RemoveConnection(HttpClientConnection& aConnection);
+  void OnStrayBytes(const StrayBytes& aBytes);
 
   HttpClientLimits limits_;
+  const StrayBytesHandler onStrayBytes_;
   // Number of the connection that was opened last.
   std::uint64_t lastConnection_ = 0;
   // Context object of queued events; pending ones are dropped when the client
