Http: Find late copies of responses within the body of the next one

Cause: a connection carries one exchange after another. Once the head of a response had matched its request, all bytes up to the length, or up to the close, were taken for its body, also those of a second copy of an earlier response that the server sent late, by a timer. The id was compared at the head alone, while the copy may come at any place.

Change: the body is searched for the head of a response. One that names a request of this connection, the own one included, and on a connection that has carried other requests one that names none, is a copy: the exchange fails, and the connection ends. Bytes that may begin such a head are held back until they are decided, also beyond the end of the body, so that a streamed response is cut before it looks complete. A response that names any other request, and on a new connection one that names none, is content. At the end of a body on a used connection, an incomplete head counts as a copy.

Why it works: a copy is a whole response of this server for this connection, so it begins with a head that names a request which the connection has carried.

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -118,8 +118,8 @@
 bool
 BackendAttempt::IsOwnResponse(const HttpResponseHead& aHead)
 {
-  const ResponseHeaders headers = headerCodec_.ReadResponseHeaders(aHead);
-  if (headers.requestId.empty() || headers.requestId == requestId_) {
+  const std::string id = RequestIdOf(aHead);
+  if (id.empty() || id == requestId_) {
     return true;
   }
   LogEvent(LogLevel::Warning,
@@ -128,11 +128,17 @@
              { "server", server_.id },
              { "connection", connection_.connectionNumber },
              { "exchange", connection_.exchangeNumber },
-             { "response_to", headers.requestId },
+             { "response_to", id },
              { "status", aHead.status } });
   return false;
 }
 
+std::string
+BackendAttempt::RequestIdOf(const HttpResponseHead& aHead) const
+{
+  return headerCodec_.ReadResponseHeaders(aHead).requestId;
+}
+
 void
 BackendAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -12,6 +12,12 @@
   return true;
 }
 
+std::string
+HttpResponseObserver::RequestIdOf(const HttpResponseHead&) const
+{
+  return {};
+}
+
 std::unique_ptr<HttpClient>
 HttpClient::Create(const HttpClientLimits& aLimits, StrayBytesHandler aHandler)
 {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -50,6 +50,9 @@
   // late response to an earlier request of the connection. The client skips it
   // and waits for the next response.
   virtual bool IsOwnResponse(const HttpResponseHead& aHead);
+  // Returns the id of the request that a response states it belongs to, empty
+  // if it states none.
+  virtual std::string RequestIdOf(const HttpResponseHead& aHead) const;
   virtual void OnResponseHead(const HttpResponseHead& aHead) = 0;
   virtual void OnResponseBody(ByteView aBytes) = 0;
   // Called after the whole response arrived; the last event.
@@ -95,7 +98,8 @@
   // The id by which servers name this request in their responses, if they do.
   // A connection that has carried a request with this id is not used, since a
   // late copy of the response to it would be taken for that to this request.
-  // An empty id is an id as well.
+  // An empty id is an id as well. With an id, the body of the response is
+  // searched for late copies.
   std::optional<std::string> requestId = std::nullopt;
 };
 
@@ -114,9 +118,9 @@
 
 // An HTTP/1.1 client that sends every request at most once and never retries by
 // itself. A connection carries one exchange at a time. A late copy of an
-// earlier response is recognised by IsOwnResponse and
-// HttpClientOptions::requestId. Not thread-safe; runs on the event loop of the
-// thread that creates it.
+// earlier response is recognised by IsOwnResponse, and within the body of the
+// next one by RequestIdOf; the response is then a failure. Not thread-safe;
+// runs on the event loop of the thread that creates it.
 class HttpClient
 {
 public:
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -62,6 +62,9 @@
   , handlers_(std::move(aHandlers))
   , socket_(new QTcpSocket)
   , parser_(aLimits.headBytes)
+  , detector_(aLimits.headBytes, [this](const HttpResponseHead& aHead) {
+    return IsStrayResponse(aHead);
+  })
 {
   timer_.setSingleShot(true);
 }
@@ -157,6 +160,7 @@
   skippedResponses_ = 0;
   method_ = aHead.method;
   parser_.Reset(method_);
+  detector_.Reset(aRequestId.has_value());
   Write(aHeadBytes);
   return exchange_;
 }
@@ -393,7 +397,7 @@
       Fail(HttpFailureKind::Closed, parser_.LastReason());
     } else if (!isOrderlyClose_ || isSkipping_) {
       Fail(HttpFailureKind::Closed, closeReason_);
-    } else {
+    } else if (DeliverEndOfBody()) {
       CompleteExchange();
     }
     return false;
@@ -423,8 +427,8 @@
       }
       return true;
     case HttpParseStep::Body:
-      if (!isSkipping_) {
-        observer->OnResponseBody(parser_.Body());
+      if (!isSkipping_ && !DeliverBody(parser_.Body())) {
+        return false;
       }
       input_.Consume(consumed);
       return true;
@@ -434,7 +438,9 @@
         SkipResponse();
         return exchange_ != nullptr;
       }
-      CompleteExchange();
+      if (DeliverEndOfBody()) {
+        CompleteExchange();
+      }
       return false;
     case HttpParseStep::Failed:
       Fail(HttpFailureKind::Malformed, parser_.LastReason());
@@ -476,6 +482,51 @@
   parser_.Reset(method_);
 }
 
+bool
+HttpClientConnection::DeliverBody(ByteView aBytes)
+{
+  return EndExamination(detector_.Examine(aBytes));
+}
+
+bool
+HttpClientConnection::DeliverEndOfBody()
+{
+  if (!detector_.HasPending()) {
+    return true;
+  }
+  if (state_ == State::Connected) {
+    // The rest of a head that began in the body.
+    input_.ReadFrom(*socket_);
+  }
+  const bool isReused = use_.exchangeNumber > 1;
+  return EndExamination(detector_.Finish(input_.Bytes(), isReused));
+}
+
+bool
+HttpClientConnection::EndExamination(bool aIsSound)
+{
+  if (!aIsSound) {
+    ReportStrayBytes(StrayBytesPlace::WithinResponse);
+    Fail(HttpFailureKind::Malformed,
+         "the body contains a response to another request");
+    return false;
+  }
+  if (!detector_.Safe().empty()) {
+    const auto observer = observer_;
+    observer->OnResponseBody(detector_.Safe());
+  }
+  return exchange_ != nullptr;
+}
+
+bool
+HttpClientConnection::IsStrayResponse(const HttpResponseHead& aHead) const
+{
+  const std::string id = observer_->RequestIdOf(aHead);
+  // On a new connection, there is no other response that one without an id
+  // could be a copy of.
+  return id.empty() ? use_.exchangeNumber > 1 : MayHaveCarried(id);
+}
+
 bool
 HttpClientConnection::HasUnreadInput() const
 {
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -4,6 +4,7 @@
 #include "http/HttpInputBuffer.h"
 #include "http/HttpResponseParser.h"
 #include "http/SocketDuplicate.h"
+#include "http/StrayResponseDetector.h"
 
 #include <QObject>
 #include <QTcpSocket>
@@ -93,6 +94,13 @@
   void Write(std::string_view aBytes);
   void CompleteExchange();
   void SkipResponse();
+  // Passes the next bytes of the body on, or fails if they hold a response to
+  // another request. Returns false if the exchange is over.
+  bool DeliverBody(ByteView aBytes);
+  // As DeliverBody, for the last bytes, once the body is complete.
+  bool DeliverEndOfBody();
+  bool EndExamination(bool aIsSound);
+  bool IsStrayResponse(const HttpResponseHead& aHead) const;
   bool HasUnreadInput() const;
   void ReportStrayBytes(StrayBytesPlace aPlace);
   void Fail(HttpFailureKind aKind, std::string aReason);
@@ -141,6 +149,7 @@
 
   HttpInputBuffer input_;
   HttpResponseParser parser_;
+  StrayResponseDetector detector_;
 };
 
 } // namespace filbertbeam
--- a/src/http/HttpHeadScanner.h
+++ b/src/http/HttpHeadScanner.h
@@ -26,8 +26,8 @@
 
   // Size in bytes of the empty line that may precede the start line.
   std::size_t LeadingBytes() const { return leadingBytes_; }
-  // Size in bytes of the input up to and including the empty line that ends the
-  // head.
+  // Size in bytes of the lines that were accepted. If the head is complete, it
+  // includes the empty line that ends the head.
   std::size_t HeadBytes() const { return lineBegin_; }
   const std::string& LastReason() const { return lastReason_; }
 
--- a/src/http/StrayBytes.cpp
+++ b/src/http/StrayBytes.cpp
@@ -10,6 +10,8 @@
       return "idle";
     case StrayBytesPlace::BeforeResponse:
       return "before-response";
+    case StrayBytesPlace::WithinResponse:
+      return "within-response";
     case StrayBytesPlace::AfterResponse:
       return "after-response";
   }
--- a/src/http/StrayBytes.h
+++ b/src/http/StrayBytes.h
@@ -14,6 +14,8 @@
   Idle,
   // A response to another request came before the expected one.
   BeforeResponse,
+  // Within the body of a response.
+  WithinResponse,
   // Bytes followed a whole response.
   AfterResponse,
 };
--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -79,6 +79,13 @@
   return !id || id == requestId_ || !exchange_->MayHaveCarried(*id);
 }
 
+std::string
+ServerAttempt::RequestIdOf(const HttpResponseHead& aHead) const
+{
+  return std::string(
+    aHead.fields.FindOnly(kBackendRequestIdField).value_or(""));
+}
+
 void
 ServerAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
