Http: Find a copy that follows the beginning of a status line

A copy that fell behind the bytes "HTTP/1." of a body was missed: the two were taken for one head, which can't be parsed and was released whole. A possible head ends now where its status line is none. MayHoldAnotherHeadThatFailsBefore failed before. The other tests of the detector are new as well; GivesTheSameResultInAnyParts divides 3,000 drawn bodies at random.

--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -11,6 +11,22 @@
 
 constexpr std::string_view kBegin = "HTTP/1.";
 
+// True if aBytes begin, or may begin, a status line.
+bool
+IsStatusLine(std::string_view aBytes)
+{
+  // A digit stands for any digit.
+  constexpr std::string_view kPattern = "HTTP/1.0 000";
+  const std::size_t size = std::min(aBytes.size(), kPattern.size());
+  return std::equal(kPattern.begin(),
+                    kPattern.begin() + static_cast<std::ptrdiff_t>(size),
+                    aBytes.begin(),
+                    [](char aExpected, char aActual) {
+                      return aExpected == '0' ? aActual >= '0' && aActual <= '9'
+                                              : aActual == aExpected;
+                    });
+}
+
 // Returns the position of the first bytes that begin a response or, at the end
 // of aBytes, may begin one, and the size of aBytes if there are none.
 std::size_t
@@ -105,6 +121,11 @@
       scanner_.emplace(headLimit_);
     }
     const auto rest = bytes.substr(checked_);
+    if (!IsStatusLine(rest)) {
+      checked_ += kBegin.size();
+      scanner_.reset();
+      continue;
+    }
     const auto result = scanner_->Scan(rest);
     if (result == HttpHeadScanner::Result::NeedMore) {
       return Verdict::Passed;
--- /dev/null
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -0,0 +1,169 @@
+#include "base/SeededRandom.h"
+#include "http/HttpClient.h"
+#include "http/StrayResponseDetector.h"
+#include "http/tests/support/EventLoop.h"
+#include "http/tests/support/RawPeers.h"
+#include "http/tests/support/RecordingObserver.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertbeam;
+using namespace filbertbeam::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kStray = "HTTP/1.1 200 OK\r\nId: stray\r\n\r\n";
+const std::string kOther = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n";
+
+// What a detector has released, and whether it found a stray response.
+struct Examination
+{
+  std::string released;
+  bool isStray = false;
+
+  bool operator==(const Examination&) const = default;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const Examination& aExamination)
+{
+  return aStream << (aExamination.isStray ? "stray, " : "sound, ")
+                 << aExamination.released;
+}
+
+// Examines a body that arrives in the given parts.
+Examination
+Examine(const std::vector<std::string>& aParts,
+        std::string_view aFollowing = {},
+        bool aIsDoubtful = false)
+{
+  constexpr std::size_t kHeadLimit = 200;
+  StrayResponseDetector detector(kHeadLimit, [](const HttpResponseHead& aHead) {
+    return aHead.fields.Find("Id") == "stray";
+  });
+  detector.Reset(true);
+  Examination result;
+  const auto release = [&] {
+    const ByteView safe = detector.Safe();
+    result.released.append(safe.data(), safe.size());
+  };
+  for (const std::string& part : aParts) {
+    if (!detector.Examine(part)) {
+      result.isStray = true;
+      return result;
+    }
+    release();
+  }
+  result.isStray =
+    !detector.Finish({ aFollowing.data(), aFollowing.size() }, aIsDoubtful);
+  release();
+  return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http)
+
+BOOST_AUTO_TEST_SUITE(ABodyThatIsExamined)
+
+BOOST_AUTO_TEST_CASE(IsReleasedAsItIs)
+{
+  for (const std::string& body :
+       { std::string(),
+         std::string("text"),
+         std::string("HTTP/1."),
+         "a" + kOther + "b",
+         kOther + kOther,
+         std::string("HTTP/1.1 200 OK"),
+         std::string("HTTP/1.1 200 OK\r\nno field\r\n\r\n"),
+         "X: HTTP/1.1 " + std::string(500, 'x') + "\r\n" }) {
+    BOOST_TEST(Examine({ body }) == (Examination{ body, false }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(IsReleasedUpToAStrayResponse)
+{
+  BOOST_TEST(Examine({ kStray }).isStray);
+  BOOST_TEST(Examine({ "a" + kStray + "b" }).isStray);
+  BOOST_TEST(Examine({ "a", kStray }) == (Examination{ "a", true }));
+  BOOST_TEST(Examine({ kOther, kStray }) == (Examination{ kOther, true }));
+}
+
+// A copy can follow bytes that begin a head as well.
+BOOST_AUTO_TEST_CASE(MayHoldAnotherHeadThatFailsBefore)
+{
+  BOOST_TEST(Examine({ "HTTP/1.1 200 OK\r\n" + kStray }).isStray);
+  BOOST_TEST(Examine({ "HTTP/1." + kStray }).isStray);
+  BOOST_TEST(
+    Examine({ "HTTHTTP/1.1 200 OK\r\nA: b\r\nbad\r\n" + kStray }).isStray);
+  BOOST_TEST(Examine({ "HTTP/1.1 200 OK\r\nA: " + kStray }).isStray);
+}
+
+// Guards against a response that is delivered as if it were complete although
+// its last bytes are the first of a copy.
+BOOST_AUTO_TEST_CASE(MayEndWithinAStrayHead)
+{
+  for (std::size_t size = 1; size < kStray.size(); ++size) {
+    const auto examination =
+      Examine({ "body" + kStray.substr(0, size) }, kStray.substr(size));
+    BOOST_TEST(examination == (Examination{ "body", true }));
+  }
+}
+
+// A head behind the body is no part of it.
+BOOST_AUTO_TEST_CASE(IsNotLongerThanItsLength)
+{
+  BOOST_TEST(Examine({ "body" }, kStray) == (Examination{ "body", false }));
+  BOOST_TEST(Examine({ kOther }, kStray) == (Examination{ kOther, false }));
+}
+
+BOOST_AUTO_TEST_CASE(IsDoubtfulWithAnIncompleteHeadAtItsEnd)
+{
+  const std::string body = "body HTTP/1.1 200 O";
+  BOOST_TEST(!Examine({ body }).isStray);
+  BOOST_TEST(Examine({ body }, {}, true).isStray);
+  // Too few bytes to be more than chance.
+  BOOST_TEST(!Examine({ "body HTTP" }, {}, true).isStray);
+}
+
+// Guards against a result that depends on how the network divides the bytes.
+BOOST_AUTO_TEST_CASE(GivesTheSameResultInAnyParts)
+{
+  const std::vector<std::string> pieces{
+    "text", "H",    "HTTP/1.", "HTTP/1.1 200 OK\r\n", "A: b\r\n",
+    "\r\n", kOther, kStray,    "Id: stray\r\n",       std::string(150, 'x')
+  };
+  SeededRandom random(11);
+  constexpr int kBodies = 3'000;
+  int strays = 0;
+  for (int i = 0; i < kBodies; ++i) {
+    std::string body;
+    for (auto count = 1 + random.Below(8); count > 0; --count) {
+      body += pieces[random.Below(pieces.size())];
+    }
+    std::vector<std::string> parts;
+    for (std::size_t at = 0; at < body.size();) {
+      const std::size_t size = 1 + random.Below(random.Below(2) == 0 ? 4 : 60);
+      parts.push_back(body.substr(at, size));
+      at += size;
+    }
+    const auto whole = Examine({ body });
+    const auto divided = Examine(parts);
+    BOOST_TEST(divided.isStray == whole.isStray, body);
+    if (whole.isStray) {
+      ++strays;
+      BOOST_TEST(body.starts_with(divided.released));
+    } else {
+      BOOST_TEST(divided.released == body);
+    }
+  }
+  BOOST_TEST(strays > 0);
+  BOOST_TEST(strays < kBodies);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
