Http: Keep no connections to a server that sent stray bytes

What was known of a server that sends second copies was forgotten with the connection: its other idle connections stayed in use, and the next copy could reach the next exchange. After stray bytes, the idle connections of their server are closed, and for 10 s each of its connections carries one exchange, so that no bytes can reach another one. It is the knowledge of one host; a connection costs about a round trip.

GetsANewConnectionForEachExchangeForAWhile and LosesItsOtherIdleConnections failed with the change taken out.

--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -111,6 +111,9 @@
   std::chrono::milliseconds idleTimeout{ 30'000 };
   std::size_t highWatermark = 256 * 1024;
   std::size_t lowWatermark = 64 * 1024;
+  // For this time after a server sent stray bytes, its connections carry one
+  // exchange each: no later exchange can then receive the bytes that follow.
+  std::chrono::milliseconds strayBytesMemory{ 10'000 };
   // If greater than 0, a connection fails when its peer has not answered
   // keep-alive probes or acknowledged data for about this long.
   std::chrono::seconds unresponsivePeerTimeout{ 0 };
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -143,6 +143,9 @@
 bool
 TcpHttpClient::AddIdle(HttpClientConnection& aConnection)
 {
+  if (!IsTrusted(aConnection.Server())) {
+    return false;
+  }
   Pool& pool = pools_[aConnection.Server()];
   if (static_cast<int>(pool.idle.size()) >= limits_.idleConnections) {
     return false;
@@ -170,9 +173,22 @@
 void
 TcpHttpClient::OnStrayBytes(const StrayBytes& aBytes)
 {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(untrustedUntil_,
+                [now](const auto& aEntry) { return aEntry.second <= now; });
+  untrustedUntil_[aBytes.server] = now + limits_.strayBytesMemory;
+  CloseIdleConnections(aBytes.server);
   if (onStrayBytes_) {
     onStrayBytes_(aBytes);
   }
 }
 
+bool
+TcpHttpClient::IsTrusted(const Endpoint& aServer) const
+{
+  const auto entry = untrustedUntil_.find(aServer);
+  return entry == untrustedUntil_.end() ||
+         entry->second <= std::chrono::steady_clock::now();
+}
+
 } // namespace filbertbeam
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -51,6 +51,8 @@
   bool AddIdle(HttpClientConnection& aConnection);
   void RemoveConnection(HttpClientConnection& aConnection);
   void OnStrayBytes(const StrayBytes& aBytes);
+  // True if connections to aServer may carry several exchanges.
+  bool IsTrusted(const Endpoint& aServer) const;
 
   HttpClientLimits limits_;
   const StrayBytesHandler onStrayBytes_;
@@ -60,6 +62,11 @@
   // is destroyed.
   QObject context_;
   std::unordered_map<Endpoint, Pool, EndpointHash> pools_;
+  // The servers that have sent stray bytes, with the end of the time for which
+  // that is remembered.
+  std::
+    unordered_map<Endpoint, std::chrono::steady_clock::time_point, EndpointHash>
+      untrustedUntil_;
 };
 
 } // namespace filbertbeam
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -63,6 +63,54 @@
   return result;
 }
 
+// One client and one server whose bytes the test sends.
+struct StrayBytesFixture
+{
+  std::shared_ptr<RecordingObserver> Exchange(const char* aMethod = "GET")
+  {
+    HttpRequestHead head;
+    head.method = aMethod;
+    head.target = "/";
+    auto observer = std::make_shared<RecordingObserver>();
+    client->Start(server.Address(), head, {}, observer);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    return observer;
+  }
+
+  void RespondWith(const std::string& aResponse)
+  {
+    const auto respond = [aResponse](RawConnection& aConnection) {
+      if (aConnection.received.ends_with("\r\n\r\n")) {
+        aConnection.Send(aResponse);
+      }
+    };
+    server.onReceived = respond;
+    for (const auto& connection : server.connections) {
+      connection->onReceived = respond;
+    }
+  }
+
+  std::size_t Connections() const { return server.connections.size(); }
+
+  static HttpClientLimits Limits()
+  {
+    HttpClientLimits limits;
+    limits.strayBytesMemory = kMemory;
+    return limits;
+  }
+
+  static constexpr std::chrono::milliseconds kMemory{ 300 };
+  static inline const std::string kOk =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+  RawServer server;
+  std::vector<StrayBytes> reports;
+  std::unique_ptr<HttpClient> client =
+    HttpClient::Create(Limits(), [this](const StrayBytes& aBytes) {
+      reports.push_back(aBytes);
+    });
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http)
@@ -166,4 +214,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AServerThatSendsStrayBytes, StrayBytesFixture)
+
+// Guards against further copies, of which a server that has sent one may have
+// more: they would reach the next exchanges on its connections.
+BOOST_AUTO_TEST_CASE(GetsANewConnectionForEachExchangeForAWhile)
+{
+  RespondWith(kOk);
+  Exchange();
+  Exchange();
+  BOOST_TEST(Connections() == 1U);
+  server.connections[0]->Send(kOk);
+  BOOST_TEST(WaitUntil([&] { return !reports.empty(); }));
+  BOOST_TEST((reports[0].place == StrayBytesPlace::Idle));
+  BOOST_TEST(reports[0].use.exchangeNumber == 2U);
+  Exchange();
+  Exchange();
+  BOOST_TEST(Connections() == 3U);
+  RunFor(kMemory);
+  Exchange();
+  Exchange();
+  BOOST_TEST(Connections() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(IsReportedOnceForBytesBehindAResponse)
+{
+  RespondWith(kOk + kOk);
+  BOOST_TEST(Exchange()->body == "ok");
+  BOOST_TEST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST((reports[0].place == StrayBytesPlace::AfterResponse));
+  BOOST_TEST(reports[0].server.port == server.Address().port);
+}
+
+// Guards against the idle connections that a server had before.
+BOOST_AUTO_TEST_CASE(LosesItsOtherIdleConnections)
+{
+  // Two exchanges at the same time take two connections.
+  auto first = std::make_shared<RecordingObserver>();
+  auto second = std::make_shared<RecordingObserver>();
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = "/";
+  RespondWith(kOk);
+  client->Start(server.Address(), head, {}, first);
+  client->Start(server.Address(), head, {}, second);
+  BOOST_TEST(WaitUntil([&] { return first->IsOver() && second->IsOver(); }));
+  BOOST_TEST(client->OpenConnections(server.Address()) == 2);
+  server.connections[0]->Send(kOk);
+  BOOST_TEST(
+    WaitUntil([&] { return client->OpenConnections(server.Address()) == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
