Http: Keep connections for HEAD apart from those for other methods

A late copy of a response to HEAD states the length of a body that it doesn't have. On a connection that carries GET next, the next response was read as that body, and the caller waited for the rest until its deadline. The other way round, the body of a copy was read as the next head.

IsNotUsedAgain failed with the change taken out.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -23,6 +23,7 @@
 // A connection that has carried this many requests with an id is not kept,
 // which limits the memory for their hashes to 8 KiB.
 constexpr std::size_t kMaxRequestIds = 1'024;
+constexpr std::string_view kHead = "HEAD";
 // If a server announces how long it keeps idle connections, a connection is
 // dropped this long before that time, so that no request is sent just before
 // the server closes it.
@@ -125,6 +126,12 @@
   return IsUsable();
 }
 
+bool
+HttpClientConnection::IsFor(std::string_view aMethod) const
+{
+  return (method_ == kHead) == (aMethod == kHead);
+}
+
 bool
 HttpClientConnection::MayHaveCarried(std::string_view aRequestId) const
 {
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -51,6 +51,10 @@
   bool IsUsable() const;
   // As IsUsable, but reports bytes that the peer has sent meanwhile.
   bool CheckUsable();
+  // True if the connection carries requests of this method. Those of HEAD have
+  // connections of their own, since a late copy of the response to one states a
+  // body that it doesn't have.
+  bool IsFor(std::string_view aMethod) const;
   // False if no request with this id has been sent on the connection.
   bool MayHaveCarried(std::string_view aRequestId) const;
   // Starts an exchange on a new or idle connection. aHeadBytes is the
--- a/src/http/TcpHttpClient.cpp
+++ b/src/http/TcpHttpClient.cpp
@@ -61,7 +61,7 @@
     return std::make_shared<TcpClientExchange>(
       std::weak_ptr<HttpClientConnection>(), ConnectionUse{});
   }
-  if (const auto idle = TakeIdle(aServer, aOptions)) {
+  if (const auto idle = TakeIdle(aServer, head.method, aOptions)) {
     return idle->Begin(head, *bytes, aOptions.requestId, std::move(aObserver));
   }
   const auto connection = Open(aServer);
@@ -93,11 +93,13 @@
 
 std::shared_ptr<HttpClientConnection>
 TcpHttpClient::TakeIdle(const Endpoint& aServer,
+                        std::string_view aMethod,
                         const HttpClientOptions& aOptions)
 {
-  const auto isSuitable = [&aOptions](const auto& aConnection) {
-    return !aOptions.requestId ||
-           !aConnection->MayHaveCarried(*aOptions.requestId);
+  const auto isSuitable = [&](const auto& aConnection) {
+    return aConnection->IsFor(aMethod) &&
+           (!aOptions.requestId ||
+            !aConnection->MayHaveCarried(*aOptions.requestId));
   };
   while (true) {
     const auto pool = pools_.find(aServer);
--- a/src/http/TcpHttpClient.h
+++ b/src/http/TcpHttpClient.h
@@ -42,10 +42,11 @@
       open;
   };
 
-  // Removes a connection from the pool that is usable for aOptions. Returns
-  // null if there is none.
+  // Removes a connection from the pool that is usable for a request with
+  // aMethod and aOptions. Returns null if there is none.
   std::shared_ptr<HttpClientConnection> TakeIdle(
     const Endpoint& aServer,
+    std::string_view aMethod,
     const HttpClientOptions& aOptions);
   std::shared_ptr<HttpClientConnection> Open(const Endpoint& aServer);
   bool AddIdle(HttpClientConnection& aConnection);
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -267,4 +267,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AConnectionThatCarriedHead, StrayBytesFixture)
+
+// Guards against a late copy of a response to HEAD, whose length would be taken
+// for that of a body: the next response would be read as this body.
+BOOST_AUTO_TEST_CASE(IsNotUsedAgain)
+{
+  RespondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+  BOOST_TEST(Exchange("HEAD")->ends == 1);
+  RespondWith(kOk);
+  BOOST_TEST(Exchange()->body == "ok");
+  BOOST_TEST(Connections() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
