Http: Judge a copy within a body by its status line and fields alone

A possible head is read by lines; a status line has to match to its code, and a longer one than 256 bytes is none, so that text such as "GET / HTTP/1.1" is decided at once and a body full of it costs little. An incomplete head at the end counts only with the whole code of a status.

On a used connection, and without a length, such an end stays a failure: the rest of the copy may have been cut off or come in a later segment. Sound bodies that end so are lost there; one copy in a caller's response is worse.

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -139,6 +139,13 @@
   return headerCodec_.ReadResponseHeaders(aHead).requestId;
 }
 
+bool
+BackendAttempt::MayBeServerResponse(const HttpResponseHead& aHead) const
+{
+  // Text about HTTP holds heads as well, but none with a signature.
+  return headerCodec_.ReadResponseHeaders(aHead).isSigned;
+}
+
 void
 BackendAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -167,7 +167,8 @@
   skippedResponses_ = 0;
   method_ = aHead.method;
   parser_.Reset(method_);
-  detector_.Reset(aRequestId.has_value());
+  hasRequestId_ = aRequestId.has_value();
+  detector_.Reset(hasRequestId_);
   Write(aHeadBytes);
   return exchange_;
 }
@@ -492,35 +493,38 @@
 bool
 HttpClientConnection::DeliverBody(ByteView aBytes)
 {
-  return EndExamination(detector_.Examine(aBytes));
+  return Deliver(detector_.Examine(aBytes));
 }
 
 bool
 HttpClientConnection::DeliverEndOfBody()
 {
-  if (!detector_.HasPending()) {
+  if (!detector_.IsHolding()) {
     return true;
   }
   if (state_ == State::Connected) {
     // The rest of a head that began in the body.
     input_.ReadFrom(*socket_);
   }
-  const bool isReused = use_.exchangeNumber > 1;
-  return EndExamination(detector_.Finish(input_.Bytes(), isReused));
+  // Without a length, the close may also have cut a second copy of this
+  // response itself.
+  using Ending = StrayResponseDetector::Ending;
+  const bool isDoubtful =
+    IsReused() || parser_.Head().framing == BodyFraming::UntilClose;
+  return Deliver(detector_.Finish(
+    input_.Bytes(), isDoubtful ? Ending::Doubtful : Ending::Certain));
 }
 
 bool
-HttpClientConnection::EndExamination(bool aIsSound)
+HttpClientConnection::Deliver(const std::optional<ByteView>& aBytes)
 {
-  if (!aIsSound) {
-    ReportStrayBytes(StrayBytesPlace::WithinResponse);
-    Fail(HttpFailureKind::Malformed,
-         "the body contains a response to another request");
+  if (!aBytes) {
+    FailWithStrayResponse();
     return false;
   }
-  if (!detector_.Safe().empty()) {
+  if (!aBytes->empty()) {
     const auto observer = observer_;
-    observer->OnResponseBody(detector_.Safe());
+    observer->OnResponseBody(*aBytes);
   }
   return exchange_ != nullptr;
 }
@@ -529,9 +533,17 @@
 HttpClientConnection::IsStrayResponse(const HttpResponseHead& aHead) const
 {
   const std::string id = observer_->RequestIdOf(aHead);
-  // On a new connection, there is no other response that one without an id
-  // could be a copy of.
-  return id.empty() ? use_.exchangeNumber > 1 : MayHaveCarried(id);
+  // On a new connection, there is no earlier response of which one without an
+  // id could be a copy.
+  return id.empty() ? IsReused() && observer_->MayBeServerResponse(aHead)
+                    : MayHaveCarried(id);
+}
+
+void
+HttpClientConnection::FailWithStrayResponse()
+{
+  ReportStrayBytes(StrayBytesPlace::WithinResponse);
+  Fail(HttpFailureKind::Malformed, "another response is mixed into this one");
 }
 
 bool
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -55,7 +55,8 @@
   // connections of their own, since a late copy of the response to one states a
   // body that it doesn't have.
   bool IsFor(std::string_view aMethod) const;
-  // False if no request with this id has been sent on the connection.
+  // False if no request with this id has been sent on the connection, the
+  // current one included.
   bool MayHaveCarried(std::string_view aRequestId) const;
   // Starts an exchange on a new or idle connection. aHeadBytes is the
   // serialized request head; aRequestId is that of HttpClientOptions.
@@ -98,13 +99,20 @@
   void Write(std::string_view aBytes);
   void CompleteExchange();
   void SkipResponse();
-  // Passes the next bytes of the body on, or fails if they hold a response to
-  // another request. Returns false if the exchange is over.
+  // True if an earlier exchange used the connection, so that late bytes of its
+  // response may arrive.
+  bool IsReused() const { return use_.exchangeNumber > 1; }
+  // Passes the next bytes of the body on, or fails if another response is mixed
+  // into them. Returns false if the exchange is over.
   bool DeliverBody(ByteView aBytes);
-  // As DeliverBody, for the last bytes, once the body is complete.
+  // As DeliverBody, for the bytes held back when the body is complete.
   bool DeliverEndOfBody();
-  bool EndExamination(bool aIsSound);
+  // Passes bytes that the detector has released on. Fails without them.
+  bool Deliver(const std::optional<ByteView>& aBytes);
+  // True if a response with this head, found within the body, is none of its
+  // bytes.
   bool IsStrayResponse(const HttpResponseHead& aHead) const;
+  void FailWithStrayResponse();
   bool HasUnreadInput() const;
   void ReportStrayBytes(StrayBytesPlace aPlace);
   void Fail(HttpFailureKind aKind, std::string aReason);
@@ -147,6 +155,8 @@
   bool isHeadDelivered_ = false;
   // The response being received belongs to an earlier request and is skipped.
   bool isSkipping_ = false;
+  // Late copies of responses are recognised by the ids of their requests.
+  bool hasRequestId_ = false;
   // Number of responses skipped since the request was sent.
   int skippedResponses_ = 0;
   std::string method_;
--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -1,50 +1,95 @@
 #include "http/StrayResponseDetector.h"
 
-#include "http/HttpResponseParser.h"
-
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace filbertbeam {
 
 namespace {
 
-constexpr std::string_view kBegin = "HTTP/1.";
+constexpr std::string_view kProtocol = "HTTP/1.";
+// The beginning of a status line; a zero stands for any digit.
+constexpr std::string_view kStatusLine = "HTTP/1.0 000";
+constexpr std::size_t kStatusBegin = 9;
+constexpr std::size_t kStatusDigits = 3;
+// Longer lines are no status lines, which bounds the cost of a body with many
+// possible ones.
+constexpr std::size_t kMaxStatusLine = 256; // bytes
+
+bool
+IsDigit(char aCharacter)
+{
+  return aCharacter >= '0' && aCharacter <= '9';
+}
 
 // True if aBytes begin, or may begin, a status line.
 bool
-IsStatusLine(std::string_view aBytes)
+MayBeStatusLine(std::string_view aBytes)
 {
-  // A digit stands for any digit.
-  constexpr std::string_view kPattern = "HTTP/1.0 000";
-  const std::size_t size = std::min(aBytes.size(), kPattern.size());
-  return std::equal(kPattern.begin(),
-                    kPattern.begin() + static_cast<std::ptrdiff_t>(size),
-                    aBytes.begin(),
-                    [](char aExpected, char aActual) {
-                      return aExpected == '0' ? aActual >= '0' && aActual <= '9'
-                                              : aActual == aExpected;
-                    });
+  const std::size_t size = std::min(aBytes.size(), kStatusLine.size());
+  for (std::size_t i = 0; i < size; ++i) {
+    const char expected = kStatusLine[i];
+    if (expected == '0' ? !IsDigit(aBytes[i]) : aBytes[i] != expected) {
+      return false;
+    }
+  }
+  return aBytes.size() < kMaxStatusLine ||
+         aBytes.substr(0, kMaxStatusLine).find('\n') != std::string_view::npos;
 }
 
 // Returns the position of the first bytes that begin a response or, at the end
 // of aBytes, may begin one, and the size of aBytes if there are none.
 std::size_t
-FindBegin(std::string_view aBytes)
+FindProtocol(std::string_view aBytes)
 {
-  const auto whole = aBytes.find(kBegin);
+  const auto whole = aBytes.find(kProtocol);
   if (whole != std::string_view::npos) {
     return whole;
   }
-  for (std::size_t size = std::min(kBegin.size() - 1, aBytes.size()); size > 0;
+  for (std::size_t size = std::min(kProtocol.size() - 1, aBytes.size());
+       size > 0;
        --size) {
-    if (aBytes.ends_with(kBegin.substr(0, size))) {
+    if (aBytes.ends_with(kProtocol.substr(0, size))) {
       return aBytes.size() - size;
     }
   }
   return aBytes.size();
 }
 
+std::string_view
+WithoutSpaces(std::string_view aText)
+{
+  constexpr std::string_view kSpaces = " \t\r";
+  const auto begin = aText.find_first_not_of(kSpaces);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(kSpaces) - begin + 1);
+}
+
+// Reads a head that HttpHeadScanner has accepted. Unlike HttpResponseParser, it
+// accepts any status and any fields: a copy need not be a valid response.
+HttpResponseHead
+ReadHead(std::string_view aHead)
+{
+  HttpResponseHead head;
+  const char* const status = aHead.data() + kStatusBegin;
+  std::from_chars(status, status + kStatusDigits, head.status);
+  std::size_t begin = aHead.find('\n') + 1;
+  while (begin < aHead.size()) {
+    const std::size_t end = aHead.find('\n', begin);
+    const std::string_view line = aHead.substr(begin, end - begin);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      head.fields.Add(line.substr(0, colon),
+                      WithoutSpaces(line.substr(colon + 1)));
+    }
+    begin = end + 1;
+  }
+  return head;
+}
+
 } // namespace
 
 StrayResponseDetector::StrayResponseDetector(std::size_t aHeadLimit,
@@ -58,98 +103,98 @@
 StrayResponseDetector::Reset(bool aIsExamining)
 {
   isExamining_ = aIsExamining;
-  pending_.clear();
-  checked_ = 0;
+  held_ = {};
+  released_ = {};
+  decided_ = 0;
   scanner_.reset();
-  safe_ = {};
+  isStrayFound_ = false;
 }
 
-bool
+std::optional<ByteView>
 StrayResponseDetector::Examine(ByteView aBytes)
 {
   const std::string_view bytes(aBytes.data(), aBytes.size());
-  if (!isExamining_ || (pending_.empty() && FindBegin(bytes) == bytes.size())) {
-    safe_ = aBytes;
-    return true;
+  if (!isExamining_ || (held_.empty() && FindProtocol(bytes) == bytes.size())) {
+    return aBytes;
   }
-  safe_ = {};
-  pending_ += bytes;
-  if (Check() == Verdict::Stray) {
-    return false;
+  held_ += bytes;
+  if (!Decide()) {
+    return std::nullopt;
   }
-  released_.assign(pending_, 0, checked_);
-  pending_.erase(0, checked_);
-  checked_ = 0;
-  safe_ = released_;
-  return true;
+  return Release(decided_);
 }
 
-bool
-StrayResponseDetector::Finish(ByteView aFollowing, bool aIsDoubtful)
+std::optional<ByteView>
+StrayResponseDetector::Finish(ByteView aFollowing, Ending aEnding)
 {
-  safe_ = {};
-  const std::size_t size = pending_.size();
-  if (size == 0) {
-    return true;
-  }
-  pending_.append(aFollowing.data(), aFollowing.size());
-  if (Check() == Verdict::Stray) {
-    return false;
-  }
   // A head behind the body is no part of it.
+  const std::size_t bodySize = held_.size();
+  held_.append(aFollowing.data(), aFollowing.size());
+  const bool isSound = Decide() || decided_ >= bodySize;
   const bool isIncompleteHead =
-    checked_ < size && pending_.size() - checked_ >= kBegin.size();
-  if (isIncompleteHead && aIsDoubtful) {
-    return false;
+    decided_ < bodySize && held_.size() - decided_ >= kStatusLine.size();
+  if (!isSound || (isIncompleteHead && aEnding == Ending::Doubtful)) {
+    return std::nullopt;
   }
-  released_.assign(pending_, 0, size);
-  Reset(isExamining_);
-  safe_ = released_;
-  return true;
+  return Release(bodySize);
 }
 
-StrayResponseDetector::Verdict
-StrayResponseDetector::Check()
+bool
+StrayResponseDetector::Decide()
 {
-  const std::string_view bytes(pending_);
-  while (true) {
+  while (!isStrayFound_) {
     if (!scanner_) {
-      checked_ += FindBegin(bytes.substr(checked_));
-      if (bytes.size() - checked_ < kBegin.size()) {
-        return Verdict::Passed;
+      decided_ += FindProtocol(std::string_view(held_).substr(decided_));
+      if (held_.size() - decided_ < kProtocol.size()) {
+        return true;
       }
       scanner_.emplace(headLimit_);
     }
-    const auto rest = bytes.substr(checked_);
-    if (!IsStatusLine(rest)) {
-      checked_ += kBegin.size();
-      scanner_.reset();
-      continue;
+    if (!DecideHead()) {
+      return !isStrayFound_;
     }
-    const auto result = scanner_->Scan(rest);
-    if (result == HttpHeadScanner::Result::NeedMore) {
-      return Verdict::Passed;
-    }
-    const std::size_t lines = scanner_->HeadBytes();
-    if (result == HttpHeadScanner::Result::Complete &&
-        IsStrayHead(rest.substr(0, lines))) {
-      return Verdict::Stray;
-    }
-    // A head that begins within these lines would end, or fail, as this one.
-    checked_ += std::max(lines, kBegin.size());
     scanner_.reset();
   }
+  return false;
+}
+
+bool
+StrayResponseDetector::DecideHead()
+{
+  const auto rest = std::string_view(held_).substr(decided_);
+  if (!MayBeStatusLine(rest)) {
+    decided_ += kProtocol.size();
+    return true;
+  }
+  const HttpHeadScanner::Result result = scanner_->Scan(rest);
+  if (result == HttpHeadScanner::Result::NeedMore) {
+    return false;
+  }
+  const std::size_t lines = scanner_->AcceptedBytes();
+  if (result == HttpHeadScanner::Result::Complete &&
+      IsStrayHead(rest.substr(0, lines))) {
+    isStrayFound_ = true;
+    return false;
+  }
+  // A head that begins within these lines has their last fields as well, and
+  // ends, or fails, where they do.
+  decided_ += std::max(lines, kProtocol.size());
+  return true;
 }
 
 bool
 StrayResponseDetector::IsStrayHead(std::string_view aHead) const
 {
-  HttpResponseParser parser(headLimit_);
-  parser.Reset("GET");
-  std::size_t consumed = 0;
-  return parser.Parse({ aHead.data(), aHead.size() }, consumed) ==
-           HttpParseStep::Head &&
-         isStray_(parser.Head());
+  return isStray_(ReadHead(aHead));
+}
+
+ByteView
+StrayResponseDetector::Release(std::size_t aSize)
+{
+  released_.assign(held_, 0, aSize);
+  held_.erase(0, aSize);
+  decided_ = 0;
+  return released_;
 }
 
 } // namespace filbertbeam
--- a/src/http/StrayResponseDetector.h
+++ b/src/http/StrayResponseDetector.h
@@ -15,51 +15,59 @@
 class StrayResponseDetector
 {
 public:
-  // Returns true if a response with this head is no part of the body.
+  // Returns true if a response with this head is no part of the body. Only
+  // status and fields are set; the fields include those of the connection, and
+  // the status may be any number of three digits.
   using Predicate = std::function<bool(const HttpResponseHead&)>;
 
+  // What may follow the body that ends.
+  enum class Ending
+  {
+    // Nothing that the body could be confused with.
+    Certain,
+    // A head that is still incomplete counts as the beginning of a copy, the
+    // rest of which was cut off or has not arrived yet.
+    Doubtful,
+  };
+
   // aHeadLimit is the maximum size in bytes of the head of a response.
   StrayResponseDetector(std::size_t aHeadLimit, Predicate aIsStray);
 
   // Prepares for the next body. With aIsExamining false, all bytes pass.
   void Reset(bool aIsExamining);
 
-  // Examines the next bytes of the body. Returns false if they hold a stray
-  // response; Safe() then stays empty.
-  bool Examine(ByteView aBytes);
-  // The body is complete, and aFollowing has arrived behind it. Returns false
-  // if its last bytes begin a stray response. With aIsDoubtful, a head that is
-  // still incomplete counts as stray.
-  bool Finish(ByteView aFollowing, bool aIsDoubtful);
+  // Examines the next bytes of the body. Returns those that are known to be
+  // part of it, held back ones included, or nullopt if they hold a stray
+  // response. The view is valid until the next call and no longer than aBytes.
+  std::optional<ByteView> Examine(ByteView aBytes);
+  // The body is complete, and aFollowing has arrived behind it. As Examine, for
+  // the bytes that are held back.
+  std::optional<ByteView> Finish(ByteView aFollowing, Ending aEnding);
 
-  // The bytes of the body that the last call has released. The view is valid
-  // until the next call, and no longer than the bytes that were passed to it.
-  ByteView Safe() const { return safe_; }
   // True if bytes are held back.
-  bool HasPending() const { return !pending_.empty(); }
+  bool IsHolding() const { return !held_.empty(); }
 
 private:
-  enum class Verdict
-  {
-    // All bytes but those after checked_ are decided.
-    Passed,
-    Stray,
-  };
-
-  Verdict Check();
+  // Moves decided_ behind the bytes that are known to be part of the body.
+  // Returns false if a stray response follows them.
+  bool Decide();
+  // Returns true once the lines at decided_ are known to begin no stray
+  // response, and moves decided_ behind them.
+  bool DecideHead();
   bool IsStrayHead(std::string_view aHead) const;
+  // Returns the first aSize of the held bytes, which are then released.
+  ByteView Release(std::size_t aSize);
 
   std::size_t headLimit_;
   Predicate isStray_;
   bool isExamining_ = false;
-  // Bytes that are held back; begins with the possible head.
-  std::string pending_;
-  // Position in pending_ up to which it is decided, in bytes.
-  std::size_t checked_ = 0;
-  // Of the possible head at checked_, if its first line has begun.
+  std::string held_;
+  // In bytes of held_.
+  std::size_t decided_ = 0;
+  // Of the possible head at decided_, once its status line has begun.
   std::optional<HttpHeadScanner> scanner_;
+  bool isStrayFound_ = false;
   std::string released_;
-  ByteView safe_;
 };
 
 } // namespace filbertbeam
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -46,20 +46,21 @@
   });
   detector.Reset(true);
   Examination result;
-  const auto release = [&] {
-    const ByteView safe = detector.Safe();
-    result.released.append(safe.data(), safe.size());
+  const auto release = [&](const std::optional<ByteView>& aBytes) {
+    result.isStray = !aBytes;
+    if (aBytes) {
+      result.released.append(aBytes->data(), aBytes->size());
+    }
+    return aBytes.has_value();
   };
   for (const std::string& part : aParts) {
-    if (!detector.Examine(part)) {
-      result.isStray = true;
+    if (!release(detector.Examine(part))) {
       return result;
     }
-    release();
   }
-  result.isStray =
-    !detector.Finish({ aFollowing.data(), aFollowing.size() }, aIsDoubtful);
-  release();
+  using Ending = StrayResponseDetector::Ending;
+  release(detector.Finish({ aFollowing.data(), aFollowing.size() },
+                          aIsDoubtful ? Ending::Doubtful : Ending::Certain));
   return result;
 }
 
@@ -173,8 +174,11 @@
   const std::string body = "body HTTP/1.1 200 O";
   BOOST_TEST(!Examine({ body }).isStray);
   BOOST_TEST(Examine({ body }, {}, true).isStray);
-  // Too few bytes to be more than chance.
-  BOOST_TEST(!Examine({ "body HTTP" }, {}, true).isStray);
+  // No status line follows the name of the protocol.
+  for (const char* end :
+       { "HTTP", "GET / HTTP/1.1", "\"HTTP/1.1\",2", "HTTP/1.1 20" }) {
+    BOOST_TEST(!Examine({ end }, {}, true).isStray);
+  }
 }
 
 // Guards against a result that depends on how the network divides the bytes.
--- a/tests/gateway/TestLateCopies.cpp
+++ b/tests/gateway/TestLateCopies.cpp
@@ -188,6 +188,46 @@
   BOOST_TEST(!IsSuccess(response), response);
 }
 
+// As above, for copies that are no valid responses.
+BOOST_DATA_TEST_CASE_F(
+  LateCopyFixture,
+  IsNotPassedOnIfItIsInvalid,
+  boost::unit_test::data::make({ "000 X\r\n",
+                                 "099 X\r\n",
+                                 "600 X\r\n",
+                                 "102 Processing\r\n",
+                                 "200 OK\r\nContent-Length: 7\r\n",
+                                 "200 OK\r\nTransfer-Encoding: gzip\r\n" }),
+  begin)
+{
+  copy = fmt::format("HTTP/1.1 {}Request-Id: {}\r\n"
+                     "Content-Length: 5\r\n\r\nfirst",
+                     begin,
+                     kFirstId);
+  const std::string response = CallTwice("/lookup/1");
+  BOOST_TEST(isOnSameConnection);
+  BOOST_TEST(!IsSuccess(response), response);
+}
+
+// As above, for a copy behind text that begins like a response.
+BOOST_DATA_TEST_CASE_F(LateCopyFixture,
+                       IsNotPassedOnBehindTextAboutHttp,
+                       boost::unit_test::data::make(
+                         { "\"GET / HTTP/1.1\" 200 12",
+                           "HTTP/1.",
+                           "HTTP/1.1 20",
+                           "HTTP/1.1 is a protocol\r\nA: ",
+                           "HTTP/1.1 200 OK\r\nX: ",
+                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX: " }),
+                       text)
+{
+  copyAt = std::string_view(text).size();
+  body = text + body;
+  const std::string response = CallTwice("/lookup/1");
+  BOOST_TEST(isOnSameConnection);
+  BOOST_TEST(!IsSuccess(response), response);
+}
+
 // As above, for a response that is passed on while it arrives: it must not look
 // complete.
 BOOST_DATA_TEST_CASE_F(LateCopyFixture,
@@ -212,13 +252,14 @@
 }
 
 // As above, within the head of the next response, whose signature would be that
-// of the copy.
-BOOST_AUTO_TEST_CASE(IsNotPassedOnWithinAHead)
+// of the copy. The second response is sent up to the value of a field.
+BOOST_DATA_TEST_CASE_F(LateCopyFixture,
+                       IsNotPassedOnWithinAHead,
+                       boost::unit_test::data::make({ "Response-Signature: " }),
+                       field)
 {
-  // The second response is sent up to a field's value.
-  const std::string begin = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
-                                        "Response-Signature: ",
-                                        kSecondId);
+  const std::string begin =
+    fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n{}", kSecondId, field);
   copy = MakeResponse("", Framing::Length, "first");
   server.onReceived = [&](RawConnection& aConnection) {
     const auto request = TakeMessage(aConnection.received);
@@ -229,10 +270,13 @@
       aConnection.Send(MakeResponse(kFirstId, Framing::Length, "first"));
       return;
     }
+    isOnSameConnection = &aConnection == server.connections.front().get();
     aConnection.Send(begin + copy);
-    aConnection.Send("4f2c\r\nContent-Length: 0\r\n\r\n");
+    aConnection.Send("4f2c\r\nResponse-Signature: 4f2c\r\n"
+                     "Content-Length: 6\r\n\r\nsecond");
   };
   const std::string response = CallTwice("/lookup/1");
+  BOOST_TEST(isOnSameConnection);
   BOOST_TEST(!IsSuccess(response), response);
 }
 
@@ -253,6 +297,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(ASecondCopyThatTheCloseCuts, LateCopyFixture)
+
+// As above, where the connection ends within the copy, on a new connection.
+BOOST_DATA_TEST_CASE_F(LateCopyFixture,
+                       IsNotPassedOn,
+                       boost::unit_test::data::make({ 12, 40 }),
+                       copyBytes)
+{
+  framing = Framing::UntilClose;
+  copyAt = body.size();
+  copy = MakeResponse(kSecondId, framing, body).substr(0, copyBytes);
+  const std::string response = Call(kSecondId, "/lookup/1");
+  BOOST_TEST(!IsSuccess(response), response);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ABodyThatHoldsAResponse, LateCopyFixture)
 
 // Guards against sound responses that are lost: text that looks like a
@@ -271,6 +332,21 @@
   BOOST_TEST(response.find(body.substr(0, 100)) != std::string::npos);
 }
 
+// As above. A server's responses bear its signature.
+BOOST_DATA_TEST_CASE_F(LateCopyFixture,
+                       IsPassedOnWithoutASignatureAndId,
+                       boost::unit_test::data::make(kFramings),
+                       itsFraming)
+{
+  framing = itsFraming;
+  body = "An example:\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+         "and a line of a log: \"GET / HTTP/1.1\" 200";
+  copy = "";
+  const std::string response = CallTwice("/lookup/1");
+  BOOST_TEST(isOnSameConnection);
+  BOOST_TEST(IsSuccess(response), response);
+}
+
 // As above. On a new connection there is nothing of which a response that names
 // no request could be a copy.
 BOOST_AUTO_TEST_CASE(IsPassedOnOnANewConnectionIfItNamesNoRequest)
