Http: Refuse a head whose field contains a response

Found by the review: a copy without an id that fell into the value of a field before the signature gave the caller the copy's signature and body, with 200. On a used connection, a field that contains a status line fails the exchange. IsNotPassedOnWithinAHead with the field Date failed before.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -428,6 +428,10 @@
         }
         closeDetector_ = std::make_unique<SocketDuplicate>(*socket_);
       }
+      if (hasRequestId_ && IsReused() && HasResponseInField(parser_.Head())) {
+        FailWithStrayResponse();
+        return false;
+      }
       isSkipping_ = !observer->IsOwnResponse(parser_.Head());
       if (!isSkipping_) {
         isHeadDelivered_ = true;
--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -92,6 +92,17 @@
 
 } // namespace
 
+bool
+HasResponseInField(const HttpResponseHead& aHead)
+{
+  return std::ranges::any_of(aHead.fields.All(), [](const HttpField& aField) {
+    const std::string_view value(aField.value);
+    const std::size_t at = FindProtocol(value);
+    return value.size() - at >= kStatusLine.size() &&
+           MayBeStatusLine(value.substr(at, kStatusLine.size()));
+  });
+}
+
 StrayResponseDetector::StrayResponseDetector(std::size_t aHeadLimit,
                                              Predicate aIsStray)
   : headLimit_(aHeadLimit)
--- a/src/http/StrayResponseDetector.h
+++ b/src/http/StrayResponseDetector.h
@@ -8,6 +8,11 @@
 
 namespace filbertbeam {
 
+// True if a value of a field in aHead contains the beginning of a response,
+// which is then mixed into the head.
+bool
+HasResponseInField(const HttpResponseHead& aHead);
+
 // Searches the body of a response for the head of another response: a faulty
 // server may send a second copy of an earlier response at any time, and the
 // framing of the body doesn't show it. Bytes that may be the beginning of such
--- a/tests/gateway/TestLateCopies.cpp
+++ b/tests/gateway/TestLateCopies.cpp
@@ -255,7 +255,8 @@
 // of the copy. The second response is sent up to the value of a field.
 BOOST_DATA_TEST_CASE_F(LateCopyFixture,
                        IsNotPassedOnWithinAHead,
-                       boost::unit_test::data::make({ "Response-Signature: " }),
+                       boost::unit_test::data::make({ "Response-Signature: ",
+                                                      "Date: " }),
                        field)
 {
   const std::string begin =
