Http: Move the progress of a request out of the client's connection

RequestProgress counts the bytes of a request and its body, TcpKeepAlive sets the options of the socket. No change of behaviour; test_http, test_gateway, test_platform and gateway_latecopies pass.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -3,14 +3,11 @@
 #include "http/HttpHeadWriter.h"
 #include "http/SocketProbe.h"
 #include "http/TcpClientExchange.h"
+#include "http/TcpKeepAlive.h"
 
 #include <QHostAddress>
 #include <QNetworkProxy>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 
 namespace filbertbeam {
@@ -38,17 +35,6 @@
   return std::hash<std::string_view>()(aId);
 }
 
-void
-SetSocketNumber(const QTcpSocket& aSocket, int aLevel, int aOption, int aValue)
-{
-  // If the option cannot be set, the time limits of the callers still apply.
-  (void)::setsockopt(static_cast<int>(aSocket.socketDescriptor()),
-                     aLevel,
-                     aOption,
-                     &aValue,
-                     sizeof(aValue));
-}
-
 } // namespace
 
 HttpClientConnection::HttpClientConnection(std::uint64_t aNumber,
@@ -154,11 +140,7 @@
   ++use_.exchangeNumber;
   exchange_ = std::make_shared<TcpClientExchange>(weak_from_this(), use_);
   observer_ = std::move(aObserver);
-  queuedBytes_ = 0;
-  sentBytes_ = 0;
-  framing_ = aHead.framing;
-  bodyBytesLeft_ = framing_ == BodyFraming::Length ? aHead.contentLength : 0;
-  isRequestComplete_ = framing_ != BodyFraming::Chunked && bodyBytesLeft_ == 0;
+  request_.Begin(aHead);
   isRequestSent_ = false;
   isAboveHighWatermark_ = false;
   isPaused_ = false;
@@ -191,34 +173,31 @@
     return;
   }
   const std::string_view bytes(aBytes.data(), aBytes.size());
-  if (framing_ == BodyFraming::Chunked && !isRequestComplete_) {
-    Write(WriteChunkBegin(bytes.size()));
-    Write(bytes);
-    Write(kChunkEnd);
-    return;
-  }
-  if (bytes.size() > bodyBytesLeft_) {
+  if (!request_.AddBody(bytes.size())) {
     Fail(HttpFailureKind::Cancelled,
          "the request body is longer than announced");
     return;
   }
-  bodyBytesLeft_ -= bytes.size();
-  isRequestComplete_ = bodyBytesLeft_ == 0;
+  if (!request_.IsChunked()) {
+    Write(bytes);
+    return;
+  }
+  Write(WriteChunkBegin(bytes.size()));
   Write(bytes);
+  Write(kChunkEnd);
 }
 
 void
 HttpClientConnection::FinishBody()
 {
-  if (exchange_ == nullptr || isRequestComplete_) {
+  if (exchange_ == nullptr || request_.IsBodyComplete()) {
     return;
   }
-  if (framing_ != BodyFraming::Chunked) {
+  if (!request_.FinishBody()) {
     Fail(HttpFailureKind::Cancelled,
          "the request body is shorter than announced");
     return;
   }
-  isRequestComplete_ = true;
   Write(kLastChunk);
 }
 
@@ -248,13 +227,13 @@
 bool
 HttpClientConnection::AnyByteSent() const
 {
-  return sentBytes_ > 0;
+  return request_.AnyByteSent();
 }
 
 std::size_t
 HttpClientConnection::UnsentBytes() const
 {
-  return static_cast<std::size_t>(queuedBytes_ - sentBytes_);
+  return request_.UnsentBytes();
 }
 
 void
@@ -266,38 +245,23 @@
   timer_.stop();
   state_ = State::Connected;
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-  EnableTcpKeepAlive();
+  EnableTcpKeepAlive(*socket_, limits_.unresponsivePeerTimeout);
   socket_->write(pendingRequest_.data(),
                  static_cast<qint64>(pendingRequest_.size()));
   pendingRequest_.clear();
   pendingRequest_.shrink_to_fit();
 }
 
-void
-HttpClientConnection::EnableTcpKeepAlive()
-{
-  const int seconds = static_cast<int>(limits_.unresponsivePeerTimeout.count());
-  if (seconds <= 0) {
-    return;
-  }
-  constexpr int kProbeInterval = 1; // second
-  SetSocketNumber(*socket_, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPIDLE, kProbeInterval);
-  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPINTVL, kProbeInterval);
-  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_KEEPCNT, std::max(seconds - 1, 1));
-  SetSocketNumber(*socket_, IPPROTO_TCP, TCP_USER_TIMEOUT, seconds * 1000);
-}
-
 void
 HttpClientConnection::OnBytesWritten(qint64 aBytes)
 {
   const auto self = shared_from_this();
-  sentBytes_ += static_cast<std::uint64_t>(aBytes);
+  request_.OnSent(static_cast<std::uint64_t>(aBytes));
   if (exchange_ == nullptr) {
     return;
   }
   const auto observer = observer_;
-  if (isRequestComplete_ && !isRequestSent_ && sentBytes_ == queuedBytes_) {
+  if (!isRequestSent_ && request_.IsSent()) {
     isRequestSent_ = true;
     observer->OnRequestSent();
     return;
@@ -414,7 +378,7 @@
   switch (step) {
     case HttpParseStep::Head:
       input_.Consume(consumed);
-      if (sentBytes_ == 0) {
+      if (!AnyByteSent()) {
         Fail(HttpFailureKind::Malformed,
              "a response arrived before the request was sent");
         return false;
@@ -466,7 +430,7 @@
 void
 HttpClientConnection::Write(std::string_view aBytes)
 {
-  queuedBytes_ += aBytes.size();
+  request_.OnQueued(aBytes.size());
   if (state_ == State::Connecting) {
     pendingRequest_ += aBytes;
   } else if (state_ == State::Connected) {
@@ -567,9 +531,8 @@
 void
 HttpClientConnection::CompleteExchange()
 {
-  const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
-                          sentBytes_ == queuedBytes_ && parser_.KeepAlive() &&
-                          skippedResponses_ == 0 &&
+  const bool isReusable = state_ == State::Connected && request_.IsSent() &&
+                          parser_.KeepAlive() && skippedResponses_ == 0 &&
                           requestIdHashes_.size() < kMaxRequestIds;
   const std::chrono::milliseconds idleTime =
     parser_.IdleTimeout()
--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -3,6 +3,7 @@
 #include "http/HttpClient.h"
 #include "http/HttpInputBuffer.h"
 #include "http/HttpResponseParser.h"
+#include "http/RequestProgress.h"
 #include "http/SocketDuplicate.h"
 #include "http/StrayResponseDetector.h"
 
@@ -88,7 +89,6 @@
   };
 
   void OnConnected();
-  void EnableTcpKeepAlive();
   void OnBytesWritten(qint64 aBytes);
   void OnReadyRead();
   void OnError();
@@ -144,11 +144,8 @@
   std::shared_ptr<HttpResponseObserver> observer_;
   // Request bytes to be sent once the connection is open.
   std::string pendingRequest_;
-  std::uint64_t queuedBytes_ = 0;
-  std::uint64_t sentBytes_ = 0;
-  BodyFraming framing_ = BodyFraming::None;
-  std::uint64_t bodyBytesLeft_ = 0;
-  bool isRequestComplete_ = false;
+  RequestProgress request_;
+  // The observer has been told that the request was sent.
   bool isRequestSent_ = false;
   bool isAboveHighWatermark_ = false;
   bool isPaused_ = false;
