Gateway: Start no hedge beside a response that is streamed

Cause: a hedge is requested from the owner of the shard, which takes up to 100 ms. If the first attempt's response passed 1 MiB meanwhile, its head was sent and the other attempts were cancelled, but the selection that arrived then still started the hedge. Its response, once whole, was appended to the streamed one, which it also ended; the first attempt was cancelled. A refusal of the hedge that arrived then requested another one every 120 ms.

Change: a selection that arrives after the response has begun is returned unused, and no extra attempt may start.

The owner's part of the fixture is played by the test, so that the times are fixed.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -216,7 +216,7 @@
                             const SelectionOutcome& aOutcome)
 {
   isSelecting_ = false;
-  if (isDone_) {
+  if (isDone_ || streamingAttempt_ != nullptr) {
     context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
     return;
   }
@@ -326,6 +326,7 @@
 GatewaySession::MayStartExtraAttempt() const
 {
   return (route_.isIdempotent || !attempts_.MayHaveRun()) && !isBodyStreamed_ &&
+         streamingAttempt_ == nullptr &&
          attempts_.SentAttempts() < route_.maxAttempts &&
          Remaining() > kMinAttemptTime;
 }
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -6,6 +6,7 @@
 #include "gateway/GatewayService.h"
 #include "http/tests/support/EventLoop.h"
 #include "http/tests/support/FakeHttp.h"
+#include "membership/DatagramSocket.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -101,19 +102,25 @@
                         0, std::vector<BackendServerRecord>()) });
   }
 
+  // Returns the name of a host that ranks before this one.
+  static std::string NameOfOwner()
+  {
+    const std::uint64_t key = StableHash("permits");
+    int number = 0;
+    while (StableHash("owner-" + std::to_string(number), key) <=
+           StableHash("host", key)) {
+      ++number;
+    }
+    return "owner-" + std::to_string(number);
+  }
+
   // Starts another host, which becomes the owner of the routes' service.
   std::unique_ptr<SelectionService> StartOwner()
   {
-    const std::uint64_t key = StableHash("permits");
     SelectionServiceSettings settings;
+    settings.host = NameOfOwner();
     settings.domain = "piarco";
     settings.listen = { "127.0.0.1", 0 };
-    for (int i = 0; settings.host.empty(); ++i) {
-      const std::string name = "owner-" + std::to_string(i);
-      if (StableHash(name, key) > StableHash("host", key)) {
-        settings.host = name;
-      }
-    }
     std::string reason;
     auto owner = SelectionService::Create(settings, clock, random, reason);
     if (owner) {
@@ -137,6 +144,26 @@
     return owner;
   }
 
+  // Starts an owner of which the test gives the responses.
+  std::unique_ptr<DatagramSocket> StartScriptedOwner(
+    std::function<void(const SelectionQuery&)> aOnQuery)
+  {
+    std::string reason;
+    auto socket = DatagramSocket::Create({ "127.0.0.1", 0 }, reason);
+    BOOST_TEST_REQUIRE(socket != nullptr, reason);
+    socket->SetHandler(
+      [onQuery = std::move(aOnQuery)](const Endpoint&, ByteView aBytes) {
+        const auto message = DecodeSelectionMessage(aBytes);
+        if (const auto* query =
+              message ? std::get_if<SelectionQuery>(&*message) : nullptr) {
+          onQuery(*query);
+        }
+      });
+    selection->SetHosts(
+      { { NameOfOwner(), "piarco", socket->LocalEndpoint() } });
+    return socket;
+  }
+
   static Route MakeRoute(std::string aPrefix, bool aIsIdempotent)
   {
     Route route;
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -574,6 +574,90 @@
   BOOST_TEST(client.exchanges.size() == 1U);
 }
 
+// The test decides when the owner responds to the query for a hedge.
+struct HedgedStreamFixture : GatewayFixture
+{
+  HedgedStreamFixture()
+  {
+    SetDefaultRoutesAndServers();
+    owner = StartScriptedOwner([this](const SelectionQuery& aQuery) {
+      if (aQuery.request.purpose == AttemptPurpose::First) {
+        Select(aQuery, "server-0");
+      } else {
+        hedgeQuery = aQuery;
+      }
+    });
+  }
+
+  // Sends a request and begins to stream its response while the owner is asked
+  // for a hedge.
+  std::shared_ptr<FakeServerExchange> StreamDuringHedgeQuery()
+  {
+    auto caller = Request("/safe/1");
+    BOOST_TEST_REQUIRE(WaitUntil([&] { return hedgeQuery.has_value(); }));
+    BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+    client.Last().anyByteSent = true;
+    client.Last().observer->OnResponseHead(MakeResponse(200));
+    client.Last().observer->OnResponseBody(std::string(kStreamedBytes, 'x'));
+    BOOST_TEST_REQUIRE(caller->heads == 1);
+    return caller;
+  }
+
+  void Select(const SelectionQuery& aQuery, const char* aServer) const
+  {
+    SelectionResponse response;
+    response.queryId = aQuery.queryId;
+    response.result.selection = { 1, aServer, kHedgeAfter, true };
+    owner->Send(selection->LocalEndpoint(), EncodeSelectionMessage(response));
+  }
+
+  void Refuse(const SelectionQuery& aQuery) const
+  {
+    SelectionResponse response;
+    response.queryId = aQuery.queryId;
+    response.result.reason = "hedge-too-early";
+    owner->Send(selection->LocalEndpoint(), EncodeSelectionMessage(response));
+  }
+
+  static constexpr std::size_t kStreamedBytes = 1'500'000;
+  static constexpr std::chrono::milliseconds kHedgeAfter{ 10 };
+
+  std::unique_ptr<DatagramSocket> owner;
+  std::optional<SelectionQuery> hedgeQuery;
+};
+
+BOOST_FIXTURE_TEST_SUITE(WhileAHedgeIsBeingSelected, HedgedStreamFixture)
+
+// Guards against bytes of a second response within the one that has begun.
+BOOST_AUTO_TEST_CASE(SendsNoHedgeOnceItsResponseHasBegun)
+{
+  const auto caller = StreamDuringHedgeQuery();
+  Select(*hedgeQuery, "server-1");
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(client.exchanges.size() == 1U);
+  if (client.exchanges.size() > 1) {
+    client.Last().Respond(MakeResponse(200), "whole response of the hedge");
+  }
+  client.exchanges[0]->observer->OnResponseEnd();
+  BOOST_TEST(!client.exchanges[0]->isCancelled);
+  BOOST_TEST(caller->body.size() == kStreamedBytes);
+  BOOST_TEST(caller->isFinished);
+  BOOST_TEST(caller->heads == 1);
+  BOOST_TEST(selection->PendingAttempts() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsNoOtherHedgeAfterARefusal)
+{
+  const auto caller = StreamDuringHedgeQuery();
+  Refuse(*std::exchange(hedgeQuery, std::nullopt));
+  RunFor(std::chrono::milliseconds(300));
+  BOOST_TEST(!hedgeQuery.has_value());
+  BOOST_TEST(client.exchanges.size() == 1U);
+  BOOST_TEST(!client.exchanges[0]->isCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against running non-idempotent requests ahead of earlier ones.
