--- a/tests/gateway/TestLateCopies.cpp
+++ b/tests/gateway/TestLateCopies.cpp
@@ -212,12 +212,18 @@
 }
 
 // As above, within the head of the next response, whose signature would be that
-// of the copy.
-BOOST_AUTO_TEST_CASE(IsNotPassedOnWithinAHead)
+// of the copy. A failure with it would state another status than that server
+// gave.
+BOOST_DATA_TEST_CASE_F(
+  LateCopyFixture,
+  IsNotPassedOnWithinAHead,
+  boost::unit_test::data::make({ "200 OK", "404 Not Found", "500 Failed" }),
+  status)
 {
   // The second response is sent up to a field's value.
-  const std::string begin = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+  const std::string begin = fmt::format("HTTP/1.1 {}\r\nRequest-Id: {}\r\n"
                                         "Response-Signature: ",
+                                        status,
                                         kSecondId);
   copy = MakeResponse("", Framing::Length, "first");
   server.onReceived = [&](RawConnection& aConnection) {
@@ -234,6 +240,8 @@
   };
   const std::string response = CallTwice("/lookup/1");
   BOOST_TEST(!IsSuccess(response), response);
+  BOOST_TEST(response.find("Response-Signature") == std::string::npos,
+             response);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
