Http: Keep the length that a response without a body states

A response to HEAD, and a 304, was passed on with Content-Length: 0 in place of the server's own length, or of none. The length of such a response is that of the response to a GET (RFC 9110, 8.6), so that a caller was told that the body is empty.

--- a/src/http/HttpServerExchange.cpp
+++ b/src/http/HttpServerExchange.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpServerExchange.h"
 
+#include "http/HttpHeadWriter.h"
+
 namespace filbertbeam {
 
 void
@@ -12,8 +14,13 @@
                   HttpResponseHead aHead,
                   std::string_view aBody)
 {
-  aHead.framing = BodyFraming::Length;
-  aHead.contentLength = aBody.size();
+  // Without a body, a stated length is that of the response to a GET (RFC 9110,
+  // 8.6).
+  if (!aBody.empty() ||
+      !IsBodilessResponse(aHead.status, aExchange.Request().method == "HEAD")) {
+    aHead.framing = BodyFraming::Length;
+    aHead.contentLength = aBody.size();
+  }
   aExchange.SendHead(aHead);
   if (!aBody.empty()) {
     aExchange.SendBody({ aBody.data(), aBody.size() });
--- a/src/http/HttpServerExchange.h
+++ b/src/http/HttpServerExchange.h
@@ -74,7 +74,8 @@
   virtual std::size_t UnsentBytes() const = 0;
 };
 
-// Sends a complete response with a Content-Length.
+// Sends a complete response with the length of its body. A response that has
+// none because of its status or method keeps the framing that aHead states.
 void
 SendWholeResponse(HttpServerExchange& aExchange,
                   HttpResponseHead aHead,
