Gateway: Send a request to each address once

Cause: a response names its request, which all attempts share. Two attempts could go to one address, listed under two ids, on two connections; the copy of the refusal of the first was then taken for the response to the second. The client tells apart only the attempts of one connection.

Change: servers at an address that has got an attempt of the request are excluded from the selection like the server itself, and a choice of one is not used. A refusal then belongs to the only attempt at its address; so do the statements of a server that leaves or asks for time. If no other address is left, the request is refused, which is proven.

--- a/src/gateway/AttemptHistory.cpp
+++ b/src/gateway/AttemptHistory.cpp
@@ -1,5 +1,7 @@
 #include "gateway/AttemptHistory.h"
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
@@ -16,9 +18,10 @@
 } // namespace
 
 void
-AttemptHistory::OnStarted(const std::string& aServer)
+AttemptHistory::OnStarted(const std::string& aServer, const Endpoint& aAddress)
 {
   triedServers_.push_back(aServer);
+  triedAddresses_.push_back(aAddress);
   ++started_;
   ++running_;
 }
@@ -38,4 +41,10 @@
   mayHaveRun_ = mayHaveRun_ || aAnyByteSent;
 }
 
+bool
+AttemptHistory::HasTried(const Endpoint& aAddress) const
+{
+  return std::ranges::find(triedAddresses_, aAddress) != triedAddresses_.end();
+}
+
 } // namespace filbertbeam
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -169,14 +169,28 @@
   request.hasLargeResponses = route_.hasLargeResponses;
   request.latencyObjective = route_.latencyObjective;
   request.remaining = Remaining();
+  request.excluded = ExcludedServers();
+  request.avoided = context_.paths.AvoidedServers(context_.clock.Now());
+  return request;
+}
+
+std::vector<std::string>
+GatewaySession::ExcludedServers() const
+{
   // The servers that were tried come last, where a query keeps them when it has
   // no room for all.
-  request.excluded = context_.availability.UnavailableServers(
-    context_.directory->ServersOfService(service_), context_.clock.Now());
+  const auto& servers = context_.directory->ServersOfService(service_);
+  std::vector<std::string> excluded =
+    context_.availability.UnavailableServers(servers, context_.clock.Now());
   const std::vector<std::string>& tried = attempts_.TriedServers();
-  request.excluded.insert(request.excluded.end(), tried.begin(), tried.end());
-  request.avoided = context_.paths.AvoidedServers(context_.clock.Now());
-  return request;
+  for (const BackendServerRecord* server : servers) {
+    if (attempts_.HasTried(server->address) &&
+        std::ranges::find(tried, server->id) == tried.end()) {
+      excluded.push_back(server->id);
+    }
+  }
+  excluded.insert(excluded.end(), tried.begin(), tried.end());
+  return excluded;
 }
 
 bool
@@ -184,6 +198,7 @@
 {
   return aServer != nullptr && !aServer->isDraining &&
          aServer->service == service_ &&
+         !attempts_.HasTried(aServer->address) &&
          context_.availability.IsAvailable(*aServer, context_.clock.Now());
 }
 
@@ -292,7 +307,7 @@
                                      context_.memory,
                                      context_.clock.Now());
   runningAttempts_.push_back(attempt);
-  attempts_.OnStarted(aServer.id);
+  attempts_.OnStarted(aServer.id, aServer.address);
   lastSelectionSource_ = aOutcome.source;
   context_.metrics.Count(GatewayCounter::Attempts);
   if (aPurpose == AttemptPurpose::Retry) {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -71,7 +71,9 @@
 
   Duration Remaining() const;
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
-  // True when this host may send a request of the service to aServer now.
+  // Returns the servers that this request may not be sent to.
+  std::vector<std::string> ExcludedServers() const;
+  // True when this host may send the request to aServer now.
   bool IsUsable(const BackendServerRecord* aServer) const;
   void RequestSelection(AttemptPurpose aPurpose);
   void OnSelection(AttemptPurpose aPurpose, const SelectionOutcome& aOutcome);
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -80,7 +80,7 @@
     settings.host = "host";
     settings.domain = "piarco";
     settings.listen = { "127.0.0.1", 0 };
-    settings.budget = { 0.2, 200, std::chrono::seconds(10) };
+    settings.budget = kBudget;
     std::string reason;
     selection = SelectionService::Create(settings, clock, random, reason);
     BOOST_TEST_REQUIRE(selection != nullptr, reason);
@@ -108,6 +108,7 @@
     SelectionServiceSettings settings;
     settings.domain = "piarco";
     settings.listen = { "127.0.0.1", 0 };
+    settings.budget = kBudget;
     for (int i = 0; settings.host.empty(); ++i) {
       const std::string name = "owner-" + std::to_string(i);
       if (StableHash(name, key) > StableHash("host", key)) {
@@ -160,7 +161,9 @@
     service->SetRouting(table);
   }
 
-  void SetServers(int aCount, int aDraining = 0, std::int64_t aStartedAt = 0)
+  // Returns servers with different addresses; the first aDraining are draining.
+  static std::vector<BackendServerRecord>
+  MakeServers(int aCount, int aDraining = 0, std::int64_t aStartedAt = 0)
   {
     std::vector<BackendServerRecord> records;
     for (int i = 0; i < aCount; ++i) {
@@ -174,7 +177,17 @@
       record.isDraining = i < aDraining;
       records.push_back(record);
     }
-    service->SetDirectory(std::make_shared<BackendDirectory>(1, records));
+    return records;
+  }
+
+  void SetDirectory(const std::vector<BackendServerRecord>& aServers) const
+  {
+    service->SetDirectory(std::make_shared<BackendDirectory>(1, aServers));
+  }
+
+  void SetServers(int aCount, int aDraining = 0, std::int64_t aStartedAt = 0)
+  {
+    SetDirectory(MakeServers(aCount, aDraining, aStartedAt));
   }
 
   // Sets three servers and two routes: "/safe/" is idempotent, "/once/" is not.
@@ -234,6 +247,10 @@
     return aHead;
   }
 
+  static constexpr ExtraAttemptLimits kBudget{ 0.2,
+                                               200,
+                                               std::chrono::seconds(10) };
+
   PausableClock clock;
   SeededRandom random{ 5 };
   MemoryBudget memory{ 16 * 1024 * 1024 };
--- a/src/gateway/tests/TestAttemptHistory.cpp
+++ b/src/gateway/tests/TestAttemptHistory.cpp
@@ -4,6 +4,12 @@
 
 using namespace filbertbeam;
 
+namespace {
+
+const Endpoint kAddress{ "127.0.0.1", 9000 };
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(Gateway)
 
 BOOST_AUTO_TEST_SUITE(TheAttemptsOfARequest)
@@ -17,12 +23,12 @@
 BOOST_AUTO_TEST_CASE(ProveNothingWhileOneIsRunning)
 {
   AttemptHistory attempts;
-  attempts.OnStarted("server-0");
+  attempts.OnStarted("server-0", kAddress);
   BOOST_TEST(attempts.MayHaveRun());
   attempts.OnEnded(AttemptResult::NotExecuted);
   BOOST_TEST(!attempts.MayHaveRun());
-  attempts.OnStarted("server-1");
-  attempts.OnStarted("server-2");
+  attempts.OnStarted("server-1", kAddress);
+  attempts.OnStarted("server-2", kAddress);
   attempts.OnEnded(AttemptResult::WrongServer);
   BOOST_TEST(attempts.MayHaveRun());
 }
@@ -47,7 +53,7 @@
   };
   for (const auto& row : rows) {
     AttemptHistory attempts;
-    attempts.OnStarted("server-0");
+    attempts.OnStarted("server-0", kAddress);
     attempts.OnEnded(row.result);
     BOOST_TEST_CONTEXT(static_cast<int>(row.result))
     {
@@ -60,9 +66,9 @@
 BOOST_AUTO_TEST_CASE(AreNotForgottenAfterALaterRefusal)
 {
   AttemptHistory attempts;
-  attempts.OnStarted("server-0");
+  attempts.OnStarted("server-0", kAddress);
   attempts.OnEnded(AttemptResult::Broken);
-  attempts.OnStarted("server-1");
+  attempts.OnStarted("server-1", kAddress);
   attempts.OnEnded(AttemptResult::NotExecuted);
   BOOST_TEST(attempts.MayHaveRun());
 }
@@ -70,10 +76,10 @@
 BOOST_AUTO_TEST_CASE(MayHaveRunWhenTheyAreCancelledAfterTheyWereSent)
 {
   AttemptHistory attempts;
-  attempts.OnStarted("server-0");
+  attempts.OnStarted("server-0", kAddress);
   attempts.OnCancelled(false);
   BOOST_TEST(!attempts.MayHaveRun());
-  attempts.OnStarted("server-1");
+  attempts.OnStarted("server-1", kAddress);
   attempts.OnCancelled(true);
   BOOST_TEST(attempts.MayHaveRun());
 }
@@ -81,14 +87,25 @@
 BOOST_AUTO_TEST_CASE(AreCountedOnceTheyReachAServer)
 {
   AttemptHistory attempts;
-  attempts.OnStarted("server-0");
+  attempts.OnStarted("server-0", kAddress);
   attempts.OnEnded(AttemptResult::Unreachable);
-  attempts.OnStarted("server-1");
+  attempts.OnStarted("server-1", kAddress);
   BOOST_TEST(attempts.SentAttempts() == 1);
   BOOST_TEST(attempts.UnreachableAttempts() == 1);
   BOOST_TEST(attempts.TriedServers().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(AreKnownByTheAddressesOfTheirServers)
+{
+  AttemptHistory attempts;
+  BOOST_TEST(!attempts.HasTried(kAddress));
+  attempts.OnStarted("server-0", kAddress);
+  attempts.OnEnded(AttemptResult::Unreachable);
+  BOOST_TEST(attempts.HasTried(kAddress));
+  BOOST_TEST(!attempts.HasTried({ "127.0.0.1", 9001 }));
+  BOOST_TEST(!attempts.HasTried({ "127.0.0.2", 9000 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -286,6 +286,53 @@
   BOOST_TEST(caller->response.status == 503);
 }
 
+// Guards against the second copy of a refusal, which a server may send on any
+// of its connections, as proof that a later attempt at its address did not run.
+BOOST_AUTO_TEST_CASE(IsSentToEachAddressOnce)
+{
+  Route route = MakeRoute("/once/", false);
+  route.maxAttempts = 5;
+  SetRoutes(1, { route });
+  std::vector<BackendServerRecord> records = MakeServers(4);
+  records[1].address = records[0].address;
+  records[3].address = records[2].address;
+  for (const int status : { 503, 421 }) {
+    SetDirectory(records);
+    const auto caller = Request("/once/1");
+    const Endpoint first = client.Last().server;
+    client.Last().Respond(WithNotRun(MakeResponse(status)));
+    BOOST_TEST((client.Last().server != first));
+    client.Last().Respond(WithNotRun(MakeResponse(status)));
+    BOOST_TEST(caller->response.status == 503);
+  }
+  BOOST_TEST(client.exchanges.size() == 4U);
+}
+
+// As above, for a server whose address has changed since its owner chose it.
+BOOST_AUTO_TEST_CASE(IsSentToEachAddressOnceIfAServerMovesThere)
+{
+  SetDefaultRoutesAndServers();
+  std::vector<BackendServerRecord> records = MakeServers(2);
+  const auto owner = StartOwner();
+  BOOST_TEST_REQUIRE(owner != nullptr);
+  // Its budget counts from here on.
+  owner->SetHosts({});
+  owner->SetDirectory(std::make_shared<BackendDirectory>(1, records));
+  SetDirectory(records);
+  const auto caller = Request("/once/1");
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !client.exchanges.empty(); },
+                               std::chrono::milliseconds(500)));
+  client.Last().Respond(MakeNotRunResponse());
+  for (BackendServerRecord& record : records) {
+    record.address = client.Last().server;
+  }
+  SetDirectory(records);
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; },
+                       std::chrono::milliseconds(500)));
+  BOOST_TEST(caller->response.status == 503);
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
 // Guards against a host that was paused and sends a request whose caller no
 // longer waits: the owner's selection arrived during the pause.
 BOOST_AUTO_TEST_CASE(IsNotSentAfterAPauseThatOutlastsItsDeadline)
