--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -58,6 +58,7 @@
   std::uint16_t FrontPort() const { return frontPort_; }
   // Receives the datagrams of other hosts.
   const Endpoint& PeerAddress() const { return peerAddress_; }
+  std::uint16_t MetricsPort() const { return metricsServer_->Port(); }
   std::uint16_t SnapshotPort() const { return snapshotServer_->Port(); }
 
 private:
