Http: Find a copy that begins within a field of another head

Cause: a body may hold the text of a response, which names a request of another system and is content. If a copy that names no request fell into the value of that text's id, the two were one head, with an id that no request of the connection has, and all its lines were released.

Change: each status line within the lines of a head is decided by itself.

MayHoldAStrayHeadWithinAFieldOfAnother failed before; test_http passes.

--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -181,15 +181,13 @@
   if (result == HttpHeadScanner::Result::NeedMore) {
     return false;
   }
-  const std::size_t lines = scanner_->AcceptedBytes();
   if (result == HttpHeadScanner::Result::Complete &&
-      IsStrayHead(rest.substr(0, lines))) {
+      IsStrayHead(rest.substr(0, scanner_->AcceptedBytes()))) {
     isStrayFound_ = true;
     return false;
   }
-  // A head that begins within these lines has their last fields as well, and
-  // ends, or fails, where they do.
-  decided_ += std::max(lines, kProtocol.size());
+  // Another head may begin within a field of this one.
+  decided_ += kProtocol.size();
   return true;
 }
 
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -151,6 +151,13 @@
   BOOST_TEST(Examine({ "HTTP/1.1 200 OK\r\nA: " + kStray }).isStray);
 }
 
+// The fields before a copy are not its own.
+BOOST_AUTO_TEST_CASE(MayHoldAStrayHeadWithinAFieldOfAnother)
+{
+  BOOST_TEST(Examine({ "HTTP/1.1 200 OK\r\nId: ot" + kStray }).isStray);
+  BOOST_TEST(Examine({ "HTTP/1.1 200 OK\r\nId: ot", kStray }).isStray);
+}
+
 // Guards against a response that is delivered as if it were complete although
 // its last bytes are the first of a copy.
 BOOST_AUTO_TEST_CASE(MayEndWithinAStrayHead)
