Http: Find an unnamed second copy behind a response without a length

A second copy of a response without a length, on a new connection and without its request's id, was taken for a part of the body. Without a length, a copy of the response itself may follow it on any connection. A head without an id counts as a copy if it bears a signature, the mark of a server's response, on a used connection or in a body without a length; other programs than the gateway know no such mark, and ids alone tell there. IsNotPassedOn of ASecondCopyOfAResponseWithoutALength has new rows, of which that on a new connection without an id failed before.

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -140,9 +140,8 @@
 }
 
 bool
-BackendAttempt::MayBeServerResponse(const HttpResponseHead& aHead) const
+BackendAttempt::HasServerMark(const HttpResponseHead& aHead) const
 {
-  // Text about HTTP holds heads as well, but none with a signature.
   return headerCodec_.ReadResponseHeaders(aHead).isSigned;
 }
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -19,9 +19,9 @@
 }
 
 bool
-HttpResponseObserver::MayBeServerResponse(const HttpResponseHead&) const
+HttpResponseObserver::HasServerMark(const HttpResponseHead&) const
 {
-  return true;
+  return false;
 }
 
 std::unique_ptr<HttpClient>
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -53,9 +53,9 @@
   // Returns the id of the request that a response states it belongs to, empty
   // if it states none.
   virtual std::string RequestIdOf(const HttpResponseHead& aHead) const;
-  // Returns false if a head within the body, which states no request, can't be
-  // that of a response of this server.
-  virtual bool MayBeServerResponse(const HttpResponseHead& aHead) const;
+  // Returns true if the head bears a mark that only the responses of servers
+  // bear, so that it is no text about HTTP.
+  virtual bool HasServerMark(const HttpResponseHead& aHead) const;
   virtual void OnResponseHead(const HttpResponseHead& aHead) = 0;
   virtual void OnResponseBody(ByteView aBytes) = 0;
   // Called after the whole response arrived; the last event.
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -474,13 +474,9 @@
     // The rest of a head that began in the body.
     input_.ReadFrom(*socket_);
   }
-  // Without a length, the close may also have cut a second copy of this
-  // response itself.
   using Ending = StrayResponseDetector::Ending;
-  const bool isDoubtful =
-    IsReused() || parser_.Head().framing == BodyFraming::UntilClose;
   return Deliver(detector_.Finish(
-    input_.Bytes(), isDoubtful ? Ending::Doubtful : Ending::Certain));
+    input_.Bytes(), MayHideCopy() ? Ending::Doubtful : Ending::Certain));
 }
 
 bool
@@ -501,12 +497,16 @@
 HttpClientConnection::IsStrayResponse(const HttpResponseHead& aHead) const
 {
   const std::string id = observer_->RequestIdOf(aHead);
-  // On a new connection, there is no earlier response of which one without an
-  // id could be a copy.
-  return id.empty() ? IsReused() && observer_->MayBeServerResponse(aHead)
+  return id.empty() ? MayHideCopy() && observer_->HasServerMark(aHead)
                     : MayHaveCarried(id);
 }
 
+bool
+HttpClientConnection::MayHideCopy() const
+{
+  return IsReused() || parser_.Head().framing == BodyFraming::UntilClose;
+}
+
 void
 HttpClientConnection::FailWithStrayResponse()
 {
--- a/tests/gateway/TestLateCopies.cpp
+++ b/tests/gateway/TestLateCopies.cpp
@@ -291,13 +291,19 @@
 BOOST_FIXTURE_TEST_SUITE(ASecondCopyOfAResponseWithoutALength, LateCopyFixture)
 
 // Guards against a body that a server's second copy of the same response has
-// made longer.
-BOOST_AUTO_TEST_CASE(IsNotPassedOn)
+// made longer, on a new connection and on one that has carried another request.
+BOOST_DATA_TEST_CASE_F(LateCopyFixture,
+                       IsNotPassedOn,
+                       boost::unit_test::data::make({ false, true }) *
+                         boost::unit_test::data::make({ false, true }),
+                       isNamed,
+                       isReused)
 {
   framing = Framing::UntilClose;
   copyAt = body.size();
-  copy = MakeResponse(kSecondId, framing, body);
-  const std::string response = CallTwice("/lookup/1");
+  copy = MakeResponse(isNamed ? kSecondId : "", framing, body);
+  const std::string response =
+    isReused ? CallTwice("/lookup/1") : Call(kSecondId, "/lookup/1");
   BOOST_TEST(!IsSuccess(response), response);
 }
 
