Http: Take no close with unread bytes for the end of a body

A body without a length ends with its connection. Its end counted as orderly if the peer had closed its side, also while bytes that it had sent were still in the kernel. Qt reports a close only after it has read them, or after an error of its own, of a write for example; only the second case is affected, and it was not seen to happen: the kernel reports a reset of a connection by another state. So no response is known that was cut by this.

Change: the duplicate of the socket is asked whether all bytes were read.

--- a/src/http/SocketDuplicate.cpp
+++ b/src/http/SocketDuplicate.cpp
@@ -28,8 +28,13 @@
 {
   tcp_info info{};
   socklen_t size = sizeof info;
-  return ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-         info.tcpi_state == TCP_CLOSE_WAIT;
+  if (::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_state != TCP_CLOSE_WAIT) {
+    return false;
+  }
+  // Qt also closes its descriptor after an error, for example of a write.
+  char byte = 0;
+  return ::recv(descriptor_, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 } // namespace filbertbeam
--- a/src/http/SocketDuplicate.h
+++ b/src/http/SocketDuplicate.h
@@ -15,7 +15,8 @@
   SocketDuplicate(const SocketDuplicate&) = delete;
   SocketDuplicate& operator=(const SocketDuplicate&) = delete;
 
-  // True if the peer has closed its side and has not reset the connection.
+  // True if the peer has closed its side and has not reset the connection, and
+  // all bytes that it sent were read.
   bool HasOrderlyClose() const;
 
 private:
