Owner: Keep a connection only after a response that names its request

Cause: a response without an id, or with an id that is none of the owner's, was taken for the response to the open request, since nothing else tells a late copy of an earlier response from it.

Change: the owner keeps a connection to a backend server only if the response named its request by exactly one X-Request-Id. Each later copy of it then names an earlier request of the connection, which is skipped or ends the exchange. The rule is a return value of HttpResponseObserver, so other clients are unchanged.

Why not else: no response can be delayed until a copy would have come, and a server that is known to send copies is known only after the first caller got one.

IsKeptOnlyAfterAResponseThatNamesItsRequest failed before with no id and with an id of the server's own (first != second), and passes now. It also covers two ids, where the copy was not passed on before but the connection was kept. CarriesNoProofInAShedThatNamesNoRequest and CarriesAResponseThatNamesNoRequestOfTheOwner used unnamed first responses only to get a kept connection; the first response names its request now, so the response that each guards against still comes on a used connection, which each still checks. The latter also checks that the next request gets a new connection.

Price: none for servers that repeat the id. A wrong response is worse than some milliseconds, and a server avoids them by repeating the id.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -18,6 +18,12 @@
   return {};
 }
 
+bool
+HttpResponseObserver::AllowsReuseAfter(const HttpResponseHead&) const
+{
+  return true;
+}
+
 std::unique_ptr<HttpClient>
 HttpClient::Create(const HttpClientLimits& aLimits, StrayBytesHandler aHandler)
 {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -53,6 +53,9 @@
   // Returns the id of the request that a response states it belongs to, empty
   // if it states none.
   virtual std::string RequestIdOf(const HttpResponseHead& aHead) const;
+  // Returns false if the connection must carry no other request after this
+  // response.
+  virtual bool AllowsReuseAfter(const HttpResponseHead& aHead) const;
   virtual void OnResponseHead(const HttpResponseHead& aHead) = 0;
   virtual void OnResponseBody(ByteView aBytes) = 0;
   // Called after the whole response arrived; the last event.
--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -547,6 +547,7 @@
   const bool isReusable = state_ == State::Connected && isRequestComplete_ &&
                           sentBytes_ == queuedBytes_ && parser_.KeepAlive() &&
                           skippedResponses_ == 0 &&
+                          observer_->AllowsReuseAfter(parser_.Head()) &&
                           requestIdHashes_.size() < kMaxRequestIds;
   const std::chrono::milliseconds idleTime =
     parser_.IdleTimeout()
--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -86,6 +86,14 @@
     aHead.fields.FindOnly(kBackendRequestIdField).value_or(""));
 }
 
+bool
+ServerAttempt::AllowsReuseAfter(const HttpResponseHead& aHead) const
+{
+  // The server may send a second copy of this response at any later time. Only
+  // its id would distinguish the copy from the response to another request.
+  return RequestIdOf(aHead) == requestId_;
+}
+
 void
 ServerAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
--- a/src/owner/ServerAttempt.h
+++ b/src/owner/ServerAttempt.h
@@ -44,6 +44,7 @@
   void OnRequestWritable() override;
   bool IsOwnResponse(const HttpResponseHead& aHead) override;
   std::string RequestIdOf(const HttpResponseHead& aHead) const override;
+  bool AllowsReuseAfter(const HttpResponseHead& aHead) const override;
   void OnResponseHead(const HttpResponseHead& aHead) override;
   void OnResponseBody(ByteView aBytes) override;
   void OnResponseEnd() override;
--- a/src/owner/tests/TestKeptConnections.cpp
+++ b/src/owner/tests/TestKeptConnections.cpp
@@ -57,13 +57,58 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(AConnection, ConnectionFixture)
+
+// Guards against a caller that gets a late second copy of the response to
+// another request from a backend server that repeats no id, or several.
+BOOST_AUTO_TEST_CASE(IsKeptOnlyAfterAResponseThatNamesItsRequest)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Content-Length: 5\r\n\r\nfirst";
+  const std::string copies[] = {
+    ok + body,
+    ok + "X-Request-Id: backend-1\r\n" + body,
+    ok + "X-Request-Id: r1\r\nX-Request-Id: backend-1\r\n" + body,
+  };
+  for (const std::string& copy : copies) {
+    const std::size_t before = server.connections.size();
+    BOOST_TEST(Exchange("r1", copy)->body == "first");
+    BOOST_REQUIRE(server.connections.size() == before + 1);
+    RawConnection& used = *server.connections.back();
+    const auto respond = [&used, &copy](RawConnection& aConnection) {
+      used.Send(copy);
+      aConnection.Send(Response("200 OK", "second", "r2"));
+    };
+    server.onReceived = respond;
+    used.onReceived = respond;
+    const auto second = Send("GET", "1000", BodyFraming::None, "r2");
+    RunEventLoop();
+    BOOST_TEST(second->body == "second");
+    BOOST_TEST(server.connections.size() == before + 2);
+    client->CloseIdleConnections(server.Address());
+  }
+}
+
+// Guards against a connection for each request to a backend server that names
+// its responses.
+BOOST_AUTO_TEST_CASE(IsKeptAfterResponsesThatNameTheirRequests)
+{
+  Exchange("r1", Response("200 OK", "first", "r1"));
+  Exchange("r2", Response("404 Not Found", "second", "r2"));
+  BOOST_TEST(Exchange("r3", Response("200 OK", "third", "r3"))->body ==
+             "third");
+  BOOST_TEST(server.connections.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AKeptConnection, ConnectionFixture)
 
 // Guards against "not-run" because of a shed that was sent for an earlier
 // request of the connection, while the backend server runs this one.
 BOOST_AUTO_TEST_CASE(CarriesNoProofInAShedThatNamesNoRequest)
 {
-  const auto first = Exchange("r1", Response("200 OK", "first"));
+  const auto first = Exchange("r1", Response("200 OK", "first", "r1"));
   BOOST_TEST(first->body == "first");
   const auto second = Exchange(
     "r2", Response("503 Service Unavailable", ""), BodyFraming::Length);
@@ -97,10 +142,13 @@
 // responses as it likes.
 BOOST_AUTO_TEST_CASE(CarriesAResponseThatNamesNoRequestOfTheOwner)
 {
-  Exchange("r1", Response("200 OK", "first", "backend-1"));
+  Exchange("r1", Response("200 OK", "first", "r1"));
   const auto second = Exchange("r2", Response("200 OK", "second", "backend-2"));
   BOOST_TEST(server.connections.size() == 1U);
   BOOST_TEST(second->body == "second");
+  const auto third = Exchange("r3", Response("200 OK", "third", "backend-3"));
+  BOOST_TEST(server.connections.size() == 2U);
+  BOOST_TEST(third->body == "third");
 }
 
 // Guards against a late copy of the response to the first attempt of a request
