Owner: Refuse a response whose head names an earlier request too

A late copy may fall into the head of the next response, after its X-Request-Id. The head then names both requests. The owner looked at the first id only, took the head for the response to the open request, and passed the body of the copy on as its body, with a status of 200.

Change: a response is not the expected one if any of its ids names an earlier request of the connection. What follows it is no response, so the exchange fails and the outcome is unknown. A refusal counts as proof only if it names the request by exactly one id.

--- a/src/owner/ServerAttempt.cpp
+++ b/src/owner/ServerAttempt.cpp
@@ -1,5 +1,8 @@
 #include "owner/ServerAttempt.h"
 
+#include "http/ConnectionFields.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace filbertbeam {
@@ -51,7 +54,7 @@
   // late one to them, unless it names its request. No other attempt of this
   // request used the connection.
   return exchange_->Connection().exchangeNumber == 1 ||
-         aHead.fields.Find(kBackendRequestIdField) == requestId_;
+         RequestIdOf(aHead) == requestId_;
 }
 
 void
@@ -75,8 +78,14 @@
 {
   // Servers may name their responses in other ways than by the request's id, so
   // only the id of an earlier request on the connection proves a late response.
-  const auto id = aHead.fields.Find(kBackendRequestIdField);
-  return !id || id == requestId_ || !exchange_->MayHaveCarried(*id);
+  // Such a response may also have come within the head of the expected one,
+  // which then names both requests.
+  return std::ranges::none_of(
+    aHead.fields.All(), [this](const HttpField& aField) {
+      return EqualsIgnoringCase(aField.name, kBackendRequestIdField) &&
+             aField.value != requestId_ &&
+             exchange_->MayHaveCarried(aField.value);
+    });
 }
 
 std::string
--- a/src/owner/tests/TestKeptConnections.cpp
+++ b/src/owner/tests/TestKeptConnections.cpp
@@ -138,6 +138,30 @@
   BOOST_TEST(second->body == "second");
 }
 
+// Guards against a caller that gets the body of a late copy which falls into
+// the head of the next response.
+BOOST_AUTO_TEST_CASE(CarriesNoResponseWhoseHeadNamesAnEarlierRequest)
+{
+  const std::string first = Response("200 OK", "first", "r1");
+  const std::string ids[] = { "X-Request-Id: r2\r\n",
+                              "X-Request-Id: r2\r\nX-Request-Id: r2\r\n",
+                              "x-request-id: r2\r\n",
+                              "" };
+  for (const std::string& id : ids) {
+    BOOST_TEST(Exchange("r1", first)->body == "first");
+    const std::size_t connections = server.connections.size();
+    std::string mixed = "HTTP/1.1 200 OK\r\n";
+    mixed.append(id)
+      .append("X-Part: ")
+      .append(first)
+      .append("rt\r\nContent-Length: 6\r\n\r\nsecond");
+    const auto second = Exchange("r2", mixed);
+    BOOST_TEST(server.connections.size() == connections);
+    BOOST_TEST(HasRefusal(*second, "backend-connection-lost", "unknown"));
+    BOOST_TEST(second->body.find("first") == std::string::npos);
+  }
+}
+
 // Guards against a skipped response of a backend server that names its
 // responses as it likes.
 BOOST_AUTO_TEST_CASE(CarriesAResponseThatNamesNoRequestOfTheOwner)
