--- a/src/entry/tests/TestRelayConnections.cpp
+++ b/src/entry/tests/TestRelayConnections.cpp
@@ -1,5 +1,7 @@
+#include "BadStatusLines.h"
 #include "EntryFixture.h"
 #include "EventLoop.h"
+#include "RawPeers.h"
 #include "RecordingApplication.h"
 
 #include <boost/test/unit_test.hpp>
@@ -35,8 +37,66 @@
   }
 };
 
+struct RawOwnerHolder
+{
+  RawServer owner;
+  std::unique_ptr<HttpClient> ownerClient = HttpClient::Create({});
+};
+
+// An entry service whose owner sends the bytes that the test chooses.
+struct RawOwnerFixture
+  : RawOwnerHolder
+  , EntryFixture
+{
+  RawOwnerFixture()
+    : EntryFixture(*ownerClient)
+  {
+    service.SetView(TwoHostView(owner.Address().port));
+  }
+
+  // Sends a request of a caller, for which the owner sends aBytes.
+  std::shared_ptr<FakeServerExchange> Ask(const HttpRequestHead& aHead,
+                                          const std::string& aBytes)
+  {
+    owner.onReceived = [aBytes](RawConnection& aConnection) {
+      aConnection.Send(aBytes);
+    };
+    for (const auto& connection : owner.connections) {
+      connection->onReceived = owner.onReceived;
+    }
+    auto exchange = Send(aHead);
+    BOOST_TEST(
+      WaitUntil([&] { return exchange->isFinished || exchange->isAborted; }));
+    return exchange;
+  }
+};
+
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(AnOwner, RawOwnerFixture)
+
+// Guards against a status that the caller gets, or that is stored with its
+// claim, although it does not exist.
+BOOST_AUTO_TEST_CASE(WithAStatusThatDoesNotExistLeavesTheOutcomeUnknown)
+{
+  for (const std::string& line : BadStatusLines()) {
+    BOOST_TEST_CONTEXT("line " << line)
+    {
+      HttpRequestHead head = Head("POST", "/permits");
+      const std::string response = line + "\r\nFilbertbeam-Outcome: ran\r\n"
+                                          "Content-Length: 4\r\n\r\nbody";
+      BOOST_TEST(HasStatusAndOutcome(*Ask(head, response), 502, "unknown"));
+      const int abandoned = claims.abandoned;
+      head.fields.Set("Idempotency-Key", "permit-42");
+      BOOST_TEST(HasStatusAndOutcome(*Ask(head, response), 502, "unknown"));
+      BOOST_TEST(claims.abandoned == abandoned + 1);
+      BOOST_TEST(!claims.completedStatus.has_value());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ARelayConnection, RelayFixture)
 
 // Guards against a 408 of the owner's HTTP server that a caller takes for a
--- a/src/owner/tests/TestKeptConnections.cpp
+++ b/src/owner/tests/TestKeptConnections.cpp
@@ -1,3 +1,4 @@
+#include "BadStatusLines.h"
 #include "OwnerFixture.h"
 #include "RawPeers.h"
 
@@ -100,6 +101,27 @@
   BOOST_TEST(server.connections.size() == 1U);
 }
 
+// Guards against a response without a meaning that is passed on, on a new and
+// on a kept connection.
+BOOST_AUTO_TEST_CASE(EndsWithAStatusThatDoesNotExist)
+{
+  for (const std::string& line : BadStatusLines()) {
+    BOOST_TEST_CONTEXT("line " << line)
+    {
+      for (const bool isKept : { false, true }) {
+        if (isKept) {
+          Exchange("r1", Response("200 OK", "first", "r1"));
+        }
+        const auto exchange = Exchange(
+          "r2", line + "\r\nX-Request-Id: r2\r\nContent-Length: 4\r\n\r\nbody");
+        BOOST_TEST(exchange->response.status == 502);
+        BOOST_TEST(HasRefusal(*exchange, "backend-connection-lost", "unknown"));
+        BOOST_TEST(client->OpenConnections(server.Address()) == 0);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(AKeptConnection, ConnectionFixture)
