Entry: Refuse a refusal of the owner that has the status of a success

A relay response with the refusal field and a status below 400 became an error document with that status, which the caller takes for the response to its request: 200, 204 or 302 with the outcome "not-run". No owner of this program sends one; the entry host relied on that. It is now 502 with an unknown outcome, like other responses that no session of the owner has sent.

ThatRefusesWithTheStatusOfASuccessLeavesTheOutcomeUnknown failed before (3 of 3 statuses) and passes now; test_entry passes.

--- a/src/entry/EntrySession.cpp
+++ b/src/entry/EntrySession.cpp
@@ -25,6 +25,8 @@
 
 constexpr int kMaxAttempts = 4;
 
+constexpr int kFirstClientError = 400;
+
 // Attempts that fail between hosts never reach a backend server. They are
 // retried with doubling delays for about 3 s; within that time the membership
 // view names a new owner.
@@ -356,7 +358,13 @@
     }
   }
   const Outcome outcome = ReportedOutcome(aHead.fields);
-  if (const auto refusal = aHead.fields.Find(kRefusalField)) {
+  const auto refusal = aHead.fields.Find(kRefusalField);
+  if (refusal && aHead.status < kFirstClientError) {
+    // The caller would take it for the response to the request.
+    OnRejected({ 502, "malformed-owner-response", Outcome::Unknown });
+    return;
+  }
+  if (refusal) {
     // A signature that the owner rejects is an error between hosts, not an
     // error of the caller, so the caller gets a 503.
     const int status = refusal == kNotAuthentic ? 503 : aHead.status;
--- a/src/entry/tests/TestRelayConnections.cpp
+++ b/src/entry/tests/TestRelayConnections.cpp
@@ -95,6 +95,19 @@
   }
 }
 
+// Guards against a refusal that the caller takes for a response to its request.
+BOOST_AUTO_TEST_CASE(ThatRefusesWithTheStatusOfASuccessLeavesTheOutcomeUnknown)
+{
+  for (const char* const status : { "200 OK", "204 None", "302 Found" }) {
+    const auto exchange = Ask(Head("POST", "/permits"),
+                              std::string("HTTP/1.1 ") + status +
+                                "\r\nFilbertbeam-Refusal: queue-full\r\n"
+                                "Filbertbeam-Outcome: not-run\r\n"
+                                "Content-Length: 0\r\n\r\n");
+    BOOST_TEST(HasStatusAndOutcome(*exchange, 502, "unknown"));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(ARelayConnection, RelayFixture)
