Claims: Refuse a stored claim whose status does not exist

A claim's record keeps the status of its response as a number of 64 bits, which was narrowed to 32 and not checked: 0, 99, 600 or -200 reached the caller's connection as the status of the replayed response, where the head writer refused it and the connection was aborted without a response; 2^32 + 200 was replayed as 200.

Change: a record with a status outside of 200 to 599, its own or that of its response, is one that Encode cannot have written, and does not decode. So is one whose response has a missing field. The caller then gets 409 with an unknown outcome, as for other damaged records.

RecordsWithAStatusThatDoesNotExistDoNotDecode failed before (39 checks, 13 of 13 statuses) and passes now; test_claims passes.

--- a/src/claims/ClaimRecord.cpp
+++ b/src/claims/ClaimRecord.cpp
@@ -15,6 +15,9 @@
 // release treats the record as undecided instead of misreading it.
 constexpr int kRecordFormat = 1;
 
+constexpr qint64 kFirstFinalStatus = 200;
+constexpr qint64 kLastStatus = 599;
+
 QLatin1String
 Name(const char* aName)
 {
@@ -77,18 +80,27 @@
   return "undecided";
 }
 
+// Returns null if there is no status of a final response.
+std::optional<int>
+StatusOf(const QCborMap& aMap)
+{
+  const auto status = IntegerOf(aMap, "status");
+  if (!status || *status < kFirstFinalStatus || *status > kLastStatus) {
+    return {};
+  }
+  return static_cast<int>(*status);
+}
+
 std::optional<StoredResponse>
 DecodeResponse(const QCborMap& aMap)
 {
-  const auto status = IntegerOf(aMap, "status");
+  const auto status = StatusOf(aMap);
   auto contentType = BytesOf(aMap, "content_type");
   auto body = BytesOf(aMap, "body");
   if (!status || !contentType || !body) {
     return {};
   }
-  return StoredResponse{ static_cast<int>(*status),
-                         std::move(*contentType),
-                         std::move(*body) };
+  return StoredResponse{ *status, std::move(*contentType), std::move(*body) };
 }
 
 } // namespace
@@ -156,14 +168,17 @@
   record.state = *state;
   record.time = WallTime(std::chrono::milliseconds(*time));
   if (record.state == ClaimState::Ran) {
-    const auto status = IntegerOf(map, "status");
+    const auto status = StatusOf(map);
     if (!status) {
       return {};
     }
-    record.status = static_cast<int>(*status);
+    record.status = *status;
     const QCborValue responseMap = map.value(Name("response"));
     if (responseMap.isMap()) {
       record.response = DecodeResponse(responseMap.toMap());
+      if (!record.response) {
+        return {};
+      }
     }
   }
   return record;
--- a/src/claims/tests/TestClaimRecord.cpp
+++ b/src/claims/tests/TestClaimRecord.cpp
@@ -3,8 +3,14 @@
 #include "claims/ClaimRecord.h"
 #include "claims/RetryBackoff.h"
 
+#include <QByteArray>
+#include <QCborMap>
+#include <QCborValue>
+
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace filbertbeam;
 using std::chrono::milliseconds;
 
@@ -25,6 +31,21 @@
   return record;
 }
 
+// Returns the value of aRecord with other statuses of its state and response.
+std::string
+WithStatuses(const ClaimRecord& aRecord, qint64 aStatus, qint64 aResponseStatus)
+{
+  const QLatin1String status("status");
+  const QLatin1String response("response");
+  QCborMap map =
+    QCborValue::fromCbor(QByteArray::fromStdString(aRecord.Encode())).toMap();
+  QCborMap responseMap = map.value(response).toMap();
+  responseMap[status] = aResponseStatus;
+  map[status] = aStatus;
+  map[response] = responseMap;
+  return QCborValue(map).toCbor().toStdString();
+}
+
 } // namespace
 
 // Guards against a replayed response that differs from the original one.
@@ -63,6 +84,41 @@
   BOOST_TEST(!ClaimRecord::Decode(unknownState));
 }
 
+// Guards against a replayed response whose status is none, or becomes another
+// one when it is converted.
+BOOST_AUTO_TEST_CASE(RecordsWithAStatusThatDoesNotExistDoNotDecode)
+{
+  constexpr qint64 kWraps = (1LL << 32) + 200;
+  ClaimRecord record = SomeRecord(ClaimState::Ran);
+  record.status = 200;
+  record.response = StoredResponse{ 200, "text/plain", "body" };
+  for (const qint64 status :
+       std::initializer_list<qint64>{ std::numeric_limits<qint64>::min(),
+                                      -200,
+                                      -1,
+                                      0,
+                                      1,
+                                      99,
+                                      100,
+                                      199,
+                                      600,
+                                      999,
+                                      kWraps,
+                                      -kWraps,
+                                      std::numeric_limits<qint64>::max() }) {
+    BOOST_TEST_CONTEXT("status " << status)
+    {
+      BOOST_TEST(!ClaimRecord::Decode(WithStatuses(record, status, 200)));
+      BOOST_TEST(!ClaimRecord::Decode(WithStatuses(record, 200, status)));
+      BOOST_TEST(!ClaimRecord::Decode(WithStatuses(record, status, status)));
+    }
+  }
+  for (const qint64 status : { 200, 204, 404, 500, 599 }) {
+    BOOST_TEST(
+      ClaimRecord::Decode(WithStatuses(record, status, status)).has_value());
+  }
+}
+
 // Guards against a claim that two customers or two keys share.
 BOOST_AUTO_TEST_CASE(ObjectKeysSeparateCustomerFromKey)
 {
