--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -24,6 +24,12 @@
   return false;
 }
 
+bool
+HttpResponseObserver::AllowsReuseAfter(const HttpResponseHead&) const
+{
+  return true;
+}
+
 std::unique_ptr<HttpClient>
 HttpClient::Create(const HttpClientLimits& aLimits, StrayBytesHandler aHandler)
 {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -56,6 +56,9 @@
   // Returns true if the head bears a mark that only the responses of servers
   // bear, so that it is no text about HTTP.
   virtual bool HasServerMark(const HttpResponseHead& aHead) const;
+  // Returns false if the connection must carry no other request after this
+  // response.
+  virtual bool AllowsReuseAfter(const HttpResponseHead& aHead) const;
   virtual void OnResponseHead(const HttpResponseHead& aHead) = 0;
   virtual void OnResponseBody(ByteView aBytes) = 0;
   // Called after the whole response arrived; the last event.
