Http: Refuse a head that a later response has completed

Cause: a server that broke off within the status line "HTTP/1.1 200 S" and then sent a late 500 for the same request made one head of both: status 200 with the fields, and the signature, of the failure. The caller got a success. A head with a response in a field was refused on used connections only, and the status line was not looked at.

Change: a head is refused that holds a status line in its reason or in any place of a field, on new connections as well. No sound head has one.

IsNoResponseWithTheHeadOfALaterOne failed before, with each of the first three beginnings; test_http, test_gateway and gateway_latecopies pass.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -392,7 +392,7 @@
         }
         closeDetector_ = std::make_unique<SocketDuplicate>(*socket_);
       }
-      if (hasRequestId_ && IsReused() && HasResponseInField(parser_.Head())) {
+      if (hasRequestId_ && HasResponseWithin(parser_.Head())) {
         FailWithStrayResponse();
         return false;
       }
--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -57,6 +57,19 @@
   return aBytes.size();
 }
 
+bool
+HasStatusLine(std::string_view aText)
+{
+  for (auto at = aText.find(kProtocol); at != std::string_view::npos;
+       at = aText.find(kProtocol, at + 1)) {
+    const auto line = aText.substr(at, kStatusLine.size());
+    if (line.size() == kStatusLine.size() && MayBeStatusLine(line)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string_view
 WithoutSpaces(std::string_view aText)
 {
@@ -93,14 +106,12 @@
 } // namespace
 
 bool
-HasResponseInField(const HttpResponseHead& aHead)
+HasResponseWithin(const HttpResponseHead& aHead)
 {
-  return std::ranges::any_of(aHead.fields.All(), [](const HttpField& aField) {
-    const std::string_view value(aField.value);
-    const std::size_t at = FindProtocol(value);
-    return value.size() - at >= kStatusLine.size() &&
-           MayBeStatusLine(value.substr(at, kStatusLine.size()));
-  });
+  return HasStatusLine(aHead.reason) ||
+         std::ranges::any_of(aHead.fields.All(), [](const HttpField& aField) {
+           return HasStatusLine(aField.value);
+         });
 }
 
 StrayResponseDetector::StrayResponseDetector(std::size_t aHeadLimit,
--- a/src/http/StrayResponseDetector.h
+++ b/src/http/StrayResponseDetector.h
@@ -8,10 +8,10 @@
 
 namespace filbertbeam {
 
-// True if a value of a field in aHead contains the beginning of a response,
-// which is then mixed into the head.
+// True if the status line of aHead or the value of a field contains the
+// beginning of a response, which is then mixed into the head.
 bool
-HasResponseInField(const HttpResponseHead& aHead);
+HasResponseWithin(const HttpResponseHead& aHead);
 
 // Searches the body of a response for the head of another response: a faulty
 // server may send a second copy of an earlier response at any time, and the
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -293,4 +293,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AHeadThatIsBrokenOff, StrayBytesFixture)
+
+// Guards against a success whose other fields are those of a later failure: a
+// server breaks off within the head and then sends another response.
+BOOST_AUTO_TEST_CASE(IsNoResponseWithTheHeadOfALaterOne)
+{
+  for (const char* begin : { "HTTP/1.1 200 ",
+                             "HTTP/1.1 200 O",
+                             "HTTP/1.1 200 OK\r\nA: b",
+                             "HTTP/1.1 200 OK\r\nA: HTTP/1." }) {
+    RespondWith(std::string(begin) +
+                "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = "/";
+    HttpClientOptions options;
+    options.requestId = "1";
+    const auto observer = std::make_shared<RecordingObserver>();
+    client->Start(server.Address(), head, options, observer);
+    BOOST_TEST(WaitUntil([&] { return observer->IsOver(); }));
+    BOOST_TEST(observer->ends == 0, begin);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
