--- a/tests/gateway/TestMixedSoak.cpp
+++ b/tests/gateway/TestMixedSoak.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::chrono::seconds kSoakTime{ 11 };
+constexpr std::chrono::seconds kUnmarkedTime{ 7 };
 constexpr std::chrono::seconds kSoundTime{ 3 };
 
 } // namespace
@@ -30,6 +31,22 @@
   BOOST_TEST(strayBytes > 0);
 }
 
+// Guards against a body that a server's second copy of the same response has
+// made longer, where the response has no length and the copy names no request.
+BOOST_AUTO_TEST_CASE(GetOnlyTheFirstOfTwoResponsesWithoutALength)
+{
+  Start([](Random& aRandom) {
+    StutterConduct conduct = StutterConduct::Draw(aRandom);
+    conduct.unmarkedShare = 1;
+    return conduct;
+  });
+  Play(kUnmarkedTime, true);
+  Settle();
+  Report();
+  BOOST_TEST(ledger.requests.Responses(200, 299) > 0U);
+  BOOST_TEST(strayBytes > 0);
+}
+
 // Guards against sound responses that are lost, because they look as if they
 // had other bytes in them or behind them.
 BOOST_AUTO_TEST_CASE(GetEveryResponseOfSoundServers)
