Http: Accept a status line as the whole value of a field on a new connection

On a used connection such a head may still be a copy, and is refused. IsNotOneWithAStatusLineInAField is new; test_http passes.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -392,7 +392,7 @@
         }
         closeDetector_ = std::make_unique<SocketDuplicate>(*socket_);
       }
-      if (hasRequestId_ && HasResponseWithin(parser_.Head())) {
+      if (hasRequestId_ && HasResponseWithin(parser_.Head(), IsReused())) {
         FailWithStrayResponse();
         return false;
       }
--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -106,11 +106,13 @@
 } // namespace
 
 bool
-HasResponseWithin(const HttpResponseHead& aHead)
+HasResponseWithin(const HttpResponseHead& aHead, bool aIsReused)
 {
+  const std::size_t begin = aIsReused ? 0 : 1;
   return HasStatusLine(aHead.reason) ||
-         std::ranges::any_of(aHead.fields.All(), [](const HttpField& aField) {
-           return HasStatusLine(aField.value);
+         std::ranges::any_of(aHead.fields.All(), [=](const HttpField& aField) {
+           const std::string_view value(aField.value);
+           return HasStatusLine(value.substr(std::min(begin, value.size())));
          });
 }
 
--- a/src/http/StrayResponseDetector.h
+++ b/src/http/StrayResponseDetector.h
@@ -9,9 +9,11 @@
 namespace filbertbeam {
 
 // True if the status line of aHead or the value of a field contains the
-// beginning of a response, which is then mixed into the head.
+// beginning of a response, which is then mixed into the head. With
+// aIsReused false, a field may consist of a status line: no earlier response
+// can have brought it, and servers tell of others in that way.
 bool
-HasResponseWithin(const HttpResponseHead& aHead);
+HasResponseWithin(const HttpResponseHead& aHead, bool aIsReused);
 
 // Searches the body of a response for the head of another response: a faulty
 // server may send a second copy of an earlier response at any time, and the
--- a/src/http/tests/TestStrayBytes.cpp
+++ b/src/http/tests/TestStrayBytes.cpp
@@ -295,6 +295,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(AHeadThatIsBrokenOff, StrayBytesFixture)
 
+// Guards against sound responses that are lost: a field tells of the status of
+// another server.
+BOOST_AUTO_TEST_CASE(IsNotOneWithAStatusLineInAField)
+{
+  HttpResponseHead head;
+  head.fields.Add("X-Upstream", "HTTP/1.1 200 OK");
+  BOOST_TEST(!HasResponseWithin(head, false));
+  BOOST_TEST(HasResponseWithin(head, true));
+  head.fields.Add("X-Route", "a HTTP/1.1 200 OK");
+  BOOST_TEST(HasResponseWithin(head, false));
+}
+
 // Guards against a success whose other fields are those of a later failure: a
 // server breaks off within the head and then sends another response.
 BOOST_AUTO_TEST_CASE(IsNoResponseWithTheHeadOfALaterOne)
