Gateway: Log how many bytes of a body were passed on

request_closed named the size of the body that the server had sent. When the host itself mixed two bodies, that was the sound size of the second one, and the log showed nothing.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -458,7 +458,6 @@
 {
   if (streamingAttempt_.get() == &aAttempt) {
     EndAttempt(aAttempt, AttemptResult::Responded);
-    SetForwarded(aAttempt);
     exchange_->Finish();
     Close(aAttempt.Head().status, "answered", "streamed");
     return;
@@ -493,14 +492,14 @@
       EndAttempt(aAttempt, AttemptResult::Responded);
     CancelAttempts(AttemptResult::Abandoned);
     memory_.Take(attempt->Memory());
-    SetForwarded(*attempt);
+    SetForwarded(*attempt, attempt->Body().size());
     SendWholeResponse(*exchange_, head, attempt->Body());
     Close(head.status, "answered", "");
     return;
   }
   const AttemptPointer attempt = EndAttempt(aAttempt, AttemptResult::Failed);
   if (!MeansNotRun(head.status)) {
-    SetForwarded(*attempt);
+    SetForwarded(*attempt, attempt->Body().size());
     failureHead_ = head;
     failureBody_ = attempt->TakeBody();
     memory_.Take(attempt->Memory());
@@ -584,8 +583,9 @@
   runningAttempts_.push_back(attempt);
   streamingAttempt_ = attempt;
   hedgeTimer_.stop();
+  SetForwarded(*attempt, 0);
   exchange_->SendHead(head);
-  exchange_->SendBody(attempt->TakeBody());
+  StreamBody(attempt->TakeBody());
   return true;
 }
 
@@ -595,7 +595,7 @@
   if (isDone_) {
     return;
   }
-  exchange_->SendBody(aBytes);
+  StreamBody(aBytes);
   const std::size_t unsent = exchange_->UnsentBytes();
   aAttempt.Memory().ShrinkTo(std::max(unsent, kMaxUnsentBody));
   if (unsent > kMaxUnsentBody) {
@@ -657,11 +657,17 @@
 }
 
 void
-GatewaySession::SetForwarded(const BackendAttempt& aAttempt)
+GatewaySession::SetForwarded(const BackendAttempt& aAttempt,
+                             std::size_t aBodyBytes)
+{
+  forwarded_ = { aAttempt.Connection(), aAttempt.Head().framing, aBodyBytes };
+}
+
+void
+GatewaySession::StreamBody(ByteView aBytes)
 {
-  forwarded_ = { aAttempt.Connection(),
-                 aAttempt.Head().framing,
-                 aAttempt.BodyBytes() };
+  forwarded_.bodyBytes += aBytes.size();
+  exchange_->SendBody(aBytes);
 }
 
 void
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -65,7 +65,7 @@
   {
     ConnectionUse connection;
     BodyFraming framing = BodyFraming::None;
-    // Size in bytes of the body that was received.
+    // Size in bytes of the body that was passed on.
     std::uint64_t bodyBytes = 0;
   };
 
@@ -113,7 +113,9 @@
   AttemptPointer EndAttempt(BackendAttempt& aAttempt, AttemptResult aResult);
   void CancelAttempts(AttemptResult aResult);
   // Records aAttempt's response as the one that is forwarded.
-  void SetForwarded(const BackendAttempt& aAttempt);
+  void SetForwarded(const BackendAttempt& aAttempt, std::size_t aBodyBytes);
+  // Passes on a part of the body of the response that is streamed.
+  void StreamBody(ByteView aBytes);
   void Close(int aStatus, std::string_view aOutcome, std::string_view aReason);
 
   GatewayContext& context_;
