Gateway: Keep no connection after a response that names no request

The attempt fails then, but its connection stayed in use, and a late copy of the same response could not be told by its id from the next one. KeepsNoConnectionAfterAResponseThatNamesNoRequest fails without it (AllowsReuseAfter is true by default).

--- a/src/gateway/BackendAttempt.cpp
+++ b/src/gateway/BackendAttempt.cpp
@@ -145,6 +145,14 @@
   return headerCodec_.ReadResponseHeaders(aHead).isSigned;
 }
 
+bool
+BackendAttempt::AllowsReuseAfter(const HttpResponseHead& aHead) const
+{
+  // A late copy of a response that names no request could not be told from the
+  // next response.
+  return RequestIdOf(aHead) == requestId_;
+}
+
 void
 BackendAttempt::OnResponseHead(const HttpResponseHead& aHead)
 {
@@ -157,7 +165,6 @@
 void
 BackendAttempt::OnResponseBody(ByteView aBytes)
 {
-  bodyBytes_ += aBytes.size();
   if (isStreaming_) {
     if (const auto observer = observer_.lock()) {
       observer->OnAttemptBody(*this, aBytes);
--- a/src/gateway/BackendAttempt.h
+++ b/src/gateway/BackendAttempt.h
@@ -75,8 +75,6 @@
   std::size_t UnsentBytes() const;
   const HttpResponseHead& Head() const { return head_; }
   const std::string& Body() const { return body_; }
-  // Size in bytes of the part of the body that has arrived.
-  std::uint64_t BodyBytes() const { return bodyBytes_; }
   // Returns the body that has been buffered, which is then empty.
   std::string TakeBody() { return std::exchange(body_, {}); }
   // The memory that is reserved for the body.
@@ -89,6 +87,7 @@
   bool IsOwnResponse(const HttpResponseHead& aHead) override;
   std::string RequestIdOf(const HttpResponseHead& aHead) const override;
   bool HasServerMark(const HttpResponseHead& aHead) const override;
+  bool AllowsReuseAfter(const HttpResponseHead& aHead) const override;
   void OnResponseHead(const HttpResponseHead& aHead) override;
   void OnResponseBody(ByteView aBytes) override;
   void OnResponseEnd() override;
@@ -105,7 +104,6 @@
   ConnectionUse connection_;
   HttpResponseHead head_;
   std::string body_;
-  std::uint64_t bodyBytes_ = 0;
   MemoryReservation memory_;
   bool isStreaming_ = false;
 };
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -449,6 +449,18 @@
   BOOST_TEST(client.Last().observer->IsOwnResponse(MakeResponse(200)));
 }
 
+// Guards against a late copy that nothing tells from the response to the next
+// request of a kept connection.
+BOOST_AUTO_TEST_CASE(KeepsNoConnectionAfterAResponseThatNamesNoRequest)
+{
+  SetDefaultRoutesAndServers();
+  Request("/once/1");
+  HttpResponseHead unnamed = MakeResponse(200);
+  unnamed.fields.Remove("Id");
+  BOOST_TEST(!client.Last().observer->AllowsReuseAfter(unnamed));
+  BOOST_TEST(client.Last().observer->AllowsReuseAfter(MakeResponse(200)));
+}
+
 // A request whose body of 600,000 bytes arrives in six parts.
 struct UploadFixture : GatewayFixture
 {
