Http: Start no request behind a response that may be aborted

When the download's server breaks it off after more than 1 MiB, the host has to close the connection. The lookups had been passed on to sound servers and end without an answer (LOST).

They start as soon as they are read, which is before the download's first byte, so waiting once a response is streamed is too late for them.

Change: the application says of a request whether its response may be aborted after a part of it was sent; for the gateway, on routes with large responses. The requests behind such a one, and behind any response of which a part is sent, start once it is complete. They were not passed on then if it is cut, and count as not read. What remains: a response over 1 MiB on another route ends with those that had started before its first bytes.

Price: a lookup behind a download no longer runs beside it.

--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -103,6 +103,14 @@
   return route != nullptr && route->isIdempotent;
 }
 
+bool
+GatewayService::MayAbortResponse(const HttpRequestHead& aHead)
+{
+  // Large responses are streamed, and aborted when their server fails.
+  const Route* route = FindRoute(aHead);
+  return route != nullptr && route->hasLargeResponses;
+}
+
 const Route*
 GatewayService::FindRoute(const HttpRequestHead& aHead) const
 {
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -24,6 +24,7 @@
   std::shared_ptr<HttpRequestObserver> OnRequest(
     std::shared_ptr<HttpServerExchange> aExchange) override;
   bool MayRunConcurrently(const HttpRequestHead& aHead) override;
+  bool MayAbortResponse(const HttpRequestHead& aHead) override;
 
 private:
   // Returns the route of a request, or null.
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -637,4 +637,18 @@
   BOOST_TEST(!service->MayRunConcurrently(head));
 }
 
+// Guards against requests that end with a streamed response before them.
+BOOST_AUTO_TEST_CASE(MayBeAbortedWhenItsRouteHasLargeResponses)
+{
+  Route download = MakeRoute("/download/", true);
+  download.hasLargeResponses = true;
+  SetRoutes(1, { MakeRoute("/safe/", true), download });
+  HttpRequestHead head;
+  head.fields.Add("Host", "h");
+  head.target = "/download/1";
+  BOOST_TEST(service->MayAbortResponse(head));
+  head.target = "/safe/1";
+  BOOST_TEST(!service->MayAbortResponse(head));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -10,6 +10,12 @@
   return false;
 }
 
+bool
+HttpApplication::MayAbortResponse(const HttpRequestHead&)
+{
+  return false;
+}
+
 std::unique_ptr<HttpServer>
 HttpServer::Create(const Endpoint& aEndpoint,
                    const HttpServerLimits& aLimits,
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -50,6 +50,11 @@
   // closes the connection, so only requests that may run more than once should
   // run concurrently.
   virtual bool MayRunConcurrently(const HttpRequestHead& aHead);
+
+  // Returns true if the application may abort the response after a part of it
+  // was sent. The requests behind it on the connection, which would end with
+  // it, then start once it is complete.
+  virtual bool MayAbortResponse(const HttpRequestHead& aHead);
 };
 
 // An HTTP/1.1 server that runs on the event loop of the thread that creates it.
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -10,6 +10,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace filbertbeam {
 
 namespace {
@@ -217,8 +219,7 @@
       return input_.ReadFrom(*socket_);
     case HttpParseStep::Head:
       input_.Consume(consumed);
-      if (!exchanges_.empty() &&
-          !application_.MayRunConcurrently(parser_.Head())) {
+      if (IsRequestDeferred()) {
         isHeadDeferred_ = true;
         isHeadStarted_ = false;
         return false;
@@ -256,6 +257,22 @@
          exchanges_.size() >= limits_.concurrentRequests;
 }
 
+bool
+HttpServerConnection::IsRequestDeferred() const
+{
+  if (exchanges_.empty()) {
+    return false;
+  }
+  // The connection ends with an aborted response, so that those behind it could
+  // not be sent.
+  const auto isAtRisk = [](const auto& aExchange) {
+    const TcpServerExchange::ExchangeState& state = aExchange->State();
+    return !state.isFinished && (state.mayBeAborted || state.isHeadSent);
+  };
+  return std::ranges::any_of(exchanges_, isAtRisk) ||
+         !application_.MayRunConcurrently(parser_.Head());
+}
+
 bool
 HttpServerConnection::HandleHead()
 {
@@ -268,6 +285,7 @@
   state.isRequestEnded = !HasBody(parser_.Head());
   state.isContinueDue = parser_.ExpectsContinue() && !state.isRequestEnded;
   state.keepsAlive = parser_.KeepAlive();
+  state.mayBeAborted = application_.MayAbortResponse(parser_.Head());
   if (state.isRequestEnded) {
     parser_.Reset();
   }
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -76,6 +76,9 @@
   // True while no input may be parsed: the request body is paused, or the next
   // request has to wait for the preceding exchanges.
   bool IsReadingDeferred() const;
+  // True while the request whose head was parsed has to wait for the preceding
+  // exchanges.
+  bool IsRequestDeferred() const;
   bool HandleHead();
   void HandleBody();
   void HandleEnd();
--- a/src/http/TcpServerExchange.h
+++ b/src/http/TcpServerExchange.h
@@ -35,6 +35,8 @@
     bool isRequestEnded = false;
     bool isBodyPaused = false;
     bool isContinueDue = false;
+    // The application may abort the response after a part of it was sent.
+    bool mayBeAborted = false;
     bool isHeadSent = false;
     bool isFinished = false;
     bool isBodiless = false;
--- a/src/http/tests/TestHttpPipelining.cpp
+++ b/src/http/tests/TestHttpPipelining.cpp
@@ -79,6 +79,59 @@
   BOOST_TEST(WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 3; }));
 }
 
+// Guards against requests that have run and get no response, since the one
+// before theirs is aborted.
+BOOST_AUTO_TEST_CASE(WaitForAResponseThatMayBeAborted)
+{
+  caller.Send(Get("/concurrent/1") + Get("/concurrent/large") +
+              Get("/concurrent/3") + Get("/concurrent/4"));
+  BOOST_TEST_REQUIRE(WaitForRequests(2));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(application.sessions.size() == 2U);
+  Session(0).Respond("first");
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(application.sessions.size() == 2U);
+  Session(1).Respond("second");
+  BOOST_TEST_REQUIRE(WaitForRequests(4));
+  Session(3).Respond("fourth");
+  Session(2).Respond("third");
+  BOOST_TEST(WaitUntil([&] { return caller.Count("HTTP/1.1 200") == 4; }));
+}
+
+BOOST_AUTO_TEST_CASE(AreNotStartedBehindAResponseThatIsAborted)
+{
+  caller.Send(Get("/concurrent/large") + Get("/concurrent/2"));
+  BOOST_TEST_REQUIRE(WaitForRequests(1));
+  HttpResponseHead head;
+  head.status = 200;
+  head.framing = BodyFraming::Chunked;
+  Session(0).exchange->SendHead(head);
+  Session(0).exchange->SendBody(std::string_view("a part"));
+  BOOST_TEST(WaitUntil([&] { return caller.Count("a part") == 1; }));
+  Session(0).exchange->Abort();
+  BOOST_TEST(WaitUntil([&] { return caller.isClosed; }));
+  BOOST_TEST(application.sessions.size() == 1U);
+}
+
+// As above, for a response that turns out to be sent in parts.
+BOOST_AUTO_TEST_CASE(WaitForAResponseOfWhichAPartIsSent)
+{
+  caller.Send(Get("/concurrent/1"));
+  BOOST_TEST_REQUIRE(WaitForRequests(1));
+  HttpResponseHead head;
+  head.status = 200;
+  head.framing = BodyFraming::Chunked;
+  Session(0).exchange->SendHead(head);
+  Session(0).exchange->SendBody(std::string_view("a part"));
+  caller.Send(Get("/concurrent/2"));
+  RunFor(std::chrono::milliseconds(50));
+  BOOST_TEST(application.sessions.size() == 1U);
+  Session(0).exchange->Finish();
+  BOOST_TEST_REQUIRE(WaitForRequests(2));
+  Session(1).Respond("second");
+  BOOST_TEST(WaitUntil([&] { return caller.Count("second") == 1; }));
+}
+
 // Guards against requests of one caller that use up all memory.
 BOOST_AUTO_TEST_CASE(AreLimitedInNumber)
 {
--- a/src/http/tests/support/RecordingApplication.h
+++ b/src/http/tests/support/RecordingApplication.h
@@ -97,6 +97,10 @@
   {
     return aHead.target.starts_with("/concurrent");
   }
+  bool MayAbortResponse(const HttpRequestHead& aHead) override
+  {
+    return aHead.target.ends_with("/large");
+  }
 
   std::function<void(RecordingSession&)> onRequest;
   std::function<void(RecordingSession&)> onEnd =
