Http: Take an unnamed signed head in any body for a copy

A head with the mark of a server's response is a copy in every body now, not only on used connections and without a length.

--- a/src/http/HttpClientConnection.cpp
+++ b/src/http/HttpClientConnection.cpp
@@ -497,8 +497,7 @@
 HttpClientConnection::IsStrayResponse(const HttpResponseHead& aHead) const
 {
   const std::string id = observer_->RequestIdOf(aHead);
-  return id.empty() ? MayHideCopy() && observer_->HasServerMark(aHead)
-                    : MayHaveCarried(id);
+  return id.empty() ? observer_->HasServerMark(aHead) : MayHaveCarried(id);
 }
 
 bool
--- a/tests/gateway/TestMixedSoak.cpp
+++ b/tests/gateway/TestMixedSoak.cpp
@@ -47,6 +47,27 @@
   BOOST_TEST(strayBytes > 0);
 }
 
+// Guards against a body that a second copy has completed, where the server
+// broke the response off and the copy names no request. All copies are such.
+BOOST_AUTO_TEST_CASE(GetNoRestOfABodyFromACopy)
+{
+  Start([](Random& aRandom) {
+    StutterConduct conduct = StutterConduct::Draw(aRandom);
+    conduct.truncatedShare = 0.1;
+    conduct.copiedShare = 1;
+    conduct.namelessShare = 1;
+    conduct.timedShare = 1;
+    conduct.maxCopyDelay = std::chrono::milliseconds(10);
+    conduct.unmarkedRestShare = 1;
+    return conduct;
+  });
+  Play(kUnmarkedTime, true);
+  Settle();
+  Report();
+  BOOST_TEST(ledger.requests.Responses(200, 299) > 0U);
+  BOOST_TEST(strayBytes > 0);
+}
+
 // Guards against sound responses that are lost, because they look as if they
 // had other bytes in them or behind them.
 BOOST_AUTO_TEST_CASE(GetEveryResponseOfSoundServers)
