Gateway: Test which servers are usable without drawing them

Trace: an assumption of the test. It expects that each of two sound servers gets one of 60 requests sent at once. The selection prefers the server that has responded more: the evidence of many responses against that of one makes a difference of 10.5 ms in cost, beside a random cost of up to 12 ms, so the other is drawn in under 1 of 100 requests, until the rotation reaches it after 1 s. No server was paused.

Change: a request that reaches no server is sent to all that may get one, and the test compares these. It is as strict: a server that may not get a request would be tried with certainty instead of by chance, and one that may, too.

--- a/src/gateway/tests/TestStatedAvailability.cpp
+++ b/src/gateway/tests/TestStatedAvailability.cpp
@@ -37,15 +37,22 @@
     return server;
   }
 
-  // Returns the ports of the servers that get one of many requests.
-  std::set<std::uint16_t> ServersInUse()
+  // Returns the ports of the servers that a request is sent to as long as it
+  // reaches none: all that may get one, whichever are preferred.
+  std::set<std::uint16_t> UsableServers()
   {
     std::set<std::uint16_t> ports;
-    for (int i = 0; i < 60; ++i) {
-      ports.insert(RequestAndRespond(MakeResponse(200)).port);
+    const auto caller = Request("/once/1");
+    for (int i = 0; i < kServers && !caller->isFinished; ++i) {
+      ports.insert(LastServer().port);
+      client.Last().Fail(HttpFailureKind::Connect);
     }
+    BOOST_TEST(caller->response.status == 503);
     return ports;
   }
+
+  // Of SetDefaultRoutesAndServers.
+  static constexpr int kServers = 3;
 };
 
 } // namespace
@@ -56,12 +63,12 @@
 BOOST_AUTO_TEST_CASE(GetsNoFurtherRequest)
 {
   const Endpoint server = RequestAndRespond(Leaving(MakeResponse(200)));
-  BOOST_TEST(ServersInUse().size() == 2U);
-  BOOST_TEST(!ServersInUse().contains(server.port));
+  BOOST_TEST(UsableServers().size() == 2U);
+  BOOST_TEST(!UsableServers().contains(server.port));
   BOOST_TEST((client.closedIdle == std::vector{ server }));
   // Its entry is read again, unchanged.
   SetServers(3);
-  BOOST_TEST(!ServersInUse().contains(server.port));
+  BOOST_TEST(!UsableServers().contains(server.port));
 }
 
 BOOST_AUTO_TEST_CASE(MayStateItWithAnyResponse)
@@ -76,7 +83,7 @@
     client.Last().anyByteSent = true;
     client.Last().observer->OnResponseHead(Leaving(head));
     client.Last().Fail(HttpFailureKind::Closed);
-    BOOST_TEST(!ServersInUse().contains(server.port));
+    BOOST_TEST(!UsableServers().contains(server.port));
   }
 }
 
@@ -96,7 +103,7 @@
 {
   RequestAndRespond(Leaving(MakeResponse(200)));
   SetServers(3, 0, 17);
-  BOOST_TEST(ServersInUse().size() == 3U);
+  BOOST_TEST(UsableServers().size() == 3U);
 }
 
 // Guards against an owner that does not know what the server has stated.
@@ -133,11 +140,11 @@
 BOOST_AUTO_TEST_CASE(GetsNoRequestUntilThen)
 {
   const Endpoint server = RequestAndRespond(MakePause(3s));
-  BOOST_TEST(!ServersInUse().contains(server.port));
+  BOOST_TEST(!UsableServers().contains(server.port));
   clock.Pause(2'900ms);
-  BOOST_TEST(!ServersInUse().contains(server.port));
+  BOOST_TEST(!UsableServers().contains(server.port));
   clock.Pause(100ms);
-  BOOST_TEST(ServersInUse().contains(server.port));
+  BOOST_TEST(UsableServers().contains(server.port));
 }
 
 BOOST_AUTO_TEST_CASE(GetsNoRetryAndNoHedge)
@@ -181,11 +188,11 @@
   const Endpoint server = LastServer();
   client.Last().Respond(unproven);
   BOOST_TEST(caller->response.status == 502);
-  BOOST_TEST(!ServersInUse().contains(server.port));
+  BOOST_TEST(!UsableServers().contains(server.port));
   HttpResponseHead served = MakeResponse(200);
   served.fields.Add("Pause-Ms", "3000");
   RequestAndRespond(served);
-  BOOST_TEST(ServersInUse().size() == 2U);
+  BOOST_TEST(UsableServers().size() == 2U);
 }
 
 // Guards against callers that wait for nothing, and against callers that return
