--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kVersion = 2;
+constexpr std::uint64_t kVersion = 3;
 constexpr std::uint64_t kQuery = 1;
 constexpr std::uint64_t kResponse = 2;
 constexpr std::uint64_t kReport = 3;
@@ -26,12 +26,13 @@
 // Maximum number of servers that a request may exclude or avoid, the last ones
 // of each list; keeps the datagram small.
 constexpr std::size_t kMaxServers = 16;
-constexpr std::size_t kMaxElements = 18;
+constexpr std::size_t kMaxElements = 20;
 constexpr std::uint32_t kMaxShards = 65'536;
 constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
 constexpr double kMillicores = 1'000;
 constexpr std::uint64_t kMaxMillicores = 1'000'000'000;
 constexpr std::uint64_t kMaxTicket = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 
 void
 AppendText(QCborStreamWriter& aWriter, const std::string& aText)
@@ -59,18 +60,26 @@
   aWriter.endArray();
 }
 
+void
+AppendVersion(QCborStreamWriter& aWriter, const CatalogVersion& aVersion)
+{
+  aWriter.append(static_cast<quint64>(aVersion.generation));
+  aWriter.append(static_cast<quint64>(aVersion.revision));
+}
+
+// Appends four elements.
 void
 AppendVersions(QCborStreamWriter& aWriter, const KnownVersions& aKnown)
 {
-  aWriter.append(static_cast<quint64>(aKnown.configuration));
-  aWriter.append(static_cast<quint64>(aKnown.directory));
+  AppendVersion(aWriter, aKnown.configuration);
+  AppendVersion(aWriter, aKnown.directory);
 }
 
 void
 Append(QCborStreamWriter& aWriter, const SelectionQuery& aQuery)
 {
   const SelectionRequest& request = aQuery.request;
-  aWriter.startArray(18);
+  aWriter.startArray(20);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kQuery));
   aWriter.append(static_cast<quint64>(aQuery.queryId));
@@ -95,7 +104,7 @@
 Append(QCborStreamWriter& aWriter, const SelectionResponse& aResponse)
 {
   const Selection selection = aResponse.result.selection.value_or(Selection{});
-  aWriter.startArray(11);
+  aWriter.startArray(13);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kResponse));
   aWriter.append(static_cast<quint64>(aResponse.queryId));
@@ -155,7 +164,7 @@
 void
 Append(QCborStreamWriter& aWriter, const WatcherHeartbeat& aHeartbeat)
 {
-  aWriter.startArray(11);
+  aWriter.startArray(17);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHeartbeat));
   AppendText(aWriter, aHeartbeat.host);
@@ -185,12 +194,21 @@
   return servers;
 }
 
+CatalogVersion
+ReadVersion(CborInput& aInput)
+{
+  CatalogVersion version;
+  version.generation = aInput.ReadUnsigned(kMaxCatalogGeneration);
+  version.revision = aInput.ReadUnsigned(kMaxRevision);
+  return version;
+}
+
 KnownVersions
 ReadVersions(CborInput& aInput)
 {
   KnownVersions known;
-  known.configuration = aInput.ReadUnsigned(kMaxTicket);
-  known.directory = aInput.ReadUnsigned(kMaxTicket);
+  known.configuration = ReadVersion(aInput);
+  known.directory = ReadVersion(aInput);
   return known;
 }
 
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -2,6 +2,7 @@
 
 #include "balancing/AttemptResult.h"
 #include "balancing/Selection.h"
+#include "catalog/CatalogVersion.h"
 #include "http/HttpMessage.h"
 
 #include <variant>
@@ -11,9 +12,11 @@
 // The newest versions that a host has read from the catalog.
 struct KnownVersions
 {
-  std::uint64_t configuration = 0;
-  // Revision of the last change to the entry of a backend server.
-  std::uint64_t directory = 0;
+  CatalogVersion configuration;
+  // Version of the last change to the entry of a backend server.
+  CatalogVersion directory;
+
+  bool operator==(const KnownVersions&) const = default;
 };
 
 // Sent by an entry host to the owner of a shard to request a backend server.
@@ -74,9 +77,9 @@
   // its updates.
   bool isCatalogReachable = true;
   KnownVersions known;
-  // The host has read all changes of the catalog up to these revisions.
+  // The host has read all changes of the catalog up to these versions.
   KnownVersions readUpTo;
-  // The host knows each change after these revisions.
+  // The host knows each change after these versions.
   KnownVersions historyBegin;
   // Port at the sender's address that serves snapshots of what the host has
   // read.
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -267,12 +267,12 @@
   one.service->SetHosts(hosts);
   two.service->SetHosts(hosts);
   std::uint64_t receivedVersion = 0;
-  one.service->SetKnownVersions({ 5, 5 });
-  two.service->SetKnownVersions({ 7, 5 });
+  one.service->SetKnownVersions({ { 1, 5 }, { 1, 5 } });
+  two.service->SetKnownVersions({ { 1, 7 }, { 1, 5 } });
   Endpoint newerHost;
   const auto handler = [&](const KnownVersions& aKnown,
                            const Endpoint& aSender) {
-    receivedVersion = aKnown.configuration;
+    receivedVersion = aKnown.configuration.revision;
     newerHost = aSender;
   };
   one.service->SetNewerVersionsHandler(handler);
@@ -357,7 +357,7 @@
   query.request.isIdempotent = true;
   query.request.remaining = 250ms;
   query.request.excluded = { "a", "b" };
-  query.known = { 3, 4 };
+  query.known = { { 1, 3 }, { 2, 4 } };
   const auto message = DecodeSelectionMessage(EncodeSelectionMessage(query));
   BOOST_TEST_REQUIRE(message.has_value());
   const auto& read = std::get<SelectionQuery>(*message);
@@ -367,25 +367,26 @@
   BOOST_TEST((read.request.purpose == AttemptPurpose::Hedge));
   BOOST_TEST((read.request.remaining == Duration(250ms)));
   BOOST_TEST(read.request.excluded.size() == 2U);
-  BOOST_TEST(read.known.directory == 4U);
+  BOOST_TEST((read.known == query.known));
 }
 
 BOOST_AUTO_TEST_CASE(AHeartbeatIsReadAsItWasWritten)
 {
-  const WatcherHeartbeat heartbeat{ "edge-1", false,    { 3, 4 },
-                                    { 5, 6 }, { 1, 2 }, 8382 };
+  const WatcherHeartbeat heartbeat{ "edge-1",
+                                    false,
+                                    { { 1, 3 }, { 2, 4 } },
+                                    { { 3, 5 }, { kMaxCatalogGeneration, 6 } },
+                                    { { 5, 1 }, { 6, 2 } },
+                                    8382 };
   const auto message =
     DecodeSelectionMessage(EncodeSelectionMessage(heartbeat));
   BOOST_TEST_REQUIRE(message.has_value());
   const auto& read = std::get<WatcherHeartbeat>(*message);
   BOOST_TEST(read.host == "edge-1");
   BOOST_TEST(!read.isCatalogReachable);
-  BOOST_TEST(read.known.configuration == 3U);
-  BOOST_TEST(read.known.directory == 4U);
-  BOOST_TEST(read.readUpTo.configuration == 5U);
-  BOOST_TEST(read.readUpTo.directory == 6U);
-  BOOST_TEST(read.historyBegin.configuration == 1U);
-  BOOST_TEST(read.historyBegin.directory == 2U);
+  BOOST_TEST((read.known == heartbeat.known));
+  BOOST_TEST((read.readUpTo == heartbeat.readUpTo));
+  BOOST_TEST((read.historyBegin == heartbeat.historyBegin));
   BOOST_TEST(read.snapshotPort == 8382);
 }
 
@@ -403,11 +404,11 @@
   const auto read = [](std::string_view aBytes) {
     return DecodeSelectionMessage(aBytes).has_value();
   };
-  BOOST_TEST(read("\x83\x02\x03\x82\x04\x05"));
-  BOOST_TEST(!read("\x83\x01\x03\x82\x04\x05"));
-  BOOST_TEST(!read("\x83\x03\x03\x82\x04\x05"));
-  BOOST_TEST(!read("\x83\x02\x03\x82\x04\x18\x63"));
-  BOOST_TEST(!read("\x83\x02\x03\x83\x04\x05\x04"));
+  BOOST_TEST(read("\x83\x03\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x02\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x04\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x03\x03\x82\x04\x18\x63"));
+  BOOST_TEST(!read("\x83\x03\x03\x83\x04\x05\x04"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -23,7 +23,7 @@
 // randomised, so that hosts that failed together do not retry together.
 constexpr milliseconds kFirstRetryDelay{ 100 };
 constexpr milliseconds kMaxRetryDelay{ 800 };
-// By then, a list that a peer's newer revision caused has completed or timed
+// By then, a list that a peer's newer version caused has completed or timed
 // out.
 constexpr milliseconds kCatchUpInterval{ 1'200 };
 
@@ -49,7 +49,7 @@
   callTimer_.setSingleShot(true);
   callTimer_.setTimerType(Qt::PreciseTimer);
   callTimer_.callOnTimeout([this] {
-    if (revision_ == 0) {
+    if (!version_.IsKnown()) {
       List({});
     } else {
       WatchIfNeeded();
@@ -68,7 +68,7 @@
 {
   if (aAfter.empty()) {
     listing_.clear();
-    listingRevision_ = 0;
+    listingVersion_ = {};
     isListingStale_ = false;
   }
   callTimer_.stop();
@@ -94,7 +94,7 @@
 {
   // The newest change does not tell which copy is newer: a copy that began with
   // a list may lack an object whose removal it cannot tell.
-  const std::uint64_t peerUpTo = std::max(aCopy.revision, aCopy.newestChange);
+  const CatalogVersion peerUpTo = std::max(aCopy.version, aCopy.newestChange);
   if (peerUpTo <= CopiedUpTo()) {
     if (isCopyStale_) {
       // The stale list is at least as new as the peer's copy.
@@ -108,14 +108,14 @@
            "catalog_adopted_from_peer",
            { { "collection", settings_.name },
              { "objects", aCopy.objects.size() },
-             { "revision", CopiedUpTo() },
-             { "peer", peerUpTo } });
+             { "version", FormatCatalogVersion(CopiedUpTo()) },
+             { "peer", FormatCatalogVersion(peerUpTo) } });
   ReplaceObjects(std::move(aCopy.objects), peerUpTo);
   isCopyStale_ = false;
   history_.Reset(peerUpTo);
-  peerRevision_ = std::max(peerRevision_, peerUpTo);
+  peerVersion_ = std::max(peerVersion_, peerUpTo);
   newestChange_ = std::max(newestChange_, aCopy.newestChange);
-  revision_ = std::max(revision_, aCopy.revision);
+  version_ = std::max(version_, aCopy.version);
   isComplete_ = true;
   Notify();
 }
@@ -125,7 +125,7 @@
 {
   CatalogCopy copy{ objects_,
                     newestChange_,
-                    revision_ != 0 ? revision_ : revisionBeforeList_ };
+                    version_.IsKnown() ? version_ : versionBeforeList_ };
   for (const auto& [name, missing] : missing_.Kept()) {
     copy.objects.erase(name);
   }
@@ -141,11 +141,12 @@
   followsPeer_ = aFollowsPeer;
   LogEvent(LogLevel::Info,
            followsPeer_ ? "catalog_peer_followed" : "catalog_watched",
-           { { "collection", settings_.name }, { "revision", revision_ } });
+           { { "collection", settings_.name },
+             { "version", FormatCatalogVersion(version_) } });
   if (followsPeer_) {
     // The peer can reach the catalog.
     OnRecovered();
-  } else if (revision_ != 0) {
+  } else if (version_.IsKnown()) {
     // An earlier watch may be waiting on a connection that has broken in the
     // meantime.
     Watch();
@@ -155,40 +156,55 @@
 void
 CatalogFollower::ApplyPeerChanges(const CatalogChanges& aChanges)
 {
-  // Without a complete list there is no revision to which the changes could be
+  // Without a complete list there is no version to which the changes could be
   // applied.
-  if (revision_ == 0) {
+  if (!version_.IsKnown()) {
     return;
   }
-  peerRevision_ = std::max(peerRevision_, aChanges.revision);
+  peerVersion_ = std::max(peerVersion_, aChanges.version);
   Apply(aChanges);
 }
 
 CatalogProgress
 CatalogFollower::Progress() const
 {
-  return { newestChange_, revision_, history_.Begin() };
+  return { newestChange_, version_, history_.Begin() };
 }
 
-std::uint64_t
+const CatalogVersion&
 CatalogFollower::CopiedUpTo() const
 {
-  return std::max({ revision_, newestChange_, listedRevision_ });
+  return std::max(version_, std::max(newestChange_, listedVersion_));
 }
 
 bool
 CatalogFollower::IsCoveredBy(const CatalogProgress& aPeer) const
 {
-  return aPeer.historyBegin <= revision_;
+  return aPeer.historyBegin <= version_;
 }
 
 void
 CatalogFollower::OnPeerProgress(const CatalogProgress& aPeer)
 {
   // When no change is missing here, the copy is as new as the peer's.
-  if (revision_ != 0 && IsCoveredBy(aPeer) && HasRead(aPeer.newestChange)) {
-    revision_ = std::max(revision_, aPeer.revision);
+  if (version_.IsKnown() && IsCoveredBy(aPeer) && HasRead(aPeer.newestChange)) {
+    version_ = std::max(version_, aPeer.version);
+  }
+}
+
+void
+CatalogFollower::OnCatalogRestored(std::uint64_t aGeneration,
+                                   milliseconds aDelay)
+{
+  if (version_.generation >= aGeneration && version_.IsKnown()) {
+    return;
+  }
+  missing_.OnCatalogRestored();
+  if (version_.IsKnown()) {
+    versionBeforeList_ = std::exchange(version_, {});
   }
+  ++latestCall_;
+  callTimer_.start(aDelay);
 }
 
 void
@@ -197,21 +213,21 @@
   LogEvent(LogLevel::Info,
            "catalog_history_gone",
            { { "collection", settings_.name },
-             { "revision", revision_ },
+             { "version", FormatCatalogVersion(version_) },
              { "reason", aReason } });
-  if (revision_ != 0) {
-    revisionBeforeList_ = std::exchange(revision_, 0);
+  if (version_.IsKnown()) {
+    versionBeforeList_ = std::exchange(version_, {});
   }
   List({});
 }
 
 CatalogChanges
-CatalogFollower::ChangesAfter(std::uint64_t aRevision) const
+CatalogFollower::ChangesAfter(const CatalogVersion& aVersion) const
 {
   CatalogChanges changes;
-  changes.revision = revision_;
-  auto events = history_.After(aRevision);
-  if (events && revision_ != 0) {
+  changes.version = version_;
+  auto events = history_.After(aVersion);
+  if (events && version_.IsKnown()) {
     changes.events = std::move(*events);
   } else {
     changes.failure = { CatalogError::HistoryExpired, "too far behind" };
@@ -220,24 +236,24 @@
 }
 
 bool
-CatalogFollower::HasRead(std::uint64_t aRevision) const
+CatalogFollower::HasRead(const CatalogVersion& aVersion) const
 {
-  return aRevision <= CopiedUpTo();
+  return aVersion <= CopiedUpTo();
 }
 
 void
-CatalogFollower::CatchUp(std::uint64_t aRevision)
+CatalogFollower::CatchUp(const CatalogVersion& aVersion)
 {
   const Instant now = clock_.Now();
-  if (HasRead(aRevision) || revision_ == 0 ||
+  if (HasRead(aVersion) || !version_.IsKnown() ||
       now - caughtUpAt_ < kCatchUpInterval) {
     return;
   }
   LogEvent(LogLevel::Info,
            "catalog_behind_peer",
            { { "collection", settings_.name },
-             { "newest_change", newestChange_ },
-             { "peer", aRevision } });
+             { "newest_change", FormatCatalogVersion(newestChange_) },
+             { "peer", FormatCatalogVersion(aVersion) } });
   caughtUpAt_ = now;
   List({});
 }
@@ -260,11 +276,11 @@
     return;
   }
   // Other pages may be newer, and of a stale list also older. A watch from the
-  // revision of the oldest page reports changes that some pages already
+  // version of the oldest page reports changes that some pages already
   // contain, which is harmless.
-  listingRevision_ = listingRevision_ == 0
-                       ? aPage.revision
-                       : std::min(listingRevision_, aPage.revision);
+  listingVersion_ = !listingVersion_.IsKnown()
+                      ? aPage.version
+                      : std::min(listingVersion_, aPage.version);
   isListingStale_ = isListingStale_ || aPage.mayBeStale;
   std::string last;
   for (CatalogObject& object : aPage.objects) {
@@ -281,10 +297,10 @@
 void
 CatalogFollower::CompleteList()
 {
-  if (listingRevision_ < peerRevision_) {
+  if (listingVersion_ < peerVersion_) {
     // Changes received from a peer in the meantime are newer than the list.
     listing_.clear();
-    if (revision_ == 0) {
+    if (!version_.IsKnown()) {
       List({});
     } else {
       WatchIfNeeded();
@@ -292,9 +308,10 @@
     return;
   }
   RecordListing();
-  revision_ = std::max<std::uint64_t>(listingRevision_, 1);
-  listedRevision_ = listingRevision_;
-  ReplaceObjects(std::exchange(listing_, {}), listingRevision_);
+  version_ = listingVersion_;
+  version_.revision = std::max<std::uint64_t>(version_.revision, 1);
+  listedVersion_ = listingVersion_;
+  ReplaceObjects(std::exchange(listing_, {}), listingVersion_);
   isCopyStale_ = isListingStale_;
   if (!isCopyStale_) {
     isComplete_ = true;
@@ -304,12 +321,13 @@
 }
 
 void
-CatalogFollower::ReplaceObjects(Objects aObjects, std::uint64_t aRevision)
+CatalogFollower::ReplaceObjects(Objects aObjects,
+                                const CatalogVersion& aVersion)
 {
   if (missing_.IsRecovering()) {
     for (const auto& [name, object] : objects_) {
       if (!aObjects.contains(name)) {
-        missing_.Keep(object, aRevision, followsPeer_);
+        missing_.Keep(object, aVersion, followsPeer_);
       }
     }
   }
@@ -325,8 +343,15 @@
 void
 CatalogFollower::RecordListing()
 {
-  if (revision_ == 0 && !isComplete_) {
-    history_.Reset(listingRevision_);
+  const bool isNewGeneration =
+    CopiedUpTo().IsKnown() &&
+    CopiedUpTo().generation < listingVersion_.generation;
+  if (isNewGeneration) {
+    // Peers have to notice it also if the collection has no object.
+    newestChange_ = { listingVersion_.generation, 1 };
+  }
+  if (isNewGeneration || (!version_.IsKnown() && !isComplete_)) {
+    history_.Reset(listingVersion_);
   } else {
     RecordDifferences();
   }
@@ -334,7 +359,7 @@
   // changes that came before them.
   for (const auto& [name, object] : listing_) {
     newestChange_ =
-      std::max(newestChange_, std::min(object.revision, listingRevision_));
+      std::max(newestChange_, std::min(object.version, listingVersion_));
   }
 }
 
@@ -344,15 +369,15 @@
   for (const auto& [name, object] : objects_) {
     if (!listing_.contains(name) && !missing_.Kept().contains(name)) {
       CatalogEvent event{ object, true };
-      event.object.revision = listingRevision_;
+      event.object.version = listingVersion_;
       history_.Add(event);
-      newestChange_ = std::max(newestChange_, listingRevision_);
+      newestChange_ = std::max(newestChange_, listingVersion_);
     }
   }
   for (const auto& [name, object] : listing_) {
     const auto existing = objects_.find(name);
     if (existing == objects_.end() ||
-        existing->second.revision < object.revision) {
+        existing->second.version < object.version) {
       history_.Add({ object, false });
     }
   }
@@ -378,7 +403,7 @@
 CatalogFollower::Watch()
 {
   catalog_.Watch(settings_.collection,
-                 revision_,
+                 version_,
                  failures_ == 0 && !isCopyStale_ ? kWatchWait : kShortWatchWait,
                  [this, call = ++latestCall_](const CatalogChanges& aChanges) {
                    if (call == latestCall_) {
@@ -415,13 +440,13 @@
 void
 CatalogFollower::Apply(const CatalogChanges& aChanges)
 {
-  const std::uint64_t readUpTo = revision_;
-  revision_ = std::max(revision_, aChanges.revision);
+  const CatalogVersion readUpTo = version_;
+  version_ = std::max(version_, aChanges.version);
   bool isChanged = false;
   for (const CatalogEvent& event : aChanges.events) {
     // The changes of the catalog and those of a peer may arrive in any order.
     // An older one would restore an object that has been removed since.
-    if (event.object.revision > readUpTo) {
+    if (event.object.version > readUpTo) {
       isChanged = Apply(event) || isChanged;
     }
   }
@@ -437,10 +462,10 @@
 {
   const std::string& name = aEvent.object.name;
   history_.Add(aEvent);
-  newestChange_ = std::max(newestChange_, aEvent.object.revision);
+  newestChange_ = std::max(newestChange_, aEvent.object.version);
   const auto existing = objects_.find(name);
   if (existing != objects_.end() &&
-      existing->second.revision > aEvent.object.revision) {
+      existing->second.version > aEvent.object.version) {
     return false;
   }
   if (aEvent.isDeleted) {
@@ -462,10 +487,10 @@
   const auto missing = missing_.Kept().find(aRemoved.name);
   const bool isMissing = missing != missing_.Kept().end();
   if (!isMissing && missing_.IsRecovering()) {
-    missing_.Keep(existing->second, aRemoved.revision, followsPeer_);
+    missing_.Keep(existing->second, aRemoved.version, followsPeer_);
     return;
   }
-  if (isMissing && aRemoved.revision <= missing->second.removalRevision) {
+  if (isMissing && aRemoved.version <= missing->second.removalVersion) {
     return;
   }
   missing_.Forget(aRemoved.name);
@@ -500,7 +525,7 @@
     LogEvent(LogLevel::Warning,
              "catalog_lost",
              { { "collection", settings_.name },
-               { "revision", revision_ },
+               { "version", FormatCatalogVersion(version_) },
                { "reason", aFailure.reason } });
   }
   missing_.OnFailure();
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -33,27 +33,29 @@
 struct CatalogCopy
 {
   std::map<std::string, CatalogObject, std::less<>> objects;
-  // The revision of the newest change that was read, deletions included.
-  std::uint64_t newestChange = 0;
-  // The copy contains all changes up to this revision; 0 if that is unknown.
-  std::uint64_t revision = 0;
+  // The version of the newest change that was read, deletions included.
+  CatalogVersion newestChange;
+  // The copy contains all changes up to this version; unknown if that is not
+  // certain.
+  CatalogVersion version;
 };
 
 // How far a host has read a collection, as it reports that to its peers.
 struct CatalogProgress
 {
-  // The revision of the newest change that was read.
-  std::uint64_t newestChange = 0;
-  // All changes up to this revision have been read; 0 if that is unknown.
-  std::uint64_t revision = 0;
-  // The host knows each change after this revision. Of earlier ones it knows
+  // The version of the newest change that was read.
+  CatalogVersion newestChange;
+  // All changes up to this version have been read; unknown if that is not
+  // certain.
+  CatalogVersion version;
+  // The host knows each change after this version. Of earlier ones it knows
   // only the objects that were left: a list does not show what was removed.
-  std::uint64_t historyBegin = 0;
+  CatalogVersion historyBegin;
 };
 
 // Keeps a copy of one collection: lists it, then watches it, and lists it again
 // when the history has expired. The first list may be stale; it is used once
-// the changes since its revision have been read. Keeps its copy while the
+// the changes since its version have been read. Keeps its copy while the
 // catalog is unavailable. Instead of watching the catalog itself it can receive
 // the changes that a peer has read.
 class CatalogFollower
@@ -74,14 +76,14 @@
   void Start();
 
   // Lists the collection again at once since a peer has read a newer change,
-  // with aRevision; a watch that waits on a broken connection would report it
+  // with aVersion; a watch that waits on a broken connection would report it
   // late. Does nothing when that change has been read or is being read.
-  void CatchUp(std::uint64_t aRevision);
+  void CatchUp(const CatalogVersion& aVersion);
 
   // True while a watch waits for its response, however long that takes.
   bool IsWatching() const
   {
-    return IsReachable() && revision_ != 0 && !followsPeer_;
+    return IsReachable() && version_.IsKnown() && !followsPeer_;
   }
   // The catalog has not responded to another call of this host. The response to
   // a watch that waits may have been lost as well, so it is started again.
@@ -91,47 +93,58 @@
   // While a peer is followed, no watch is started: the caller passes what the
   // peer has read to ApplyPeerChanges. Otherwise a watch starts at once.
   void SetFollowsPeer(bool aFollowsPeer);
-  // Applies the changes after Revision() that a peer has read.
+  // Applies the changes after Version() that a peer has read.
   void ApplyPeerChanges(const CatalogChanges& aChanges);
-  // Advances Revision() to that of a peer if this host has read all changes
+  // Advances Version() to that of a peer if this host has read all changes
   // that the peer has read.
   void OnPeerProgress(const CatalogProgress& aPeer);
   // True when a peer knows each change that this host has not read. Otherwise
   // its newest change does not show whether this host lacks one.
   bool IsCoveredBy(const CatalogProgress& aPeer) const;
+  // The catalog was restored from an older copy and is now in aGeneration. The
+  // whole collection is listed after aDelay, unless the copy of a peer in that
+  // generation is imported before. Responses to earlier calls are ignored.
+  void OnCatalogRestored(std::uint64_t aGeneration,
+                         std::chrono::milliseconds aDelay);
   // Lists the whole collection again; aReason is logged.
   void ReadAgain(std::string_view aReason);
-  // Returns the changes after aRevision that this host has read, or
+  // Returns the changes after aVersion that this host has read, or
   // HistoryExpired when it no longer has all of them.
-  CatalogChanges ChangesAfter(std::uint64_t aRevision) const;
+  CatalogChanges ChangesAfter(const CatalogVersion& aVersion) const;
 
   // Imports the copy of a peer when it is newer than this one or when nothing
   // has been read yet. The next list of the catalog replaces it; none is needed
-  // if the revision of the copy is known.
+  // if the version of the copy is known.
   void Import(CatalogCopy aCopy);
   // Returns what is in the catalog, without the removed objects that this host
   // keeps after an outage.
   CatalogCopy Copy() const;
 
-  // The revision of the newest change that was read.
-  std::uint64_t NewestChange() const { return newestChange_; }
+  // The version of the newest change that was read.
+  const CatalogVersion& NewestChange() const { return newestChange_; }
   CatalogProgress Progress() const;
-  // True when the copy contains the change of aRevision.
-  bool HasRead(std::uint64_t aRevision) const;
+  // True when the copy contains the change of aVersion.
+  bool HasRead(const CatalogVersion& aVersion) const;
 
   // True once the whole collection has been read.
   bool IsComplete() const { return isComplete_; }
   bool IsReachable() const { return failures_ == 0; }
-  // All changes up to this revision have been read; 0 before the first list.
-  std::uint64_t Revision() const { return revision_; }
+  // All changes up to this version have been read; unknown before the first
+  // list, and from a restore of the catalog until the next one.
+  const CatalogVersion& Version() const { return version_; }
+  // True while a list has been sent and not been completed.
+  bool IsListing() const
+  {
+    return !version_.IsKnown() && !callTimer_.isActive();
+  }
   // The time since the last response of the catalog, or since the start.
   Duration Age() const { return clock_.Now() - lastResponseAt_; }
 
 private:
   // The response to a call is ignored once a newer call has been sent.
   void List(const std::string& aAfter);
-  // All changes up to the returned revision are part of the copy.
-  std::uint64_t CopiedUpTo() const;
+  // All changes up to the returned version are part of the copy.
+  const CatalogVersion& CopiedUpTo() const;
   // A stale list is only read while there is no copy that it could set back.
   ListFreshness FreshnessOfNextList() const;
   void OnPage(CatalogPage aPage);
@@ -140,9 +153,9 @@
   void RecordListing();
   // Adds the differences between the copy and the list to the history.
   void RecordDifferences();
-  // Replaces the copy with the objects of aRevision, except for removed objects
+  // Replaces the copy with the objects of aVersion, except for removed objects
   // that may return.
-  void ReplaceObjects(Objects aObjects, std::uint64_t aRevision);
+  void ReplaceObjects(Objects aObjects, const CatalogVersion& aVersion);
   // Watches the catalog, unless a peer is followed and the copy is not stale.
   void WatchIfNeeded();
   void Watch();
@@ -154,7 +167,7 @@
   void Apply(const CatalogChanges& aChanges);
   // Returns true when the change has changed the copy.
   bool Apply(const CatalogEvent& aEvent);
-  // Applies a removal that was read with the revision of aRemoved.
+  // Applies a removal that was read with the version of aRemoved.
   void Remove(const CatalogObject& aRemoved);
   // After a failure, schedules a retry and returns false.
   bool CheckResponse(const CatalogFailure& aFailure);
@@ -171,22 +184,22 @@
   Objects listing_;
   ChangeHistory history_;
   bool followsPeer_ = false;
-  // The newest revision that was received from a peer.
-  std::uint64_t peerRevision_ = 0;
-  std::uint64_t listingRevision_ = 0;
+  // The newest version that was received from a peer.
+  CatalogVersion peerVersion_;
+  CatalogVersion listingVersion_;
   bool isListingStale_ = false;
-  // The copy lacks changes since revision_ that the catalog may have had when
+  // The copy lacks changes since version_ that the catalog may have had when
   // it was listed; nobody has received it yet.
   bool isCopyStale_ = false;
   // The catalog no longer had the changes since a stale list.
   bool needsNewestList_ = false;
-  // 0 while the collection has to be listed.
-  std::uint64_t revision_ = 0;
-  // What revision_ was before the collection had to be listed again.
-  std::uint64_t revisionBeforeList_ = 0;
-  std::uint64_t newestChange_ = 0;
-  // The last complete list contains all changes up to this revision.
-  std::uint64_t listedRevision_ = 0;
+  // Unknown while the collection has to be listed.
+  CatalogVersion version_;
+  // What version_ was before the collection had to be listed again.
+  CatalogVersion versionBeforeList_;
+  CatalogVersion newestChange_;
+  // The last complete list contains all changes up to this version.
+  CatalogVersion listedVersion_;
   // When CatchUp last listed the collection.
   Instant caughtUpAt_;
   std::uint64_t latestCall_ = 0;
--- a/src/catalog/ChangeHistory.cpp
+++ b/src/catalog/ChangeHistory.cpp
@@ -13,10 +13,10 @@
 } // namespace
 
 void
-ChangeHistory::Reset(std::uint64_t aRevision)
+ChangeHistory::Reset(const CatalogVersion& aVersion)
 {
   events_.clear();
-  discardedRevision_ = aRevision;
+  discardedVersion_ = aVersion;
 }
 
 void
@@ -24,24 +24,23 @@
 {
   events_.push_back(aEvent);
   if (events_.size() > kMaxEvents) {
-    discardedRevision_ =
-      std::max(discardedRevision_, events_.front().object.revision);
+    discardedVersion_ =
+      std::max(discardedVersion_, events_.front().object.version);
     events_.pop_front();
   }
 }
 
 std::optional<std::vector<CatalogEvent>>
-ChangeHistory::After(std::uint64_t aRevision) const
+ChangeHistory::After(const CatalogVersion& aVersion) const
 {
-  if (aRevision < discardedRevision_) {
+  if (aVersion < discardedVersion_) {
     return std::nullopt;
   }
   std::vector<CatalogEvent> events;
-  std::ranges::copy_if(events_,
-                       std::back_inserter(events),
-                       [aRevision](const CatalogEvent& aEach) {
-                         return aEach.object.revision > aRevision;
-                       });
+  std::ranges::copy_if(
+    events_, std::back_inserter(events), [aVersion](const CatalogEvent& aEach) {
+      return aEach.object.version > aVersion;
+    });
   return events;
 }
 
--- a/src/catalog/ChangeHistory.h
+++ b/src/catalog/ChangeHistory.h
@@ -13,23 +13,24 @@
 class ChangeHistory
 {
 public:
-  // Discards all changes; the history starts after aRevision.
-  void Reset(std::uint64_t aRevision);
-  // Adds an event. Events have to be added in the order of their revisions,
+  // Discards all changes; the history starts after aVersion.
+  void Reset(const CatalogVersion& aVersion);
+  // Adds an event. Events have to be added in the order of their versions,
   // except for events that were added before.
   void Add(const CatalogEvent& aEvent);
 
-  // Returns the changes after aRevision, oldest first, or nothing when some of
+  // Returns the changes after aVersion, oldest first, or nothing when some of
   // them have been discarded.
-  std::optional<std::vector<CatalogEvent>> After(std::uint64_t aRevision) const;
+  std::optional<std::vector<CatalogEvent>> After(
+    const CatalogVersion& aVersion) const;
 
-  // The history contains the changes after this revision.
-  std::uint64_t Begin() const { return discardedRevision_; }
+  // The history contains the changes after this version.
+  const CatalogVersion& Begin() const { return discardedVersion_; }
 
 private:
   std::deque<CatalogEvent> events_;
-  // Changes up to this revision have been discarded.
-  std::uint64_t discardedRevision_ = 0;
+  // Changes up to this version have been discarded.
+  CatalogVersion discardedVersion_;
 };
 
 } // namespace filbertbeam
--- a/src/catalog/CountingCatalog.cpp
+++ b/src/catalog/CountingCatalog.cpp
@@ -100,12 +100,12 @@
 
 void
 CountingCatalog::Watch(Collection aCollection,
-                       std::uint64_t aRevision,
+                       const CatalogVersion& aVersion,
                        std::chrono::milliseconds aWait,
                        ChangesCallback aCallback)
 {
   Count(aCollection, CatalogCall::Watch);
-  catalog_.Watch(aCollection, aRevision, aWait, std::move(aCallback));
+  catalog_.Watch(aCollection, aVersion, aWait, std::move(aCallback));
 }
 
 void
@@ -131,12 +131,12 @@
 CountingCatalog::Replace(Collection aCollection,
                          std::string_view aName,
                          const QJsonObject& aContent,
-                         std::uint64_t aRevision,
+                         const CatalogVersion& aVersion,
                          EntryCallback aCallback)
 {
   Count(aCollection, CatalogCall::Write);
   catalog_.Replace(
-    aCollection, aName, aContent, aRevision, std::move(aCallback));
+    aCollection, aName, aContent, aVersion, std::move(aCallback));
 }
 
 void
@@ -165,4 +165,16 @@
   catalog_.Probe(std::move(aCallback));
 }
 
+void
+CountingCatalog::SetRestoreHandler(GenerationTracker::Handler aHandler)
+{
+  catalog_.SetRestoreHandler(std::move(aHandler));
+}
+
+bool
+CountingCatalog::OnPeerGeneration(std::uint64_t aGeneration)
+{
+  return catalog_.OnPeerGeneration(aGeneration);
+}
+
 } // namespace filbertbeam
--- a/src/catalog/CountingCatalog.h
+++ b/src/catalog/CountingCatalog.h
@@ -41,7 +41,7 @@
             ListFreshness aFreshness,
             PageCallback aCallback) override;
   void Watch(Collection aCollection,
-             std::uint64_t aRevision,
+             const CatalogVersion& aVersion,
              std::chrono::milliseconds aWait,
              ChangesCallback aCallback) override;
   void Read(Collection aCollection,
@@ -54,7 +54,7 @@
   void Replace(Collection aCollection,
                std::string_view aName,
                const QJsonObject& aContent,
-               std::uint64_t aRevision,
+               const CatalogVersion& aVersion,
                EntryCallback aCallback) override;
   void Put(Collection aCollection,
            std::string_view aName,
@@ -64,6 +64,9 @@
               std::string_view aName,
               WriteCallback aCallback) override;
   void Probe(ProbeCallback aCallback) override;
+  void SetRestoreHandler(GenerationTracker::Handler aHandler) override;
+  std::uint64_t Generation() const override { return catalog_.Generation(); }
+  bool OnPeerGeneration(std::uint64_t aGeneration) override;
 
 private:
   static constexpr std::size_t kCollections =
--- a/src/catalog/MissingObjects.cpp
+++ b/src/catalog/MissingObjects.cpp
@@ -57,6 +57,13 @@
              { "ms", ToMilliseconds(outage) } });
 }
 
+void
+MissingObjects::OnCatalogRestored()
+{
+  outageSince_.reset();
+  recoveredAt_ = clock_.Now();
+}
+
 bool
 MissingObjects::IsRecovering() const
 {
@@ -65,7 +72,7 @@
 
 void
 MissingObjects::Keep(const CatalogObject& aObject,
-                     std::uint64_t aRemoval,
+                     const CatalogVersion& aRemoval,
                      bool aFollowsPeer)
 {
   const Duration sinceRecovery = clock_.Now() - *recoveredAt_;
@@ -75,7 +82,7 @@
              "catalog_missing_entry_kept",
              { { "collection", settings_.collection },
                { "name", aObject.name },
-               { "revision", aRemoval },
+               { "version", FormatCatalogVersion(aRemoval) },
                { "follows_peer", aFollowsPeer },
                { "since_recovery_ms", ToMilliseconds(sinceRecovery) } });
   }
--- a/src/catalog/MissingObjects.h
+++ b/src/catalog/MissingObjects.h
@@ -35,8 +35,8 @@
   {
     // The object as it was last read.
     CatalogObject object;
-    // The revision of the change or list that showed the removal.
-    std::uint64_t removalRevision = 0;
+    // The version of the change or list that showed the removal.
+    CatalogVersion removalVersion;
   };
   using Objects = std::map<std::string, MissingObject, std::less<>>;
 
@@ -50,13 +50,16 @@
   void OnFailure();
   // The catalog responds, to this host or, as a peer has reported, to the peer.
   void OnCatalogResponds();
+  // The catalog was restored from an older copy, which counts as the end of an
+  // outage: live writers write again what the copy lacks.
+  void OnCatalogRestored();
   // True shortly after an outage: objects that are removed now are to be kept.
   bool IsRecovering() const;
 
   const Objects& Kept() const { return kept_; }
   // Keeps aObject until this host no longer recovers from an outage.
   void Keep(const CatalogObject& aObject,
-            std::uint64_t aRemoval,
+            const CatalogVersion& aRemoval,
             bool aFollowsPeer);
   void Forget(const std::string& aName) { kept_.erase(aName); }
   Objects TakeExpired();
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "catalog/CatalogVersion.h"
+#include "catalog/GenerationTracker.h"
+
 #include <QJsonObject>
 
 #include <chrono>
@@ -33,9 +36,10 @@
 struct CatalogObject
 {
   std::string name;
-  // The revision of the object's last change. Revisions increase over all
-  // objects of the catalog.
-  std::uint64_t revision = 0;
+  // The version of the catalog that the object's last change created, in the
+  // generation in which the object was read. Versions increase over all objects
+  // of the catalog.
+  CatalogVersion version;
   // The content as its writer sent it, not decoded. Empty when it is not a JSON
   // object.
   QJsonObject content;
@@ -58,7 +62,8 @@
   // The condition of the write did not hold, or the object exists already.
   Conflict,
   NotFound,
-  // No usable response was received. A write may still take effect later.
+  // No usable response was received, or a write was answered after the catalog
+  // had been restored. The write may have taken effect or do so later.
   Unavailable,
   // The catalog refused the call for the time being, for example since a rate
   // limit was exceeded.
@@ -99,9 +104,9 @@
   // True when further objects follow; the next page starts after the name of
   // the last object.
   bool hasMore = false;
-  // The catalog's revision at the time of the page, from which a watch can
+  // The catalog's version at the time of the page, from which a watch can
   // start.
-  std::uint64_t revision = 0;
+  CatalogVersion version;
   // The page may lack changes that the catalog acknowledged before the call.
   bool mayBeStale = false;
 };
@@ -110,7 +115,8 @@
 {
   CatalogFailure failure;
   std::vector<CatalogEvent> events;
-  std::uint64_t revision = 0;
+  // The changes up to this version are known.
+  CatalogVersion version;
 };
 
 // Stores versioned objects in collections and supports watches. Calls never
@@ -132,10 +138,11 @@
                     std::string_view aAfter,
                     ListFreshness aFreshness,
                     PageCallback aCallback) = 0;
-  // Reads the changes since aRevision. When there are none, it waits for the
-  // first one, but not longer than aWait.
+  // Reads the changes since aVersion. When there are none, it waits for the
+  // first one, but not longer than aWait. Fails with HistoryExpired, without a
+  // call, when aVersion is of an earlier generation.
   virtual void Watch(Collection aCollection,
-                     std::uint64_t aRevision,
+                     const CatalogVersion& aVersion,
                      std::chrono::milliseconds aWait,
                      ChangesCallback aCallback) = 0;
   virtual void Read(Collection aCollection,
@@ -147,12 +154,14 @@
                       std::string_view aName,
                       const QJsonObject& aContent,
                       EntryCallback aCallback) = 0;
-  // Replaces the content of an object that has aRevision. Fails with Conflict
-  // when it has another revision, and with NotFound when it does not exist.
+  // Replaces the content of an object that has aVersion. Fails with Conflict
+  // when it has another version, and with NotFound when it does not exist. A
+  // version of an earlier generation is a Conflict without a call, since its
+  // revision may name other contents now.
   virtual void Replace(Collection aCollection,
                        std::string_view aName,
                        const QJsonObject& aContent,
-                       std::uint64_t aRevision,
+                       const CatalogVersion& aVersion,
                        EntryCallback aCallback) = 0;
   // Creates the object, or replaces its content regardless of its revision.
   virtual void Put(Collection aCollection,
@@ -165,6 +174,17 @@
   // Makes the cheapest call that shows whether the catalog responds. A response
   // that reports no object is no failure.
   virtual void Probe(ProbeCallback aCallback) = 0;
+
+  // aHandler is called when a response to any call, or a peer, shows that the
+  // catalog was restored from an older copy: before the callback of that call,
+  // whose response is still of use only to callers that do not depend on
+  // earlier ones.
+  virtual void SetRestoreHandler(GenerationTracker::Handler aHandler) = 0;
+  // The newest known generation; 0 before the first one.
+  virtual std::uint64_t Generation() const = 0;
+  // A peer has read the catalog in aGeneration; responses of earlier ones fail
+  // from now on. Returns false if that cannot be true.
+  virtual bool OnPeerGeneration(std::uint64_t aGeneration) = 0;
 };
 
 } // namespace filbertbeam
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -2,6 +2,7 @@
 #include "base/SystemClock.h"
 #include "catalog/CatalogFollower.h"
 #include "catalog/tests/support/CatalogStub.h"
+#include "catalog/tests/support/Versions.h"
 #include "http/tests/support/EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
@@ -19,7 +20,7 @@
 {
   CatalogObject object;
   object.name = std::move(aName);
-  object.revision = aRevision;
+  object.version = At(aRevision);
   return object;
 }
 
@@ -28,7 +29,7 @@
 {
   CatalogPage page;
   page.objects = std::move(aObjects);
-  page.revision = aRevision;
+  page.version = At(aRevision);
   return page;
 }
 
@@ -45,7 +46,7 @@
 {
   CatalogChanges changes;
   changes.events = std::move(aEvents);
-  changes.revision = aRevision;
+  changes.version = At(aRevision);
   return changes;
 }
 
@@ -56,7 +57,7 @@
   for (const CatalogObject& object : aObjects) {
     copy.objects.emplace(object.name, object);
   }
-  copy.newestChange = aNewestChange;
+  copy.newestChange = At(aNewestChange);
   return copy;
 }
 
@@ -66,7 +67,7 @@
          std::uint64_t aRevision,
          std::uint64_t aHistoryBegin = 0)
 {
-  return { aNewestChange, aRevision, aHistoryBegin };
+  return { At(aNewestChange), At(aRevision), At(aHistoryBegin) };
 }
 
 template<typename Response>
@@ -78,6 +79,27 @@
   return response;
 }
 
+// Returns a response as the catalog sends it after a restore.
+CatalogPage
+Restored(CatalogPage aPage, std::uint64_t aGeneration = 1)
+{
+  aPage.version.generation = aGeneration;
+  for (CatalogObject& object : aPage.objects) {
+    object.version.generation = aGeneration;
+  }
+  return aPage;
+}
+
+CatalogChanges
+Restored(CatalogChanges aChanges)
+{
+  aChanges.version.generation = 1;
+  for (CatalogEvent& event : aChanges.events) {
+    event.object.version.generation = 1;
+  }
+  return aChanges;
+}
+
 // Keeps the calls until the test responds to them.
 class FakeCatalog final : public CatalogStub
 {
@@ -92,11 +114,12 @@
     lists.push_back(std::move(aCallback));
   }
   void Watch(Collection,
-             std::uint64_t aRevision,
+             const CatalogVersion& aVersion,
              std::chrono::milliseconds aWait,
              ChangesCallback aCallback) override
   {
-    watchedRevision = aRevision;
+    watchedRevision = aVersion.revision;
+    watchedGeneration = aVersion.generation;
     wait = aWait;
     watches.push_back(std::move(aCallback));
   }
@@ -121,6 +144,7 @@
   std::string after;
   ListFreshness freshness = ListFreshness::Newest;
   std::uint64_t watchedRevision = 0;
+  std::uint64_t watchedGeneration = 0;
   std::chrono::milliseconds wait{ 0 };
 };
 
@@ -278,7 +302,7 @@
   RemoveAnEntryDuringAnOutage();
   catalog.RespondToWatch(Changes({ { Object("b", 7), true } }, 7));
   BOOST_TEST(names == "a ");
-  follower.CatchUp(9);
+  follower.CatchUp(At(9));
   catalog.RespondToList(Page({ Object("a", 3), Object("c", 9) }, 9));
   BOOST_TEST(names == "a c ");
 }
@@ -314,7 +338,7 @@
 BOOST_AUTO_TEST_CASE(CountsARemovalOnce)
 {
   RemoveAnEntryDuringAnOutage();
-  const std::uint64_t newest = follower.NewestChange();
+  const CatalogVersion newest = follower.NewestChange();
   follower.ReadAgain("test");
   catalog.RespondToList(Page({ Object("a", 3) }, 9));
   BOOST_TEST(follower.NewestChange() == newest);
@@ -416,13 +440,13 @@
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 4) }, 4));
   catalog.RespondToWatch(Failure<CatalogChanges>(CatalogError::Unavailable));
   CatalogCopy copy = Copy({ Object("a", 7) }, 8);
-  BOOST_TEST(!follower.HasRead(8));
+  BOOST_TEST(!follower.HasRead(At(8)));
   follower.Import(copy);
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.HasRead(8));
+  BOOST_TEST(follower.HasRead(At(8)));
   // The copy of a peer that is further behind.
   copy.objects.emplace("c", Object("c", 6));
-  copy.newestChange = 7;
+  copy.newestChange = At(7);
   follower.Import(copy);
   BOOST_TEST(names == "a ");
   // The changes from the catalog follow; those that the peer had already read
@@ -440,7 +464,7 @@
 {
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 4) }, 4));
   follower.Import(Copy({ Object("a", 3), Object("b", 8) }, 8));
-  follower.CatchUp(10);
+  follower.CatchUp(At(10));
   catalog.RespondToList(Page({ Object("a", 3) }, 10));
   BOOST_TEST(names == "a ");
 }
@@ -462,14 +486,14 @@
 BOOST_AUTO_TEST_CASE(HasNotReadWhatAnUnfinishedListContained)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
-  follower.CatchUp(8);
+  follower.CatchUp(At(8));
   CatalogPage first = Page({ Object("b", 8) }, 8);
   first.hasMore = true;
   catalog.RespondToList(first);
   catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
-  BOOST_TEST(!follower.HasRead(8));
+  BOOST_TEST(!follower.HasRead(At(8)));
   follower.OnPeerProgress(Progress(8, 20));
-  BOOST_TEST(follower.Revision() == 3U);
+  BOOST_TEST(follower.Version() == At(3));
 }
 
 // Guards against a change that is never read: a list's second page is newer
@@ -480,9 +504,9 @@
   first.hasMore = true;
   catalog.RespondToList(first);
   catalog.RespondToList(Page({ Object("c", 12) }, 12));
-  BOOST_TEST(!follower.HasRead(12));
+  BOOST_TEST(!follower.HasRead(At(12)));
   follower.OnPeerProgress(Progress(12, 20));
-  BOOST_TEST(follower.Revision() == 10U);
+  BOOST_TEST(follower.Version() == At(10));
 }
 
 // Guards against a server that left and is used again by a host that starts:
@@ -494,7 +518,7 @@
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
   follower.Import(peer.follower.Copy());
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.Revision() == 6U);
+  BOOST_TEST(follower.Version() == At(6));
 }
 
 // Guards against a peer's copy that gets no revision while the peer lists the
@@ -507,7 +531,7 @@
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
   follower.Import(peer.follower.Copy());
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.Revision() == 6U);
+  BOOST_TEST(follower.Version() == At(6));
 }
 
 // Guards against followers that skip a removal which the imported copy
@@ -518,19 +542,20 @@
   peer.catalog.RespondToList(Page({ Object("a", 3) }, 6));
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
   follower.Import(peer.follower.Copy());
+  BOOST_TEST((follower.ChangesAfter(At(4)).failure.error ==
+              CatalogError::HistoryExpired));
   BOOST_TEST(
-    (follower.ChangesAfter(4).failure.error == CatalogError::HistoryExpired));
-  BOOST_TEST((follower.ChangesAfter(6).failure.error == CatalogError::None));
+    (follower.ChangesAfter(At(6)).failure.error == CatalogError::None));
 }
 
 // Guards against waiting for a watch on an undetected broken connection.
 BOOST_AUTO_TEST_CASE(ListsAgainWithoutWaitingForItsWatch)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
-  follower.CatchUp(8);
+  follower.CatchUp(At(8));
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 8) }, 8));
   BOOST_TEST(names == "a b ");
-  BOOST_TEST(follower.NewestChange() == 8U);
+  BOOST_TEST(follower.NewestChange() == At(8));
   // The response to the old watch is ignored.
   catalog.RespondToWatch(Changes({ { Object("b", 9), true } }, 9));
   BOOST_TEST(names == "a b ");
@@ -540,12 +565,12 @@
 BOOST_AUTO_TEST_CASE(ListsOnceForAChange)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 5));
-  follower.CatchUp(3);
+  follower.CatchUp(At(3));
   // Deleted objects are not listed, but the list shows that they are missing.
-  follower.CatchUp(5);
+  follower.CatchUp(At(5));
   BOOST_TEST(catalog.lists.empty());
-  follower.CatchUp(8);
-  follower.CatchUp(8);
+  follower.CatchUp(At(8));
+  follower.CatchUp(At(8));
   BOOST_TEST(catalog.lists.size() == 1U);
 }
 
@@ -555,10 +580,10 @@
 BOOST_AUTO_TEST_CASE(RetriesAFailedList)
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
-  follower.CatchUp(8);
+  follower.CatchUp(At(8));
   catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
   BOOST_TEST(WaitUntil([&] {
-    follower.CatchUp(8);
+    follower.CatchUp(At(8));
     return !catalog.lists.empty();
   }));
 }
@@ -579,8 +604,8 @@
   follower.ApplyPeerChanges(
     Changes({ { Object("c", 5) }, { Object("a", 6), true } }, 8));
   BOOST_TEST(names == "b c ");
-  BOOST_TEST(follower.HasRead(6));
-  BOOST_TEST(follower.Revision() == 8U);
+  BOOST_TEST(follower.HasRead(At(6)));
+  BOOST_TEST(follower.Version() == At(8));
 }
 
 // Guards against a host that misses changes after its peer is lost.
@@ -607,7 +632,7 @@
     Changes({ { Object("b", 5) }, { Object("b", 6), true } }, 8));
   catalog.RespondToWatch(Changes({ { Object("b", 5) } }, 5));
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.Revision() == 8U);
+  BOOST_TEST(follower.Version() == At(8));
 }
 
 // Guards against a watch that is no longer needed, fails and makes the host
@@ -635,7 +660,7 @@
   BOOST_TEST(peer.names == "a b ");
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 3));
   follower.SetFollowsPeer(true);
-  follower.ApplyPeerChanges(peer.follower.ChangesAfter(3));
+  follower.ApplyPeerChanges(peer.follower.ChangesAfter(At(3)));
   BOOST_TEST(names == "a ");
 }
 
@@ -660,11 +685,11 @@
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
   follower.SetFollowsPeer(true);
-  follower.CatchUp(9);
+  follower.CatchUp(At(9));
   follower.ApplyPeerChanges(Changes({ { Object("b", 9) } }, 9));
   catalog.RespondToList(Page({ Object("a", 3) }, 8));
   BOOST_TEST(names == "a b ");
-  BOOST_TEST(follower.Revision() == 9U);
+  BOOST_TEST(follower.Version() == At(9));
 }
 
 // Guards against a list call from each host for the first change after a time
@@ -673,9 +698,9 @@
 {
   catalog.RespondToList(Page({ Object("a", 3) }, 3));
   follower.OnPeerProgress(Progress(3, 20));
-  BOOST_TEST(follower.Revision() == 20U);
+  BOOST_TEST(follower.Version() == At(20));
   follower.OnPeerProgress(Progress(25, 30));
-  BOOST_TEST(follower.Revision() == 20U);
+  BOOST_TEST(follower.Version() == At(20));
 }
 
 // Guards against requests to a server that left while another host of the
@@ -689,7 +714,7 @@
   follower.SetFollowsPeer(true);
   BOOST_TEST(!follower.IsCoveredBy(peer.follower.Progress()));
   follower.OnPeerProgress(peer.follower.Progress());
-  BOOST_TEST(follower.Revision() == 4U);
+  BOOST_TEST(follower.Version() == At(4));
   // Another peer has read the removal.
   follower.ApplyPeerChanges(Changes({ { Object("b", 5), true } }, 7));
   BOOST_TEST(names == "a ");
@@ -703,14 +728,14 @@
   catalog.RespondToList(Page({ Object("a", 3) }, 4));
   catalog.RespondToWatch(
     Changes({ { Object("b", 5) }, { Object("a", 6), true } }, 7));
-  const CatalogChanges all = follower.ChangesAfter(4);
+  const CatalogChanges all = follower.ChangesAfter(At(4));
   BOOST_TEST(all.events.size() == 2U);
   BOOST_TEST(all.events.back().isDeleted);
-  BOOST_TEST(all.revision == 7U);
-  BOOST_TEST(follower.ChangesAfter(5).events.size() == 1U);
+  BOOST_TEST(all.version == At(7));
+  BOOST_TEST(follower.ChangesAfter(At(5)).events.size() == 1U);
   // Changes before the first list are not available.
-  BOOST_TEST(
-    (follower.ChangesAfter(3).failure.error == CatalogError::HistoryExpired));
+  BOOST_TEST((follower.ChangesAfter(At(3)).failure.error ==
+              CatalogError::HistoryExpired));
 }
 
 // Guards against followers that keep a server whose deletion their peer found
@@ -720,8 +745,8 @@
   catalog.RespondToList(Page({ Object("a", 3), Object("b", 3) }, 4));
   catalog.RespondToWatch(Failure<CatalogChanges>(CatalogError::HistoryExpired));
   catalog.RespondToList(Page({ Object("b", 3), Object("c", 8) }, 9));
-  BOOST_TEST(follower.NewestChange() == 9U);
-  const CatalogChanges changes = follower.ChangesAfter(4);
+  BOOST_TEST(follower.NewestChange() == At(9));
+  const CatalogChanges changes = follower.ChangesAfter(At(4));
   BOOST_TEST_REQUIRE(changes.events.size() == 2U);
   BOOST_TEST(changes.events[0].object.name == "a");
   BOOST_TEST(changes.events[0].isDeleted);
@@ -761,7 +786,7 @@
   catalog.RespondToWatch(Changes({}, 9));
   BOOST_TEST(follower.IsComplete());
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.Revision() == 9U);
+  BOOST_TEST(follower.Version() == At(9));
 }
 
 // Guards against changes that are missed between pages, of which a later one
@@ -819,7 +844,7 @@
   follower.Import(Copy({ Object("a", 3), Object("b", 3) }, 3));
   BOOST_TEST(follower.IsComplete());
   BOOST_TEST(names == "a ");
-  BOOST_TEST(follower.Copy().objects.at("a").revision == 8U);
+  BOOST_TEST(follower.Copy().objects.at("a").version == At(8));
 }
 
 // Guards against a host that starts with a server that has left: its stale list
@@ -838,12 +863,112 @@
 {
   catalog.RespondToList(Failure<CatalogPage>(CatalogError::Unavailable));
   CatalogCopy copy = Copy({ Object("a", 3) }, 3);
-  copy.revision = 5;
+  copy.version = At(5);
   follower.Import(copy);
-  BOOST_TEST(follower.Revision() == 5U);
+  BOOST_TEST(follower.Version() == At(5));
   BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
   BOOST_TEST(catalog.watchedRevision == 5U);
   BOOST_TEST(catalog.lists.empty());
 }
 
+BOOST_AUTO_TEST_SUITE(AfterARestoreOfTheCatalog)
+
+// Guards against a follower that takes the revisions of a restored catalog for
+// old ones, and against a late response that sets it back.
+BOOST_AUTO_TEST_CASE(ListsAgainAndIgnoresEarlierResponses)
+{
+  catalog.RespondToList(Page({ Object("a", 3), Object("c", 9) }, 10));
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  follower.OnCatalogRestored(1, 0ms);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.lists.empty(); }));
+  catalog.RespondToWatch(Changes({ { Object("a", 11), true } }, 11));
+  BOOST_TEST(names == "a c ");
+  catalog.RespondToList(
+    Restored(Page({ Object("a", 3), Object("b", 4), Object("c", 5) }, 6)));
+  BOOST_TEST(names == "a b c ");
+  BOOST_TEST(follower.Version() == (CatalogVersion{ 1, 6 }));
+  // A revision that was assigned before names another change now.
+  catalog.RespondToWatch(Restored(Changes({ { Object("d", 9), false } }, 9)));
+  BOOST_TEST(names == "a b c d ");
+  BOOST_TEST(catalog.watchedGeneration == 1U);
+}
+
+// Guards against peers that have not noticed the restore yet.
+BOOST_AUTO_TEST_CASE(IgnoresWhatPeersReadBefore)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 10));
+  follower.OnCatalogRestored(1, 0ms);
+  catalog.RespondToList(Restored(Page({ Object("a", 3) }, 6)));
+  follower.ApplyPeerChanges(Changes({ { Object("b", 50), false } }, 60));
+  follower.Import(Copy({ Object("c", 70) }, 70));
+  follower.OnPeerProgress(Progress(80, 80));
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Version() == (CatalogVersion{ 1, 6 }));
+}
+
+// Guards against peers that apply the changes of one generation to the state of
+// another, and against an empty collection that hides the restore from them.
+BOOST_AUTO_TEST_CASE(BeginsANewHistory)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 4));
+  catalog.RespondToWatch(Changes({ { Object("a", 5), false } }, 5));
+  follower.OnCatalogRestored(1, 0ms);
+  catalog.RespondToList(Restored(Page({}, 2)));
+  BOOST_TEST((follower.ChangesAfter(At(4)).failure.error ==
+              CatalogError::HistoryExpired));
+  BOOST_TEST(follower.NewestChange().generation == 1U);
+  BOOST_TEST(!follower.HasRead({ 1, 3 }));
+}
+
+// Guards against lists by every host after a restore.
+BOOST_AUTO_TEST_CASE(NeedsNoListWhenAPeersCopyArrivesBefore)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 10));
+  follower.SetFollowsPeer(true);
+  follower.OnCatalogRestored(1, 100ms);
+  CatalogCopy copy = Copy({ Object("b", 4) }, 4);
+  copy.objects.at("b").version = { 1, 4 };
+  copy.newestChange = { 1, 4 };
+  copy.version = { 1, 6 };
+  follower.Import(copy);
+  RunFor(150ms);
+  BOOST_TEST(catalog.lists.empty());
+  BOOST_TEST(follower.Version() == (CatalogVersion{ 1, 6 }));
+}
+
+// Guards against a server that lives, is missing from the copy and gets no
+// requests until it writes its entry again, and against one that gets them for
+// ever.
+BOOST_AUTO_TEST_CASE(KeepsMissingObjectsForAsLongAsAfterAnOutage)
+{
+  catalog.RespondToList(
+    Page({ Object("a", 3), Object("b", 9), Object("c", 9) }, 10));
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  catalog.watches.clear();
+  follower.OnCatalogRestored(1, 0ms);
+  catalog.RespondToList(Restored(Page({ Object("a", 3) }, 6)));
+  BOOST_TEST(names == "a b c ");
+  BOOST_TEST(follower.Copy().objects.size() == 1U);
+  catalog.RespondToWatch(Restored(Changes({ { Object("b", 7), false } }, 7)));
+  BOOST_TEST(WaitUntil([&] { return names == "a b "; }, 300ms));
+  RunFor(250ms);
+  BOOST_TEST(names == "a b ");
+}
+
+// Two restores in a row: the list of the first one is of no use.
+BOOST_AUTO_TEST_CASE(ListsOnceMoreAfterAFurtherOne)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 10));
+  follower.OnCatalogRestored(1, 0ms);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return catalog.lists.size() == 1; }));
+  follower.OnCatalogRestored(2, 0ms);
+  catalog.RespondToList(Restored(Page({ Object("b", 3) }, 6)));
+  BOOST_TEST(names == "a ");
+  catalog.RespondToList(Restored(Page({ Object("a", 2) }, 5), 2));
+  BOOST_TEST(names == "a ");
+  BOOST_TEST(follower.Version() == (CatalogVersion{ 2, 5 }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/catalog/tests/TestCountingCatalog.cpp
+++ b/src/catalog/tests/TestCountingCatalog.cpp
@@ -1,5 +1,6 @@
 #include "catalog/CountingCatalog.h"
 #include "catalog/tests/support/CatalogStub.h"
+#include "catalog/tests/support/Versions.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,11 +16,11 @@
   BOOST_TEST(catalog.FormatForLog().empty());
   catalog.List(Collection::Hosts, {}, ListFreshness::MayBeStale, {});
   catalog.List(Collection::Hosts, {}, ListFreshness::Newest, {});
-  catalog.Watch(Collection::BackendServers, 1, {}, {});
-  catalog.Watch(Collection::BackendServers, 2, {}, {});
+  catalog.Watch(Collection::BackendServers, At(1), {}, {});
+  catalog.Watch(Collection::BackendServers, At(2), {}, {});
   catalog.Read(Collection::Objects, "a", {});
   catalog.Create(Collection::Claims, "a", {}, {});
-  catalog.Replace(Collection::Claims, "a", {}, 1, {});
+  catalog.Replace(Collection::Claims, "a", {}, At(1), {});
   catalog.Put(Collection::Hosts, "a", {}, {});
   catalog.Remove(Collection::Hosts, "a", {});
   catalog.Probe({});
--- a/src/catalog/tests/support/CatalogStub.h
+++ b/src/catalog/tests/support/CatalogStub.h
@@ -12,7 +12,7 @@
   {
   }
   void Watch(Collection,
-             std::uint64_t,
+             const CatalogVersion&,
              std::chrono::milliseconds,
              ChangesCallback) override
   {
@@ -27,7 +27,7 @@
   void Replace(Collection,
                std::string_view,
                const QJsonObject&,
-               std::uint64_t,
+               const CatalogVersion&,
                EntryCallback) override
   {
   }
@@ -39,6 +39,17 @@
   }
   void Remove(Collection, std::string_view, WriteCallback) override {}
   void Probe(ProbeCallback) override {}
+  void SetRestoreHandler(GenerationTracker::Handler aHandler) override
+  {
+    generations.SetHandler(std::move(aHandler));
+  }
+  std::uint64_t Generation() const override { return generations.Current(); }
+  bool OnPeerGeneration(std::uint64_t aGeneration) override
+  {
+    return generations.OnPeerGeneration(aGeneration);
+  }
+
+  GenerationTracker generations;
 };
 
 } // namespace filbertbeam::testing
--- a/src/daemon/HostListFollower.cpp
+++ b/src/daemon/HostListFollower.cpp
@@ -16,6 +16,8 @@
 // With this delay, hosts that start at the same time cost each other host one
 // call.
 constexpr milliseconds kCoalescingDelay{ 500 };
+// Keeps hosts from listing together after a restore of the catalog.
+constexpr milliseconds kRestoredListSpread{ 800 };
 
 } // namespace
 
@@ -25,6 +27,7 @@
                                    Random& aRandom,
                                    Handler aOnHosts)
   : catalog_(aCatalog)
+  , random_(aRandom)
   , self_(std::move(aSelf))
   , registration_(aCatalog, Collection::Members, self_.host, aRandom)
   , onHosts_(std::move(aOnHosts))
@@ -35,6 +38,13 @@
       aRandom,
       [this](const CatalogFollower::Objects& aObjects) { OnObjects(aObjects); })
 {
+  catalog_.SetRestoreHandler(
+    [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
+}
+
+HostListFollower::~HostListFollower()
+{
+  catalog_.SetRestoreHandler({});
 }
 
 void
@@ -63,6 +73,20 @@
   RemoveDeadHostEntry(catalog_, Collection::Members, aHost);
 }
 
+void
+HostListFollower::OnCatalogRestored(const CatalogRestore& aRestore)
+{
+  LogEvent(LogLevel::Warning,
+           "catalog_restored",
+           { { "from", aRestore.fromGeneration },
+             { "to", aRestore.toGeneration },
+             { "call", aRestore.source } });
+  follower_.OnCatalogRestored(
+    aRestore.toGeneration,
+    milliseconds(
+      random_.Below(static_cast<std::uint64_t>(kRestoredListSpread.count()))));
+}
+
 void
 HostListFollower::OnObjects(const CatalogFollower::Objects& aObjects)
 {
--- a/src/daemon/HostListFollower.h
+++ b/src/daemon/HostListFollower.h
@@ -25,6 +25,9 @@
                    const Clock& aClock,
                    Random& aRandom,
                    Handler aOnHosts);
+  ~HostListFollower();
+  HostListFollower(const HostListFollower&) = delete;
+  HostListFollower& operator=(const HostListFollower&) = delete;
 
   void Start();
   // Marks the entry as leaving, for hosts that receive this host's state only
@@ -42,7 +45,12 @@
 private:
   void OnObjects(const CatalogFollower::Objects& aObjects);
 
+  // Lists the hosts again soon, at a random time; a missing entry of this host
+  // is written then.
+  void OnCatalogRestored(const CatalogRestore& aRestore);
+
   ObjectCatalog& catalog_;
+  Random& random_;
   ListedHost self_;
   EntryRegistration registration_;
   Handler onHosts_;
--- a/src/daemon/tests/TestControlPlane.cpp
+++ b/src/daemon/tests/TestControlPlane.cpp
@@ -43,10 +43,10 @@
             PageCallback aCallback) override
   {
     CatalogPage page;
-    page.revision = 1;
+    page.version = { 0, 1 };
     for (const Member& host : { kPeer, kSelf }) {
       page.objects.push_back({ host.host,
-                               1,
+                               { 0, 1 },
                                ListedHostToJson({ host.host,
                                                   host.region,
                                                   host.domain,
--- a/src/daemon/tests/TestHostListFollower.cpp
+++ b/src/daemon/tests/TestHostListFollower.cpp
@@ -1,6 +1,7 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "catalog/tests/support/CatalogStub.h"
+#include "catalog/tests/support/Versions.h"
 #include "daemon/HostListFollower.h"
 #include "http/tests/support/EventLoop.h"
 #include "membership/ListedHostJson.h"
@@ -27,14 +28,14 @@
   {
     CatalogPage page;
     page.failure = Failure();
-    page.revision = revision;
+    page.version = At(revision);
     for (const auto& [name, object] : objects) {
       page.objects.push_back(object);
     }
     aCallback(std::move(page));
   }
   void Watch(Collection,
-             std::uint64_t,
+             const CatalogVersion&,
              std::chrono::milliseconds,
              ChangesCallback aCallback) override
   {
@@ -48,7 +49,7 @@
     writes += 1;
     const CatalogFailure failure = Failure();
     if (failure.error == CatalogError::None) {
-      Change({ std::string(aName), ++revision, aContent, {} }, false);
+      Change({ std::string(aName), At(++revision), aContent, {} }, false);
     }
     aCallback(failure);
   }
@@ -58,7 +59,7 @@
   {
     const CatalogFailure failure = Failure();
     if (failure.error == CatalogError::None) {
-      Change({ std::string(aName), ++revision, {}, {} }, true);
+      Change({ std::string(aName), At(++revision), {}, {} }, true);
     }
     aCallback(failure);
   }
@@ -71,13 +72,13 @@
       objects[aObject.name] = aObject;
     }
     for (const ChangesCallback& watch : std::exchange(watches, {})) {
-      watch({ {}, { { aObject, aIsDeleted } }, revision });
+      watch({ {}, { { aObject, aIsDeleted } }, At(revision) });
     }
   }
   // Writes the entry of another host.
   void Write(const ListedHost& aHost)
   {
-    Change({ aHost.host, ++revision, ListedHostToJson(aHost), {} }, false);
+    Change({ aHost.host, At(++revision), ListedHostToJson(aHost), {} }, false);
   }
   std::optional<ListedHost> Find(const std::string& aHost) const
   {
@@ -174,7 +175,7 @@
 {
   follower.Start();
   BOOST_REQUIRE(WaitUntil([&] { return !list.watches.empty(); }, 2s));
-  list.Change({ "self", ++list.revision, {}, {} }, true);
+  list.Change({ "self", At(++list.revision), {}, {} }, true);
   BOOST_TEST(WaitUntil([&] { return list.Find("self").has_value(); }, 2s));
   BOOST_TEST(seen.size() == 1U);
 }
@@ -182,7 +183,8 @@
 // Guards against one malformed entry that hides all other hosts.
 BOOST_AUTO_TEST_CASE(OfAnotherHostIsSkippedWhenItIsMalformed)
 {
-  list.Change({ "damaged", ++list.revision, { { "region", 7 } }, {} }, false);
+  list.Change({ "damaged", At(++list.revision), { { "region", 7 } }, {} },
+              false);
   list.Write(kOther);
   follower.Start();
   BOOST_TEST(seen.size() == 2U);
--- a/src/gateway/DirectoryBuilder.cpp
+++ b/src/gateway/DirectoryBuilder.cpp
@@ -41,18 +41,18 @@
 {
   const auto [entry, isNew] = decoded_.try_emplace(aObject.name);
   Decoded& decoded = entry->second;
-  if (!isNew && decoded.objectRevision == aObject.revision) {
+  if (!isNew && decoded.objectVersion == aObject.version) {
     return decoded;
   }
   const bool wasDraining = decoded.record && decoded.record->isDraining;
-  decoded.objectRevision = aObject.revision;
+  decoded.objectVersion = aObject.version;
   std::string reason;
   decoded.record = codec_.ReadBackendServer(aObject, clock_.Now(), reason);
   if (!decoded.record) {
     LogEvent(LogLevel::Warning,
              "backend_server_entry_ignored",
              { { "entry", aObject.name },
-               { "revision", aObject.revision },
+               { "version", FormatCatalogVersion(aObject.version) },
                { "reason", reason } });
   } else if (isNew) {
     LogEvent(LogLevel::Debug,
@@ -65,7 +65,7 @@
              "backend_server_draining",
              { { "server", aObject.name },
                { "service", decoded.record->service },
-               { "revision", aObject.revision } });
+               { "version", FormatCatalogVersion(aObject.version) } });
   }
   return decoded;
 }
--- a/src/gateway/DirectoryBuilder.h
+++ b/src/gateway/DirectoryBuilder.h
@@ -7,7 +7,7 @@
 namespace filbertbeam {
 
 // Builds directories of backend servers from catalog objects. Decodes an object
-// only when its revision has changed.
+// only when its version has changed.
 class DirectoryBuilder
 {
 public:
@@ -19,7 +19,7 @@
 private:
   struct Decoded
   {
-    std::uint64_t objectRevision = 0;
+    CatalogVersion objectVersion;
     // Empty when the object does not describe a backend server.
     std::optional<BackendServerRecord> record;
   };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -63,6 +63,7 @@
 
 Gateway::~Gateway()
 {
+  catalog_.SetRestoreHandler({});
   trafficThread_.Run([this] { traffic_.reset(); });
 }
 
@@ -95,6 +96,8 @@
            { { "host", settings_.host },
              { "region", settings_.region },
              { "domain", settings_.domain } });
+  catalog_.SetRestoreHandler(
+    [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
   configurationFollower_->Start();
   serverFollower_->Start();
   watchSharing_->Start();
@@ -187,6 +190,7 @@
                                    *configurationFollower_,
                                    *serverFollower_,
                                    clock_,
+                                   random_,
                                    [this](const WatcherHeartbeat& aHeartbeat) {
                                      trafficThread_.Post([this, aHeartbeat] {
                                        traffic_->SendHeartbeat(aHeartbeat);
@@ -241,10 +245,10 @@
   }
   const std::string version =
     fmt::format("{} {} {} {} {}",
-                configurationFollower_->Revision(),
-                configurationFollower_->NewestChange(),
-                serverFollower_->Revision(),
-                serverFollower_->NewestChange(),
+                FormatCatalogVersion(configurationFollower_->Version()),
+                FormatCatalogVersion(configurationFollower_->NewestChange()),
+                FormatCatalogVersion(serverFollower_->Version()),
+                FormatCatalogVersion(serverFollower_->NewestChange()),
                 hostRegistry_->ListedHosts().size());
   return { kOk, peerResponses_.Get(version, aTarget, [this, aTarget] {
             std::string text = EncodePeerResponse(aTarget);
@@ -282,17 +286,17 @@
 Gateway::OnConfiguration(const CatalogFollower::Objects& aObjects)
 {
   for (const auto& [name, object] : aObjects) {
-    if (object.revision <= rejectedRevision_) {
+    if (object.version <= rejectedVersion_) {
       continue;
     }
     std::string reason;
     const auto table = codec_.ReadConfiguration(object, reason);
     if (!table) {
-      rejectedRevision_ = object.revision;
+      rejectedVersion_ = object.version;
       LogEvent(LogLevel::Error,
                "configuration_rejected",
                { { "document", name },
-                 { "revision", object.revision },
+                 { "catalog_version", FormatCatalogVersion(object.version) },
                  { "in_force", ConfigurationVersion() },
                  { "reason", reason } });
       continue;
@@ -304,7 +308,7 @@
     LogEvent(LogLevel::Info,
              "configuration_in_force",
              { { "version", table->Version() },
-               { "revision", object.revision },
+               { "catalog_version", FormatCatalogVersion(object.version) },
                { "routes", table->Routes().size() } });
     trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
   }
@@ -316,11 +320,12 @@
 Gateway::OnBackendServers(const CatalogFollower::Objects& aObjects)
 {
   const auto directory = directoryBuilder_.Build(aObjects);
-  LogEvent(LogLevel::Info,
-           "directory_in_force",
-           { { "directory", directory->Revision() },
-             { "catalog_revision", serverFollower_->Revision() },
-             { "backend_servers", directory->Servers().size() } });
+  LogEvent(
+    LogLevel::Info,
+    "directory_in_force",
+    { { "directory", directory->Revision() },
+      { "catalog_version", FormatCatalogVersion(serverFollower_->Version()) },
+      { "backend_servers", directory->Servers().size() } });
   trafficThread_.Post([this, directory] { traffic_->SetDirectory(directory); });
   PublishKnownVersions();
   ReportReadiness();
@@ -347,6 +352,11 @@
 void
 Gateway::Import(PeerSnapshot aSnapshot)
 {
+  if (!catalog_.OnPeerGeneration(
+        std::max(aSnapshot.configuration.newestChange.generation,
+                 aSnapshot.backendServers.newestChange.generation))) {
+    return;
+  }
   hostRegistry_->Import(std::move(aSnapshot.hosts));
   serverFollower_->Import(std::move(aSnapshot.backendServers));
   configurationFollower_->Import(std::move(aSnapshot.configuration));
@@ -364,9 +374,27 @@
   watchSharing_->OnNewerCopy();
 }
 
+void
+Gateway::OnCatalogRestored(const CatalogRestore& aRestore)
+{
+  ++catalogRestores_;
+  LogEvent(LogLevel::Warning,
+           "catalog_restored",
+           { { "from", aRestore.fromGeneration },
+             { "to", aRestore.toGeneration },
+             { "call", aRestore.source },
+             { "version_in_force", ConfigurationVersion() } });
+  watchSharing_->OnCatalogRestored(aRestore.toGeneration);
+  hostRegistry_->OnCatalogRestored();
+}
+
 void
 Gateway::OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender)
 {
+  if (!catalog_.OnPeerGeneration(std::max(aKnown.configuration.generation,
+                                          aKnown.directory.generation))) {
+    return;
+  }
   const auto& hosts = hostRegistry_->ListedHosts();
   const auto sender = std::ranges::find(hosts, aSender, &PeerHost::address);
   if (sender != hosts.end() && sender->snapshot.port != 0) {
@@ -382,6 +410,11 @@
 Gateway::OnHeartbeat(const WatcherHeartbeat& aHeartbeat,
                      const Endpoint& aSender)
 {
+  if (!catalog_.OnPeerGeneration(
+        std::max(aHeartbeat.known.configuration.generation,
+                 aHeartbeat.known.directory.generation))) {
+    return;
+  }
   watchSharing_->OnHeartbeat(aHeartbeat, aSender);
   if (NeedsPeerSnapshot()) {
     snapshotClient_->Prefer({ aSender.address, aHeartbeat.snapshotPort });
@@ -509,7 +542,11 @@
   gauge("filbertbeam_ready", IsReady() ? 1 : 0);
   gauge("filbertbeam_configuration_version", ConfigurationVersion());
   gauge("filbertbeam_catalog_watcher", IsWatcher() ? 1 : 0);
-  gauge("filbertbeam_directory_catalog_revision", serverFollower_->Revision());
+  gauge("filbertbeam_directory_catalog_revision",
+        serverFollower_->Version().revision);
+  gauge("filbertbeam_catalog_generation", catalog_.Generation());
+  AppendMetric(
+    text, "counter", "filbertbeam_catalog_restores_total", catalogRestores_);
   gauge("filbertbeam_catalog_reachable",
         serverFollower_->IsReachable() && configurationFollower_->IsReachable()
           ? 1
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -85,6 +85,7 @@
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
+  void OnCatalogRestored(const CatalogRestore& aRestore);
   void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHeartbeat(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void CatchUp();
@@ -117,7 +118,8 @@
   PeerResponseCache peerResponses_;
   std::unique_ptr<PeerSnapshotClient> snapshotClient_;
   std::shared_ptr<const RoutingTable> routing_;
-  std::uint64_t rejectedRevision_ = 0;
+  CatalogVersion rejectedVersion_;
+  std::uint64_t catalogRestores_ = 0;
   bool wasReady_ = false;
   ReportedVersions peerVersions_;
   QTimer catchUpTimer_;
--- a/src/gateway/HostRegistry.cpp
+++ b/src/gateway/HostRegistry.cpp
@@ -21,6 +21,9 @@
                                                         milliseconds(4'000) };
 constexpr milliseconds kListInterval{ 60'000 };
 constexpr milliseconds kListRetryDelay{ 1'000 };
+// The first list after a restore of the catalog comes within this time, so that
+// hosts do not call together.
+constexpr milliseconds kRestoredListSpread{ 800 };
 
 } // namespace
 
@@ -56,6 +59,38 @@
   registration_.Remove([] {});
 }
 
+void
+HostRegistry::OnCatalogRestored()
+{
+  if (registration_.IsRemoved()) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "host_registration_checked",
+           { { "host", self_.name }, { "reason", "catalog restored" } });
+  // The lists that follow are those after a start: the copy may lack this host
+  // and others, and stale lists may lack what they write again.
+  isRestoring_ = true;
+  hasWritten_ = false;
+  earlyLists_ = 0;
+  needsNewestList_ = false;
+  listTimer_.start(milliseconds(
+    random_.Below(static_cast<std::uint64_t>(kRestoredListSpread.count()))));
+}
+
+void
+HostRegistry::KeepMissingHosts()
+{
+  for (const PeerHost& host : listedHosts_) {
+    const bool isListed =
+      std::ranges::find(pendingList_, host.name, &PeerHost::name) !=
+      pendingList_.end();
+    if (!isListed) {
+      pendingList_.push_back(host);
+    }
+  }
+}
+
 void
 HostRegistry::Import(std::vector<PeerHost> aHosts)
 {
@@ -76,7 +111,11 @@
                 aAfter,
                 needsNewestList_ ? ListFreshness::Newest
                                  : ListFreshness::MayBeStale,
-                [this](const CatalogPage& aPage) { OnPage(aPage); });
+                [this, list = ++latestList_](const CatalogPage& aPage) {
+                  if (list == latestList_) {
+                    OnPage(aPage);
+                  }
+                });
 }
 
 void
@@ -112,6 +151,10 @@
   const bool isEarly = earlyLists_ < kEarlyListDelays.size();
   const bool isListed =
     std::ranges::find(pendingList_, self_) != pendingList_.end();
+  isRestoring_ = isRestoring_ && isEarly;
+  if (isRestoring_) {
+    KeepMissingHosts();
+  }
   listedHosts_ = std::move(pendingList_);
   pendingList_.clear();
   onHosts_(listedHosts_);
--- a/src/gateway/HostRegistry.h
+++ b/src/gateway/HostRegistry.h
@@ -29,6 +29,11 @@
   // costs the other hosts a few messages without a response.
   void Unregister();
 
+  // The catalog was restored from an older copy, which may lack this host.
+  // Lists the hosts again soon, at a random time, and writes the entry if it is
+  // missing. Hosts that the first lists lack are kept until they are complete.
+  void OnCatalogRestored();
+
   // Uses the host list of a peer until the first list has been read.
   void Import(std::vector<PeerHost> aHosts);
   const std::vector<PeerHost>& ListedHosts() const { return listedHosts_; }
@@ -42,6 +47,8 @@
   void List(const std::string& aAfter);
   void OnPage(const CatalogPage& aPage);
   void CompleteList(bool aMayBeStale);
+  // Adds the hosts of the last list that are missing from the new one.
+  void KeepMissingHosts();
   void RemoveDeadHosts();
 
   ObjectCatalog& catalog_;
@@ -60,9 +67,14 @@
   bool hasWritten_ = false;
   // Number of lists that were read soon after the start.
   std::size_t earlyLists_ = 0;
+  // The catalog was restored; hosts that are missing from it may be writing
+  // their entries.
+  bool isRestoring_ = false;
   // A list that may be stale lacked this host, so only a newer one can tell
   // whether its entry was removed.
   bool needsNewestList_ = false;
+  // The response to a list is ignored once a newer one has been sent.
+  std::uint64_t latestList_ = 0;
   QTimer listTimer_;
 };
 
--- a/src/gateway/PeerData.cpp
+++ b/src/gateway/PeerData.cpp
@@ -17,7 +17,7 @@
 // More than a snapshot of the largest deployment; bounds the memory that a
 // damaged response can claim.
 constexpr std::size_t kMaxText = 16 * 1024 * 1024;
-// Followers of one watcher differ in few revisions.
+// Followers of one watcher differ in few versions.
 constexpr std::size_t kMaxResponses = 8;
 
 QByteArray
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -13,7 +13,7 @@
 constexpr const char* kBackendServers = "backend_servers";
 constexpr const char* kHosts = "hosts";
 constexpr const char* kName = "name";
-constexpr const char* kRevision = "revision";
+constexpr const char* kVersion = "version";
 constexpr const char* kContent = "content";
 constexpr const char* kStatus = "status";
 constexpr const char* kObjects = "objects";
@@ -25,11 +25,33 @@
 constexpr const char* kEvents = "events";
 constexpr const char* kIsDeleted = "deleted";
 
+QJsonArray
+VersionToJson(const CatalogVersion& aVersion)
+{
+  return { static_cast<qint64>(aVersion.generation),
+           static_cast<qint64>(aVersion.revision) };
+}
+
+// Returns an unknown version for any other value.
+CatalogVersion
+VersionFromJson(const QJsonValue& aValue)
+{
+  const QJsonArray numbers = aValue.toArray();
+  const qint64 generation = numbers.at(0).toInteger(-1);
+  const qint64 revision = numbers.at(1).toInteger(-1);
+  if (numbers.size() != 2 || generation < 0 || revision < 0 ||
+      static_cast<std::uint64_t>(generation) > kMaxCatalogGeneration) {
+    return {};
+  }
+  return { static_cast<std::uint64_t>(generation),
+           static_cast<std::uint64_t>(revision) };
+}
+
 QJsonObject
 ObjectToJson(const CatalogObject& aObject)
 {
   return { { kName, QString::fromStdString(aObject.name) },
-           { kRevision, static_cast<qint64>(aObject.revision) },
+           { kVersion, VersionToJson(aObject.version) },
            { kContent, aObject.content },
            { kStatus, aObject.status } };
 }
@@ -39,7 +61,7 @@
 {
   CatalogObject object;
   object.name = aItem[kName].toString().toStdString();
-  object.revision = static_cast<std::uint64_t>(aItem[kRevision].toInteger());
+  object.version = VersionFromJson(aItem[kVersion]);
   object.content = aItem[kContent].toObject();
   object.status = aItem[kStatus].toObject();
   return object;
@@ -70,8 +92,8 @@
 QJsonObject
 CopyToJson(const CatalogCopy& aCopy)
 {
-  return { { kNewestChange, static_cast<qint64>(aCopy.newestChange) },
-           { kAsOf, static_cast<qint64>(aCopy.revision) },
+  return { { kNewestChange, VersionToJson(aCopy.newestChange) },
+           { kAsOf, VersionToJson(aCopy.version) },
            { kObjects, ObjectsToJson(aCopy.objects) } };
 }
 
@@ -79,8 +101,8 @@
 CopyFromJson(const QJsonObject& aObject)
 {
   return { ObjectsFromJson(aObject[kObjects].toArray()),
-           static_cast<std::uint64_t>(aObject[kNewestChange].toInteger()),
-           static_cast<std::uint64_t>(aObject[kAsOf].toInteger()) };
+           VersionFromJson(aObject[kNewestChange]),
+           VersionFromJson(aObject[kAsOf]) };
 }
 
 QJsonObject
@@ -95,16 +117,15 @@
     item[kIsDeleted] = event.isDeleted;
     events.append(item);
   }
-  return { { kAsOf, static_cast<qint64>(aChanges.revision) },
-           { kEvents, events } };
+  return { { kAsOf, VersionToJson(aChanges.version) }, { kEvents, events } };
 }
 
 CatalogChanges
 ChangesFromJson(const QJsonObject& aObject)
 {
   CatalogChanges changes;
-  changes.revision = static_cast<std::uint64_t>(aObject[kAsOf].toInteger());
-  if (changes.revision == 0) {
+  changes.version = VersionFromJson(aObject[kAsOf]);
+  if (!changes.version.IsKnown()) {
     changes.failure = {
       CatalogError::HistoryExpired,
       "the history of the peer does not contain all changes"
--- a/src/gateway/PeerSnapshot.h
+++ b/src/gateway/PeerSnapshot.h
@@ -18,7 +18,7 @@
   std::vector<PeerHost> hosts;
 };
 
-// The changes that a host has read since a given revision, sent to peers that
+// The changes that a host has read since a given version, sent to peers that
 // follow it. A part has a failure when the host's history does not contain all
 // of its changes.
 struct PeerChanges
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -19,6 +19,12 @@
 // its heartbeats time out.
 constexpr milliseconds kTick = kWatcherHeartbeatInterval / 2;
 
+// After a restore of the catalog, a watcher's copy usually arrives before this
+// delay ends. The spread keeps hosts that get none from listing together; both
+// keep the hosts within one second of each other.
+constexpr milliseconds kRestoredListDelay{ 300 };
+constexpr milliseconds kRestoredListSpread{ 500 };
+
 constexpr int kOk = 200;
 
 constexpr std::string_view kChangesPath = "/changes";
@@ -30,14 +36,15 @@
 } // namespace
 
 std::string
-PeerChangesTarget(std::uint64_t aConfiguration, std::uint64_t aServers)
+PeerChangesTarget(const CatalogVersion& aConfiguration,
+                  const CatalogVersion& aServers)
 {
   return fmt::format("{}?{}={}&{}={}",
                      kChangesPath,
                      kConfiguration,
-                     aConfiguration,
+                     FormatCatalogVersion(aConfiguration),
                      kBackendServers,
-                     aServers);
+                     FormatCatalogVersion(aServers));
 }
 
 std::optional<PeerChanges>
@@ -51,12 +58,12 @@
   }
   const QUrlQuery query(
     QString::fromStdString(std::string(aTarget.substr(end + 1))));
-  const auto revision = [&query](const char* aName) {
-    return query.queryItemValue(aName).toULongLong();
+  const auto version = [&query](const char* aName) {
+    return ParseCatalogVersion(query.queryItemValue(aName).toStdString());
   };
   return PeerChanges{
-    aConfiguration.ChangesAfter(revision(kConfiguration)),
-    aServers.ChangesAfter(revision(kBackendServers)),
+    aConfiguration.ChangesAfter(version(kConfiguration)),
+    aServers.ChangesAfter(version(kBackendServers)),
   };
 }
 
@@ -65,6 +72,7 @@
                            CatalogFollower& aConfiguration,
                            CatalogFollower& aServers,
                            const Clock& aClock,
+                           Random& aRandom,
                            HeartbeatSender aSendHeartbeat)
   : self_(std::move(aSelf))
   , configuration_(aConfiguration)
@@ -77,6 +85,7 @@
         servers_.OnCatalogUnresponsive(aFailure);
       })
   , clock_(aClock)
+  , random_(aRandom)
   , sendHeartbeat_(std::move(aSendHeartbeat))
   , election_(self_.name, self_.processorCores)
   , client_({}, PeerClientLimits())
@@ -149,7 +158,7 @@
   sendHeartbeat_({ self_.name,
                    IsCatalogReachable(),
                    { configuration.newestChange, servers.newestChange },
-                   { configuration.revision, servers.revision },
+                   { configuration.version, servers.version },
                    { configuration.historyBegin, servers.historyBegin },
                    self_.snapshot.port });
 }
@@ -205,8 +214,10 @@
   if (IsCoveredBy(aHeartbeat)) {
     coveredAt_ = clock_.Now();
   }
-  // A watcher that can read the catalog receives the change from it.
-  const bool needsWatcher = !role_.watchesCatalog || !IsCatalogReachable();
+  // A watcher that can read the catalog receives the change from it, unless it
+  // waits to list it.
+  const bool needsWatcher =
+    !role_.watchesCatalog || !IsCatalogReachable() || !IsListed();
   if (needsWatcher && IsBehind(aHeartbeat) && !IsListing() && !isFetching_) {
     FetchFrom(aHeartbeat, aSender);
   }
@@ -216,7 +227,27 @@
 WatchSharing::IsListing() const
 {
   return IsCatalogReachable() &&
-         (configuration_.Revision() == 0 || servers_.Revision() == 0);
+         (configuration_.IsListing() || servers_.IsListing());
+}
+
+bool
+WatchSharing::IsListed() const
+{
+  return configuration_.Version().IsKnown() && servers_.Version().IsKnown();
+}
+
+void
+WatchSharing::OnCatalogRestored(std::uint64_t aGeneration)
+{
+  const bool isFirst =
+    IsWatcher() && (IsCatalogReachable() || role_.sendsHeartbeatsInOutage);
+  const milliseconds delay =
+    isFirst ? milliseconds(0)
+            : kRestoredListDelay +
+                milliseconds(random_.Below(
+                  static_cast<std::uint64_t>(kRestoredListSpread.count())));
+  configuration_.OnCatalogRestored(aGeneration, delay);
+  servers_.OnCatalogRestored(aGeneration, delay);
 }
 
 void
@@ -225,9 +256,14 @@
 {
   isFetching_ = true;
   client_.SetEndpoints({ { aSender.address, aHeartbeat.snapshotPort } });
+  if (!IsListed()) {
+    // There is no version after which changes could be applied.
+    FetchSnapshot(aHeartbeat);
+    return;
+  }
   GetFromPeer(client_,
-              PackedTarget(PeerChangesTarget(configuration_.Revision(),
-                                             servers_.Revision())),
+              PackedTarget(PeerChangesTarget(configuration_.Version(),
+                                             servers_.Version())),
               [this, aHeartbeat](const PlatformReply& aReply) {
                 isFetching_ = false;
                 OnFetched(aHeartbeat, aReply);
@@ -265,11 +301,12 @@
 void
 WatchSharing::FetchSnapshot(const WatcherHeartbeat& aHeartbeat)
 {
-  LogEvent(LogLevel::Info,
-           "watcher_history_too_short",
-           { { "watcher", aHeartbeat.host },
-             { "configuration", configuration_.Revision() },
-             { "backend_servers", servers_.Revision() } });
+  LogEvent(
+    LogLevel::Info,
+    "watcher_history_too_short",
+    { { "watcher", aHeartbeat.host },
+      { "configuration", FormatCatalogVersion(configuration_.Version()) },
+      { "backend_servers", FormatCatalogVersion(servers_.Version()) } });
   isFetching_ = true;
   GetFromPeer(client_,
               PackedTarget(kSnapshotPath),
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -32,6 +32,7 @@
                CatalogFollower& aConfiguration,
                CatalogFollower& aServers,
                const Clock& aClock,
+               Random& aRandom,
                HeartbeatSender aSendHeartbeat);
 
   void Start();
@@ -41,6 +42,10 @@
   void OnHeartbeat(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   // True when this host has read all changes up to aKnown.
   bool HasRead(const KnownVersions& aKnown) const;
+  // The catalog was restored from an older copy and is now in aGeneration. The
+  // hosts that watch for the others list it at once; the others import their
+  // copy, or list after a while.
+  void OnCatalogRestored(std::uint64_t aGeneration);
   // True while this host watches the catalog for others.
   bool IsWatcher() const { return role_.sendsHeartbeats && maySendHeartbeats_; }
   // Called when a follower has a newer copy. Sends a heartbeat at once, so that
@@ -60,6 +65,9 @@
   bool IsCatalogReachable() const;
   // True while this host reads a whole collection from the catalog.
   bool IsListing() const;
+  // False until both collections have been read, also from a restore of the
+  // catalog on.
+  bool IsListed() const;
   void Tick();
   void FetchFrom(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void OnFetched(const WatcherHeartbeat& aHeartbeat,
@@ -79,6 +87,7 @@
   CatalogFollower& servers_;
   CatalogProbe probe_;
   const Clock& clock_;
+  Random& random_;
   const HeartbeatSender sendHeartbeat_;
   WatcherElection election_;
   WatcherRole role_;
@@ -93,9 +102,10 @@
 };
 
 // Returns the target of a request to a watcher for the changes after the given
-// revisions.
+// versions.
 std::string
-PeerChangesTarget(std::uint64_t aConfiguration, std::uint64_t aServers);
+PeerChangesTarget(const CatalogVersion& aConfiguration,
+                  const CatalogVersion& aServers);
 
 // Returns the changes that a request for aTarget asks for, or nullopt for a
 // target of another kind.
--- a/src/gateway/tests/TestHostRegistry.cpp
+++ b/src/gateway/tests/TestHostRegistry.cpp
@@ -1,6 +1,7 @@
 #include "base/SeededRandom.h"
 #include "base/SystemClock.h"
 #include "catalog/tests/support/CatalogStub.h"
+#include "catalog/tests/support/Versions.h"
 #include "gateway/HostRegistry.h"
 #include "gateway/PeerSnapshot.h"
 #include "http/tests/support/EventLoop.h"
@@ -26,7 +27,7 @@
     lists += 1;
     const bool mayBeStale = aFreshness == ListFreshness::MayBeStale;
     newestLists += mayBeStale ? 0 : 1;
-    aCallback({ {}, listed, false, 1, mayBeStale });
+    aCallback({ {}, listed, false, At(1), mayBeStale });
   }
   void Put(Collection,
            std::string_view,
@@ -84,7 +85,7 @@
 // Guards against two store calls for each host of a fleet that restarts.
 BOOST_AUTO_TEST_CASE(IsNotWrittenWhenItIsListedFromAnEarlierRun)
 {
-  list.listed.push_back({ "self", 1, PeerHostToJson(kSelf), {} });
+  list.listed.push_back({ "self", At(1), PeerHostToJson(kSelf), {} });
   ReadList();
   BOOST_TEST(list.writes == 0);
 }
@@ -93,7 +94,7 @@
 // a stale list still contains the entry that the earlier run removed.
 BOOST_AUTO_TEST_CASE(IsWrittenWhenTheNextListLacksTheEntryOfAnEarlierRun)
 {
-  list.listed.push_back({ "self", 1, PeerHostToJson(kSelf), {} });
+  list.listed.push_back({ "self", At(1), PeerHostToJson(kSelf), {} });
   ReadList();
   list.listed.clear();
   BOOST_TEST_REQUIRE(WaitUntil([&] { return list.lists == 2; }));
@@ -106,7 +107,7 @@
 {
   PeerHost earlier = kSelf;
   earlier.address.port = 7201;
-  list.listed.push_back({ "self", 1, PeerHostToJson(earlier), {} });
+  list.listed.push_back({ "self", At(1), PeerHostToJson(earlier), {} });
   ReadList();
   BOOST_TEST(list.writes == 1);
 }
@@ -122,4 +123,19 @@
   BOOST_TEST(list.newestLists == 0);
 }
 
+// Guards against a host whose entry is lost for a minute when the catalog comes
+// back from an older copy, and against one that loses its peers meanwhile.
+BOOST_AUTO_TEST_CASE(IsWrittenAgainSoonAfterARestoreOfTheCatalog)
+{
+  const PeerHost peer{ "peer", "piarco", { "127.0.0.1", 7201 }, {} };
+  list.listed.push_back({ "self", At(1), PeerHostToJson(kSelf), {} });
+  list.listed.push_back({ "peer", At(2), PeerHostToJson(peer), {} });
+  ReadList();
+  BOOST_TEST(list.writes == 0);
+  list.listed.clear();
+  registry.OnCatalogRestored();
+  BOOST_TEST(WaitUntil([&] { return list.writes == 1; }, 1s));
+  BOOST_TEST(registry.ListedHosts().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/TestPeerSnapshot.cpp
+++ b/src/gateway/tests/TestPeerSnapshot.cpp
@@ -10,12 +10,12 @@
 {
   CatalogObject object;
   object.name = "main";
-  object.revision = 7;
+  object.version = { 2, 7 };
   object.content["version"] = 3;
   PeerSnapshot snapshot;
   snapshot.configuration.objects.emplace("main", object);
-  snapshot.configuration.newestChange = 8;
-  snapshot.configuration.revision = 9;
+  snapshot.configuration.newestChange = { 2, 8 };
+  snapshot.configuration.version = { 2, 9 };
   object.name = "i-1";
   object.status["state"] = "ready";
   snapshot.backendServers.objects.emplace("i-1", object);
@@ -25,11 +25,12 @@
   };
   const auto read = DecodePeerSnapshot(EncodePeerSnapshot(snapshot));
   BOOST_TEST_REQUIRE(read.has_value());
-  BOOST_TEST(read->configuration.objects.at("main").revision == 7U);
+  BOOST_TEST(
+    (read->configuration.objects.at("main").version == CatalogVersion{ 2, 7 }));
   BOOST_TEST(
     read->configuration.objects.at("main").content["version"].toInt() == 3);
-  BOOST_TEST(read->configuration.newestChange == 8U);
-  BOOST_TEST(read->configuration.revision == 9U);
+  BOOST_TEST((read->configuration.newestChange == CatalogVersion{ 2, 8 }));
+  BOOST_TEST((read->configuration.version == CatalogVersion{ 2, 9 }));
   BOOST_TEST(
     (read->backendServers.objects.at("i-1").status["state"] == "ready"));
   BOOST_TEST((read->hosts == snapshot.hosts));
@@ -48,10 +49,10 @@
 {
   PeerChanges changes;
   changes.configuration.failure = { CatalogError::HistoryExpired, "" };
-  changes.backendServers.revision = 12;
+  changes.backendServers.version = { 2, 12 };
   CatalogEvent event;
   event.object.name = "i-1";
-  event.object.revision = 11;
+  event.object.version = { 2, 11 };
   event.object.content["address"] = "10.1.0.18:80";
   event.isDeleted = true;
   changes.backendServers.events.push_back(event);
@@ -60,10 +61,10 @@
   BOOST_TEST(
     (read->configuration.failure.error == CatalogError::HistoryExpired));
   BOOST_TEST((read->backendServers.failure.error == CatalogError::None));
-  BOOST_TEST(read->backendServers.revision == 12U);
+  BOOST_TEST((read->backendServers.version == CatalogVersion{ 2, 12 }));
   const CatalogEvent& only = read->backendServers.events.at(0);
   BOOST_TEST(only.object.name == "i-1");
-  BOOST_TEST(only.object.revision == 11U);
+  BOOST_TEST((only.object.version == CatalogVersion{ 2, 11 }));
   BOOST_TEST((only.object.content == event.object.content));
   BOOST_TEST(only.isDeleted);
 }
--- a/src/gateway/tests/TestReportedVersions.cpp
+++ b/src/gateway/tests/TestReportedVersions.cpp
@@ -1,8 +1,10 @@
+#include "catalog/tests/support/Versions.h"
 #include "gateway/ReportedVersions.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace filbertbeam;
+using namespace filbertbeam::testing;
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_SUITE(VersionsThatPeersReport)
@@ -11,15 +13,15 @@
 {
   const Instant start{ 100s };
   ReportedVersions reported;
-  BOOST_TEST(reported.ReportedBy(start).directory == 0U);
-  reported.Report({ 3, 10 }, start);
-  reported.Report({ 2, 20 }, start + 200ms);
-  BOOST_TEST(reported.Newest().configuration == 3U);
-  BOOST_TEST(reported.Newest().directory == 20U);
-  BOOST_TEST(reported.ReportedBy(start - 1ms).directory == 0U);
-  BOOST_TEST(reported.ReportedBy(start + 100ms).directory == 10U);
-  BOOST_TEST(reported.ReportedBy(start + 200ms).directory == 20U);
-  BOOST_TEST(reported.ReportedBy(start + 200ms).configuration == 3U);
+  BOOST_TEST(reported.ReportedBy(start).directory == At(0));
+  reported.Report({ At(3), At(10) }, start);
+  reported.Report({ At(2), At(20) }, start + 200ms);
+  BOOST_TEST(reported.Newest().configuration == At(3));
+  BOOST_TEST(reported.Newest().directory == At(20));
+  BOOST_TEST(reported.ReportedBy(start - 1ms).directory == At(0));
+  BOOST_TEST(reported.ReportedBy(start + 100ms).directory == At(10));
+  BOOST_TEST(reported.ReportedBy(start + 200ms).directory == At(20));
+  BOOST_TEST(reported.ReportedBy(start + 200ms).configuration == At(3));
 }
 
 // Guards against lists of the catalog by a host that reads each change soon
@@ -32,9 +34,9 @@
   ReportedVersions reported;
   for (std::uint64_t step = 0; step < 1'000; ++step) {
     const Instant now = Instant(100s) + step * kStep;
-    reported.Report({ 1, step }, now);
+    reported.Report({ At(1), At(step) }, now);
     const std::uint64_t read = step < kLagSteps ? 0 : step - kLagSteps;
-    BOOST_TEST(reported.ReportedBy(now - kDelay).directory <= read);
+    BOOST_TEST(reported.ReportedBy(now - kDelay).directory <= At(read));
   }
 }
 
@@ -44,9 +46,9 @@
   ReportedVersions reported;
   const Instant start{ 100s };
   for (std::uint64_t step = 1; step < 100; ++step) {
-    reported.Report({ 1, step }, start + step * 10ms);
+    reported.Report({ At(1), At(step) }, start + step * 10ms);
   }
-  BOOST_TEST(reported.ReportedBy(start + 990ms - 750ms).directory >= 20U);
+  BOOST_TEST(reported.ReportedBy(start + 990ms - 750ms).directory >= At(20));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/store/CatalogObjectStore.cpp
+++ b/src/store/CatalogObjectStore.cpp
@@ -21,6 +21,25 @@
 constexpr std::string_view kClaimsPrefix = "claims/";
 constexpr std::array kCollections = { Collection::Claims, Collection::Objects };
 
+// An object's version of the store has the generation above these bits, so that
+// versions also increase when the catalog is restored from a copy.
+constexpr int kRevisionBits = 40;
+constexpr std::uint64_t kRevisionMask =
+  (std::uint64_t{ 1 } << kRevisionBits) - 1;
+
+std::uint64_t
+ToObjectVersion(const CatalogVersion& aVersion)
+{
+  return (aVersion.generation << kRevisionBits) |
+         (aVersion.revision & kRevisionMask);
+}
+
+CatalogVersion
+ToCatalogVersion(std::uint64_t aObjectVersion)
+{
+  return { aObjectVersion >> kRevisionBits, aObjectVersion & kRevisionMask };
+}
+
 Collection
 CollectionOf(std::string_view aKey)
 {
@@ -86,8 +105,9 @@
   if (!value.isString() || !decoded) {
     return { {}, StoreError::Unavailable, "the object has no valid value" };
   }
-  return { StoredObject{
-             aObject.name, (*decoded).toStdString(), aObject.revision },
+  return { StoredObject{ aObject.name,
+                         (*decoded).toStdString(),
+                         ToObjectVersion(aObject.version) },
            StoreError::None,
            {} };
 }
@@ -106,7 +126,7 @@
   if (aEntry.failure.error != CatalogError::None) {
     return ToStoreFailure<std::uint64_t>(aEntry.failure);
   }
-  return { aEntry.object.revision, StoreError::None, {} };
+  return { ToObjectVersion(aEntry.object.version), StoreError::None, {} };
 }
 
 } // namespace
@@ -125,7 +145,7 @@
     : catalog_(aCatalog)
     , collection_(CollectionOf(aKey))
     , key_(aKey)
-    , afterVersion_(aAfterVersion)
+    , afterVersion_(ToCatalogVersion(aAfterVersion))
     , deadline_(std::max(aTimeout, milliseconds(0)))
     , callback_(std::move(aCallback))
   {
@@ -134,7 +154,7 @@
   void Start()
   {
     // Without a version from the caller, the revision to watch from is unknown.
-    if (afterVersion_ == 0) {
+    if (!afterVersion_.IsKnown()) {
       FetchRevision();
       return;
     }
@@ -155,28 +175,28 @@
                         ToStoreFailure<StoredObject>(aPage.failure));
                       return;
                     }
-                    self->ReadThenWait(aPage.revision);
+                    self->ReadThenWait(aPage.version);
                   });
   }
 
-  void ReadThenWait(std::uint64_t aRevision)
+  void ReadThenWait(const CatalogVersion& aVersion)
   {
     catalog_.Read(
       collection_,
       key_,
-      [self = shared_from_this(), aRevision](const CatalogEntry& aEntry) {
+      [self = shared_from_this(), aVersion](const CatalogEntry& aEntry) {
         const bool isAbsent = aEntry.failure.error == CatalogError::NotFound;
         const bool isUnchanged = aEntry.failure.error == CatalogError::None &&
-                                 aEntry.object.revision <= self->afterVersion_;
+                                 aEntry.object.version <= self->afterVersion_;
         if (isAbsent || isUnchanged) {
-          self->WaitForChangeAfter(aRevision);
+          self->WaitForChangeAfter(aVersion);
           return;
         }
         self->callback_(DecodeObject(aEntry));
       });
   }
 
-  void WaitForChangeAfter(std::uint64_t aRevision)
+  void WaitForChangeAfter(const CatalogVersion& aVersion)
   {
     const milliseconds remaining(deadline_.remainingTime());
     if (remaining.count() <= 0) {
@@ -188,7 +208,7 @@
       return;
     }
     catalog_.Watch(collection_,
-                   aRevision,
+                   aVersion,
                    std::min(remaining, kMaxWait),
                    [self = shared_from_this()](const CatalogChanges& aChanges) {
                      self->OnChanges(aChanges);
@@ -212,7 +232,7 @@
     const CatalogObject* newest = nullptr;
     for (const CatalogEvent& event : aChanges.events) {
       if (event.object.name == key_ && !event.isDeleted &&
-          event.object.revision > afterVersion_) {
+          event.object.version > afterVersion_) {
         newest = &event.object;
       }
     }
@@ -220,13 +240,13 @@
       callback_(DecodeObject(*newest));
       return;
     }
-    WaitForChangeAfter(aChanges.revision);
+    WaitForChangeAfter(aChanges.version);
   }
 
   ObjectCatalog& catalog_;
   const Collection collection_;
   const std::string key_;
-  const std::uint64_t afterVersion_;
+  const CatalogVersion afterVersion_;
   const QDeadlineTimer deadline_;
   const ObjectCallback callback_;
   bool hasRestarted_ = false;
@@ -344,7 +364,7 @@
   catalog_->Replace(CollectionOf(aKey),
                     aKey,
                     EncodeContent(aValue, aExpectedVersion),
-                    aExpectedVersion,
+                    ToCatalogVersion(aExpectedVersion),
                     [callback = std::move(aCallback)](CatalogEntry aEntry) {
                       // A deleted object doesn't have the expected version.
                       if (aEntry.failure.error == CatalogError::NotFound) {
--- a/src/store/CatalogObjectStore.h
+++ b/src/store/CatalogObjectStore.h
@@ -10,7 +10,8 @@
 namespace filbertbeam {
 
 // An object store on top of a catalog. An object's version is the catalog
-// revision of its last write, so versions increase across all objects.
+// version of its last write, with the generation in the upper bits, so versions
+// increase across all objects and restores of the catalog.
 class CatalogObjectStore final : public ObjectStore
 {
 public:
