Gateway: Use no servers that left before the store came back

A copy from which the store is restored shows servers as ready that have left, or stated that they leave, in the seconds since. Hosts used them again until their entries expired once more.

KnownDepartures remembers for five minutes which servers left or drained, with the run, the number of the write and the version. After a restore, a server that the store shows as ready counts as draining until it writes again: a later run, or a higher number at another revision. Hosts are not told of writes that change only their number, so a copy may have a higher number at the revision that was read. 30 s after the restore the store's word counts: an entry that is still there by then is one of a server that lives. Nothing of it acts without a restore. One line is logged when a departure is kept and one when that ends.

--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -120,6 +120,8 @@
   // keeps after an outage.
   CatalogCopy Copy() const;
 
+  // The objects as the change handler received them last.
+  const Objects& Current() const { return objects_; }
   // The version of the newest change that was read.
   const CatalogVersion& NewestChange() const { return newestChange_; }
   CatalogProgress Progress() const;
--- a/src/gateway/CatalogCodec.h
+++ b/src/gateway/CatalogCodec.h
@@ -27,6 +27,10 @@
     const CatalogObject& aObject,
     Instant aNow,
     std::string& aReason) const = 0;
+
+  // Returns the number of the write of a backend server that created the
+  // object; 0 if it has none. Numbers increase within a run of the server.
+  virtual std::uint64_t ReadWriteNumber(const CatalogObject& aObject) const = 0;
 };
 
 } // namespace filbertbeam
--- a/src/gateway/DirectoryBuilder.cpp
+++ b/src/gateway/DirectoryBuilder.cpp
@@ -11,8 +11,22 @@
 {
 }
 
-std::shared_ptr<const BackendDirectory>
-DirectoryBuilder::Build(const CatalogFollower::Objects& aObjects)
+void
+DirectoryBuilder::OnCatalogRestored()
+{
+  departures_.OnCatalogRestored(clock_.Now());
+}
+
+ServerWrite
+DirectoryBuilder::WriteOf(const Decoded& aDecoded)
+{
+  return { aDecoded.record->startedAt,
+           aDecoded.writeNumber,
+           aDecoded.objectVersion };
+}
+
+void
+DirectoryBuilder::DropMissing(const CatalogFollower::Objects& aObjects)
 {
   for (auto entry = decoded_.begin(); entry != decoded_.end();) {
     if (aObjects.contains(entry->first)) {
@@ -24,13 +38,35 @@
                "backend_server_gone",
                { { "server", entry->first },
                  { "service", entry->second.record->service } });
+      departures_.OnRemoved(entry->first, WriteOf(entry->second), clock_.Now());
     }
     entry = decoded_.erase(entry);
   }
+}
+
+BackendServerRecord
+DirectoryBuilder::Effective(const Decoded& aDecoded)
+{
+  BackendServerRecord record = *aDecoded.record;
+  const Instant now = clock_.Now();
+  if (record.isDraining) {
+    departures_.OnDraining(record.id, WriteOf(aDecoded), now);
+  } else {
+    record.isDraining =
+      departures_.HasDeparted(record.id, WriteOf(aDecoded), now);
+  }
+  return record;
+}
+
+std::shared_ptr<const BackendDirectory>
+DirectoryBuilder::Build(const CatalogFollower::Objects& aObjects)
+{
+  departures_.Prune(clock_.Now());
+  DropMissing(aObjects);
   std::vector<BackendServerRecord> records;
   for (const auto& [name, object] : aObjects) {
     if (const Decoded& decoded = Decode(object); decoded.record) {
-      records.push_back(*decoded.record);
+      records.push_back(Effective(decoded));
     }
   }
   return std::make_shared<BackendDirectory>(++revision_, std::move(records));
@@ -46,6 +82,7 @@
   }
   const bool wasDraining = decoded.record && decoded.record->isDraining;
   decoded.objectVersion = aObject.version;
+  decoded.writeNumber = codec_.ReadWriteNumber(aObject);
   std::string reason;
   decoded.record = codec_.ReadBackendServer(aObject, clock_.Now(), reason);
   if (!decoded.record) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -59,6 +59,9 @@
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
   catalogLogTimer_.callOnTimeout([this] { LogCatalogCalls(); });
   catalogLogTimer_.start(kCatalogLogInterval);
+  departuresTimer_.setSingleShot(true);
+  departuresTimer_.callOnTimeout(
+    [this] { OnBackendServers(serverFollower_->Current()); });
 }
 
 Gateway::~Gateway()
@@ -384,6 +387,8 @@
              { "to", aRestore.toGeneration },
              { "call", aRestore.source },
              { "version_in_force", ConfigurationVersion() } });
+  directoryBuilder_.OnCatalogRestored();
+  departuresTimer_.start(kDepartureRetention);
   watchSharing_->OnCatalogRestored(aRestore.toGeneration);
   hostRegistry_->OnCatalogRestored();
 }
@@ -545,6 +550,7 @@
   gauge("filbertbeam_directory_catalog_revision",
         serverFollower_->Version().revision);
   gauge("filbertbeam_catalog_generation", catalog_.Generation());
+  gauge("filbertbeam_departures_kept", directoryBuilder_.KeptDepartures());
   AppendMetric(
     text, "counter", "filbertbeam_catalog_restores_total", catalogRestores_);
   gauge("filbertbeam_catalog_reachable",
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -51,6 +51,12 @@
   {
     return routing_ ? routing_->Version() : 0;
   }
+  // Number of servers that are draining here although the catalog, which was
+  // restored from an older copy, shows them as ready.
+  std::size_t KeptDepartures() const
+  {
+    return directoryBuilder_.KeptDepartures();
+  }
   // True while this host watches the catalog for the other hosts of its failure
   // domain.
   bool IsWatcher() const { return watchSharing_->IsWatcher(); }
@@ -124,6 +130,8 @@
   ReportedVersions peerVersions_;
   QTimer catchUpTimer_;
   QTimer catalogLogTimer_;
+  // Ends the time in which departures of servers are kept after a restore.
+  QTimer departuresTimer_;
   std::uint64_t loggedCatalogCalls_ = 0;
 
   WorkerThread trafficThread_{ "traffic" };
--- /dev/null
+++ b/src/gateway/KnownDepartures.cpp
@@ -0,0 +1,133 @@
+#include "gateway/KnownDepartures.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace filbertbeam {
+
+namespace {
+
+// A copy from which the catalog is restored is some seconds old.
+constexpr std::chrono::minutes kMemory{ 5 };
+
+} // namespace
+
+bool
+KnownDepartures::IsRestoring(Instant aNow) const
+{
+  return restoredAt_ && aNow - *restoredAt_ < kDepartureRetention;
+}
+
+void
+KnownDepartures::OnDraining(const std::string& aServer,
+                            const ServerWrite& aWrite,
+                            Instant aNow)
+{
+  const auto known = departures_.find(aServer);
+  if (known != departures_.end() && known->second.isKept) {
+    Forget(aServer, "stated again");
+  }
+  departures_.insert_or_assign(aServer, Departure{ aWrite, aNow });
+}
+
+void
+KnownDepartures::OnRemoved(const std::string& aServer,
+                           const ServerWrite& aWrite,
+                           Instant aNow)
+{
+  const auto known = departures_.find(aServer);
+  if (known == departures_.end()) {
+    departures_.emplace(aServer, Departure{ aWrite, aNow });
+  } else if (known->second.isKept) {
+    // The removed entry was older than what is known, which stays known: the
+    // catalog may be restored once more.
+    known->second.isKept = false;
+    LogEvent(LogLevel::Info,
+             "backend_server_departure_ended",
+             { { "server", aServer }, { "reason", "entry removed" } });
+  } else if (IsLater(aWrite, known->second.write)) {
+    known->second = { aWrite, aNow };
+  }
+}
+
+void
+KnownDepartures::OnCatalogRestored(Instant aNow)
+{
+  restoredAt_ = aNow;
+}
+
+bool
+KnownDepartures::IsLater(const ServerWrite& aWrite, const ServerWrite& aKnown)
+{
+  if (aWrite.startedAt != aKnown.startedAt) {
+    return aWrite.startedAt > aKnown.startedAt;
+  }
+  if (aWrite.version.generation == aKnown.version.generation) {
+    return aWrite.version > aKnown.version;
+  }
+  // Writes that change nothing but their number get no revision, and hosts are
+  // not told of them. A copy therefore may have a higher number than the one
+  // that was read last, at the same revision.
+  return aWrite.number > aKnown.number &&
+         aWrite.version.revision != aKnown.version.revision;
+}
+
+bool
+KnownDepartures::HasDeparted(const std::string& aServer,
+                             const ServerWrite& aWrite,
+                             Instant aNow)
+{
+  const auto known = departures_.find(aServer);
+  if (known == departures_.end()) {
+    return false;
+  }
+  if (IsLater(aWrite, known->second.write)) {
+    Forget(aServer, "written again");
+    return false;
+  }
+  if (!IsRestoring(aNow)) {
+    Forget(aServer, "time passed");
+    return false;
+  }
+  if (!known->second.isKept) {
+    known->second.isKept = true;
+    LogEvent(LogLevel::Info,
+             "backend_server_departure_kept",
+             { { "server", aServer },
+               { "known", FormatCatalogVersion(known->second.write.version) },
+               { "known_write", known->second.write.number },
+               { "catalog", FormatCatalogVersion(aWrite.version) },
+               { "catalog_write", aWrite.number } });
+  }
+  return true;
+}
+
+void
+KnownDepartures::Forget(const std::string& aServer, std::string_view aReason)
+{
+  const auto known = departures_.find(aServer);
+  if (known->second.isKept) {
+    LogEvent(LogLevel::Info,
+             "backend_server_departure_ended",
+             { { "server", aServer }, { "reason", aReason } });
+  }
+  departures_.erase(known);
+}
+
+void
+KnownDepartures::Prune(Instant aNow)
+{
+  std::erase_if(departures_, [aNow](const auto& aItem) {
+    return !aItem.second.isKept && aNow - aItem.second.at > kMemory;
+  });
+}
+
+std::size_t
+KnownDepartures::KeptCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    departures_, [](const auto& aItem) { return aItem.second.isKept; }));
+}
+
+} // namespace filbertbeam
--- /dev/null
+++ b/src/gateway/KnownDepartures.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "catalog/CatalogVersion.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace filbertbeam {
+
+// What orders the states that a backend server writes about itself.
+struct ServerWrite
+{
+  // Start of the run, in Unix milliseconds.
+  std::int64_t startedAt = 0;
+  // Increases with each write of a run.
+  std::uint64_t number = 0;
+  CatalogVersion version;
+};
+
+// Remembers which backend servers have left or stated that they leave. When the
+// catalog is restored from an older copy, which may show them as ready, they
+// count as leaving until they write again, and for kDepartureRetention at most.
+class KnownDepartures
+{
+public:
+  // The server stated that it leaves.
+  void OnDraining(const std::string& aServer,
+                  const ServerWrite& aWrite,
+                  Instant aNow);
+  // The entry of the server was removed; aWrite is the last one that was read.
+  void OnRemoved(const std::string& aServer,
+                 const ServerWrite& aWrite,
+                 Instant aNow);
+  void OnCatalogRestored(Instant aNow);
+
+  // Returns true if a server that the catalog shows as ready, by aWrite, is
+  // known to have left in that run. Otherwise the catalog's word counts and
+  // the departure is forgotten.
+  bool HasDeparted(const std::string& aServer,
+                   const ServerWrite& aWrite,
+                   Instant aNow);
+  // Forgets departures that no copy can precede. Has to be called from time to
+  // time.
+  void Prune(Instant aNow);
+
+  // Number of departures that are kept against the catalog's word.
+  std::size_t KeptCount() const;
+
+private:
+  struct Departure
+  {
+    ServerWrite write;
+    Instant at;
+    // The catalog has shown the server as ready since it was restored.
+    bool isKept = false;
+  };
+
+  bool IsRestoring(Instant aNow) const;
+  static bool IsLater(const ServerWrite& aWrite, const ServerWrite& aKnown);
+  void Forget(const std::string& aServer, std::string_view aReason);
+
+  // By the name of the server.
+  std::map<std::string, Departure> departures_;
+  std::optional<Instant> restoredAt_;
+};
+
+// Longer than a catalog keeps the entry of a server that no longer writes, so
+// that an entry which is still there is one of a server that lives.
+inline constexpr std::chrono::seconds kDepartureRetention{ 30 };
+
+} // namespace filbertbeam
