Gateway: Ask a peer at the start what the restored store lacks

A host that starts after the store came back from an older copy read an older configuration and servers that had left, was ready with them, and had nothing that told it better; where the operator never writes again, this lasted for ever.

A host now asks the peers of its settings, one after the other until one that is ready responds, what they know against the store's word: the configuration in force if the store shows another, and departures while they count. It is ready after that, after each peer was asked in vain, or after 1 s; the latter is logged as started_without_peers. It asks no peer if its settings name none. In calm the response is nearly empty, and the store gets no further call. configuration_kept and configuration_kept_ended are logged once each.

--- a/src/gateway/DirectoryBuilder.h
+++ b/src/gateway/DirectoryBuilder.h
@@ -21,6 +21,8 @@
   // stated that they leave, remain draining for kDepartureRetention although
   // the copy shows them as ready; Build has to be called again after that.
   void OnCatalogRestored();
+  KnownDepartures& Departures() { return departures_; }
+  const KnownDepartures& Departures() const { return departures_; }
   // Number of servers that the last directory has as draining against the
   // catalog's word.
   std::size_t KeptDepartures() const { return departures_.KeptCount(); }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -92,6 +92,11 @@
     settings_.peerSnapshots,
     [this] { return NeedsPeerSnapshot(); },
     [this](PeerSnapshot aSnapshot) { Import(std::move(aSnapshot)); });
+  knowledgeClient_ = std::make_unique<RestoredKnowledgeClient>(
+    settings_.peerSnapshots,
+    [this](const std::optional<RestoredKnowledge>& aKnowledge) {
+      OnPeerKnowledge(aKnowledge);
+    });
   CreateFollowers();
   CreateRegistry();
   LogEvent(LogLevel::Info,
@@ -106,6 +111,7 @@
   watchSharing_->Start();
   hostRegistry_->Start();
   snapshotClient_->Start();
+  knowledgeClient_->Start();
   return true;
 }
 
@@ -246,6 +252,9 @@
   if (!IsReady()) {
     return { kUnavailable, "not ready\n" };
   }
+  if (aTarget == kRestoredKnowledgePath) {
+    return { kOk, EncodeRestoredKnowledge(KnowledgeForPeers()) };
+  }
   const std::string version =
     fmt::format("{} {} {} {} {}",
                 FormatCatalogVersion(configurationFollower_->Version()),
@@ -282,43 +291,109 @@
 bool
 Gateway::IsReady() const
 {
-  return routing_ != nullptr && serverFollower_->IsComplete() && !stopped_;
+  return routing_ != nullptr && serverFollower_->IsComplete() &&
+         knowledgeClient_->IsDone() && !stopped_;
 }
 
 void
 Gateway::OnConfiguration(const CatalogFollower::Objects& aObjects)
 {
   for (const auto& [name, object] : aObjects) {
-    if (object.version <= rejectedVersion_) {
-      continue;
+    if (object.version > rejectedVersion_) {
+      ApplyConfiguration(object);
     }
-    std::string reason;
-    const auto table = codec_.ReadConfiguration(object, reason);
-    if (!table) {
-      rejectedVersion_ = object.version;
-      LogEvent(LogLevel::Error,
-               "configuration_rejected",
-               { { "document", name },
-                 { "catalog_version", FormatCatalogVersion(object.version) },
-                 { "in_force", ConfigurationVersion() },
-                 { "reason", reason } });
-      continue;
+  }
+  PublishKnownVersions();
+  ReportReadiness();
+}
+
+void
+Gateway::ApplyConfiguration(const CatalogObject& aObject)
+{
+  std::string reason;
+  const auto table = codec_.ReadConfiguration(aObject, reason);
+  if (!table) {
+    rejectedVersion_ = aObject.version;
+    LogEvent(LogLevel::Error,
+             "configuration_rejected",
+             { { "document", aObject.name },
+               { "catalog_version", FormatCatalogVersion(aObject.version) },
+               { "in_force", ConfigurationVersion() },
+               { "reason", reason } });
+    return;
+  }
+  LogKeptConfiguration(*table);
+  if (routing_ && table->Version() <= routing_->Version()) {
+    return;
+  }
+  routing_ = table;
+  configurationObject_ = aObject;
+  LogEvent(LogLevel::Info,
+           "configuration_in_force",
+           { { "version", table->Version() },
+             { "catalog_version", FormatCatalogVersion(aObject.version) },
+             { "routes", table->Routes().size() } });
+  trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
+}
+
+void
+Gateway::LogKeptConfiguration(const RoutingTable& aShown)
+{
+  const bool isKept = routing_ && aShown.Version() < routing_->Version();
+  if (isKept == std::exchange(isConfigurationKept_, isKept)) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           isKept ? "configuration_kept" : "configuration_kept_ended",
+           { { "in_force", ConfigurationVersion() },
+             { "catalog", aShown.Version() } });
+}
+
+RestoredKnowledge
+Gateway::KnowledgeForPeers() const
+{
+  const Instant now = clock_.Now();
+  RestoredKnowledge knowledge;
+  const auto& objects = configurationFollower_->Current();
+  const auto shown = objects.find(configurationObject_.name);
+  if (shown == objects.end() ||
+      shown->second.content != configurationObject_.content) {
+    knowledge.configuration = configurationObject_;
+  }
+  const KnownDepartures& departures = directoryBuilder_.Departures();
+  knowledge.remaining =
+    std::chrono::duration_cast<milliseconds>(departures.Remaining(now));
+  knowledge.departures = departures.Export(now);
+  return knowledge;
+}
+
+void
+Gateway::OnPeerKnowledge(const std::optional<RestoredKnowledge>& aKnowledge)
+{
+  if (aKnowledge) {
+    directoryBuilder_.Departures().Import(
+      aKnowledge->departures, aKnowledge->remaining, clock_.Now());
+    if (aKnowledge->configuration) {
+      ApplyConfiguration(*aKnowledge->configuration);
     }
-    if (routing_ && table->Version() <= routing_->Version()) {
-      continue;
+    if (!aKnowledge->departures.empty() && serverFollower_->IsComplete()) {
+      OnBackendServers(serverFollower_->Current());
     }
-    routing_ = table;
-    LogEvent(LogLevel::Info,
-             "configuration_in_force",
-             { { "version", table->Version() },
-               { "catalog_version", FormatCatalogVersion(object.version) },
-               { "routes", table->Routes().size() } });
-    trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
+    ScheduleEndOfDepartures();
   }
-  PublishKnownVersions();
   ReportReadiness();
 }
 
+void
+Gateway::ScheduleEndOfDepartures()
+{
+  const Duration remaining =
+    directoryBuilder_.Departures().Remaining(clock_.Now());
+  if (remaining > Duration(0)) {
+    departuresTimer_.start(std::chrono::ceil<milliseconds>(remaining));
+  }
+}
+
 void
 Gateway::OnBackendServers(const CatalogFollower::Objects& aObjects)
 {
@@ -388,7 +463,7 @@
              { "call", aRestore.source },
              { "version_in_force", ConfigurationVersion() } });
   directoryBuilder_.OnCatalogRestored();
-  departuresTimer_.start(kDepartureRetention);
+  ScheduleEndOfDepartures();
   watchSharing_->OnCatalogRestored(aRestore.toGeneration);
   hostRegistry_->OnCatalogRestored();
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/PeerData.h"
 #include "gateway/PeerSnapshotClient.h"
 #include "gateway/ReportedVersions.h"
+#include "gateway/RestoredKnowledge.h"
 #include "gateway/SimpleHttpServer.h"
 #include "gateway/TrafficRuntime.h"
 #include "gateway/WatchSharing.h"
@@ -34,8 +35,9 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  // True once the configuration and the backend servers have been read, until
-  // Stop is called.
+  // True once the configuration and the backend servers have been read and
+  // peers have told what they know against the catalog's word, until Stop is
+  // called.
   bool IsReady() const;
 
   // Applies changes of stopTime and the extra attempt limits at once. Other
@@ -92,6 +94,16 @@
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
   void OnCatalogRestored(const CatalogRestore& aRestore);
+  // What this host knows and the catalog does not show.
+  RestoredKnowledge KnowledgeForPeers() const;
+  void OnPeerKnowledge(const std::optional<RestoredKnowledge>& aKnowledge);
+  // Puts the configuration of aObject in force if it is valid and newer than
+  // the one in force.
+  void ApplyConfiguration(const CatalogObject& aObject);
+  // Logs when the catalog begins and ceases to show an older configuration.
+  void LogKeptConfiguration(const RoutingTable& aShown);
+  // Rebuilds the directory at the end of the time in which departures count.
+  void ScheduleEndOfDepartures();
   void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
   void OnHeartbeat(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void CatchUp();
@@ -123,7 +135,12 @@
   std::unique_ptr<SimpleHttpServer> snapshotServer_;
   PeerResponseCache peerResponses_;
   std::unique_ptr<PeerSnapshotClient> snapshotClient_;
+  std::unique_ptr<RestoredKnowledgeClient> knowledgeClient_;
   std::shared_ptr<const RoutingTable> routing_;
+  // The object of the configuration in force.
+  CatalogObject configurationObject_;
+  // The catalog shows an older configuration than the one in force.
+  bool isConfigurationKept_ = false;
   CatalogVersion rejectedVersion_;
   std::uint64_t catalogRestores_ = 0;
   bool wasReady_ = false;
--- a/src/gateway/KnownDepartures.cpp
+++ b/src/gateway/KnownDepartures.cpp
@@ -123,6 +123,38 @@
   });
 }
 
+Duration
+KnownDepartures::Remaining(Instant aNow) const
+{
+  return IsRestoring(aNow) ? *restoredAt_ + kDepartureRetention - aNow
+                           : Duration(0);
+}
+
+std::vector<KnownDeparture>
+KnownDepartures::Export(Instant aNow) const
+{
+  std::vector<KnownDeparture> departures;
+  if (IsRestoring(aNow)) {
+    for (const auto& [server, departure] : departures_) {
+      departures.push_back({ server, departure.write });
+    }
+  }
+  return departures;
+}
+
+void
+KnownDepartures::Import(std::span<const KnownDeparture> aDepartures,
+                        Duration aRemaining,
+                        Instant aNow)
+{
+  if (aRemaining > Remaining(aNow)) {
+    restoredAt_ = aNow + aRemaining - kDepartureRetention;
+  }
+  for (const KnownDeparture& each : aDepartures) {
+    departures_.try_emplace(each.server, Departure{ each.write, aNow });
+  }
+}
+
 std::size_t
 KnownDepartures::KeptCount() const
 {
--- a/src/gateway/KnownDepartures.h
+++ b/src/gateway/KnownDepartures.h
@@ -6,7 +6,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace filbertbeam {
 
@@ -20,6 +23,13 @@
   CatalogVersion version;
 };
 
+// A server that has left, or stated that it leaves, in the run of the write.
+struct KnownDeparture
+{
+  std::string server;
+  ServerWrite write;
+};
+
 // Remembers which backend servers have left or stated that they leave. When the
 // catalog is restored from an older copy, which may show them as ready, they
 // count as leaving until they write again, and for kDepartureRetention at most.
@@ -46,6 +56,15 @@
   // time.
   void Prune(Instant aNow);
 
+  // Returns all departures while they count against the catalog's word.
+  std::vector<KnownDeparture> Export(Instant aNow) const;
+  // For how long departures count against the catalog's word.
+  Duration Remaining(Instant aNow) const;
+  // Adds departures that a peer knows, which count for aRemaining.
+  void Import(std::span<const KnownDeparture> aDepartures,
+              Duration aRemaining,
+              Instant aNow);
+
   // Number of departures that are kept against the catalog's word.
   std::size_t KeptCount() const;
 
--- a/src/gateway/PeerSnapshot.cpp
+++ b/src/gateway/PeerSnapshot.cpp
@@ -47,8 +47,10 @@
            static_cast<std::uint64_t>(revision) };
 }
 
+} // namespace
+
 QJsonObject
-ObjectToJson(const CatalogObject& aObject)
+CatalogObjectToJson(const CatalogObject& aObject)
 {
   return { { kName, QString::fromStdString(aObject.name) },
            { kVersion, VersionToJson(aObject.version) },
@@ -57,7 +59,7 @@
 }
 
 CatalogObject
-ObjectFromJson(const QJsonObject& aItem)
+CatalogObjectFromJson(const QJsonObject& aItem)
 {
   CatalogObject object;
   object.name = aItem[kName].toString().toStdString();
@@ -67,12 +69,14 @@
   return object;
 }
 
+namespace {
+
 QJsonArray
 ObjectsToJson(const CatalogFollower::Objects& aObjects)
 {
   QJsonArray items;
   for (const auto& [name, object] : aObjects) {
-    items.append(ObjectToJson(object));
+    items.append(CatalogObjectToJson(object));
   }
   return items;
 }
@@ -82,7 +86,7 @@
 {
   CatalogFollower::Objects objects;
   for (const QJsonValue item : aItems) {
-    CatalogObject object = ObjectFromJson(item.toObject());
+    CatalogObject object = CatalogObjectFromJson(item.toObject());
     std::string name = object.name;
     objects.emplace(std::move(name), std::move(object));
   }
@@ -113,7 +117,7 @@
   }
   QJsonArray events;
   for (const CatalogEvent& event : aChanges.events) {
-    QJsonObject item = ObjectToJson(event.object);
+    QJsonObject item = CatalogObjectToJson(event.object);
     item[kIsDeleted] = event.isDeleted;
     events.append(item);
   }
@@ -135,7 +139,7 @@
   for (const QJsonValue value : aObject[kEvents].toArray()) {
     const QJsonObject item = value.toObject();
     changes.events.push_back(
-      { ObjectFromJson(item), item[kIsDeleted].toBool() });
+      { CatalogObjectFromJson(item), item[kIsDeleted].toBool() });
   }
   return changes;
 }
--- a/src/gateway/PeerSnapshot.h
+++ b/src/gateway/PeerSnapshot.h
@@ -27,6 +27,12 @@
   CatalogChanges backendServers;
 };
 
+QJsonObject
+CatalogObjectToJson(const CatalogObject& aObject);
+
+CatalogObject
+CatalogObjectFromJson(const QJsonObject& aItem);
+
 // Encodes the description of a host for the catalog and for snapshots.
 QJsonObject
 PeerHostToJson(const PeerHost& aHost);
