Gateway: Remember the earlier runs of servers that restarted

A model without network draws orders of writes, heartbeats, departures, copies, restores and late responses, and checks at each step that versions do not go back, that nothing of an earlier generation is applied, and that no run which stated that it leaves, or has left, is used again. It found that a server which started again under its id made the host forget its earlier run: a copy older than the later run showed the earlier one as ready, and it was used.

The earlier run stays known when a later one is shown, and a run that a later one replaces counts as departed.

--- a/src/gateway/DirectoryBuilder.cpp
+++ b/src/gateway/DirectoryBuilder.cpp
@@ -81,10 +81,15 @@
     return decoded;
   }
   const bool wasDraining = decoded.record && decoded.record->isDraining;
+  const std::optional<ServerWrite> last =
+    decoded.record ? std::optional(WriteOf(decoded)) : std::nullopt;
   decoded.objectVersion = aObject.version;
   decoded.writeNumber = codec_.ReadWriteNumber(aObject);
   std::string reason;
   decoded.record = codec_.ReadBackendServer(aObject, clock_.Now(), reason);
+  if (last && decoded.record && decoded.record->startedAt > last->startedAt) {
+    departures_.OnRemoved(aObject.name, *last, clock_.Now());
+  }
   if (!decoded.record) {
     LogEvent(LogLevel::Warning,
              "backend_server_entry_ignored",
--- a/src/gateway/KnownDepartures.cpp
+++ b/src/gateway/KnownDepartures.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace filbertbeam {
 
@@ -24,11 +25,15 @@
                             const ServerWrite& aWrite,
                             Instant aNow)
 {
-  const auto known = departures_.find(aServer);
-  if (known != departures_.end() && known->second.isKept) {
-    Forget(aServer, "stated again");
+  const auto [known, isNew] =
+    departures_.try_emplace(aServer, Departure{ aWrite, aNow });
+  if (isNew) {
+    return;
+  }
+  EndKept(aServer, known->second, "stated again");
+  if (IsLater(aWrite, known->second.write)) {
+    known->second = { aWrite, aNow };
   }
-  departures_.insert_or_assign(aServer, Departure{ aWrite, aNow });
 }
 
 void
@@ -42,10 +47,7 @@
   } else if (known->second.isKept) {
     // The removed entry was older than what is known, which stays known: the
     // catalog may be restored once more.
-    known->second.isKept = false;
-    LogEvent(LogLevel::Info,
-             "backend_server_departure_ended",
-             { { "server", aServer }, { "reason", "entry removed" } });
+    EndKept(aServer, known->second, "entry removed");
   } else if (IsLater(aWrite, known->second.write)) {
     known->second = { aWrite, aNow };
   }
@@ -82,6 +84,11 @@
   if (known == departures_.end()) {
     return false;
   }
+  if (aWrite.startedAt > known->second.write.startedAt) {
+    // The earlier run stays known: a copy may show it.
+    EndKept(aServer, known->second, "started again");
+    return false;
+  }
   if (IsLater(aWrite, known->second.write)) {
     Forget(aServer, "written again");
     return false;
@@ -104,14 +111,22 @@
 }
 
 void
-KnownDepartures::Forget(const std::string& aServer, std::string_view aReason)
+KnownDepartures::EndKept(const std::string& aServer,
+                         Departure& aDeparture,
+                         std::string_view aReason)
 {
-  const auto known = departures_.find(aServer);
-  if (known->second.isKept) {
+  if (std::exchange(aDeparture.isKept, false)) {
     LogEvent(LogLevel::Info,
              "backend_server_departure_ended",
              { { "server", aServer }, { "reason", aReason } });
   }
+}
+
+void
+KnownDepartures::Forget(const std::string& aServer, std::string_view aReason)
+{
+  const auto known = departures_.find(aServer);
+  EndKept(aServer, known->second, aReason);
   departures_.erase(known);
 }
 
--- a/src/gateway/KnownDepartures.h
+++ b/src/gateway/KnownDepartures.h
@@ -40,15 +40,16 @@
   void OnDraining(const std::string& aServer,
                   const ServerWrite& aWrite,
                   Instant aNow);
-  // The entry of the server was removed; aWrite is the last one that was read.
+  // The entry of the server was removed, or a later run has replaced it; aWrite
+  // is the last one that was read.
   void OnRemoved(const std::string& aServer,
                  const ServerWrite& aWrite,
                  Instant aNow);
   void OnCatalogRestored(Instant aNow);
 
   // Returns true if a server that the catalog shows as ready, by aWrite, is
-  // known to have left in that run. Otherwise the catalog's word counts and
-  // the departure is forgotten.
+  // known to have left in that run or a later one. Otherwise the catalog's word
+  // counts and a departure in that run is forgotten.
   bool HasDeparted(const std::string& aServer,
                    const ServerWrite& aWrite,
                    Instant aNow);
@@ -79,6 +80,9 @@
 
   bool IsRestoring(Instant aNow) const;
   static bool IsLater(const ServerWrite& aWrite, const ServerWrite& aKnown);
+  static void EndKept(const std::string& aServer,
+                      Departure& aDeparture,
+                      std::string_view aReason);
   void Forget(const std::string& aServer, std::string_view aReason);
 
   // By the name of the server.
--- a/src/gateway/tests/TestKnownDepartures.cpp
+++ b/src/gateway/tests/TestKnownDepartures.cpp
@@ -68,6 +68,18 @@
   BOOST_TEST(!HasDeparted(write));
 }
 
+// Guards against the earlier of two runs that is used again: the copy is older
+// than the later one.
+BOOST_AUTO_TEST_CASE(AreRememberedWhenALaterRunIsShown)
+{
+  departures.OnRemoved(kServer, Write(51, { 1, 95 }), kStart);
+  ServerWrite later = Write(1, { 1, 97 });
+  later.startedAt = kStartedAt + 1;
+  BOOST_TEST(!HasDeparted(later));
+  departures.OnCatalogRestored(kStart + 1s);
+  BOOST_TEST(HasDeparted(Write(47, { 2, 40 })));
+}
+
 // Guards against a server that is never used again although it lives.
 BOOST_AUTO_TEST_CASE(EndAfterTheRetention)
 {
