--- a/src/daemon/tests/TestHostListFollower.cpp
+++ b/src/daemon/tests/TestHostListFollower.cpp
@@ -180,6 +180,18 @@
   BOOST_TEST(seen.size() == 1U);
 }
 
+// Guards against a host that stays out of the list because the catalog came
+// back from a copy that lacks its entry.
+BOOST_AUTO_TEST_CASE(IsWrittenAgainAfterARestoreOfTheCatalog)
+{
+  BOOST_TEST(list.OnPeerGeneration(1));
+  follower.Start();
+  BOOST_REQUIRE(WaitUntil([&] { return !list.watches.empty(); }, 2s));
+  list.objects.clear();
+  BOOST_TEST(list.OnPeerGeneration(2));
+  BOOST_TEST(WaitUntil([&] { return list.Find("self").has_value(); }, 2s));
+}
+
 // Guards against one malformed entry that hides all other hosts.
 BOOST_AUTO_TEST_CASE(OfAnotherHostIsSkippedWhenItIsMalformed)
 {
