--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -59,10 +59,14 @@
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
   catalogLogTimer_.callOnTimeout([this] { LogCatalogCalls(); });
   catalogLogTimer_.start(kCatalogLogInterval);
+  departuresTimer_.setSingleShot(true);
+  departuresTimer_.callOnTimeout(
+    [this] { OnBackendServers(serverFollower_->Current()); });
 }
 
 Gateway::~Gateway()
 {
+  catalog_.SetRestoreHandler({});
   trafficThread_.Run([this] { traffic_.reset(); });
 }
 
@@ -88,6 +92,11 @@
     settings_.peerSnapshots,
     [this] { return NeedsPeerSnapshot(); },
     [this](PeerSnapshot aSnapshot) { Import(std::move(aSnapshot)); });
+  knowledgeClient_ = std::make_unique<RestoredKnowledgeClient>(
+    settings_.peerSnapshots,
+    [this](const std::optional<RestoredKnowledge>& aKnowledge) {
+      OnPeerKnowledge(aKnowledge);
+    });
   CreateFollowers();
   CreateRegistry();
   LogEvent(LogLevel::Info,
@@ -95,11 +104,14 @@
            { { "host", settings_.host },
              { "region", settings_.region },
              { "domain", settings_.domain } });
+  catalog_.SetRestoreHandler(
+    [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
   configurationFollower_->Start();
   serverFollower_->Start();
   watchSharing_->Start();
   hostRegistry_->Start();
   snapshotClient_->Start();
+  knowledgeClient_->Start();
   return true;
 }
 
@@ -187,6 +199,7 @@
                                    *configurationFollower_,
                                    *serverFollower_,
                                    clock_,
+                                   random_,
                                    [this](const WatcherHeartbeat& aHeartbeat) {
                                      trafficThread_.Post([this, aHeartbeat] {
                                        traffic_->SendHeartbeat(aHeartbeat);
@@ -239,12 +252,15 @@
   if (!IsReady()) {
     return { kUnavailable, "not ready\n" };
   }
+  if (aTarget == kRestoredKnowledgePath) {
+    return { kOk, EncodeRestoredKnowledge(KnowledgeForPeers()) };
+  }
   const std::string version =
     fmt::format("{} {} {} {} {}",
-                configurationFollower_->Revision(),
-                configurationFollower_->NewestChange(),
-                serverFollower_->Revision(),
-                serverFollower_->NewestChange(),
+                FormatCatalogVersion(configurationFollower_->Version()),
+                FormatCatalogVersion(configurationFollower_->NewestChange()),
+                FormatCatalogVersion(serverFollower_->Version()),
+                FormatCatalogVersion(serverFollower_->NewestChange()),
                 hostRegistry_->ListedHosts().size());
   return { kOk, peerResponses_.Get(version, aTarget, [this, aTarget] {
             std::string text = EncodePeerResponse(aTarget);
@@ -275,52 +291,119 @@
 bool
 Gateway::IsReady() const
 {
-  return routing_ != nullptr && serverFollower_->IsComplete() && !stopped_;
+  return routing_ != nullptr && serverFollower_->IsComplete() &&
+         knowledgeClient_->IsDone() && !stopped_;
 }
 
 void
 Gateway::OnConfiguration(const CatalogFollower::Objects& aObjects)
 {
   for (const auto& [name, object] : aObjects) {
-    if (object.revision <= rejectedRevision_) {
-      continue;
+    if (object.version > rejectedVersion_) {
+      ApplyConfiguration(object);
     }
-    std::string reason;
-    const auto table = codec_.ReadConfiguration(object, reason);
-    if (!table) {
-      rejectedRevision_ = object.revision;
-      LogEvent(LogLevel::Error,
-               "configuration_rejected",
-               { { "document", name },
-                 { "revision", object.revision },
-                 { "in_force", ConfigurationVersion() },
-                 { "reason", reason } });
-      continue;
+  }
+  PublishKnownVersions();
+  ReportReadiness();
+}
+
+void
+Gateway::ApplyConfiguration(const CatalogObject& aObject)
+{
+  std::string reason;
+  const auto table = codec_.ReadConfiguration(aObject, reason);
+  if (!table) {
+    rejectedVersion_ = aObject.version;
+    LogEvent(LogLevel::Error,
+             "configuration_rejected",
+             { { "document", aObject.name },
+               { "catalog_version", FormatCatalogVersion(aObject.version) },
+               { "in_force", ConfigurationVersion() },
+               { "reason", reason } });
+    return;
+  }
+  LogKeptConfiguration(*table);
+  if (routing_ && table->Version() <= routing_->Version()) {
+    return;
+  }
+  routing_ = table;
+  configurationObject_ = aObject;
+  LogEvent(LogLevel::Info,
+           "configuration_in_force",
+           { { "version", table->Version() },
+             { "catalog_version", FormatCatalogVersion(aObject.version) },
+             { "routes", table->Routes().size() } });
+  trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
+}
+
+void
+Gateway::LogKeptConfiguration(const RoutingTable& aShown)
+{
+  const bool isKept = routing_ && aShown.Version() < routing_->Version();
+  if (isKept == std::exchange(isConfigurationKept_, isKept)) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           isKept ? "configuration_kept" : "configuration_kept_ended",
+           { { "in_force", ConfigurationVersion() },
+             { "catalog", aShown.Version() } });
+}
+
+RestoredKnowledge
+Gateway::KnowledgeForPeers() const
+{
+  const Instant now = clock_.Now();
+  RestoredKnowledge knowledge;
+  const auto& objects = configurationFollower_->Current();
+  const auto shown = objects.find(configurationObject_.name);
+  if (shown == objects.end() ||
+      shown->second.content != configurationObject_.content) {
+    knowledge.configuration = configurationObject_;
+  }
+  const KnownDepartures& departures = directoryBuilder_.Departures();
+  knowledge.remaining =
+    std::chrono::duration_cast<milliseconds>(departures.Remaining(now));
+  knowledge.departures = departures.Export(now);
+  return knowledge;
+}
+
+void
+Gateway::OnPeerKnowledge(const std::optional<RestoredKnowledge>& aKnowledge)
+{
+  if (aKnowledge) {
+    directoryBuilder_.Departures().Import(
+      aKnowledge->departures, aKnowledge->remaining, clock_.Now());
+    if (aKnowledge->configuration) {
+      ApplyConfiguration(*aKnowledge->configuration);
     }
-    if (routing_ && table->Version() <= routing_->Version()) {
-      continue;
+    if (!aKnowledge->departures.empty() && serverFollower_->IsComplete()) {
+      OnBackendServers(serverFollower_->Current());
     }
-    routing_ = table;
-    LogEvent(LogLevel::Info,
-             "configuration_in_force",
-             { { "version", table->Version() },
-               { "revision", object.revision },
-               { "routes", table->Routes().size() } });
-    trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
+    ScheduleEndOfDepartures();
   }
-  PublishKnownVersions();
   ReportReadiness();
 }
 
+void
+Gateway::ScheduleEndOfDepartures()
+{
+  const Duration remaining =
+    directoryBuilder_.Departures().Remaining(clock_.Now());
+  if (remaining > Duration(0)) {
+    departuresTimer_.start(std::chrono::ceil<milliseconds>(remaining));
+  }
+}
+
 void
 Gateway::OnBackendServers(const CatalogFollower::Objects& aObjects)
 {
   const auto directory = directoryBuilder_.Build(aObjects);
-  LogEvent(LogLevel::Info,
-           "directory_in_force",
-           { { "directory", directory->Revision() },
-             { "catalog_revision", serverFollower_->Revision() },
-             { "backend_servers", directory->Servers().size() } });
+  LogEvent(
+    LogLevel::Info,
+    "directory_in_force",
+    { { "directory", directory->Revision() },
+      { "catalog_version", FormatCatalogVersion(serverFollower_->Version()) },
+      { "backend_servers", directory->Servers().size() } });
   trafficThread_.Post([this, directory] { traffic_->SetDirectory(directory); });
   PublishKnownVersions();
   ReportReadiness();
@@ -347,6 +430,11 @@
 void
 Gateway::Import(PeerSnapshot aSnapshot)
 {
+  if (!catalog_.OnPeerGeneration(
+        std::max(aSnapshot.configuration.newestChange.generation,
+                 aSnapshot.backendServers.newestChange.generation))) {
+    return;
+  }
   hostRegistry_->Import(std::move(aSnapshot.hosts));
   serverFollower_->Import(std::move(aSnapshot.backendServers));
   configurationFollower_->Import(std::move(aSnapshot.configuration));
@@ -364,9 +452,29 @@
   watchSharing_->OnNewerCopy();
 }
 
+void
+Gateway::OnCatalogRestored(const CatalogRestore& aRestore)
+{
+  ++catalogRestores_;
+  LogEvent(LogLevel::Warning,
+           "catalog_restored",
+           { { "from", aRestore.fromGeneration },
+             { "to", aRestore.toGeneration },
+             { "call", aRestore.source },
+             { "version_in_force", ConfigurationVersion() } });
+  directoryBuilder_.OnCatalogRestored();
+  ScheduleEndOfDepartures();
+  watchSharing_->OnCatalogRestored(aRestore.toGeneration);
+  hostRegistry_->OnCatalogRestored();
+}
+
 void
 Gateway::OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender)
 {
+  if (!catalog_.OnPeerGeneration(std::max(aKnown.configuration.generation,
+                                          aKnown.directory.generation))) {
+    return;
+  }
   const auto& hosts = hostRegistry_->ListedHosts();
   const auto sender = std::ranges::find(hosts, aSender, &PeerHost::address);
   if (sender != hosts.end() && sender->snapshot.port != 0) {
@@ -382,6 +490,11 @@
 Gateway::OnHeartbeat(const WatcherHeartbeat& aHeartbeat,
                      const Endpoint& aSender)
 {
+  if (!catalog_.OnPeerGeneration(
+        std::max(aHeartbeat.known.configuration.generation,
+                 aHeartbeat.known.directory.generation))) {
+    return;
+  }
   watchSharing_->OnHeartbeat(aHeartbeat, aSender);
   if (NeedsPeerSnapshot()) {
     snapshotClient_->Prefer({ aSender.address, aHeartbeat.snapshotPort });
@@ -509,7 +622,12 @@
   gauge("filbertbeam_ready", IsReady() ? 1 : 0);
   gauge("filbertbeam_configuration_version", ConfigurationVersion());
   gauge("filbertbeam_catalog_watcher", IsWatcher() ? 1 : 0);
-  gauge("filbertbeam_directory_catalog_revision", serverFollower_->Revision());
+  gauge("filbertbeam_directory_catalog_revision",
+        serverFollower_->Version().revision);
+  gauge("filbertbeam_catalog_generation", catalog_.Generation());
+  gauge("filbertbeam_departures_kept", directoryBuilder_.KeptDepartures());
+  AppendMetric(
+    text, "counter", "filbertbeam_catalog_restores_total", catalogRestores_);
   gauge("filbertbeam_catalog_reachable",
         serverFollower_->IsReachable() && configurationFollower_->IsReachable()
           ? 1
--- a/src/gateway/PeerSnapshot.h
+++ b/src/gateway/PeerSnapshot.h
@@ -18,7 +18,7 @@
   std::vector<PeerHost> hosts;
 };
 
-// The changes that a host has read since a given revision, sent to peers that
+// The changes that a host has read since a given version, sent to peers that
 // follow it. A part has a failure when the host's history does not contain all
 // of its changes.
 struct PeerChanges
@@ -27,6 +27,12 @@
   CatalogChanges backendServers;
 };
 
+QJsonObject
+CatalogObjectToJson(const CatalogObject& aObject);
+
+CatalogObject
+CatalogObjectFromJson(const QJsonObject& aItem);
+
 // Encodes the description of a host for the catalog and for snapshots.
 QJsonObject
 PeerHostToJson(const PeerHost& aHost);
