--- a/src/gateway/tests/TestPeerSnapshotClient.cpp
+++ b/src/gateway/tests/TestPeerSnapshotClient.cpp
@@ -20,7 +20,7 @@
 {
   CatalogObject object;
   object.name = "main";
-  object.revision = 1;
+  object.version.revision = 1;
   PeerSnapshot snapshot;
   snapshot.configuration.objects.emplace("main", object);
   return snapshot;
