Http: Simplify the search for stray responses

A possible head is decided by itself since, so HttpHeadScanner needn't tell how many lines it accepted.

--- a/src/http/HttpClientConnection.h
+++ b/src/http/HttpClientConnection.h
@@ -102,8 +102,8 @@
   // True if an earlier exchange used the connection, so that late bytes of its
   // response may arrive.
   bool IsReused() const { return use_.exchangeNumber > 1; }
-  // True if the end of the open response may hide the begin of a copy: of an
-  // earlier one or, without a length, of the response itself.
+  // True if the end of the open response may hide the beginning of a copy: of
+  // an earlier one or, without a length, of the response itself.
   bool MayHideCopy() const;
   // Passes the next bytes of the body on, or fails if another response is mixed
   // into them. Returns false if the exchange is over.
--- a/src/http/HttpHeadScanner.cpp
+++ b/src/http/HttpHeadScanner.cpp
@@ -39,14 +39,10 @@
       lastReason_ = "a line of the head ends without CR LF";
       return Result::Malformed;
     }
-    const std::size_t begin = lineBegin_;
-    const auto line = input.substr(begin, lineFeed - 1 - begin);
+    const auto line = input.substr(lineBegin_, lineFeed - 1 - lineBegin_);
     scanned_ = lineFeed + 1;
     lineBegin_ = scanned_;
     const Result result = ScanLine(line);
-    if (result == Result::Malformed || result == Result::TooLarge) {
-      lineBegin_ = begin;
-    }
     if (result != Result::NeedMore) {
       return result;
     }
--- a/src/http/HttpHeadScanner.h
+++ b/src/http/HttpHeadScanner.h
@@ -29,9 +29,6 @@
   // Size in bytes of the input up to and including the empty line that ends the
   // head.
   std::size_t HeadBytes() const { return lineBegin_; }
-  // Size in bytes of the whole lines that were accepted, without one that was
-  // refused.
-  std::size_t AcceptedBytes() const { return lineBegin_; }
   const std::string& LastReason() const { return lastReason_; }
 
 private:
--- a/src/http/StrayResponseDetector.cpp
+++ b/src/http/StrayResponseDetector.cpp
@@ -195,7 +195,7 @@
     return false;
   }
   if (result == HttpHeadScanner::Result::Complete &&
-      IsStrayHead(rest.substr(0, scanner_->AcceptedBytes()))) {
+      isStray_(ReadHead(rest.substr(0, scanner_->HeadBytes())))) {
     isStrayFound_ = true;
     return false;
   }
@@ -204,12 +204,6 @@
   return true;
 }
 
-bool
-StrayResponseDetector::IsStrayHead(std::string_view aHead) const
-{
-  return isStray_(ReadHead(aHead));
-}
-
 ByteView
 StrayResponseDetector::Release(std::size_t aSize)
 {
--- a/src/http/StrayResponseDetector.h
+++ b/src/http/StrayResponseDetector.h
@@ -27,13 +27,12 @@
   // the status may be any number of three digits.
   using Predicate = std::function<bool(const HttpResponseHead&)>;
 
-  // What may follow the body that ends.
+  // Whether an incomplete head at the end of a body is part of it.
   enum class Ending
   {
-    // Nothing that the body could be confused with.
     Certain,
-    // A head that is still incomplete counts as the beginning of a copy, the
-    // rest of which was cut off or has not arrived yet.
+    // It counts as the beginning of a copy, the rest of which was cut off or
+    // has not arrived yet.
     Doubtful,
   };
 
@@ -58,10 +57,9 @@
   // Moves decided_ behind the bytes that are known to be part of the body.
   // Returns false if a stray response follows them.
   bool Decide();
-  // Returns true once the lines at decided_ are known to begin no stray
-  // response, and moves decided_ behind them.
+  // Returns true once the bytes at decided_ are known to begin no stray
+  // response, and moves decided_ behind their first ones.
   bool DecideHead();
-  bool IsStrayHead(std::string_view aHead) const;
   // Returns the first aSize of the held bytes, which are then released.
   ByteView Release(std::size_t aSize);
 
