Gateway: Move the configuration in force to a class of its own

What is in force, what was refused, and what is kept against the catalog's word were four members and two functions of it. An invalid object is now read again with each change of the collection, and logged once. test_gateway, test_platform and platform_storerestore pass.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -51,8 +51,8 @@
                  const ExchangeHeaderCodec& aHeaderCodec)
   : settings_(aSettings)
   , catalog_(aCatalog)
-  , codec_(aCodec)
   , headerCodec_(aHeaderCodec)
+  , configuration_(aCodec)
   , directoryBuilder_(aCodec, clock_)
 {
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
@@ -291,7 +291,7 @@
 bool
 Gateway::IsReady() const
 {
-  return routing_ != nullptr && serverFollower_->IsComplete() &&
+  return configuration_.Routing() != nullptr && serverFollower_->IsComplete() &&
          knowledgeClient_->IsDone() && !stopped_;
 }
 
@@ -299,9 +299,7 @@
 Gateway::OnConfiguration(const CatalogFollower::Objects& aObjects)
 {
   for (const auto& [name, object] : aObjects) {
-    if (object.version > rejectedVersion_) {
-      ApplyConfiguration(object);
-    }
+    ApplyConfiguration(object);
   }
   PublishKnownVersions();
   ReportReadiness();
@@ -310,43 +308,11 @@
 void
 Gateway::ApplyConfiguration(const CatalogObject& aObject)
 {
-  std::string reason;
-  const auto table = codec_.ReadConfiguration(aObject, reason);
-  if (!table) {
-    rejectedVersion_ = aObject.version;
-    LogEvent(LogLevel::Error,
-             "configuration_rejected",
-             { { "document", aObject.name },
-               { "catalog_version", FormatCatalogVersion(aObject.version) },
-               { "in_force", ConfigurationVersion() },
-               { "reason", reason } });
-    return;
-  }
-  LogKeptConfiguration(*table);
-  if (routing_ && table->Version() <= routing_->Version()) {
-    return;
-  }
-  routing_ = table;
-  configurationObject_ = aObject;
-  LogEvent(LogLevel::Info,
-           "configuration_in_force",
-           { { "version", table->Version() },
-             { "catalog_version", FormatCatalogVersion(aObject.version) },
-             { "routes", table->Routes().size() } });
-  trafficThread_.Post([this, table] { traffic_->SetRouting(table); });
-}
-
-void
-Gateway::LogKeptConfiguration(const RoutingTable& aShown)
-{
-  const bool isKept = routing_ && aShown.Version() < routing_->Version();
-  if (isKept == std::exchange(isConfigurationKept_, isKept)) {
-    return;
+  if (configuration_.Apply(aObject)) {
+    trafficThread_.Post([this, table = configuration_.Routing()] {
+      traffic_->SetRouting(table);
+    });
   }
-  LogEvent(LogLevel::Info,
-           isKept ? "configuration_kept" : "configuration_kept_ended",
-           { { "in_force", ConfigurationVersion() },
-             { "catalog", aShown.Version() } });
 }
 
 RestoredKnowledge
@@ -354,12 +320,8 @@
 {
   const Instant now = clock_.Now();
   RestoredKnowledge knowledge;
-  const auto& objects = configurationFollower_->Current();
-  const auto shown = objects.find(configurationObject_.name);
-  if (shown == objects.end() ||
-      shown->second.content != configurationObject_.content) {
-    knowledge.configuration = configurationObject_;
-  }
+  knowledge.configuration =
+    configuration_.ObjectUnlike(configurationFollower_->Current());
   const KnownDepartures& departures = directoryBuilder_.Departures();
   knowledge.remaining =
     std::chrono::duration_cast<milliseconds>(departures.Remaining(now));
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "base/WorkerThread.h"
 #include "catalog/CatalogFollower.h"
 #include "catalog/CountingCatalog.h"
+#include "gateway/ConfigurationInForce.h"
 #include "gateway/DirectoryBuilder.h"
 #include "gateway/HostRegistry.h"
 #include "gateway/PeerData.h"
@@ -51,7 +52,7 @@
   // Version of the configuration in use; 0 before the first one.
   std::uint64_t ConfigurationVersion() const
   {
-    return routing_ ? routing_->Version() : 0;
+    return configuration_.Version();
   }
   // Number of servers that are draining here although the catalog, which was
   // restored from an older copy, shows them as ready.
@@ -101,8 +102,6 @@
   // Puts the configuration of aObject in force if it is valid and newer than
   // the one in force.
   void ApplyConfiguration(const CatalogObject& aObject);
-  // Logs when the catalog begins and ceases to show an older configuration.
-  void LogKeptConfiguration(const RoutingTable& aShown);
   // Rebuilds the directory at the end of the time in which departures count.
   void ScheduleEndOfDepartures();
   void OnNewerVersions(const KnownVersions& aKnown, const Endpoint& aSender);
@@ -121,11 +120,11 @@
 
   GatewaySettings settings_;
   CountingCatalog catalog_;
-  const CatalogCodec& codec_;
   const ExchangeHeaderCodec& headerCodec_;
   SystemClock clock_;
   SeededRandom random_;
   GatewayMetrics metrics_;
+  ConfigurationInForce configuration_;
   DirectoryBuilder directoryBuilder_;
   std::unique_ptr<CatalogFollower> configurationFollower_;
   std::unique_ptr<CatalogFollower> serverFollower_;
@@ -137,12 +136,6 @@
   PeerResponseCache peerResponses_;
   std::unique_ptr<PeerSnapshotClient> snapshotClient_;
   std::unique_ptr<RestoredKnowledgeClient> knowledgeClient_;
-  std::shared_ptr<const RoutingTable> routing_;
-  // The object of the configuration in force.
-  CatalogObject configurationObject_;
-  // The catalog shows an older configuration than the one in force.
-  bool isConfigurationKept_ = false;
-  CatalogVersion rejectedVersion_;
   std::uint64_t catalogRestores_ = 0;
   bool wasReady_ = false;
   ReportedVersions peerVersions_;
