--- a/src/balancing/Selection.h
+++ b/src/balancing/Selection.h
@@ -39,6 +39,8 @@
   AttemptPurpose purpose = AttemptPurpose::First;
   bool isIdempotent = false;
   bool hasLargeResponses = false;
+  // 0 is the highest priority.
+  int priority = 0;
   Duration latencyObjective{};
   // Time left until the final response to the request is due.
   Duration remaining{};
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kVersion = 3;
+constexpr std::uint64_t kVersion = 4;
 constexpr std::uint64_t kQuery = 1;
 constexpr std::uint64_t kResponse = 2;
 constexpr std::uint64_t kReport = 3;
@@ -26,8 +26,9 @@
 // Maximum number of servers that a request may exclude or avoid, the last ones
 // of each list; keeps the datagram small.
 constexpr std::size_t kMaxServers = 16;
-constexpr std::size_t kMaxElements = 20;
+constexpr std::size_t kMaxElements = 21;
 constexpr std::uint32_t kMaxShards = 65'536;
+constexpr int kMaxPriority = 1'000;
 constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
 constexpr double kMillicores = 1'000;
 constexpr std::uint64_t kMaxMillicores = 1'000'000'000;
@@ -79,7 +80,7 @@
 Append(QCborStreamWriter& aWriter, const SelectionQuery& aQuery)
 {
   const SelectionRequest& request = aQuery.request;
-  aWriter.startArray(20);
+  aWriter.startArray(21);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kQuery));
   aWriter.append(static_cast<quint64>(aQuery.queryId));
@@ -90,6 +91,8 @@
   aWriter.append(static_cast<quint64>(request.purpose));
   aWriter.append(request.isIdempotent);
   aWriter.append(request.hasLargeResponses);
+  aWriter.append(
+    static_cast<quint64>(std::clamp(request.priority, 0, kMaxPriority)));
   AppendDuration(aWriter, request.latencyObjective);
   AppendDuration(aWriter, request.remaining);
   AppendText(aWriter, request.host);
@@ -228,6 +231,7 @@
     aInput.ReadUnsigned(static_cast<std::uint64_t>(AttemptPurpose::Hedge)));
   request.isIdempotent = aInput.ReadBool();
   request.hasLargeResponses = aInput.ReadBool();
+  request.priority = static_cast<int>(aInput.ReadUnsigned(kMaxPriority));
   request.latencyObjective = ReadDuration(aInput);
   request.remaining = ReadDuration(aInput);
   request.host = aInput.ReadText(kMaxNameBytes);
--- a/src/configuration/Configuration.h
+++ b/src/configuration/Configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "contracts/Contract.h"
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -65,18 +67,6 @@
   bool operator==(const Route&) const = default;
 };
 
-struct Contract
-{
-  std::string customer;
-  // SHA-256 of each API key, 64 lower-case hexadecimal digits.
-  std::vector<std::string> keySha256;
-  std::vector<std::string> services;
-  // The promised request rate, from which every limit is derived.
-  double requestsPerSecond = 0;
-
-  bool operator==(const Contract&) const = default;
-};
-
 // A group of backend servers of one service in one failure domain, whose used
 // slots are counted by one owner.
 struct Shard
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -167,6 +167,7 @@
   request.purpose = aPurpose;
   request.isIdempotent = route_.isIdempotent;
   request.hasLargeResponses = route_.hasLargeResponses;
+  request.priority = route_.priority;
   request.latencyObjective = route_.latencyObjective;
   request.remaining = Remaining();
   request.excluded = ExcludedServers();
--- a/src/routing/Route.h
+++ b/src/routing/Route.h
@@ -36,6 +36,8 @@
   Duration timeout{};
   // A response within this time has its full value; a slower one is worth less.
   Duration latencyObjective{};
+  // Whether callers need no key, even if the deployment has workspaces.
+  bool isPublic = false;
   // 0 is the highest priority.
   int priority = 0;
   // Maximum number of backend servers to which one request may be sent.
--- a/src/routing/RoutingTable.cpp
+++ b/src/routing/RoutingTable.cpp
@@ -57,12 +57,14 @@
 RoutingTable::Create(std::uint64_t aVersion,
                      std::vector<Route> aRoutes,
                      const CallerLimits& aLimits,
-                     std::string& aReason)
+                     std::string& aReason,
+                     std::shared_ptr<const ContractTable> aContracts)
 {
   std::shared_ptr<RoutingTable> table(new RoutingTable);
   table->version_ = aVersion;
   table->limits_ = aLimits;
   table->routes_ = std::move(aRoutes);
+  table->contracts_ = std::move(aContracts);
   for (std::size_t i = 0; i < table->routes_.size(); ++i) {
     Route& route = table->routes_[i];
     route.host = NormalizeHost(route.host);
--- a/src/routing/RoutingTable.h
+++ b/src/routing/RoutingTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/ContractTable.h"
 #include "routing/Route.h"
 
 #include <cstddef>
@@ -27,14 +28,19 @@
 public:
   // Returns null and sets aReason if two routes have the same host and path
   // prefix or a route is invalid, so that a table never takes effect partially.
-  static std::shared_ptr<const RoutingTable> Create(std::uint64_t aVersion,
-                                                    std::vector<Route> aRoutes,
-                                                    const CallerLimits& aLimits,
-                                                    std::string& aReason);
+  // aContracts is null in a deployment without workspaces.
+  static std::shared_ptr<const RoutingTable> Create(
+    std::uint64_t aVersion,
+    std::vector<Route> aRoutes,
+    const CallerLimits& aLimits,
+    std::string& aReason,
+    std::shared_ptr<const ContractTable> aContracts = nullptr);
 
   std::uint64_t Version() const { return version_; }
   const CallerLimits& Limits() const { return limits_; }
   const std::vector<Route>& Routes() const { return routes_; }
+  // Null if the deployment has no workspaces: then callers need no key.
+  const ContractTable* Contracts() const { return contracts_.get(); }
 
   // Returns the route of aHost whose path prefix is the longest that matches
   // aPath, or null. aHost may have a port and capitals; aPath must not have a
@@ -47,6 +53,7 @@
   std::uint64_t version_ = 0;
   CallerLimits limits_;
   std::vector<Route> routes_;
+  std::shared_ptr<const ContractTable> contracts_;
   // Indexes in routes_ by host followed by path prefix.
   std::unordered_map<std::string, std::size_t> routeIndexes_;
 };
