--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -405,10 +405,10 @@
     return DecodeSelectionMessage(aBytes).has_value();
   };
   BOOST_TEST(read("\x83\x04\x03\x82\x04\x05"));
-  BOOST_TEST(!read("\x83\x02\x03\x82\x04\x05"));
+  BOOST_TEST(!read("\x83\x03\x03\x82\x04\x05"));
   BOOST_TEST(!read("\x83\x05\x03\x82\x04\x05"));
-  BOOST_TEST(!read("\x83\x03\x03\x82\x04\x18\x63"));
-  BOOST_TEST(!read("\x83\x03\x03\x83\x04\x05\x04"));
+  BOOST_TEST(!read("\x83\x04\x03\x82\x04\x18\x63"));
+  BOOST_TEST(!read("\x83\x04\x03\x83\x04\x05\x04"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
