Gateway: Authorize requests by the keys of the configuration's workspaces

A request whose key is missing, repeated, malformed, overlong or unknown gets 401 before an attempt; a configuration that takes effect while it waits is asked again. The server is told the workspace in place of the key, and a caller's own copy of that field is dropped. Without workspaces, nothing is changed in a request.

--- /dev/null
+++ b/src/gateway/Authorization.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gateway/ExchangeHeaderCodec.h"
+#include "routing/RoutingTable.h"
+
+#include <memory>
+
+namespace filbertbeam {
+
+// Whether a version of the configuration allows a request, and for which
+// workspace.
+struct Authorization
+{
+  bool isGranted = false;
+  // Keeps contract alive.
+  std::shared_ptr<const RoutingTable> table;
+  // Null for requests without a workspace.
+  const Contract* contract = nullptr;
+
+  // The deployment names workspaces, so that a server is told the one of each
+  // request, and no key.
+  bool HasWorkspaces() const
+  {
+    return table != nullptr && table->Contracts() != nullptr;
+  }
+  // The name of the workspace; empty without one.
+  std::string_view Workspace() const
+  {
+    return contract ? std::string_view(contract->customer) : std::string_view();
+  }
+};
+
+// Decides by the key that aHeaders name. Without workspaces, everything is
+// granted; a public route needs no key, but a known one still tells the
+// workspace.
+Authorization
+Authorize(std::shared_ptr<const RoutingTable> aTable,
+          const Route& aRoute,
+          const CallerHeaders& aHeaders);
+
+} // namespace filbertbeam
--- a/src/gateway/ConfigurationInForce.cpp
+++ b/src/gateway/ConfigurationInForce.cpp
@@ -29,11 +29,14 @@
   }
   routing_ = table;
   object_ = aObject;
-  LogEvent(LogLevel::Info,
-           "configuration_in_force",
-           { { "version", table->Version() },
-             { "catalog_version", FormatCatalogVersion(aObject.version) },
-             { "routes", table->Routes().size() } });
+  LogEvent(
+    LogLevel::Info,
+    "configuration_in_force",
+    { { "version", table->Version() },
+      { "catalog_version", FormatCatalogVersion(aObject.version) },
+      { "routes", table->Routes().size() },
+      { "workspaces",
+        table->Contracts() ? table->Contracts()->Contracts().size() : 0 } });
   return true;
 }
 
--- a/src/gateway/ExchangeHeaderCodec.h
+++ b/src/gateway/ExchangeHeaderCodec.h
@@ -16,6 +16,23 @@
   // How long the caller waits for the response, counted from when it sends the
   // request.
   std::optional<Duration> timeout;
+  // SHA-256 of the caller's API key, in lower-case hexadecimal digits. Empty if
+  // the request has none, several, or one that is malformed.
+  std::string keySha256;
+};
+
+// What an attempt tells the backend server.
+struct AttemptHeaders
+{
+  // Id of the server that the attempt is meant for.
+  std::string_view server;
+  // How long the gateway waits for the response.
+  Duration remaining{};
+  // The deployment names workspaces: the attempt must not carry a key, and no
+  // name of a workspace but the following.
+  bool hasWorkspaces = false;
+  // Name of the request's workspace; empty without one.
+  std::string_view workspace{};
 };
 
 // What a backend server states in the header fields of its response.
@@ -42,11 +59,9 @@
 
   virtual CallerHeaders ReadCallerHeaders(
     const HttpRequestHead& aHead) const = 0;
-  // Adds to the head of an attempt the id of the server it is meant for and how
-  // long the gateway waits for the response.
+  // Replaces the fields of the caller's request that differ in an attempt.
   virtual void WriteAttemptHeaders(HttpRequestHead& aHead,
-                                   std::string_view aServer,
-                                   Duration aRemaining) const = 0;
+                                   const AttemptHeaders& aHeaders) const = 0;
   virtual ResponseHeaders ReadResponseHeaders(
     const HttpResponseHead& aHead) const = 0;
   // Adds the request id to a response that the gateway generates itself.
--- a/src/gateway/GatewayMetrics.cpp
+++ b/src/gateway/GatewayMetrics.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-constexpr std::array<const char*, 16> kNames{
+constexpr std::array<const char*, 18> kNames{
   "requests",         "succeeded",    "backend_failures", "refused_not_run",
   "failed_unknown",   "timed_out",    "not_routed",       "caller_left",
   "attempts",         "repeats",      "hedges",           "refused_attempts",
   "unusable_choices", "chosen_alone", "out_of_memory",    "stray_bytes",
+  "unauthorized",     "over_quota",
 };
 
 } // namespace
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -29,6 +29,10 @@
   OutOfMemory,
   // Bytes of servers that belong to no open exchange, by connection.
   StrayBytes,
+  // Requests that were refused for want of a key that a workspace holds.
+  Unauthorized,
+  // Requests that were refused since their workspace is over its limit.
+  OverQuota,
 };
 
 // Counters and histograms of this host's traffic. Safe to use from any thread.
@@ -44,7 +48,7 @@
 
 private:
   static constexpr std::size_t kCounters =
-    static_cast<std::size_t>(GatewayCounter::StrayBytes) + 1;
+    static_cast<std::size_t>(GatewayCounter::OverQuota) + 1;
 
   std::array<std::atomic<std::uint64_t>, kCounters> counters_{};
   LatencyHistogram latency_;
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -27,6 +27,19 @@
 // are already running.
 constexpr std::size_t kBodyReserveDivisor = 4;
 
+GatewayCounter
+CounterOf(int aStatus)
+{
+  switch (aStatus) {
+    case kUnavailable:
+      return GatewayCounter::RefusedNotRun;
+    case kUnauthorized:
+      return GatewayCounter::Unauthorized;
+    default:
+      return GatewayCounter::NotRouted;
+  }
+}
+
 } // namespace
 
 GatewayService::GatewayService(GatewayContext aContext)
@@ -74,6 +87,11 @@
     Refuse(*aExchange, headers, { kNotFound, "no-route" });
     return nullptr;
   }
+  Authorization authorization = Authorize(context_.routing, *route, headers);
+  if (!authorization.isGranted) {
+    Refuse(*aExchange, headers, { kUnauthorized, "unknown-key" });
+    return nullptr;
+  }
   if (EndsBefore(*route, headers)) {
     Refuse(
       *aExchange, headers, { kUnavailable, "stopping", kOtherHostRetryAfter });
@@ -87,11 +105,13 @@
       *aExchange, headers, { kUnavailable, "no-memory", kOtherHostRetryAfter });
     return nullptr;
   }
-  const auto session = std::make_shared<GatewaySession>(context_,
-                                                        std::move(aExchange),
-                                                        *route,
-                                                        std::move(headers),
-                                                        std::move(memory));
+  const auto session =
+    std::make_shared<GatewaySession>(context_,
+                                     std::move(aExchange),
+                                     *route,
+                                     std::move(authorization),
+                                     std::move(headers),
+                                     std::move(memory));
   session->Start();
   return session;
 }
@@ -136,9 +156,7 @@
                        const CallerHeaders& aHeaders,
                        const LocalResponse& aResponse)
 {
-  context_.metrics.Count(aResponse.status == kUnavailable
-                           ? GatewayCounter::RefusedNotRun
-                           : GatewayCounter::NotRouted);
+  context_.metrics.Count(CounterOf(aResponse.status));
   LogEvent(LogLevel::Info,
            "request_refused",
            { { "request", aHeaders.requestId },
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -43,6 +43,14 @@
 // A hedge that was refused is requested again after this time.
 constexpr milliseconds kHedgeRetryDelay{ 120 };
 
+// The priority of a contract goes before that of the route.
+int
+PriorityOf(const Route& aRoute, const Contract* aContract)
+{
+  return aContract && aContract->priority >= 0 ? aContract->priority
+                                               : aRoute.priority;
+}
+
 std::int64_t
 ToMilliseconds(Duration aDuration)
 {
@@ -54,14 +62,16 @@
 GatewaySession::GatewaySession(GatewayContext& aContext,
                                std::shared_ptr<HttpServerExchange> aExchange,
                                const Route& aRoute,
+                               Authorization aAuthorization,
                                CallerHeaders aHeaders,
                                MemoryReservation aMemory)
   : context_(aContext)
   , exchange_(std::move(aExchange))
-  , routing_(aContext.routing)
+  , routing_(aAuthorization.table)
   , route_(aRoute)
+  , authorization_(std::move(aAuthorization))
   , callerHeaders_(std::move(aHeaders))
-  , service_(aContext.split.Choose(aRoute, aContext.routing->Version()))
+  , service_(aContext.split.Choose(aRoute, routing_->Version()))
   , arrivedAt_(aContext.clock.Now())
   , deadline_(arrivedAt_ + RequestTimeout(aRoute, callerHeaders_))
   , memory_(std::move(aMemory))
@@ -167,7 +177,7 @@
   request.purpose = aPurpose;
   request.isIdempotent = route_.isIdempotent;
   request.hasLargeResponses = route_.hasLargeResponses;
-  request.priority = route_.priority;
+  request.priority = PriorityOf(route_, authorization_.contract);
   request.latencyObjective = route_.latencyObjective;
   request.remaining = Remaining();
   request.excluded = ExcludedServers();
@@ -246,6 +256,11 @@
     OnNoSelection(aPurpose, aOutcome.result.reason, aOutcome.result.retryAfter);
     return;
   }
+  if (!IsStillAuthorized()) {
+    context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
+    OnUnauthorized();
+    return;
+  }
   const BackendServerRecord* server =
     context_.directory->Find(aOutcome.result.selection->backendServer);
   if (!IsUsable(server)) {
@@ -265,6 +280,31 @@
   StartAttempt(*server, aOutcome, aPurpose);
 }
 
+bool
+GatewaySession::IsStillAuthorized()
+{
+  if (context_.routing != authorization_.table) {
+    authorization_ = Authorize(context_.routing, route_, callerHeaders_);
+  }
+  return authorization_.isGranted;
+}
+
+void
+GatewaySession::OnUnauthorized()
+{
+  // An attempt that is running began while the key was valid.
+  if (!runningAttempts_.empty()) {
+    return;
+  }
+  constexpr std::string_view kReason = "unknown-key";
+  if (failureHead_) {
+    RespondWithFailure(kReason, {});
+    return;
+  }
+  context_.metrics.Count(GatewayCounter::Unauthorized);
+  RespondLocally({ kUnauthorized, kBadGateway, kReason });
+}
+
 void
 GatewaySession::OnNoSelection(AttemptPurpose aPurpose,
                               std::string_view aReason,
@@ -298,7 +338,11 @@
     head.framing = BodyFraming::Length;
     head.contentLength = body_.size();
   }
-  context_.headerCodec.WriteAttemptHeaders(head, aServer.id, Remaining());
+  context_.headerCodec.WriteAttemptHeaders(head,
+                                           { aServer.id,
+                                             Remaining(),
+                                             authorization_.HasWorkspaces(),
+                                             authorization_.Workspace() });
   const auto attempt =
     std::make_shared<BackendAttempt>(weak_from_this(),
                                      context_.headerCodec,
@@ -702,7 +746,8 @@
            "request_closed",
            { { "request", callerHeaders_.requestId },
              { "route", route_.name },
-             { "version", routing_->Version() },
+             { "version", authorization_.table->Version() },
+             { "workspace", authorization_.Workspace() },
              { "service", service_ },
              { "directory", context_.directory->Revision() },
              { "servers",
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/AttemptHistory.h"
+#include "gateway/Authorization.h"
 #include "gateway/BackendAttempt.h"
 #include "gateway/GatewayContext.h"
 #include "http/HttpServerExchange.h"
@@ -20,11 +21,12 @@
   , public std::enable_shared_from_this<GatewaySession>
 {
 public:
-  // aRoute must belong to the routing table in aContext. aMemory is what the
-  // request takes beside its bodies.
+  // aRoute must belong to the table of aAuthorization, which has to be granted.
+  // aMemory is what the request takes beside its bodies.
   GatewaySession(GatewayContext& aContext,
                  std::shared_ptr<HttpServerExchange> aExchange,
                  const Route& aRoute,
+                 Authorization aAuthorization,
                  CallerHeaders aHeaders,
                  MemoryReservation aMemory);
   ~GatewaySession() override;
@@ -71,6 +73,10 @@
 
   Duration Remaining() const;
   SelectionRequest MakeSelectionRequest(AttemptPurpose aPurpose) const;
+  // Authorizes the request again if the configuration has changed. Returns
+  // false if its key is not valid any more.
+  bool IsStillAuthorized();
+  void OnUnauthorized();
   // Returns the servers that this request may not be sent to.
   std::vector<std::string> ExcludedServers() const;
   // True when this host may send the request to aServer now.
@@ -123,6 +129,8 @@
   // Keeps route_ alive.
   std::shared_ptr<const RoutingTable> routing_;
   const Route& route_;
+  // By the newest configuration of which the request was checked.
+  Authorization authorization_;
   const CallerHeaders callerHeaders_;
   const std::string service_;
   const Instant arrivedAt_;
--- a/src/gateway/LocalResponse.h
+++ b/src/gateway/LocalResponse.h
@@ -5,6 +5,8 @@
 
 namespace filbertbeam {
 
+inline constexpr int kUnauthorized = 401;
+
 // A response that this host generates itself, without that of a server.
 struct LocalResponse
 {
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -20,6 +20,7 @@
   {
     CallerHeaders headers;
     headers.requestId = aHead.fields.Find("Id").value_or("");
+    headers.keySha256 = aHead.fields.FindOnly("Key").value_or("");
     if (const auto timeout = aHead.fields.Find("Timeout-Ms")) {
       headers.timeout =
         std::chrono::milliseconds(std::atoi(std::string(*timeout).c_str()));
@@ -27,15 +28,18 @@
     return headers;
   }
   void WriteAttemptHeaders(HttpRequestHead& aHead,
-                           std::string_view aServer,
-                           Duration aRemaining) const override
+                           const AttemptHeaders& aHeaders) const override
   {
-    aHead.fields.Set("Server-Id", aServer);
+    aHead.fields.Set("Server-Id", aHeaders.server);
+    if (aHeaders.hasWorkspaces) {
+      aHead.fields.Remove("Key");
+      aHead.fields.Set("Workspace", aHeaders.workspace);
+    }
     aHead.fields.Set(
       "Timeout-Ms",
-      std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining)
-          .count()));
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                       aHeaders.remaining)
+                       .count()));
   }
   ResponseHeaders ReadResponseHeaders(
     const HttpResponseHead& aHead) const override
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -27,6 +27,100 @@
   BOOST_TEST(caller->isFinished);
 }
 
+BOOST_AUTO_TEST_SUITE(WithAKey)
+
+struct KeyFixture : GatewayFixture
+{
+  KeyFixture()
+  {
+    SetWorkspaces(1, { MakeContract("north", "key-1") });
+    SetServers(3);
+  }
+
+  static Contract MakeContract(std::string aName, std::string aKey)
+  {
+    Contract contract;
+    contract.customer = std::move(aName);
+    contract.keySha256 = { std::move(aKey) };
+    return contract;
+  }
+
+  void SetWorkspaces(std::uint64_t aVersion, std::vector<Contract> aContracts)
+  {
+    Route open = MakeRoute("/open/", true);
+    open.isPublic = true;
+    std::string reason;
+    service->SetRouting(
+      RoutingTable::Create(aVersion,
+                           { MakeRoute("/safe/", true), open },
+                           {},
+                           reason,
+                           ContractTable::Create(aContracts, reason)));
+  }
+
+  std::shared_ptr<FakeServerExchange> Ask(const std::string& aTarget,
+                                          const std::vector<std::string>& aKeys)
+  {
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = aTarget;
+    head.fields.Add("Host", "h");
+    head.fields.Add("Id", "request-1");
+    head.fields.Add("Workspace", "south");
+    for (const std::string& key : aKeys) {
+      head.fields.Add("Key", key);
+    }
+    auto exchange = std::make_shared<FakeServerExchange>(head);
+    observer = service->OnRequest(exchange);
+    if (observer) {
+      observer->OnRequestEnd();
+    }
+    return exchange;
+  }
+};
+
+// Guards against a server that is told another workspace, or the key.
+BOOST_FIXTURE_TEST_CASE(TellsTheServerTheWorkspaceInsteadOfIt, KeyFixture)
+{
+  Ask("/safe/1", { "key-1" });
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+  BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "north");
+  BOOST_TEST(!client.Last().head.fields.Find("Key"));
+}
+
+BOOST_FIXTURE_TEST_CASE(ThatNobodyHoldsIsRefusedBeforeAnyAttempt, KeyFixture)
+{
+  for (const std::vector<std::string>& keys :
+       std::vector<std::vector<std::string>>{
+         {}, { "key-2" }, { "key-1", "key-1" } }) {
+    const auto caller = Ask("/safe/1", keys);
+    BOOST_TEST(caller->response.status == 401);
+    BOOST_TEST(*caller->response.fields.Find("WWW-Authenticate") == "Bearer");
+  }
+  BOOST_TEST(client.exchanges.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNotNeededOnAPublicRoute, KeyFixture)
+{
+  Ask("/open/1", {});
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+  BOOST_TEST(client.Last().head.fields.Find("Workspace").value_or("").empty());
+}
+
+// Guards against a request that waits for its server while its key is taken
+// away.
+BOOST_FIXTURE_TEST_CASE(ThatIsTakenAwayWhileItWaitsStopsTheRequest, KeyFixture)
+{
+  const auto owner = StartScriptedOwner([](const SelectionQuery&) {});
+  const auto caller = Ask("/safe/1", { "key-1" });
+  SetWorkspaces(2, { MakeContract("north", "key-2") });
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; }));
+  BOOST_TEST(caller->response.status == 401);
+  BOOST_TEST(client.exchanges.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithoutARouteOrServer)
 
 // Guards against a "not found" response from a host that has not read a
