Balancing: Give the cost of a server a module of its own

Change: ServerCost computes the cost and the rotation from a request, the server's record and two small estimates. The constants move with it; the choice among servers of equal cost stays with the selector. Measured: test_balancing passes, its tests unchanged.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -13,52 +13,11 @@
 using std::chrono::seconds;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Costs are in milliseconds of the caller's time.
-
-// Traffic between failure domains is expensive: a large response from another
-// domain costs about a third of the value of the request.
-constexpr double kOtherDomainCost = 30;
-constexpr double kOtherDomainLargeCost = 350;
-// A failed request costs its caller this many latency objectives. The cost is
-// lower for an idempotent request, which gets a second attempt.
-constexpr double kFailureObjectives = 3.0;
-constexpr double kIdempotentFailureObjectives = 1.0;
-// Cost, in latency objectives, of a server that the requesting host recently
-// failed to reach.
-constexpr double kAvoidedObjectives = 2.0;
-// Maximum random cost; spreads requests over servers of equal cost.
+// Maximum random cost, in milliseconds; spreads requests over servers of equal
+// cost.
 constexpr double kJitter = 12;
-// Every unsuspected server gets a request within this time, so that the
-// estimate of its health stays current and no healthy server stays idle.
-constexpr milliseconds kRotationTime{ 1'000 };
-// Requests from other failure domains are used for the rotation only after this
-// time.
-constexpr milliseconds kOtherDomainRotationTime{ 1'400 };
-constexpr double kRotationCost = -10'000;
-// While more than this share of the attempts at unsuspected servers fails,
-// suspicion is no reason to leave a server idle: a suspected server without
-// pending requests also gets one after kSuspectedRotationTime.
-constexpr double kHighFailureShare = 0.1;
-constexpr milliseconds kSuspectedRotationTime{ 1'600 };
 // Weight of one attempt in the share of failed attempts.
 constexpr double kFailureWeight = 1.0 / 128;
-constexpr double kMaxUnhealthyForRotation = 0.4;
-constexpr double kMaxUnhealthyForIdempotentRotation = 0.7;
-// Cost, in mean latencies, of pending requests that occupy all slots of a
-// server; proportionally less for fewer.
-constexpr double kBusyLatencies = 0.12;
-// Ratio of a server's latencies to those of its service above which its cost
-// increases.
-constexpr double kTolerableSlowness = 1.25;
-// Cost of a queue, in mean latencies: a base and an amount for every queued
-// request per slot. Queued requests are lost when the server becomes unhealthy.
-constexpr double kQueueBase = 0.4;
-constexpr double kQueueFactor = 1.6;
-// Cost, in mean latencies, of a server with at most one free slot: servers slow
-// down when they are nearly full.
-constexpr double kNearlyFullLatencies = 0.12;
-// Cost of a cold server, in mean latencies: it takes about twice as long.
-constexpr double kColdLatencies = 1.0;
 
 // Maximum evidence from one pending attempt and from all those of a server.
 constexpr double kMaxAttemptEvidence = 4.5;
@@ -181,11 +140,10 @@
   const BackendServerRecord* best =
     FindBest(aRequest,
              directory_->ServersOfShard(aRequest.service, aRequest.shard),
-             model,
              aNow);
   if (best == nullptr) {
-    best = FindBest(
-      aRequest, directory_->ServersOfService(aRequest.service), model, aNow);
+    best =
+      FindBest(aRequest, directory_->ServersOfService(aRequest.service), aNow);
   }
   if (best == nullptr) {
     return { std::nullopt, "no-backend-server", kRetryAfter };
@@ -212,9 +170,9 @@
 const BackendServerRecord*
 BackendSelector::FindBest(const SelectionRequest& aRequest,
                           std::span<const BackendServerRecord* const> aServers,
-                          const LatencyModel& aModel,
                           Instant aNow)
 {
+  const ServiceEstimate service = EstimateService(aRequest);
   const BackendServerRecord* best = nullptr;
   double bestCost = 0;
   for (const BackendServerRecord* record : aServers) {
@@ -224,7 +182,7 @@
       continue;
     }
     const double cost =
-      ExpectedCost(aRequest, *record, servers_[record->id], aModel, aNow);
+      ExpectedCost(aRequest, *record, servers_[record->id], service, aNow);
     if (best == nullptr || cost < bestCost) {
       best = record;
       bestCost = cost;
@@ -297,31 +255,6 @@
   return kHedgeReserve * (1 - unhealthyProbability);
 }
 
-bool
-BackendSelector::IsRotationDue(const SelectionRequest& aRequest,
-                               const BackendServerRecord& aRecord,
-                               const ServerState& aServer,
-                               double aUnhealthyProbability,
-                               Instant aNow) const
-{
-  const bool isNear = aRecord.domain == aRequest.domain;
-  if (aRequest.purpose != AttemptPurpose::First ||
-      (!isNear && aRequest.hasLargeResponses)) {
-    return false;
-  }
-  const Duration idle = aNow - aServer.chosenAt;
-  const double limit = aRequest.isIdempotent
-                         ? kMaxUnhealthyForIdempotentRotation
-                         : kMaxUnhealthyForRotation;
-  if (aUnhealthyProbability < limit) {
-    return idle > (isNear ? kRotationTime : kOtherDomainRotationTime);
-  }
-  const auto failing = failingShares_.find(aRequest.service);
-  return failing != failingShares_.end() &&
-         failing->second > kHighFailureShare && aServer.pending.empty() &&
-         idle > kSuspectedRotationTime;
-}
-
 void
 BackendSelector::UpdateFailingShare(const PendingAttempt& aAttempt,
                                     AttemptResult aResult)
@@ -340,7 +273,7 @@
 BackendSelector::ExpectedCost(const SelectionRequest& aRequest,
                               const BackendServerRecord& aRecord,
                               ServerState& aServer,
-                              const LatencyModel& aModel,
+                              const ServiceEstimate& aService,
                               Instant aNow)
 {
   const double pendingEvidence = PendingEvidence(aServer, aNow);
@@ -356,41 +289,23 @@
         { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) },
         { "probability", fmt::format("{:.2f}", unhealthyProbability) } });
   }
-  const double objective = Milliseconds(aRequest.latencyObjective).count();
-  const double mean = Milliseconds(aModel.Mean()).count();
-  const double slots = std::max(aRecord.slots, 1);
-  double busy = static_cast<double>(aServer.pending.size());
-  if (aNow < aServer.fullUntil) {
-    busy = std::max(busy, slots + 1);
-  }
-  double cost =
-    unhealthyProbability * objective *
-    (aRequest.isIdempotent ? kIdempotentFailureObjectives : kFailureObjectives);
-  if (busy >= slots) {
-    cost += mean * aServer.slowness *
-            (kQueueBase + kQueueFactor * (busy - slots + 1) / slots);
-  }
-  if (busy + 1 >= slots) {
-    cost += mean * kNearlyFullLatencies;
-  }
-  cost += mean * kBusyLatencies * busy / slots;
-  cost += mean * std::max(aServer.slowness - kTolerableSlowness, 0.0);
-  if (aNow < aRecord.warmupEndsAt) {
-    cost += mean * kColdLatencies;
-  }
-  if (aRecord.domain != aRequest.domain) {
-    cost +=
-      aRequest.hasLargeResponses ? kOtherDomainLargeCost : kOtherDomainCost;
-  }
-  if (std::ranges::find(aRequest.avoided, aRecord.id) !=
-      aRequest.avoided.end()) {
-    cost += objective * kAvoidedObjectives;
-  }
-  if (busy < slots &&
-      IsRotationDue(aRequest, aRecord, aServer, unhealthyProbability, aNow)) {
-    cost += kRotationCost;
-  }
-  return cost + kJitter * random_.Uniform();
+  const ServerEstimate estimate{ unhealthyProbability,
+                                 static_cast<int>(aServer.pending.size()),
+                                 aNow < aServer.fullUntil,
+                                 aServer.slowness,
+                                 aNow - aServer.chosenAt };
+  return ServerCost(aRequest, aRecord, estimate, aService, aNow) +
+         kJitter * random_.Uniform();
+}
+
+ServiceEstimate
+BackendSelector::EstimateService(const SelectionRequest& aRequest)
+{
+  const LatencyModel& model =
+    ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
+  const auto failing = failingShares_.find(aRequest.service);
+  return { model.Mean(),
+           failing == failingShares_.end() ? 0 : failing->second };
 }
 
 double
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -3,6 +3,7 @@
 #include "balancing/ExtraAttemptBudget.h"
 #include "balancing/LatencyModel.h"
 #include "balancing/Selection.h"
+#include "balancing/ServerCost.h"
 #include "balancing/ServerHealth.h"
 #include "base/Random.h"
 #include "directory/BackendDirectory.h"
@@ -110,23 +111,17 @@
   const BackendServerRecord* FindBest(
     const SelectionRequest& aRequest,
     std::span<const BackendServerRecord* const> aServers,
-    const LatencyModel& aModel,
     Instant aNow);
   double ExpectedCost(const SelectionRequest& aRequest,
                       const BackendServerRecord& aRecord,
                       ServerState& aServer,
-                      const LatencyModel& aModel,
+                      const ServiceEstimate& aService,
                       Instant aNow);
+  ServiceEstimate EstimateService(const SelectionRequest& aRequest);
   bool TryAcquireExtraAttempt(const SelectionRequest& aRequest, Instant aNow);
   // Share of the budget that aRequest must leave unused.
   double ExtraAttemptReserve(const SelectionRequest& aRequest,
                              Instant aNow) const;
-  // True if aServer should get a request because it has had none for some time.
-  bool IsRotationDue(const SelectionRequest& aRequest,
-                     const BackendServerRecord& aRecord,
-                     const ServerState& aServer,
-                     double aUnhealthyProbability,
-                     Instant aNow) const;
   // Updates the share of failed attempts of the service.
   void UpdateFailingShare(const PendingAttempt& aAttempt,
                           AttemptResult aResult);
