Gateway: Refuse unknown keys on public routes too

A public route needs no key, and one that no configuration ever held was ignored there, so that its request ran. A request that presents a key, also a malformed or repeated one, is now refused with 401 unless a workspace holds the key; one with another scheme, or without the field, needs none.

--- a/src/gateway/Authorization.cpp
+++ b/src/gateway/Authorization.cpp
@@ -17,8 +17,8 @@
   if (!aHeaders.keySha256.empty()) {
     authorization.contract = contracts->FindByKeySha256(aHeaders.keySha256);
   }
-  authorization.isGranted =
-    aRoute.isPublic || authorization.contract != nullptr;
+  const bool isAnonymous = aRoute.isPublic && !aHeaders.hasKey;
+  authorization.isGranted = isAnonymous || authorization.contract != nullptr;
   return authorization;
 }
 
--- a/src/gateway/Authorization.h
+++ b/src/gateway/Authorization.h
@@ -31,8 +31,8 @@
 };
 
 // Decides by the key that aHeaders name. Without workspaces, everything is
-// granted; a public route needs no key, but a known one still tells the
-// workspace.
+// granted. A public route needs no key; one that is presented tells the
+// workspace, and is refused if it is unknown or malformed.
 Authorization
 Authorize(std::shared_ptr<const RoutingTable> aTable,
           const Route& aRoute,
--- a/src/gateway/ExchangeHeaderCodec.h
+++ b/src/gateway/ExchangeHeaderCodec.h
@@ -19,6 +19,8 @@
   // SHA-256 of the caller's API key, in lower-case hexadecimal digits. Empty if
   // the request has none, several, or one that is malformed.
   std::string keySha256;
+  // The request presents at least one key, which may be malformed.
+  bool hasKey = false;
 };
 
 // What an attempt tells the backend server.
--- a/src/gateway/tests/GatewayFixture.h
+++ b/src/gateway/tests/GatewayFixture.h
@@ -21,6 +21,7 @@
     CallerHeaders headers;
     headers.requestId = aHead.fields.Find("Id").value_or("");
     headers.keySha256 = aHead.fields.FindOnly("Key").value_or("");
+    headers.hasKey = aHead.fields.Find("Key").has_value();
     if (const auto timeout = aHead.fields.Find("Timeout-Ms")) {
       headers.timeout =
         std::chrono::milliseconds(std::atoi(std::string(*timeout).c_str()));
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -107,6 +107,20 @@
   BOOST_TEST(client.Last().head.fields.Find("Workspace").value_or("").empty());
 }
 
+// Guards against a request that runs though no configuration ever held its key.
+BOOST_FIXTURE_TEST_CASE(ThatNobodyHoldsIsRefusedOnAPublicRoute, KeyFixture)
+{
+  for (const std::vector<std::string>& keys :
+       std::vector<std::vector<std::string>>{ { "key-2" },
+                                              { "key-1", "key-1" } }) {
+    BOOST_TEST(Ask("/open/1", keys)->response.status == 401);
+  }
+  BOOST_TEST(client.exchanges.empty());
+  Ask("/open/1", { "key-1" });
+  BOOST_TEST_REQUIRE(client.exchanges.size() == 1U);
+  BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "north");
+}
+
 // Guards against a request that waits for its server while its key is taken
 // away.
 BOOST_FIXTURE_TEST_CASE(ThatIsTakenAwayWhileItWaitsStopsTheRequest, KeyFixture)
