Gateway: Ask the new configuration whether a waiting request's route is public

A request that waited while the configuration changed was checked against the new keys and the old route, so that one without a key ran on a route that was no longer public. The route is now looked up in the configuration in force; a request whose route is gone ends on the one that it began with. A test shows that a key which moves meanwhile tells its new workspace.

--- a/src/gateway/Authorization.cpp
+++ b/src/gateway/Authorization.cpp
@@ -2,6 +2,14 @@
 
 namespace filbertbeam {
 
+const Route*
+FindRoute(const RoutingTable& aTable, const HttpRequestHead& aHead)
+{
+  const std::string_view path =
+    std::string_view(aHead.target).substr(0, aHead.target.find('?'));
+  return aTable.Find(aHead.fields.Find("Host").value_or(""), path);
+}
+
 Authorization
 Authorize(std::shared_ptr<const RoutingTable> aTable,
           const Route& aRoute,
--- a/src/gateway/Authorization.h
+++ b/src/gateway/Authorization.h
@@ -30,6 +30,10 @@
   }
 };
 
+// Returns the route of a request, or null.
+const Route*
+FindRoute(const RoutingTable& aTable, const HttpRequestHead& aHead);
+
 // Decides by the key that aHeaders name. Without workspaces, everything is
 // granted. A public route needs no key; one that is presented tells the
 // workspace, and is refused if it is unknown or malformed.
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -134,12 +134,8 @@
 const Route*
 GatewayService::FindRoute(const HttpRequestHead& aHead) const
 {
-  if (context_.routing == nullptr) {
-    return nullptr;
-  }
-  const std::string_view path =
-    std::string_view(aHead.target).substr(0, aHead.target.find('?'));
-  return context_.routing->Find(aHead.fields.Find("Host").value_or(""), path);
+  return context_.routing ? filbertbeam::FindRoute(*context_.routing, aHead)
+                          : nullptr;
 }
 
 bool
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -284,7 +284,10 @@
 GatewaySession::IsStillAuthorized()
 {
   if (context_.routing != authorization_.table) {
-    authorization_ = Authorize(context_.routing, route_, callerHeaders_);
+    // A request whose route is gone ends on the one that it began with.
+    const Route* route = FindRoute(*context_.routing, exchange_->Request());
+    authorization_ =
+      Authorize(context_.routing, route ? *route : route_, callerHeaders_);
   }
   return authorization_.isGranted;
 }
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -45,10 +45,12 @@
     return contract;
   }
 
-  void SetWorkspaces(std::uint64_t aVersion, std::vector<Contract> aContracts)
+  void SetWorkspaces(std::uint64_t aVersion,
+                     std::vector<Contract> aContracts,
+                     bool aHasPublicRoute = true)
   {
     Route open = MakeRoute("/open/", true);
-    open.isPublic = true;
+    open.isPublic = aHasPublicRoute;
     std::string reason;
     service->SetRouting(
       RoutingTable::Create(aVersion,
@@ -121,6 +123,29 @@
   BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "north");
 }
 
+// Guards against a request without a key that waits for its server while its
+// route ceases to be public.
+BOOST_FIXTURE_TEST_CASE(IsNeededOnceItsRouteIsNoLongerPublic, KeyFixture)
+{
+  const auto owner = StartScriptedOwner([](const SelectionQuery&) {});
+  const auto caller = Ask("/open/1", {});
+  SetWorkspaces(2, { MakeContract("north", "key-1") }, false);
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; }));
+  BOOST_TEST(caller->response.status == 401);
+  BOOST_TEST(client.exchanges.empty());
+}
+
+// Guards against a server that is told a workspace that has lost the key.
+BOOST_FIXTURE_TEST_CASE(ThatMovesWhileItWaitsTellsItsNewWorkspace, KeyFixture)
+{
+  const auto owner = StartScriptedOwner([](const SelectionQuery&) {});
+  Ask("/safe/1", { "key-1" });
+  SetWorkspaces(
+    2, { MakeContract("north", "key-2"), MakeContract("west", "key-1") });
+  BOOST_TEST(WaitUntil([&] { return !client.exchanges.empty(); }));
+  BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "west");
+}
+
 // Guards against a request that waits for its server while its key is taken
 // away.
 BOOST_FIXTURE_TEST_CASE(ThatIsTakenAwayWhileItWaitsStopsTheRequest, KeyFixture)
