--- a/src/gateway/Authorization.cpp
+++ b/src/gateway/Authorization.cpp
@@ -2,6 +2,14 @@
 
 namespace filbertbeam {
 
+const Route*
+FindRoute(const RoutingTable& aTable, const HttpRequestHead& aHead)
+{
+  const std::string_view path =
+    std::string_view(aHead.target).substr(0, aHead.target.find('?'));
+  return aTable.Find(aHead.fields.Find("Host").value_or(""), path);
+}
+
 Authorization
 Authorize(std::shared_ptr<const RoutingTable> aTable,
           const Route& aRoute,
@@ -17,8 +25,8 @@
   if (!aHeaders.keySha256.empty()) {
     authorization.contract = contracts->FindByKeySha256(aHeaders.keySha256);
   }
-  authorization.isGranted =
-    aRoute.isPublic || authorization.contract != nullptr;
+  const bool isAnonymous = aRoute.isPublic && !aHeaders.hasKey;
+  authorization.isGranted = isAnonymous || authorization.contract != nullptr;
   return authorization;
 }
 
--- a/src/gateway/Authorization.h
+++ b/src/gateway/Authorization.h
@@ -30,9 +30,13 @@
   }
 };
 
+// Returns the route of a request, or null.
+const Route*
+FindRoute(const RoutingTable& aTable, const HttpRequestHead& aHead);
+
 // Decides by the key that aHeaders name. Without workspaces, everything is
-// granted; a public route needs no key, but a known one still tells the
-// workspace.
+// granted. A public route needs no key; one that is presented tells the
+// workspace, and is refused if it is unknown or malformed.
 Authorization
 Authorize(std::shared_ptr<const RoutingTable> aTable,
           const Route& aRoute,
