--- a/src/balancing/tests/TestBackendSelector.cpp
+++ b/src/balancing/tests/TestBackendSelector.cpp
@@ -551,6 +551,23 @@
   BOOST_TEST(selector.Select(retry, clock.Now()).selection.has_value());
 }
 
+// Guards against less urgent requests, and requests that would be late, which
+// use up the budget while servers turn away urgent ones.
+BOOST_AUTO_TEST_CASE(GoToUrgentRequestsThatCanEndInTime)
+{
+  SelectionRequest urgent = Request(true);
+  urgent.purpose = AttemptPurpose::Retry;
+  SelectionRequest lessUrgent = urgent;
+  lessUrgent.priority = 1;
+  SelectionRequest late = urgent;
+  late.remaining = 1ms;
+  BOOST_TEST(selector.Select(urgent, clock.Now()).selection.has_value());
+  while (selector.Select(lessUrgent, clock.Now()).selection) {
+  }
+  BOOST_TEST(!selector.Select(late, clock.Now()).selection.has_value());
+  BOOST_TEST(selector.Select(urgent, clock.Now()).selection.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against lost reports that make a server appear busy forever.
