Balancing: Let requests wait at the owner of a shard without room

Cause: the owner always named the least costly server, also when every server of the shard was full, so that requests stood in servers' queues first come, first served. Change: OwnerQueue keeps a request while no server has room, in the order of WaitingRequests, and turns away those that can't start in time.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -178,16 +178,33 @@
   DropOverdue(aNow);
   const LatencyModel& model =
     ModelOf(LatencyClass(aRequest), aRequest.latencyObjective);
+  return Commit(aRequest, FindServer(aRequest, model, aNow), model, aNow);
+}
+
+const BackendServerRecord*
+BackendSelector::FindServer(const SelectionRequest& aRequest,
+                            const LatencyModel& aModel,
+                            Instant aNow)
+{
   const BackendServerRecord* best =
     FindBest(aRequest,
              directory_->ServersOfShard(aRequest.service, aRequest.shard),
-             model,
+             aModel,
              aNow);
   if (best == nullptr) {
     best = FindBest(
-      aRequest, directory_->ServersOfService(aRequest.service), model, aNow);
+      aRequest, directory_->ServersOfService(aRequest.service), aModel, aNow);
   }
-  if (best == nullptr) {
+  return best;
+}
+
+SelectionResult
+BackendSelector::Commit(const SelectionRequest& aRequest,
+                        const BackendServerRecord* aServer,
+                        const LatencyModel& aModel,
+                        Instant aNow)
+{
+  if (aServer == nullptr) {
     return { std::nullopt, "no-backend-server", kRetryAfter };
   }
   if (IsExtraAttempt(aRequest.purpose) &&
@@ -195,15 +212,15 @@
     return { std::nullopt, "no-repeat-budget", kRetryAfter };
   }
   const bool isHealthy =
-    UnhealthyProbability(best->id, aNow) < kMaxUnhealthyForRotation;
-  const std::uint64_t ticket = Track(aRequest, best->id, aNow);
+    UnhealthyProbability(aServer->id, aNow) < kMaxUnhealthyForRotation;
+  const std::uint64_t ticket = Track(aRequest, aServer->id, aNow);
   PendingAttempt& attempt = tickets_.at(ticket);
   attempt.isChosenLocally = true;
   attempt.wasServerHealthy = isHealthy;
   return { Selection{ ticket,
-                      best->id,
-                      HedgeDelay(model, aRequest.latencyObjective),
-                      aNow - servers_[best->id].respondedAt <
+                      aServer->id,
+                      HedgeDelay(aModel, aRequest.latencyObjective),
+                      aNow - servers_[aServer->id].respondedAt <
                         kRecentResponseTime },
            {},
            {} };
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -4,6 +4,7 @@
 #include "balancing/LatencyModel.h"
 #include "balancing/Selection.h"
 #include "balancing/ServerHealth.h"
+#include "balancing/WaitingRequests.h"
 #include "base/Random.h"
 #include "directory/BackendDirectory.h"
 
@@ -34,6 +35,15 @@
   void SetDirectory(std::shared_ptr<const BackendDirectory> aDirectory);
 
   SelectionResult Select(const SelectionRequest& aRequest, Instant aNow);
+  // Selects as Select() does. Returns nothing if the server and all others of
+  // the shard that could serve the request have no room for it.
+  std::optional<SelectionResult> SelectIfRoom(const SelectionRequest& aRequest,
+                                              Instant aNow);
+  // Time for which aRequest is expected to occupy a slot.
+  Duration TypicalWork(const SelectionRequest& aRequest);
+  // Returns the room in the shard of aRequest, without servers that appear
+  // unhealthy, unless all do.
+  ShardRoom RoomFor(const SelectionRequest& aRequest, Instant aNow);
   // Counts an attempt for which another host selected aServer. Returns its
   // ticket.
   std::uint64_t Track(const SelectionRequest& aRequest,
@@ -105,6 +115,19 @@
   double PendingEvidence(const ServerState& aServer, Instant aNow) const;
   // Returns until when aHost is known to have been running.
   Instant RunningUntil(const std::string& aHost, Instant aNow) const;
+  // Returns the server for aRequest, or null if there is none.
+  const BackendServerRecord* FindServer(const SelectionRequest& aRequest,
+                                        const LatencyModel& aModel,
+                                        Instant aNow);
+  // Returns the selection of aServer, unless aRequest may not be sent.
+  SelectionResult Commit(const SelectionRequest& aRequest,
+                         const BackendServerRecord* aServer,
+                         const LatencyModel& aModel,
+                         Instant aNow);
+  // True if aServer has a free slot, or holds no request beyond its slots.
+  bool HasRoom(const ServerState& aServer, Instant aNow) const;
+  // True if a server of the shard that appears healthy has room.
+  bool HasRoomInShard(const SelectionRequest& aRequest, Instant aNow) const;
   // Returns the server with the least cost for aRequest, or null if all of
   // aServers are draining or excluded.
   const BackendServerRecord* FindBest(
--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -107,7 +107,7 @@
 Append(QCborStreamWriter& aWriter, const SelectionResponse& aResponse)
 {
   const Selection selection = aResponse.result.selection.value_or(Selection{});
-  aWriter.startArray(13);
+  aWriter.startArray(14);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kResponse));
   aWriter.append(static_cast<quint64>(aResponse.queryId));
@@ -118,6 +118,7 @@
   AppendText(aWriter, aResponse.result.reason);
   AppendDuration(aWriter, aResponse.result.retryAfter);
   AppendVersions(aWriter, aResponse.known);
+  aWriter.append(aResponse.isWaiting);
   aWriter.endArray();
 }
 
@@ -255,6 +256,7 @@
   response.result.reason = aInput.ReadText(kMaxNameBytes);
   response.result.retryAfter = ReadDuration(aInput);
   response.known = ReadVersions(aInput);
+  response.isWaiting = aInput.ReadBool();
   if (!selection.backendServer.empty()) {
     response.result.selection = std::move(selection);
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -33,6 +33,9 @@
   std::uint64_t queryId = 0;
   SelectionResult result;
   KnownVersions known;
+  // The request waits at the owner for a free slot; another response follows.
+  // The entry host repeats the query while it waits.
+  bool isWaiting = false;
 };
 
 // Result of the attempt with the ticket.
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -18,12 +18,11 @@
 // period.
 constexpr milliseconds kResponseTimeout{ 100 };
 constexpr milliseconds kReportResendDelay{ 100 };
-// Cancellations arrive within this time after the response.
-constexpr milliseconds kCancellationTime{ 1'000 };
 // Shares of the burst of a service by rank as its owner, and the share that is
 // divided equally among all hosts.
 constexpr std::array<double, 2> kBurstSharesByRank{ 0.65, 0.15 };
 constexpr double kCommonBurstShare = 0.1;
+constexpr milliseconds kRepeatCheckInterval{ 50 };
 // Maximum number of timed out queries that are kept to log late responses.
 constexpr std::size_t kMaxTimedOutQueries = 64;
 
@@ -57,6 +56,7 @@
   , random_(aRandom)
   , ranking_(aSettings.host, aSettings.processorCores)
   , selector_(aSettings.budget, aRandom)
+  , ownerQueue_(selector_)
   , directory_(
       std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
   // Prevents responses to queries of an earlier run of this host from matching
@@ -66,6 +66,11 @@
   queryTimer_.setSingleShot(true);
   queryTimer_.setTimerType(Qt::PreciseTimer);
   queryTimer_.callOnTimeout([this] { OnQueryTimeout(); });
+  servingTimer_.setSingleShot(true);
+  servingTimer_.setTimerType(Qt::PreciseTimer);
+  servingTimer_.callOnTimeout([this] { ServeWaiting(); });
+  repeatTimer_.setInterval(kRepeatCheckInterval);
+  repeatTimer_.callOnTimeout([this] { RepeatWaitingQueries(); });
   reportTimer_.setSingleShot(true);
   reportTimer_.callOnTimeout([this] { ResendReports(); });
 }
@@ -179,19 +184,19 @@
   return shard;
 }
 
-void
+std::uint64_t
 SelectionService::Select(SelectionRequest aRequest, Callback aCallback)
 {
+  const std::uint64_t queryId = nextQueryId_++;
   aRequest.host = settings_.host;
   aRequest.domain = settings_.domain;
   aRequest.shard = ChooseShard(aRequest);
   const PeerHost* owner =
     ranking_.OwnerOf(aRequest.service, aRequest.shard.index, clock_.Now());
   if (owner == nullptr) {
-    aCallback(SelectLocally(aRequest, "self"));
-    return;
+    OfferLocally(queryId, aRequest, std::move(aCallback));
+    return queryId;
   }
-  const std::uint64_t queryId = nextQueryId_++;
   socket_->Send(
     owner->address,
     EncodeSelectionMessage(SelectionQuery{ queryId, aRequest, known_ }));
@@ -202,6 +207,7 @@
                                         owner->address,
                                         clock_.Now() + kResponseTimeout });
   ScheduleTimeout();
+  return queryId;
 }
 
 SelectionOutcome
@@ -216,9 +222,16 @@
 SelectionOutcome
 SelectionService::SelectLocally(const SelectionRequest& aRequest,
                                 std::string_view aSource)
+{
+  return LocalOutcome(selector_.Select(aRequest, clock_.Now()), aSource);
+}
+
+SelectionOutcome
+SelectionService::LocalOutcome(const SelectionResult& aResult,
+                               std::string_view aSource)
 {
   SelectionOutcome outcome;
-  outcome.result = selector_.Select(aRequest, clock_.Now());
+  outcome.result = aResult;
   outcome.source = aSource;
   if (outcome.result.selection) {
     outcome.handle.localTicket = outcome.result.selection->ticket;
@@ -233,6 +246,7 @@
     Report(aHandle.owner, { aHandle.ownerTicket, aResult });
   }
   selector_.Finish(aHandle.localTicket, aResult, clock_.Now());
+  ScheduleServing();
 }
 
 void
@@ -318,19 +332,25 @@
   ranking_.OnPeerMessage(aQuery.request.host, aQuery.request.domain, aSender);
   const Instant now = clock_.Now();
   selector_.OnHostMessage(aQuery.request.host, now);
-  const SelectionResult result = selector_.Select(aQuery.request, now);
-  socket_->Send(aSender,
-                EncodeSelectionMessage(
-                  SelectionResponse{ aQuery.queryId, result, known_ }));
-  if (result.selection) {
-    answeredQueries_.push_back(
-      { aSender, aQuery.queryId, result.selection->ticket, now });
-  }
-  while (!answeredQueries_.empty() &&
-         now - answeredQueries_.front().respondedAt > kCancellationTime) {
-    answeredQueries_.pop_front();
-  }
   OnVersions(aQuery.known, aSender);
+  if (const auto queued = FindQueued(aSender, aQuery.queryId)) {
+    ownerQueue_.KeepWaiting(*queued, now);
+    RespondWaiting(aSender, aQuery.queryId);
+    return;
+  }
+  // A repeat of a query whose response was lost.
+  OnCancellation(aSender, { aQuery.queryId });
+  const auto queued = ownerQueue_.Offer(
+    aQuery.request,
+    [this, aSender, queryId = aQuery.queryId](const SelectionResult& aResult) {
+      Respond(aSender, queryId, aResult);
+    },
+    now);
+  if (queued) {
+    queuedQueries_.emplace(*queued, QueuedQuery{ aQuery.queryId, aSender });
+    RespondWaiting(aSender, aQuery.queryId);
+    ScheduleServing();
+  }
 }
 
 void
@@ -341,12 +361,16 @@
     selector_.OnReport(result.ticket, now);
     selector_.Finish(result.ticket, result.result, now);
   }
+  ScheduleServing();
 }
 
 void
 SelectionService::OnCancellation(const Endpoint& aSender,
                                  const SelectionCancellation& aCancellation)
 {
+  if (CancelQueued(aSender, aCancellation.queryId)) {
+    return;
+  }
   const auto query =
     std::ranges::find_if(answeredQueries_, [&](const AnsweredQuery& aQuery) {
       return aQuery.queryId == aCancellation.queryId &&
@@ -354,6 +378,8 @@
     });
   if (query != answeredQueries_.end()) {
     selector_.Finish(query->ticket, AttemptResult::Unused, clock_.Now());
+    answeredQueries_.erase(query);
+    ScheduleServing();
   }
 }
 
@@ -372,14 +398,27 @@
                              const SelectionResponse& aResponse)
 {
   OnVersions(aResponse.known, aSender);
-  const auto node = pendingQueries_.extract(aResponse.queryId);
-  if (node.empty()) {
+  if (aResponse.isWaiting &&
+      waitingQueries_.OnStillWaiting(aResponse.queryId)) {
+    return;
+  }
+  auto node = pendingQueries_.extract(aResponse.queryId);
+  std::optional<PendingQuery> found =
+    node.empty() ? waitingQueries_.Take(aResponse.queryId)
+                 : std::optional(std::move(node.mapped()));
+  if (!found) {
     // The request was served without this response.
     OnLateResponse(aSender, aResponse);
     return;
   }
-  const PendingQuery& query = node.mapped();
+  PendingQuery& query = *found;
   ranking_.OnResponse(query.owner);
+  if (aResponse.isWaiting) {
+    waitingQueries_.Add(aResponse.queryId, std::move(query), clock_.Now());
+    repeatTimer_.start();
+    ScheduleTimeout();
+    return;
+  }
   SelectionOutcome outcome;
   outcome.result = aResponse.result;
   outcome.source = "owner";
@@ -407,6 +446,11 @@
           std::chrono::duration_cast<milliseconds>(clock_.Now() - query.sentAt)
             .count() } });
   }
+  if (aResponse.isWaiting) {
+    socket_->Send(
+      aSender,
+      EncodeSelectionMessage(SelectionCancellation{ aResponse.queryId }));
+  }
   if (aResponse.result.selection) {
     Report(aSender,
            { aResponse.result.selection->ticket, AttemptResult::Unused });
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "balancing/BackendSelector.h"
+#include "balancing/OwnerQueue.h"
 #include "balancing/OwnerRanking.h"
 #include "balancing/SelectionMessages.h"
+#include "balancing/WaitingQueries.h"
 #include "membership/DatagramSocket.h"
 
 #include <QTimer>
@@ -96,8 +98,11 @@
   void SetDirectory(const std::shared_ptr<const BackendDirectory>& aDirectory);
 
   // Calls aCallback exactly once, possibly before returning, unless this object
-  // is destroyed first.
-  void Select(SelectionRequest aRequest, Callback aCallback);
+  // is destroyed or the selection is cancelled first. Returns an id for
+  // CancelWaiting(); later ids are greater.
+  std::uint64_t Select(SelectionRequest aRequest, Callback aCallback);
+  // The caller of a request that may still wait for a server has left.
+  void CancelWaiting(std::uint64_t aSelectionId);
   // Selects a server without querying the owner.
   SelectionOutcome SelectWithoutOwner(SelectionRequest aRequest);
   void Finish(const SelectionHandle& aHandle, AttemptResult aResult);
@@ -108,15 +113,6 @@
   Endpoint LocalEndpoint() const { return socket_->LocalEndpoint(); }
 
 private:
-  struct PendingQuery
-  {
-    SelectionRequest request;
-    Callback callback;
-    std::string owner;
-    Endpoint address;
-    Instant dueAt;
-  };
-
   // A query of another host to which this host has responded.
   struct AnsweredQuery
   {
@@ -126,6 +122,14 @@
     Instant respondedAt;
   };
 
+  // A query of another host, or of this one, that waits in ownerQueue_.
+  struct QueuedQuery
+  {
+    std::uint64_t queryId = 0;
+    // Empty for this host's own.
+    std::optional<Endpoint> requester;
+  };
+
   // A query that got no response in time.
   struct TimedOutQuery
   {
@@ -145,6 +149,27 @@
   // Returns a selection made by this host.
   SelectionOutcome SelectLocally(const SelectionRequest& aRequest,
                                  std::string_view aSource);
+  SelectionOutcome LocalOutcome(const SelectionResult& aResult,
+                                std::string_view aSource);
+  // Selects a server as the owner of the shard, or lets the request wait.
+  void OfferLocally(std::uint64_t aQueryId,
+                    const SelectionRequest& aRequest,
+                    Callback aCallback);
+  void Respond(const Endpoint& aRequester,
+               std::uint64_t aQueryId,
+               const SelectionResult& aResult);
+  void RespondWaiting(const Endpoint& aRequester, std::uint64_t aQueryId);
+  // Removes the query from ownerQueue_. Returns false if it does not wait.
+  bool CancelQueued(const std::optional<Endpoint>& aRequester,
+                    std::uint64_t aQueryId);
+  // Returns the id in ownerQueue_ of a query that waits there.
+  std::optional<std::uint64_t> FindQueued(
+    const std::optional<Endpoint>& aRequester,
+    std::uint64_t aQueryId) const;
+  // Serves the waiting requests soon, after a slot may have become free.
+  void ScheduleServing();
+  void ServeWaiting();
+  void RepeatWaitingQueries();
   void OnDatagram(const Endpoint& aSender, ByteView aBytes);
   std::string EncodeAnnouncement(bool aIsResponseWanted = false) const;
   void OnVersions(const KnownVersions& aKnown, const Endpoint& aSender);
@@ -172,8 +197,13 @@
   // Counts this host's own attempts, and those of all hosts at the servers of
   // shards that it owns.
   BackendSelector selector_;
+  // Requests for the servers of the shards that this host owns.
+  OwnerQueue ownerQueue_;
+  // By their ids in ownerQueue_.
+  std::map<std::uint64_t, QueuedQuery> queuedQueries_;
   std::shared_ptr<const BackendDirectory> directory_;
   std::map<std::uint64_t, PendingQuery> pendingQueries_;
+  WaitingQueries waitingQueries_;
   std::map<std::uint64_t, TimedOutQuery> timedOutQueries_;
   // In the order of the responses.
   std::deque<AnsweredQuery> answeredQueries_;
@@ -186,6 +216,8 @@
   AnnouncementHandler onAnnouncement_;
   HeartbeatHandler onHeartbeat_;
   QTimer queryTimer_;
+  QTimer servingTimer_;
+  QTimer repeatTimer_;
 };
 
 } // namespace filbertbeam
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -225,7 +225,7 @@
     return;
   }
   isSelecting_ = true;
-  context_.selection.Select(
+  const std::uint64_t id = context_.selection.Select(
     MakeSelectionRequest(aPurpose),
     [weak = weak_from_this(), &selection = context_.selection, aPurpose](
       const SelectionOutcome& aOutcome) {
@@ -235,6 +235,8 @@
         selection.Finish(aOutcome.handle, AttemptResult::Unused);
       }
     });
+  // The callback may have requested another selection already.
+  selectionId_ = std::max(selectionId_, id);
 }
 
 void
@@ -735,6 +737,9 @@
   }
   deadlineTimer_.stop();
   hedgeTimer_.stop();
+  if (isSelecting_) {
+    context_.selection.CancelWaiting(selectionId_);
+  }
   const Duration latency = context_.clock.Now() - arrivedAt_;
   context_.metrics.RecordLatency(latency);
   if (IsSuccess(aStatus)) {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -146,6 +146,8 @@
   std::vector<AttemptPointer> runningAttempts_;
   AttemptHistory attempts_;
   bool isSelecting_ = false;
+  // Of the latest selection.
+  std::uint64_t selectionId_ = 0;
   bool isDone_ = false;
   // The attempt whose response is forwarded while it arrives.
   AttemptPointer streamingAttempt_;
