--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -126,7 +126,7 @@
                          Instant aNow);
   // True if aServer has a free slot, or holds no request beyond its slots.
   bool HasRoom(const ServerState& aServer, Instant aNow) const;
-  // True if a server of the shard that appears healthy has room.
+  // True if a server of the shard has room.
   bool HasRoomInShard(const SelectionRequest& aRequest, Instant aNow) const;
   // Returns the server with the least cost for aRequest, or null if all of
   // aServers are draining or excluded.
--- a/src/balancing/SelectorRoom.cpp
+++ b/src/balancing/SelectorRoom.cpp
@@ -104,10 +104,10 @@
             aRequest.excluded.end()) {
         return false;
       }
+      // A server counts that appears unhealthy: the estimate may be wrong, and
+      // no slot may idle while a request waits for it.
       const auto server = servers_.find(aRecord->id);
-      return server == servers_.end() ||
-             (HasRoom(server->second, aNow) &&
-              UnhealthyProbability(aRecord->id, aNow) < kMaxUnhealthy);
+      return server == servers_.end() || HasRoom(server->second, aNow);
     });
 }
 
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -344,6 +344,119 @@
     [&] { return owner.service->PendingAttempts() == before; }, 500ms));
 }
 
+// An owner and a requester of a service with one server of one slot, which
+// holds two requests: no more have room.
+struct FullServer
+{
+  FullServer()
+    : one("one")
+    , two("two")
+  {
+    one.service->SetHosts({ one.Address(), two.Address() });
+    const SelectionOutcome outcome = one.Select();
+    isOwnerOne = outcome.source == "self";
+    one.service->Finish(outcome.handle, AttemptResult::Unused);
+    requester().service->SetHosts({ one.Address(), two.Address() });
+    owner().service->SetHosts({ one.Address(), two.Address() });
+    first = requester().Select();
+    second = requester().Select();
+  }
+
+  Host& requester() { return isOwnerOne ? two : one; }
+  Host& owner() { return isOwnerOne ? one : two; }
+
+  std::uint64_t Ask()
+  {
+    SelectionRequest request;
+    request.service = "permits";
+    request.route = "approve";
+    request.latencyObjective = 1s;
+    request.remaining = 10s;
+    return requester().service->Select(
+      request,
+      [this](const SelectionOutcome& aOutcome) { outcome = aOutcome; });
+  }
+
+  Host one;
+  Host two;
+  bool isOwnerOne = false;
+  SelectionOutcome first;
+  SelectionOutcome second;
+  std::optional<SelectionOutcome> outcome;
+};
+
+BOOST_FIXTURE_TEST_SUITE(WithoutRoom, FullServer)
+
+// Load: more requests than the servers hold.
+BOOST_AUTO_TEST_CASE(ARequestWaitsAtItsOwnerUntilASlotIsFree)
+{
+  Ask();
+  RunFor(400ms);
+  BOOST_TEST(!outcome.has_value());
+  requester().service->Finish(first.handle, AttemptResult::Responded);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 200ms));
+  BOOST_TEST(outcome->source == "owner");
+  BOOST_TEST(outcome->result.selection.has_value());
+  BOOST_TEST(owner().service->PendingAttempts() == 2);
+}
+
+// Load: requests of the owner's own callers wait beside those of other hosts.
+BOOST_AUTO_TEST_CASE(TheOwnersOwnRequestsWaitToo)
+{
+  std::optional<SelectionOutcome> own;
+  SelectionRequest request;
+  request.service = "permits";
+  request.latencyObjective = 1s;
+  request.remaining = 10s;
+  owner().service->Select(
+    request, [&](const SelectionOutcome& aOutcome) { own = aOutcome; });
+  RunFor(1s);
+  BOOST_TEST(!own.has_value());
+  requester().service->Finish(first.handle, AttemptResult::Responded);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return own.has_value(); }, 200ms));
+  BOOST_TEST(own->source == "self");
+}
+
+// Failure: the owner dies while a request waits there.
+BOOST_AUTO_TEST_CASE(ARequestOutlivesTheOwnerAtWhichItWaits)
+{
+  Ask();
+  RunFor(100ms);
+  owner().service.reset();
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 1'500ms));
+  BOOST_TEST(outcome->source == "alone");
+}
+
+// Load: a caller that leaves must not take a slot from those that wait.
+BOOST_AUTO_TEST_CASE(ARequestWhoseCallerHasLeftTakesNoSlot)
+{
+  const std::uint64_t id = Ask();
+  RunFor(100ms);
+  requester().service->CancelWaiting(id);
+  RunFor(50ms);
+  requester().service->Finish(first.handle, AttemptResult::Responded);
+  RunFor(200ms);
+  BOOST_TEST(!outcome.has_value());
+  BOOST_TEST(owner().service->PendingAttempts() == 1);
+}
+
+// Failure: the response with the selection of a waiting request is lost.
+BOOST_AUTO_TEST_CASE(ALostSelectionIsMadeAgain)
+{
+  LossyPath path(owner().service->LocalEndpoint());
+  requester().service->SetHosts(
+    { requester().Address(), { owner().name, "piarco", path.NearEnd() } });
+  Ask();
+  RunFor(100ms);
+  path.loseNextToRequester = true;
+  requester().service->Finish(first.handle, AttemptResult::Responded);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 1s));
+  BOOST_TEST(outcome->source == "owner");
+  BOOST_TEST(owner().service->PendingAttempts() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Messages)
 
 BOOST_AUTO_TEST_CASE(AreReadAsTheyWereWritten)
