Gateway: Refuse keys out of touch where the deployment is strict

A strict host now answers 503 with Retry-After to a request with a key once neither the catalog nor a watcher's heartbeat has confirmed its configuration for revokeS, and again when a request is sent. The decision is in KeyKnowledge; the control thread tells the traffic thread the time of the last confirmation every 100 ms. A probe beside a waiting watch confirms it too, so the probe interval is a third of revokeS, 3 s at most. Without the settings nothing changes: no timer, the probe as before.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -519,6 +519,7 @@
   if (aFailure.error == CatalogError::None) {
     OnRecovered();
     lastResponseAt_ = clock_.Now();
+    respondedAt_ = lastResponseAt_;
     return true;
   }
   if (failures_ == 0) {
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -141,6 +141,8 @@
   }
   // The time since the last response of the catalog, or since the start.
   Duration Age() const { return clock_.Now() - lastResponseAt_; }
+  // When the catalog last returned data; empty before the first time.
+  const std::optional<Instant>& RespondedAt() const { return respondedAt_; }
 
 private:
   // The response to a call is ignored once a newer call has been sent.
@@ -208,6 +210,7 @@
   bool isComplete_ = false;
   int failures_ = 0;
   Instant lastResponseAt_;
+  std::optional<Instant> respondedAt_;
   // These objects are also part of the copy.
   MissingObjects missing_;
   QTimer callTimer_;
--- a/src/catalog/CatalogProbe.cpp
+++ b/src/catalog/CatalogProbe.cpp
@@ -4,18 +4,20 @@
 
 CatalogProbe::CatalogProbe(ObjectCatalog& aCatalog,
                            Predicate aIsNeeded,
-                           FailureHandler aOnFailure)
+                           FailureHandler aOnFailure,
+                           ResponseHandler aOnResponse)
   : catalog_(aCatalog)
   , isNeeded_(std::move(aIsNeeded))
   , onFailure_(std::move(aOnFailure))
+  , onResponse_(std::move(aOnResponse))
 {
   timer_.callOnTimeout([this] { Check(); });
 }
 
 void
-CatalogProbe::Start()
+CatalogProbe::Start(std::chrono::milliseconds aInterval)
 {
-  timer_.start(kCatalogProbeInterval);
+  timer_.start(aInterval);
 }
 
 void
@@ -29,6 +31,8 @@
     isChecking_ = false;
     if (aFailure.error == CatalogError::Unavailable && isNeeded_()) {
       onFailure_(aFailure);
+    } else if (aFailure.error == CatalogError::None && onResponse_) {
+      onResponse_();
     }
   });
 }
--- a/src/catalog/CatalogProbe.h
+++ b/src/catalog/CatalogProbe.h
@@ -8,6 +8,9 @@
 
 namespace filbertbeam {
 
+// A catalog that does not respond for this time is noticed.
+inline constexpr std::chrono::milliseconds kCatalogProbeInterval{ 3'000 };
+
 // Checks regularly whether the catalog still responds to this host. A watch
 // waits for its response so long that nothing else shows in time that it has
 // been lost. A check costs the least of all calls.
@@ -16,14 +19,16 @@
 public:
   using Predicate = std::function<bool()>;
   using FailureHandler = std::function<void(const CatalogFailure&)>;
+  using ResponseHandler = std::function<void()>;
 
   // aCatalog has to outlive the object. aIsNeeded tells whether this host has a
   // watch that waits; without one, no check is made.
   CatalogProbe(ObjectCatalog& aCatalog,
                Predicate aIsNeeded,
-               FailureHandler aOnFailure);
+               FailureHandler aOnFailure,
+               ResponseHandler aOnResponse = {});
 
-  void Start();
+  void Start(std::chrono::milliseconds aInterval = kCatalogProbeInterval);
 
 private:
   void Check();
@@ -31,11 +36,9 @@
   ObjectCatalog& catalog_;
   const Predicate isNeeded_;
   const FailureHandler onFailure_;
+  const ResponseHandler onResponse_;
   bool isChecking_ = false;
   QTimer timer_;
 };
 
-// A catalog that does not respond for this time is noticed.
-inline constexpr std::chrono::milliseconds kCatalogProbeInterval{ 3'000 };
-
 } // namespace filbertbeam
--- a/src/gateway/Authorization.cpp
+++ b/src/gateway/Authorization.cpp
@@ -26,6 +26,7 @@
     authorization.contract = contracts->FindByKeySha256(aHeaders.keySha256);
   }
   const bool isAnonymous = aRoute.isPublic && !aHeaders.hasKey;
+  authorization.needsKeys = !aHeaders.keySha256.empty();
   authorization.isGranted = isAnonymous || authorization.contract != nullptr;
   return authorization;
 }
--- a/src/gateway/Authorization.h
+++ b/src/gateway/Authorization.h
@@ -7,11 +7,18 @@
 
 namespace filbertbeam {
 
+// Refusal of a host that cannot know whether its keys are current. Another host
+// may know, and this one usually does again soon.
+inline constexpr std::string_view kKeysNotCurrent = "keys-not-current";
+inline constexpr std::chrono::milliseconds kKeysNotCurrentRetryAfter{ 250 };
+
 // Whether a version of the configuration allows a request, and for which
 // workspace.
 struct Authorization
 {
   bool isGranted = false;
+  // The decision depends on the keys that this host knows.
+  bool needsKeys = false;
   // Keeps contract alive.
   std::shared_ptr<const RoutingTable> table;
   // Null for requests without a workspace.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,6 +38,12 @@
 // leave the host.
 constexpr milliseconds kLastResponseTime{ 100 };
 
+// The catalog is probed several times within the time for which keys are
+// trusted, so that a late response does not end it.
+constexpr int kProbesPerTrustTime = 3;
+constexpr milliseconds kMinProbeInterval{ 200 };
+constexpr milliseconds kKeysCheckInterval{ 100 };
+
 constexpr milliseconds kCatalogLogInterval{ 10'000 };
 
 constexpr int kOk = 200;
@@ -54,7 +60,9 @@
   , headerCodec_(aHeaderCodec)
   , configuration_(aCodec)
   , directoryBuilder_(aCodec, clock_)
+  , keys_(settings_.keyTrustTime)
 {
+  keysTimer_.callOnTimeout([this] { ConfirmKeys(); });
   stopTimer_.callOnTimeout([this] { CheckStopped(); });
   catchUpTimer_.callOnTimeout([this] { CatchUp(); });
   catalogLogTimer_.callOnTimeout([this] { LogCatalogCalls(); });
@@ -108,10 +116,13 @@
     [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
   configurationFollower_->Start();
   serverFollower_->Start();
-  watchSharing_->Start();
+  watchSharing_->Start(ProbeInterval());
   hostRegistry_->Start();
   snapshotClient_->Start();
   knowledgeClient_->Start();
+  if (settings_.keyTrustTime) {
+    keysTimer_.start(kKeysCheckInterval);
+  }
   return true;
 }
 
@@ -288,6 +299,18 @@
                                                   kCoalescingDelayDivisor);
 }
 
+milliseconds
+Gateway::ProbeInterval() const
+{
+  if (!settings_.keyTrustTime) {
+    return kCatalogProbeInterval;
+  }
+  return std::clamp(std::chrono::duration_cast<milliseconds>(
+                      *settings_.keyTrustTime / kProbesPerTrustTime),
+                    kMinProbeInterval,
+                    kCatalogProbeInterval);
+}
+
 bool
 Gateway::IsReady() const
 {
@@ -499,6 +522,28 @@
     { { "host", settings_.host }, { "version", ConfigurationVersion() } });
 }
 
+void
+Gateway::ConfirmKeys()
+{
+  ConfigurationContact contact = watchSharing_->Contact();
+  contact.isComplete = contact.isComplete && knowledgeClient_->IsDone() &&
+                       configuration_.Routing() != nullptr;
+  contact.lacksReportedChange =
+    !configurationFollower_->HasRead(peerVersions_.Newest().configuration);
+  if (const auto at = ConfirmedAt(contact)) {
+    keys_.Confirm(*at);
+    trafficThread_.Post([this, at = *at] { traffic_->ConfirmKeys(at); });
+  }
+  const bool areCurrent = keys_.MayJudge(clock_.Now());
+  if (areCurrent == std::exchange(areKeysCurrent_, areCurrent)) {
+    return;
+  }
+  LogEvent(areCurrent ? LogLevel::Info : LogLevel::Warning,
+           areCurrent ? "keys_current" : "keys_not_current",
+           { { "version", ConfigurationVersion() },
+             { "reported_change_missing", contact.lacksReportedChange } });
+}
+
 void
 Gateway::LogCatalogCalls()
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -92,6 +92,7 @@
   // How long changes of backend servers are collected before they are read
   // together.
   std::chrono::milliseconds CoalescingDelay() const;
+  std::chrono::milliseconds ProbeInterval() const;
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
@@ -116,6 +117,8 @@
   void CheckStopped();
   void ReportReadiness();
   void LogCatalogCalls();
+  // Tells the traffic thread when the keys were last known to be current.
+  void ConfirmKeys();
   std::string FormatMetrics() const;
 
   GatewaySettings settings_;
@@ -141,6 +144,9 @@
   ReportedVersions peerVersions_;
   QTimer catchUpTimer_;
   QTimer catalogLogTimer_;
+  KeyKnowledge keys_;
+  bool areKeysCurrent_ = false;
+  QTimer keysTimer_;
   // Ends the time in which departures of servers are kept after a restore.
   QTimer departuresTimer_;
   std::uint64_t loggedCatalogCalls_ = 0;
--- a/src/gateway/GatewayContext.h
+++ b/src/gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "directory/BackendDirectory.h"
 #include "gateway/ExchangeHeaderCodec.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/KeyKnowledge.h"
 #include "gateway/PathHealth.h"
 #include "gateway/StatedAvailability.h"
 #include "http/HttpClient.h"
@@ -36,6 +37,7 @@
   // During a planned stop, the time at which the last response has to be
   // complete.
   std::optional<Instant> stopsAt = {};
+  KeyKnowledge keys = KeyKnowledge();
 };
 
 } // namespace filbertbeam
--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -88,6 +88,13 @@
     return nullptr;
   }
   Authorization authorization = Authorize(context_.routing, *route, headers);
+  if (authorization.needsKeys &&
+      !context_.keys.MayJudge(context_.clock.Now())) {
+    Refuse(*aExchange,
+           headers,
+           { kUnavailable, kKeysNotCurrent, kKeysNotCurrentRetryAfter });
+    return nullptr;
+  }
   if (!authorization.isGranted) {
     Refuse(*aExchange, headers, { kUnauthorized, "unknown-key" });
     return nullptr;
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -20,6 +20,14 @@
   // Refuses the requests from now on whose deadline is after aStopsAt: the
   // process ends then, and they would get no response.
   void BeginStop(Instant aStopsAt) { context_.stopsAt = aStopsAt; }
+  // Keys that have not been confirmed for this time are not trusted. Always
+  // trusted if it is empty.
+  void SetKeyTrustTime(std::optional<Duration> aTime)
+  {
+    context_.keys = KeyKnowledge(aTime);
+  }
+  // The keys of the routing in use were known to be current at aTime.
+  void ConfirmKeys(Instant aTime) { context_.keys.Confirm(aTime); }
 
   std::shared_ptr<HttpRequestObserver> OnRequest(
     std::shared_ptr<HttpServerExchange> aExchange) override;
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -256,7 +256,14 @@
     OnNoSelection(aPurpose, aOutcome.result.reason, aOutcome.result.retryAfter);
     return;
   }
-  if (!IsStillAuthorized()) {
+  const bool isAuthorized = IsStillAuthorized();
+  if (authorization_.needsKeys &&
+      !context_.keys.MayJudge(context_.clock.Now())) {
+    context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
+    OnNoSelection(aPurpose, kKeysNotCurrent, kKeysNotCurrentRetryAfter);
+    return;
+  }
+  if (!isAuthorized) {
     context_.selection.Finish(aOutcome.handle, AttemptResult::Unused);
     OnUnauthorized();
     return;
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -44,6 +44,10 @@
   // A leaving backend server receives no request later than this after the
   // catalog shows that it leaves.
   Duration drainTime = std::chrono::seconds(2);
+  // A host that is out of touch for longer than this, without the catalog and
+  // without a peer that reads it, refuses requests that need a key. Empty: it
+  // goes on with the keys that it knows.
+  std::optional<Duration> keyTrustTime;
   // Window in which the body of a caller's request has to arrive at a minimum
   // rate.
   std::chrono::milliseconds bodyGrace = HttpServerLimits{}.bodyGrace;
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -116,6 +116,7 @@
                     nullptr,
                     std::make_shared<BackendDirectory>(
                       0, std::vector<BackendServerRecord>()) });
+  runtime->service_->SetKeyTrustTime(aSettings.keyTrustTime);
   runtime->server_ = HttpServer::Create(aSettings.front,
                                         ServerLimits({}, aSettings.bodyGrace),
                                         *runtime->service_,
--- a/src/gateway/TrafficRuntime.h
+++ b/src/gateway/TrafficRuntime.h
@@ -27,6 +27,7 @@
   // aHandler is called on the traffic thread.
   void SetNewerVersionsHandler(SelectionService::VersionsHandler aHandler);
   void SetHosts(std::vector<PeerHost> aHosts);
+  void ConfirmKeys(Instant aTime) { service_->ConfirmKeys(aTime); }
   void SendHeartbeat(const WatcherHeartbeat& aHeartbeat)
   {
     selection_->SendHeartbeat(aHeartbeat);
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -83,7 +83,8 @@
       [this](const CatalogFailure& aFailure) {
         configuration_.OnCatalogUnresponsive(aFailure);
         servers_.OnCatalogUnresponsive(aFailure);
-      })
+      },
+      [this] { probedAt_ = clock_.Now(); })
   , clock_(aClock)
   , random_(aRandom)
   , sendHeartbeat_(std::move(aSendHeartbeat))
@@ -94,10 +95,10 @@
 }
 
 void
-WatchSharing::Start()
+WatchSharing::Start(milliseconds aProbeInterval)
 {
   tickTimer_.start(kTick);
-  probe_.Start();
+  probe_.Start(aProbeInterval);
 }
 
 void
@@ -126,6 +127,20 @@
   return configuration_.IsReachable() && servers_.IsReachable();
 }
 
+ConfigurationContact
+WatchSharing::Contact() const
+{
+  ConfigurationContact contact;
+  contact.isComplete =
+    configuration_.IsComplete() && configuration_.Version().IsKnown();
+  // A probe shows that the watch beside it would report a change.
+  contact.catalogRespondedAt =
+    std::max(configuration_.RespondedAt(),
+             configuration_.IsWatching() ? probedAt_ : std::nullopt);
+  contact.coveredAt = configurationCoveredAt_;
+  return contact;
+}
+
 void
 WatchSharing::Tick()
 {
@@ -214,6 +229,10 @@
   if (IsCoveredBy(aHeartbeat)) {
     coveredAt_ = clock_.Now();
   }
+  if (configuration_.HasRead(aHeartbeat.known.configuration) &&
+      configuration_.IsCoveredBy(ConfigurationProgress(aHeartbeat))) {
+    configurationCoveredAt_ = clock_.Now();
+  }
   // A watcher that can read the catalog receives the change from it, unless it
   // waits to list it.
   const bool needsWatcher =
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -3,6 +3,7 @@
 #include "balancing/SelectionMessages.h"
 #include "catalog/CatalogFollower.h"
 #include "catalog/CatalogProbe.h"
+#include "gateway/KeyKnowledge.h"
 #include "gateway/PeerSnapshot.h"
 #include "gateway/WatcherElection.h"
 #include "store/PlatformClient.h"
@@ -35,13 +36,17 @@
                Random& aRandom,
                HeartbeatSender aSendHeartbeat);
 
-  void Start();
+  // The catalog is probed at aProbeInterval while this host watches it.
+  void Start(std::chrono::milliseconds aProbeInterval = kCatalogProbeInterval);
   // Sends no heartbeats from now on, so that other hosts take over.
   void StopHeartbeats() { maySendHeartbeats_ = false; }
   void SetHosts(std::span<const PeerHost> aHosts);
   void OnHeartbeat(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   // True when this host has read all changes up to aKnown.
   bool HasRead(const KnownVersions& aKnown) const;
+  // How far this host's configuration is known to be current, as the catalog
+  // and the heartbeats show.
+  ConfigurationContact Contact() const;
   // The catalog was restored from an older copy and is now in aGeneration. The
   // hosts that watch for the others list it at once; the others import their
   // copy, or list after a while.
@@ -99,6 +104,10 @@
   // When a watcher that knows all changes which this host lacks last sent a
   // heartbeat; empty before the first one.
   std::optional<Instant> coveredAt_;
+  // When a watcher last showed that this host has read its whole configuration.
+  std::optional<Instant> configurationCoveredAt_;
+  // When the catalog last responded to a probe.
+  std::optional<Instant> probedAt_;
 };
 
 // Returns the target of a request to a watcher for the changes after the given
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -146,6 +146,24 @@
   BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "west");
 }
 
+// Guards against a host out of touch that goes by keys which may have been
+// taken away, though its deployment is strict.
+BOOST_FIXTURE_TEST_CASE(IsNotTrustedByAStrictHostOutOfTouch, KeyFixture)
+{
+  service->SetKeyTrustTime(std::chrono::seconds(5));
+  BOOST_TEST(Ask("/safe/1", { "key-1" })->response.status == 503);
+  service->ConfirmKeys(clock.Now());
+  Ask("/safe/1", { "key-1" });
+  BOOST_TEST(client.exchanges.size() == 1U);
+  clock.Pause(std::chrono::seconds(6));
+  const auto caller = Ask("/safe/1", { "key-1" });
+  BOOST_TEST(caller->response.status == 503);
+  BOOST_TEST(*caller->response.fields.Find("Retry-After") == "0.250");
+  BOOST_TEST(Ask("/safe/1", {})->response.status == 401);
+  Ask("/open/1", {});
+  BOOST_TEST(client.exchanges.size() == 2U);
+}
+
 // Guards against a request that waits for its server while its key is taken
 // away.
 BOOST_FIXTURE_TEST_CASE(ThatIsTakenAwayWhileItWaitsStopsTheRequest, KeyFixture)
