--- a/src/balancing/ExtraAttemptOrder.cpp
+++ b/src/balancing/ExtraAttemptOrder.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Candidates leave the demand of this time for those that go before them.
-constexpr std::chrono::duration<double> kDemandTime{ 3 };
+constexpr std::chrono::duration<double> kDemandTime{ 1 };
 // Candidates below this probability are likely to be too late.
 constexpr double kMinInTimeProbability = 0.3;
 
