Balancing: Prefer servers at which the host has an idle connection

Cause: hosts that draw from many servers open a connection for almost every other request, and a new connection costs a round trip. Change: the owner of a shard concludes from the attempts of all hosts which of them have an idle connection to which server, at most 32 a server, and adds 12 ms to the cost of a server where the host has none that the request may use.

--- a/src/balancing/BackendSelector.cpp
+++ b/src/balancing/BackendSelector.cpp
@@ -69,6 +69,15 @@
                     kMaxAttemptEvidence);
 }
 
+// True for results that leave the connection of the attempt open.
+constexpr bool
+HasWholeResponse(AttemptResult aResult)
+{
+  return aResult == AttemptResult::Responded ||
+         aResult == AttemptResult::Failed ||
+         aResult == AttemptResult::NotExecuted;
+}
+
 // Early enough for a second attempt to meet the objective, but not before most
 // healthy servers would have responded.
 Duration
@@ -236,6 +245,7 @@
                                    aNow + model.Mean() * queued / server.slots,
                                    aNow + aRequest.remaining + kReportGrace });
   server.pending.push_back(ticket);
+  server.idleConnections.OnAttemptStarted(aRequest.host);
   server.chosenAt = aNow;
   return ticket;
 }
@@ -289,15 +299,27 @@
         { "pending_evidence", fmt::format("{:.1f}", pendingEvidence) },
         { "probability", fmt::format("{:.2f}", unhealthyProbability) } });
   }
-  const ServerEstimate estimate{ unhealthyProbability,
-                                 static_cast<int>(aServer.pending.size()),
-                                 aNow < aServer.fullUntil,
-                                 aServer.slowness,
-                                 aNow - aServer.chosenAt };
+  const ServerEstimate estimate{
+    unhealthyProbability,     static_cast<int>(aServer.pending.size()),
+    aNow < aServer.fullUntil, aServer.slowness,
+    aNow - aServer.chosenAt,  HasIdleConnection(aRequest, aServer, aNow)
+  };
   return ServerCost(aRequest, aRecord, estimate, aService, aNow) +
          kJitter * random_.Uniform();
 }
 
+bool
+BackendSelector::HasIdleConnection(const SelectionRequest& aRequest,
+                                   const ServerState& aServer,
+                                   Instant aNow)
+{
+  // Hosts open a new connection for a request that must not run twice unless
+  // its server has responded recently.
+  return (aRequest.isIdempotent ||
+          aNow - aServer.respondedAt < kRecentResponseTime) &&
+         aServer.idleConnections.Has(aRequest.host, aNow);
+}
+
 ServiceEstimate
 BackendSelector::EstimateService(const SelectionRequest& aRequest)
 {
@@ -380,6 +402,9 @@
   if (aResult == AttemptResult::Unused || model == models_.end()) {
     return;
   }
+  if (HasWholeResponse(aResult)) {
+    server.idleConnections.OnResponse(attempt.host, aNow);
+  }
   if (aResult == AttemptResult::Responded) {
     server.respondedAt = aNow;
   }
--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/ExtraAttemptBudget.h"
+#include "balancing/IdleConnections.h"
 #include "balancing/LatencyModel.h"
 #include "balancing/Selection.h"
 #include "balancing/ServerCost.h"
@@ -94,6 +95,7 @@
     // The server recently refused a request for lack of capacity and counts as
     // full until this time.
     Instant fullUntil;
+    IdleConnections idleConnections;
   };
 
   ExtraAttemptBudget& BudgetOf(const std::string& aService);
@@ -117,6 +119,10 @@
                       ServerState& aServer,
                       const ServiceEstimate& aService,
                       Instant aNow);
+  // True if aRequest can use an idle connection of its host to aServer.
+  static bool HasIdleConnection(const SelectionRequest& aRequest,
+                                const ServerState& aServer,
+                                Instant aNow);
   ServiceEstimate EstimateService(const SelectionRequest& aRequest);
   bool TryAcquireExtraAttempt(const SelectionRequest& aRequest, Instant aNow);
   // Share of the budget that aRequest must leave unused.
--- a/src/balancing/ServerCost.cpp
+++ b/src/balancing/ServerCost.cpp
@@ -15,6 +15,9 @@
 // domain costs about a third of the value of the request.
 constexpr double kOtherDomainCost = 30;
 constexpr double kOtherDomainLargeCost = 350;
+// Opening a connection takes up to a round trip between failure domains and a
+// place among the connections that the server accepts.
+constexpr double kNewConnectionCost = 12;
 // A failed request costs its caller this many latency objectives. The cost is
 // lower for an idempotent request, which gets a second attempt.
 constexpr double kFailureObjectives = 3.0;
@@ -99,9 +102,11 @@
 
 // Cost of the path between the requesting host and aServer.
 double
-PathCost(const SelectionRequest& aRequest, const BackendServerRecord& aServer)
+PathCost(const SelectionRequest& aRequest,
+         const BackendServerRecord& aServer,
+         const ServerEstimate& aEstimate)
 {
-  double cost = 0;
+  double cost = aEstimate.hasIdleConnection ? 0 : kNewConnectionCost;
   if (aServer.domain != aRequest.domain) {
     cost +=
       aRequest.hasLargeResponses ? kOtherDomainLargeCost : kOtherDomainCost;
@@ -126,7 +131,7 @@
   const double mean = Milliseconds(aService.meanLatency).count();
   double cost = FailureCost(aRequest, aEstimate) +
                 LatencyCost(aServer, aEstimate, mean, aNow) +
-                PathCost(aRequest, aServer);
+                PathCost(aRequest, aServer, aEstimate);
   if (BusySlots(aServer, aEstimate) < SlotCount(aServer) &&
       IsRotationDue(aRequest, aServer, aEstimate, aService)) {
     cost += kRotationCost;
--- a/src/balancing/ServerCost.h
+++ b/src/balancing/ServerCost.h
@@ -20,6 +20,8 @@
   double slowness = 1;
   // Time since the server was last selected.
   Duration idle{};
+  // The requesting host has an idle connection that the request may use.
+  bool hasIdleConnection = false;
 };
 
 // What the owner of a shard knows about the service of a request.
