--- a/src/balancing/BackendSelector.h
+++ b/src/balancing/BackendSelector.h
@@ -2,6 +2,7 @@
 
 #include "balancing/ExtraAttemptBudget.h"
 #include "balancing/ExtraAttemptOrder.h"
+#include "balancing/IdleConnections.h"
 #include "balancing/LatencyModel.h"
 #include "balancing/Selection.h"
 #include "balancing/ServerCost.h"
@@ -105,6 +106,7 @@
     // The server recently refused a request for lack of capacity and counts as
     // full until this time.
     Instant fullUntil;
+    IdleConnections idleConnections;
   };
 
   ExtraAttemptBudget& BudgetOf(const std::string& aService);
@@ -140,6 +142,10 @@
                       ServerState& aServer,
                       const ServiceEstimate& aService,
                       Instant aNow);
+  // True if aRequest can use an idle connection of its host to aServer.
+  static bool HasIdleConnection(const SelectionRequest& aRequest,
+                                const ServerState& aServer,
+                                Instant aNow);
   ServiceEstimate EstimateService(const SelectionRequest& aRequest);
   bool TryAcquireExtraAttempt(const SelectionRequest& aRequest, Instant aNow);
   // Share of what the budget allows that aRequest must leave unused.
