Balancing: Turn away the newest of equal requests and keep the pace

Change: of requests with about the same work the newest is turned away, a new one needs a margin, and the pace is kept.

--- a/src/balancing/OwnerQueue.cpp
+++ b/src/balancing/OwnerQueue.cpp
@@ -13,6 +13,8 @@
 // Requests that are tried when a slot is free: the first in the order may
 // exclude the servers that have room.
 constexpr std::size_t kMaxTried = 4;
+// Above this number of shards, those without waiting requests are forgotten.
+constexpr std::size_t kMaxShards = 256;
 constexpr milliseconds kHedgeRetryAfter{ 150 };
 
 std::string
@@ -51,8 +53,8 @@
                   Instant aNow)
 {
   const std::string shard = NameOf(aRequest);
-  const bool isFirst = !shards_.contains(shard);
-  if (isFirst) {
+  WaitingRequests& waiting = WaitingOf(shard);
+  if (waiting.IsEmpty()) {
     if (const auto result = selector_.SelectIfRoom(aRequest, aNow)) {
       aResponder(*result);
       return std::nullopt;
@@ -66,13 +68,13 @@
   const Instant deadline = aNow + aRequest.remaining;
   entries_.emplace(
     id, Entry{ shard, aRequest, std::move(aResponder), aNow, deadline, aNow });
-  shards_[shard].Add({ id,
-                       aRequest.host,
-                       aRequest.route,
-                       aRequest.priority,
-                       aRequest.purpose == AttemptPurpose::Retry,
-                       deadline,
-                       selector_.TypicalWork(aRequest) });
+  waiting.Add({ id,
+                aRequest.host,
+                aRequest.route,
+                aRequest.priority,
+                aRequest.purpose == AttemptPurpose::Retry,
+                deadline,
+                selector_.TypicalWork(aRequest) });
   std::vector<Response> responses;
   ServeShard(shard, aNow, responses);
   Send(responses);
@@ -97,11 +99,17 @@
   if (node.empty()) {
     return;
   }
-  const auto shard = shards_.find(node.mapped().shard);
-  shard->second.Remove(aId);
-  if (shard->second.IsEmpty()) {
-    shards_.erase(shard);
+  shards_.at(node.mapped().shard).Remove(aId);
+}
+
+WaitingRequests&
+OwnerQueue::WaitingOf(const std::string& aShard)
+{
+  if (shards_.size() >= kMaxShards) {
+    std::erase_if(shards_,
+                  [](const auto& aItem) { return aItem.second.IsEmpty(); });
   }
+  return shards_[aShard];
 }
 
 void
@@ -112,7 +120,9 @@
   }
   std::vector<std::string> names;
   for (const auto& [name, waiting] : shards_) {
-    names.push_back(name);
+    if (!waiting.IsEmpty()) {
+      names.push_back(name);
+    }
   }
   std::vector<Response> responses;
   for (const std::string& name : names) {
@@ -130,9 +140,6 @@
   while (StartOne(shard->second, aNow, aResponses)) {
   }
   TurnAwayLate(shard->second, aNow, aResponses);
-  if (shard->second.IsEmpty()) {
-    shards_.erase(shard);
-  }
 }
 
 bool
--- a/src/balancing/OwnerQueue.h
+++ b/src/balancing/OwnerQueue.h
@@ -58,6 +58,7 @@
     SelectionResult result;
   };
 
+  WaitingRequests& WaitingOf(const std::string& aShard);
   void ServeShard(const std::string& aShard,
                   Instant aNow,
                   std::vector<Response>& aResponses);
@@ -71,6 +72,7 @@
   static void Send(std::span<const Response> aResponses);
 
   BackendSelector& selector_;
+  // Also shards where nothing waits any more, for what is known of their pace.
   std::map<std::string, WaitingRequests> shards_;
   std::map<std::uint64_t, Entry> entries_;
   std::uint64_t nextId_ = 1;
--- a/src/balancing/WaitingRequests.cpp
+++ b/src/balancing/WaitingRequests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <tuple>
 
 namespace filbertbeam {
@@ -18,6 +19,12 @@
 constexpr double kPaceWeight = 0.05;
 constexpr double kMinSlowdown = 0.5;
 constexpr double kMaxSlowdown = 4;
+// Work within a step of this factor counts as the same.
+constexpr double kWorkStep = 1.5;
+constexpr double kMinWorkSeconds = 0.001;
+// A new request must fit the plan with this factor on the time until its start,
+// so that those that wait are seldom turned away later.
+constexpr double kAcceptanceMargin = 1.25;
 // Bounds the memory for names of routes.
 constexpr std::size_t kMaxRoutes = 256;
 
@@ -98,6 +105,9 @@
        late = FindLate(aRoom, aNow)) {
     turnedAway.push_back(TakeOut(FindLeastCostly(late), "no-room", aRoom));
   }
+  for (WaitingRequest& request : requests_) {
+    request.isAccepted = true;
+  }
   isPaceKnown_ = isPaceKnown_ && !requests_.empty();
   return turnedAway;
 }
@@ -107,7 +117,11 @@
 {
   Duration ahead{};
   for (std::size_t i = 0; i < requests_.size(); ++i) {
-    const Instant start = aNow + aRoom.serverDelay + TimeFor(ahead, aRoom);
+    Duration wait = aRoom.serverDelay + TimeFor(ahead, aRoom);
+    if (!requests_[i].isAccepted) {
+      wait = std::chrono::duration_cast<Duration>(wait * kAcceptanceMargin);
+    }
+    const Instant start = aNow + wait;
     if (requests_[i].LatestStart() < start) {
       return i;
     }
@@ -121,8 +135,15 @@
 {
   const auto weigh = [this](const WaitingRequest& aRequest) {
     const auto count = turnedAwayByRoute_.find(aRequest.route);
-    return aRequest.work /
-           (count == turnedAwayByRoute_.end() ? 1 : count->second + 1);
+    const int turnedAway =
+      count == turnedAwayByRoute_.end() ? 0 : count->second;
+    const double share =
+      std::chrono::duration<double>(aRequest.work).count() / (turnedAway + 1);
+    // Of requests with about the same work, the newest one loses least: its
+    // caller has the most time left to return.
+    return std::pair(std::floor(std::log(std::max(share, kMinWorkSeconds)) /
+                                std::log(kWorkStep)),
+                     aRequest.id);
   };
   std::size_t found = aLate;
   for (std::size_t i = aLate;
--- a/src/balancing/WaitingRequests.h
+++ b/src/balancing/WaitingRequests.h
@@ -24,6 +24,8 @@
   Instant deadline;
   // Time for which the request is expected to occupy a slot.
   Duration work{};
+  // The plan had room for the request when it came.
+  bool isAccepted = false;
 
   // The latest time at which the request can start to meet its deadline.
   Instant LatestStart() const { return deadline - work; }
--- a/src/balancing/tests/TestWaitingRequests.cpp
+++ b/src/balancing/tests/TestWaitingRequests.cpp
@@ -207,6 +207,20 @@
   BOOST_TEST((turnedAway[0].retryAfter >= 1s));
 }
 
+// Load: equal requests, one too many. The caller that has waited least can
+// still return.
+BOOST_AUTO_TEST_CASE(TheNewestOfEqualRequestsIsTurnedAway)
+{
+  std::uint64_t newest = 0;
+  for (int i = 0; i < 10; ++i) {
+    newest = Add(0, 1'110ms - i * 1ms, 200ms + i * 100us);
+  }
+  room.slots = 2;
+  const auto turnedAway = waiting.TurnAway(room, clock.Now());
+  BOOST_TEST_REQUIRE(turnedAway.size() == 1U);
+  BOOST_TEST(turnedAway[0].id == newest);
+}
+
 // Load: a route whose work can't end before its timeout.
 BOOST_AUTO_TEST_CASE(WorkThatCannotEndInTimeIsTurnedAwayAtOnce)
 {
