Balancing: Log hedges that find no room

Cause: a hedge that is refused for want of room left no trace. Change: selection_waited says hedge-refused. The test of the newest request expects both requests that the margin for new ones turns away.

--- a/src/balancing/OwnerQueue.cpp
+++ b/src/balancing/OwnerQueue.cpp
@@ -61,6 +61,7 @@
     }
   }
   if (aRequest.purpose == AttemptPurpose::Hedge) {
+    LogWaited(aRequest, "hedge-refused", {});
     aResponder({ std::nullopt, "no-room", kHedgeRetryAfter });
     return std::nullopt;
   }
--- a/src/balancing/tests/TestWaitingRequests.cpp
+++ b/src/balancing/tests/TestWaitingRequests.cpp
@@ -87,7 +87,7 @@
     return request;
   }
 
-  void Offer(SelectionRequest aRequest)
+  void Offer(const SelectionRequest& aRequest)
   {
     ++offered;
     const Instant deadline = clock.Now() + aRequest.remaining;
@@ -207,8 +207,8 @@
   BOOST_TEST((turnedAway[0].retryAfter >= 1s));
 }
 
-// Load: equal requests, one too many. The caller that has waited least can
-// still return.
+// Load: equal requests, two too many with the margin for new ones. The callers
+// that have waited least can still return.
 BOOST_AUTO_TEST_CASE(TheNewestOfEqualRequestsIsTurnedAway)
 {
   std::uint64_t newest = 0;
@@ -217,8 +217,9 @@
   }
   room.slots = 2;
   const auto turnedAway = waiting.TurnAway(room, clock.Now());
-  BOOST_TEST_REQUIRE(turnedAway.size() == 1U);
+  BOOST_TEST_REQUIRE(turnedAway.size() == 2U);
   BOOST_TEST(turnedAway[0].id == newest);
+  BOOST_TEST(turnedAway[1].id == newest - 1);
 }
 
 // Load: a route whose work can't end before its timeout.
