Quota: Grant the tokens of a workspace by one home host

Change: src/quota has the token buckets of a home (QuotaLedger) and what an entry host knows (QuotaAllowance), both without network. The protocol number stays at 4.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint64_t kAnnouncement = 4;
 constexpr std::uint64_t kHeartbeat = 5;
 constexpr std::uint64_t kCancellation = 6;
+constexpr std::uint64_t kQuotaQuery = 7;
+constexpr std::uint64_t kQuotaResponse = 8;
+constexpr std::uint64_t kMaxKind = kQuotaResponse;
 
 constexpr std::size_t kMaxNameBytes = 256;
 // Maximum number of servers that a request may exclude or avoid, the last ones
@@ -30,6 +33,10 @@
 constexpr std::uint32_t kMaxShards = 65'536;
 constexpr int kMaxPriority = 1'000;
 constexpr std::uint64_t kMaxMilliseconds = 86'400'000;
+constexpr std::uint64_t kMaxTokens = 100'000;
+// Elements of a demand and of a grant in the array of a quota message.
+constexpr std::size_t kDemandElements = 4;
+constexpr std::size_t kGrantElements = 5;
 constexpr double kMillicores = 1'000;
 constexpr std::uint64_t kMaxMillicores = 1'000'000'000;
 constexpr std::uint64_t kMaxTicket = std::numeric_limits<std::int64_t>::max();
@@ -179,6 +186,55 @@
   aWriter.endArray();
 }
 
+void
+Append(QCborStreamWriter& aWriter, const QuotaQuery& aQuery)
+{
+  const std::size_t count =
+    std::min(aQuery.demands.size(), QuotaQuery::kMaxDemands);
+  aWriter.startArray(7);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kQuotaQuery));
+  aWriter.append(static_cast<quint64>(aQuery.queryId));
+  AppendText(aWriter, aQuery.host);
+  AppendText(aWriter, aQuery.domain);
+  AppendText(aWriter, aQuery.missedHome);
+  aWriter.startArray(count * kDemandElements);
+  for (std::size_t i = 0; i < count; ++i) {
+    const QuotaDemand& demand = aQuery.demands[i];
+    AppendText(aWriter, demand.workspace);
+    aWriter.append(
+      static_cast<quint64>(std::min<std::uint64_t>(demand.wanted, kMaxTokens)));
+    aWriter.append(static_cast<quint64>(
+      std::min<std::uint64_t>(demand.returned, kMaxTokens)));
+    aWriter.append(demand.hasChangedHome);
+  }
+  aWriter.endArray();
+  aWriter.endArray();
+}
+
+void
+Append(QCborStreamWriter& aWriter, const QuotaResponse& aResponse)
+{
+  const std::size_t count =
+    std::min(aResponse.grants.size(), QuotaQuery::kMaxDemands);
+  aWriter.startArray(4);
+  aWriter.append(static_cast<quint64>(kVersion));
+  aWriter.append(static_cast<quint64>(kQuotaResponse));
+  aWriter.append(static_cast<quint64>(aResponse.queryId));
+  aWriter.startArray(count * kGrantElements);
+  for (std::size_t i = 0; i < count; ++i) {
+    const QuotaGrant& grant = aResponse.grants[i];
+    AppendText(aWriter, grant.workspace);
+    aWriter.append(static_cast<quint64>(grant.status));
+    aWriter.append(
+      static_cast<quint64>(std::min<std::uint64_t>(grant.granted, kMaxTokens)));
+    AppendDuration(aWriter, grant.retryAfter);
+    AppendDuration(aWriter, grant.emptyFor);
+  }
+  aWriter.endArray();
+  aWriter.endArray();
+}
+
 Duration
 ReadDuration(CborInput& aInput)
 {
@@ -303,6 +359,52 @@
   return heartbeat;
 }
 
+QuotaQuery
+ReadQuotaQuery(CborInput& aInput)
+{
+  QuotaQuery query;
+  query.queryId = aInput.ReadUnsigned(kMaxTicket);
+  query.host = aInput.ReadText(kMaxNameBytes);
+  query.domain = aInput.ReadText(kMaxNameBytes);
+  query.missedHome = aInput.ReadText(kMaxNameBytes);
+  const std::size_t count =
+    aInput.EnterArray(QuotaQuery::kMaxDemands * kDemandElements) /
+    kDemandElements;
+  for (std::size_t i = 0; i < count && !aInput.HasFailed(); ++i) {
+    QuotaDemand demand;
+    demand.workspace = aInput.ReadText(kMaxNameBytes);
+    demand.wanted = static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxTokens));
+    demand.returned =
+      static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxTokens));
+    demand.hasChangedHome = aInput.ReadBool();
+    query.demands.push_back(std::move(demand));
+  }
+  aInput.LeaveArray();
+  return query;
+}
+
+QuotaResponse
+ReadQuotaResponse(CborInput& aInput)
+{
+  QuotaResponse response;
+  response.queryId = aInput.ReadUnsigned(kMaxTicket);
+  const std::size_t count =
+    aInput.EnterArray(QuotaQuery::kMaxDemands * kGrantElements) /
+    kGrantElements;
+  for (std::size_t i = 0; i < count && !aInput.HasFailed(); ++i) {
+    QuotaGrant grant;
+    grant.workspace = aInput.ReadText(kMaxNameBytes);
+    grant.status = static_cast<QuotaStatus>(aInput.ReadUnsigned(
+      static_cast<std::uint64_t>(QuotaStatus::UnknownWorkspace)));
+    grant.granted = static_cast<std::uint32_t>(aInput.ReadUnsigned(kMaxTokens));
+    grant.retryAfter = ReadDuration(aInput);
+    grant.emptyFor = ReadDuration(aInput);
+    response.grants.push_back(std::move(grant));
+  }
+  aInput.LeaveArray();
+  return response;
+}
+
 } // namespace
 
 std::string
@@ -323,7 +425,7 @@
     return std::nullopt;
   }
   SelectionMessage message;
-  switch (input.ReadUnsigned(kCancellation)) {
+  switch (input.ReadUnsigned(kMaxKind)) {
     case kQuery:
       message = ReadQuery(input);
       break;
@@ -342,6 +444,12 @@
     case kCancellation:
       message = SelectionCancellation{ input.ReadUnsigned(kMaxTicket) };
       break;
+    case kQuotaQuery:
+      message = ReadQuotaQuery(input);
+      break;
+    case kQuotaResponse:
+      message = ReadQuotaResponse(input);
+      break;
     default:
       return std::nullopt;
   }
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -4,6 +4,7 @@
 #include "balancing/Selection.h"
 #include "catalog/CatalogVersion.h"
 #include "http/HttpMessage.h"
+#include "quota/QuotaMessages.h"
 
 #include <variant>
 
@@ -91,7 +92,9 @@
                                       SelectionReport,
                                       SelectionCancellation,
                                       HostAnnouncement,
-                                      WatcherHeartbeat>;
+                                      WatcherHeartbeat,
+                                      QuotaQuery,
+                                      QuotaResponse>;
 
 // Encodes one datagram as CBOR.
 std::string
--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -56,6 +56,12 @@
   , clock_(aClock)
   , random_(aRandom)
   , ranking_(aSettings.host, aSettings.processorCores)
+  , quota_(aSettings.host,
+           aSettings.domain,
+           aSettings.processorCores,
+           aSettings.quota,
+           aClock,
+           *this)
   , selector_(aSettings.budget, aRandom)
   , directory_(
       std::make_shared<BackendDirectory>(0, std::vector<BackendServerRecord>()))
@@ -73,12 +79,26 @@
 void
 SelectionService::SetHosts(std::vector<PeerHost> aHosts)
 {
+  quota_.SetHosts(aHosts);
   for (const PeerHost& host : ranking_.SetHosts(std::move(aHosts))) {
     socket_->Send(host.address, EncodeAnnouncement());
   }
   UpdateBurstShares();
 }
 
+void
+SelectionService::SendQuota(const Endpoint& aReceiver, const QuotaQuery& aQuery)
+{
+  socket_->Send(aReceiver, EncodeSelectionMessage(aQuery));
+}
+
+void
+SelectionService::SendQuota(const Endpoint& aReceiver,
+                            const QuotaResponse& aResponse)
+{
+  socket_->Send(aReceiver, EncodeSelectionMessage(aResponse));
+}
+
 std::string
 SelectionService::EncodeAnnouncement(bool aIsResponseWanted) const
 {
@@ -291,6 +311,10 @@
     if (onHeartbeat_) {
       onHeartbeat_(*heartbeat, aSender);
     }
+  } else if (const auto* demand = std::get_if<QuotaQuery>(&*message)) {
+    quota_.OnQuery(aSender, *demand);
+  } else if (const auto* grants = std::get_if<QuotaResponse>(&*message)) {
+    quota_.OnResponse(aSender, *grants);
   }
 }
 
@@ -298,6 +322,10 @@
 SelectionService::OnAnnouncement(const Endpoint& aSender,
                                  const HostAnnouncement& aAnnouncement)
 {
+  quota_.OnPeer(aAnnouncement.host,
+                aAnnouncement.domain,
+                aSender,
+                aAnnouncement.processorCores);
   if (ranking_.OnPeerMessage(aAnnouncement.host,
                              aAnnouncement.domain,
                              aSender,
@@ -316,6 +344,7 @@
 SelectionService::OnQuery(const Endpoint& aSender, const SelectionQuery& aQuery)
 {
   ranking_.OnPeerMessage(aQuery.request.host, aQuery.request.domain, aSender);
+  quota_.OnPeer(aQuery.request.host, aQuery.request.domain, aSender);
   const Instant now = clock_.Now();
   selector_.OnHostMessage(aQuery.request.host, now);
   const SelectionResult result = selector_.Select(aQuery.request, now);
--- a/src/balancing/SelectionService.h
+++ b/src/balancing/SelectionService.h
@@ -2,6 +2,7 @@
 
 #include "balancing/BackendSelector.h"
 #include "balancing/OwnerRanking.h"
+#include "balancing/QuotaService.h"
 #include "balancing/SelectionMessages.h"
 #include "membership/DatagramSocket.h"
 
@@ -23,6 +24,7 @@
   Endpoint listen;
   // Per service, for all hosts together.
   ExtraAttemptLimits budget;
+  QuotaBound quota;
 };
 
 // Identifies an attempt until its result is reported.
@@ -51,7 +53,7 @@
 // only advises: the entry host sends the request directly to the backend
 // server, so no request is lost with an owner. A host whose owner does not
 // respond in time selects by its own observations.
-class SelectionService
+class SelectionService : private QuotaTransport
 {
 public:
   using Callback = std::function<void(const SelectionOutcome&)>;
@@ -102,6 +104,9 @@
   SelectionOutcome SelectWithoutOwner(SelectionRequest aRequest);
   void Finish(const SelectionHandle& aHandle, AttemptResult aResult);
 
+  // Holds requests to the contracts of their workspaces. Shares the socket.
+  QuotaService& Quota() { return quota_; }
+
   // Number of attempts that this host counts as pending.
   int PendingAttempts() const { return selector_.PendingAttempts(); }
 
@@ -137,6 +142,9 @@
                    const Clock& aClock,
                    Random& aRandom);
 
+  void SendQuota(const Endpoint& aReceiver, const QuotaQuery& aQuery) override;
+  void SendQuota(const Endpoint& aReceiver,
+                 const QuotaResponse& aResponse) override;
   // Updates this host's share of the burst of each service.
   void UpdateBurstShares();
   double BurstShareByRank(std::string_view aService);
@@ -169,6 +177,7 @@
   std::unique_ptr<DatagramSocket> socket_;
   Random& random_;
   OwnerRanking ranking_;
+  QuotaService quota_;
   // Counts this host's own attempts, and those of all hosts at the servers of
   // shards that it owns.
   BackendSelector selector_;
