Gateway: Refuse requests beyond their workspace's limit

Change: GatewayService decides after authorization where no message is needed, before the body is read; otherwise the session waits for the home before its first selection. Refused requests get 429 with Retry-After, a log line with the workspace, and count as over_quota. A request that reached no server gives its token back. Without workspaces nothing is asked or sent.

--- a/src/gateway/GatewayService.cpp
+++ b/src/gateway/GatewayService.cpp
@@ -35,6 +35,8 @@
       return GatewayCounter::RefusedNotRun;
     case kUnauthorized:
       return GatewayCounter::Unauthorized;
+    case kOverQuota:
+      return GatewayCounter::OverQuota;
     default:
       return GatewayCounter::NotRouted;
   }
@@ -53,6 +55,9 @@
   if (context_.routing == nullptr ||
       context_.routing->Version() < aRouting->Version()) {
     context_.routing = std::move(aRouting);
+    // The contracts live as long as their routing table.
+    context_.selection.Quota().SetContracts(
+      { context_.routing, context_.routing->Contracts() });
   }
 }
 
@@ -105,6 +110,15 @@
       *aExchange, headers, { kUnavailable, "no-memory", kOtherHostRetryAfter });
     return nullptr;
   }
+  std::optional<QuotaVerdict> verdict =
+    context_.selection.Quota().Admit(authorization.Workspace());
+  if (verdict && !verdict->isAdmitted) {
+    Refuse(*aExchange,
+           headers,
+           { kOverQuota, "over-quota", verdict->retryAfter },
+           authorization.Workspace());
+    return nullptr;
+  }
   const auto session =
     std::make_shared<GatewaySession>(context_,
                                      std::move(aExchange),
@@ -112,7 +126,7 @@
                                      std::move(authorization),
                                      std::move(headers),
                                      std::move(memory));
-  session->Start();
+  session->Start(std::move(verdict));
   return session;
 }
 
@@ -154,7 +168,8 @@
 void
 GatewayService::Refuse(HttpServerExchange& aExchange,
                        const CallerHeaders& aHeaders,
-                       const LocalResponse& aResponse)
+                       const LocalResponse& aResponse,
+                       std::string_view aWorkspace)
 {
   context_.metrics.Count(CounterOf(aResponse.status));
   LogEvent(LogLevel::Info,
@@ -163,6 +178,7 @@
              { "host", aExchange.Request().fields.Find("Host").value_or("") },
              { "target", aExchange.Request().target },
              { "version", context_.routing ? context_.routing->Version() : 0 },
+             { "workspace", aWorkspace },
              { "status", aResponse.status },
              { "reason", aResponse.reason } });
   SendLocalResponse(aExchange, context_.headerCodec, aHeaders, aResponse);
--- a/src/gateway/GatewayService.h
+++ b/src/gateway/GatewayService.h
@@ -34,7 +34,8 @@
   // Responds to a request for which no session has been started.
   void Refuse(HttpServerExchange& aExchange,
               const CallerHeaders& aHeaders,
-              const LocalResponse& aResponse);
+              const LocalResponse& aResponse,
+              std::string_view aWorkspace = {});
 
   GatewayContext context_;
 };
--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -90,9 +90,61 @@
 }
 
 void
-GatewaySession::Start()
+GatewaySession::Start(std::optional<QuotaVerdict> aVerdict)
 {
   deadlineTimer_.start(std::chrono::ceil<milliseconds>(Remaining()));
+  quotaWorkspace_ = authorization_.Workspace();
+  if (aVerdict) {
+    quotaToken_ = std::move(aVerdict->token);
+  } else {
+    RequestQuota();
+  }
+}
+
+void
+GatewaySession::RequestQuota()
+{
+  isWaitingForQuota_ = true;
+  context_.selection.Quota().Request(
+    quotaWorkspace_,
+    [weak = weak_from_this(),
+     &quota = context_.selection.Quota(),
+     workspace = quotaWorkspace_](const QuotaVerdict& aVerdict) {
+      if (const auto self = weak.lock()) {
+        self->OnQuotaVerdict(aVerdict);
+      } else {
+        quota.Return(workspace, aVerdict.token);
+      }
+    });
+}
+
+void
+GatewaySession::OnQuotaVerdict(const QuotaVerdict& aVerdict)
+{
+  isWaitingForQuota_ = false;
+  quotaToken_ = aVerdict.token;
+  if (isDone_) {
+    ReturnQuota();
+    return;
+  }
+  if (!aVerdict.isAdmitted) {
+    context_.metrics.Count(GatewayCounter::OverQuota);
+    RespondLocally(
+      { kOverQuota, kBadGateway, "over-quota", aVerdict.retryAfter });
+    return;
+  }
+  if (std::exchange(isSelectionDeferred_, false)) {
+    RequestSelection(AttemptPurpose::First);
+  }
+}
+
+void
+GatewaySession::ReturnQuota()
+{
+  if (attempts_.SentAttempts() == 0) {
+    context_.selection.Quota().Return(quotaWorkspace_,
+                                      std::exchange(quotaToken_, {}));
+  }
 }
 
 Duration
@@ -216,6 +268,10 @@
 void
 GatewaySession::RequestSelection(AttemptPurpose aPurpose)
 {
+  if (isWaitingForQuota_) {
+    isSelectionDeferred_ = true;
+    return;
+  }
   const auto unavailability = context_.availability.CheckAll(
     context_.directory->ServersOfService(service_),
     context_.random,
@@ -735,6 +791,7 @@
   }
   deadlineTimer_.stop();
   hedgeTimer_.stop();
+  ReturnQuota();
   const Duration latency = context_.clock.Now() - arrivedAt_;
   context_.metrics.RecordLatency(latency);
   if (IsSuccess(aStatus)) {
--- a/src/gateway/GatewaySession.h
+++ b/src/gateway/GatewaySession.h
@@ -33,7 +33,8 @@
   GatewaySession(const GatewaySession&) = delete;
   GatewaySession& operator=(const GatewaySession&) = delete;
 
-  void Start();
+  // Asks for a verdict on the limit of the workspace unless aVerdict has it.
+  void Start(std::optional<QuotaVerdict> aVerdict);
 
   void OnRequestBody(ByteView aBytes) override;
   void OnRequestEnd() override;
@@ -77,6 +78,10 @@
   // false if its key is not valid any more.
   bool IsStillAuthorized();
   void OnUnauthorized();
+  void RequestQuota();
+  void OnQuotaVerdict(const QuotaVerdict& aVerdict);
+  // Gives the token back if no attempt was sent.
+  void ReturnQuota();
   // Returns the servers that this request may not be sent to.
   std::vector<std::string> ExcludedServers() const;
   // True when this host may send the request to aServer now.
@@ -146,6 +151,12 @@
   std::vector<AttemptPointer> runningAttempts_;
   AttemptHistory attempts_;
   bool isSelecting_ = false;
+  bool isWaitingForQuota_ = false;
+  // The first selection follows the verdict.
+  bool isSelectionDeferred_ = false;
+  // Workspace and token that admitted the request.
+  std::string quotaWorkspace_;
+  QuotaToken quotaToken_;
   bool isDone_ = false;
   // The attempt whose response is forwarded while it arrives.
   AttemptPointer streamingAttempt_;
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "http/HttpServer.h"
+#include "quota/QuotaBound.h"
 
 #include <optional>
 #include <string>
@@ -41,6 +42,8 @@
   double extraAttemptRatio = 0.2;
   double extraAttemptBurst = 64;
   std::chrono::seconds extraAttemptWindow{ 10 };
+  // How far the requests of a workspace may exceed its contract.
+  QuotaBound quota;
   // A leaving backend server receives no request later than this after the
   // catalog shows that it leaves.
   Duration drainTime = std::chrono::seconds(2);
--- a/src/gateway/LocalResponse.h
+++ b/src/gateway/LocalResponse.h
@@ -6,6 +6,7 @@
 namespace filbertbeam {
 
 inline constexpr int kUnauthorized = 401;
+inline constexpr int kOverQuota = 429;
 
 // A response that this host generates itself, without that of a server.
 struct LocalResponse
--- a/src/gateway/TrafficRuntime.cpp
+++ b/src/gateway/TrafficRuntime.cpp
@@ -47,6 +47,7 @@
   settings.processorCores = aSettings.processorCores;
   settings.listen = aSettings.peer;
   settings.budget = MakeExtraAttemptLimits(aSettings);
+  settings.quota = aSettings.quota;
   return settings;
 }
 
@@ -141,6 +142,7 @@
 TrafficRuntime::SetExtraAttemptLimits(const GatewaySettings& aSettings)
 {
   selection_->SetBudget(MakeExtraAttemptLimits(aSettings));
+  selection_->Quota().SetBound(aSettings.quota);
 }
 
 void
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -2,6 +2,7 @@
 
 using namespace filbertbeam;
 using namespace filbertbeam::testing;
+using namespace std::chrono_literals;
 
 BOOST_FIXTURE_TEST_SUITE(ARequest, GatewayFixture)
 
@@ -121,6 +122,110 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ARequestOfALimitedWorkspace)
+
+struct LimitFixture : WithAKey::KeyFixture
+{
+  LimitFixture()
+  {
+    Contract contract = MakeContract("north", "key-1");
+    contract.requestsPerSecond = 0.1;
+    SetWorkspaces(2, { contract, MakeContract("west", "key-3") });
+  }
+
+  // Sends requests until one is refused, and returns that one.
+  std::shared_ptr<FakeServerExchange> ExhaustLimit()
+  {
+    constexpr int kMoreThanTheLimit = 50;
+    for (int i = 0; i < kMoreThanTheLimit; ++i) {
+      const auto caller = Ask("/safe/1", { "key-1" });
+      if (caller->isFinished) {
+        return caller;
+      }
+    }
+    return nullptr;
+  }
+
+  // Makes a silent host the home of every workspace. The test responds for it.
+  void StartHome()
+  {
+    std::string reason;
+    home = DatagramSocket::Create({ "127.0.0.1", 0 }, reason);
+    BOOST_TEST_REQUIRE(home != nullptr, reason);
+    home->SetHandler([this](const Endpoint& aSender, ByteView aBytes) {
+      const auto message = DecodeSelectionMessage(aBytes);
+      if (const auto* query =
+            message ? std::get_if<QuotaQuery>(&*message) : nullptr) {
+        queries.emplace_back(aSender, *query);
+      }
+    });
+    // Hosts with more cores rank first.
+    constexpr double kCores = 1e6;
+    selection->Quota().OnPeer("home", "piarco", home->LocalEndpoint(), kCores);
+  }
+
+  void Respond(const QuotaGrant& aGrant)
+  {
+    BOOST_TEST_REQUIRE(WaitUntil([this] { return !queries.empty(); }));
+    const auto [sender, query] = queries.front();
+    queries.erase(queries.begin());
+    home->Send(
+      sender,
+      EncodeSelectionMessage(QuotaResponse{ query.queryId, { aGrant } }));
+  }
+
+  std::unique_ptr<DatagramSocket> home;
+  std::vector<std::pair<Endpoint, QuotaQuery>> queries;
+};
+
+BOOST_FIXTURE_TEST_CASE(IsRefusedBeyondItBeforeItsBodyIsRead, LimitFixture)
+{
+  const auto caller = ExhaustLimit();
+  BOOST_TEST_REQUIRE(caller != nullptr);
+  BOOST_TEST(caller->response.status == 429);
+  BOOST_TEST(caller->response.fields.Find("Retry-After").has_value());
+  BOOST_TEST(observer == nullptr);
+  // The others are served.
+  BOOST_TEST(!Ask("/safe/1", { "key-3" })->isFinished);
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitsForItsHome, LimitFixture)
+{
+  StartHome();
+  const auto caller = Ask("/safe/1", { "key-1" });
+  BOOST_TEST(client.exchanges.empty());
+  Respond({ "north", QuotaStatus::Decided, 1, {}, {} });
+  BOOST_TEST(WaitUntil([&] { return client.exchanges.size() == 1U; }));
+
+  const auto refused = Ask("/safe/1", { "key-1" });
+  Respond({ "north", QuotaStatus::Decided, 0, 300ms, 200ms });
+  BOOST_TEST(WaitUntil([&] { return refused->isFinished; }));
+  BOOST_TEST(refused->response.status == 429);
+  BOOST_TEST(client.exchanges.size() == 1U);
+}
+
+// Guards against a failure of the home that becomes one of its callers.
+BOOST_FIXTURE_TEST_CASE(IsServedWithoutItsHome, LimitFixture)
+{
+  StartHome();
+  Ask("/safe/1", { "key-1" });
+  BOOST_TEST(WaitUntil([&] { return client.exchanges.size() == 1U; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(GivesItsTokenBackWhenNoServerGetsIt, LimitFixture)
+{
+  SetDirectory({});
+  StartHome();
+  const auto caller = Ask("/safe/1", { "key-1" });
+  Respond({ "north", QuotaStatus::Decided, 1, {}, {} });
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; }));
+  BOOST_TEST(caller->response.status == 503);
+  BOOST_TEST_REQUIRE(WaitUntil([&] { return !queries.empty(); }));
+  BOOST_TEST(queries.front().second.demands.front().returned == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithoutARouteOrServer)
 
 // Guards against a "not found" response from a host that has not read a
