--- a/src/balancing/SelectionService.cpp
+++ b/src/balancing/SelectionService.cpp
@@ -51,6 +51,12 @@
   , clock_(aClock)
   , random_(aRandom)
   , ranking_(aSettings.host, aSettings.processorCores)
+  , quota_(aSettings.host,
+           aSettings.domain,
+           aSettings.processorCores,
+           aSettings.quota,
+           aClock,
+           *this)
   , selector_(aSettings.budget, aRandom)
   , ownerQueue_(selector_)
   , directory_(
@@ -74,12 +80,26 @@
 void
 SelectionService::SetHosts(std::vector<PeerHost> aHosts)
 {
+  quota_.SetHosts(aHosts);
   for (const PeerHost& host : ranking_.SetHosts(std::move(aHosts))) {
     socket_->Send(host.address, EncodeAnnouncement());
   }
   UpdateBurstShares();
 }
 
+void
+SelectionService::SendQuota(const Endpoint& aReceiver, const QuotaQuery& aQuery)
+{
+  socket_->Send(aReceiver, EncodeSelectionMessage(aQuery));
+}
+
+void
+SelectionService::SendQuota(const Endpoint& aReceiver,
+                            const QuotaResponse& aResponse)
+{
+  socket_->Send(aReceiver, EncodeSelectionMessage(aResponse));
+}
+
 std::string
 SelectionService::EncodeAnnouncement(bool aIsResponseWanted) const
 {
@@ -287,6 +307,10 @@
     if (onHeartbeat_) {
       onHeartbeat_(*heartbeat, aSender);
     }
+  } else if (const auto* demand = std::get_if<QuotaQuery>(&*message)) {
+    quota_.OnQuery(aSender, *demand);
+  } else if (const auto* grants = std::get_if<QuotaResponse>(&*message)) {
+    quota_.OnResponse(aSender, *grants);
   }
 }
 
@@ -294,6 +318,10 @@
 SelectionService::OnAnnouncement(const Endpoint& aSender,
                                  const HostAnnouncement& aAnnouncement)
 {
+  quota_.OnPeer(aAnnouncement.host,
+                aAnnouncement.domain,
+                aSender,
+                aAnnouncement.processorCores);
   if (ranking_.OnPeerMessage(aAnnouncement.host,
                              aAnnouncement.domain,
                              aSender,
@@ -312,6 +340,7 @@
 SelectionService::OnQuery(const Endpoint& aSender, const SelectionQuery& aQuery)
 {
   ranking_.OnPeerMessage(aQuery.request.host, aQuery.request.domain, aSender);
+  quota_.OnPeer(aQuery.request.host, aQuery.request.domain, aSender);
   const Instant now = clock_.Now();
   selector_.OnHostMessage(aQuery.request.host, now);
   OnVersions(aQuery.known, aSender);
