Gateway: Count a request with a lost key as unknown once it may have run

A request whose key was taken away between its first attempt and a repetition got 502, as it has to, but was counted as refused for want of a key.

--- a/src/gateway/GatewaySession.cpp
+++ b/src/gateway/GatewaySession.cpp
@@ -311,7 +311,11 @@
     RespondWithFailure(kReason, {});
     return;
   }
-  context_.metrics.Count(GatewayCounter::Unauthorized);
+  if (attempts_.MayHaveRun()) {
+    CountFailure();
+  } else {
+    context_.metrics.Count(GatewayCounter::Unauthorized);
+  }
   RespondLocally({ kUnauthorized, kBadGateway, kReason });
 }
 
--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -146,6 +146,22 @@
   BOOST_TEST(*client.Last().head.fields.FindOnly("Workspace") == "west");
 }
 
+// Guards against a repetition by a key that has been taken away, and against a
+// response that denies the first attempt.
+BOOST_FIXTURE_TEST_CASE(ThatIsTakenAwayStopsTheRepetition, KeyFixture)
+{
+  const auto caller = Ask("/safe/1", { "key-1" });
+  SetWorkspaces(2, { MakeContract("north", "key-2") });
+  client.Last().anyByteSent = true;
+  client.Last().Fail(HttpFailureKind::Closed);
+  BOOST_TEST(WaitUntil([&] { return caller->isFinished; }));
+  BOOST_TEST(caller->response.status == 502);
+  BOOST_TEST(client.exchanges.size() == 1U);
+  const std::string counters = metrics.Format();
+  BOOST_TEST(counters.find("unauthorized_total 0\n") != std::string::npos);
+  BOOST_TEST(counters.find("failed_unknown_total 1\n") != std::string::npos);
+}
+
 // Guards against a host out of touch that goes by keys which may have been
 // taken away, though its deployment is strict.
 BOOST_FIXTURE_TEST_CASE(IsNotTrustedByAStrictHostOutOfTouch, KeyFixture)
