--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -356,14 +356,14 @@
     const SelectionOutcome outcome = one.Select();
     isOwnerOne = outcome.source == "self";
     one.service->Finish(outcome.handle, AttemptResult::Unused);
-    requester().service->SetHosts({ one.Address(), two.Address() });
-    owner().service->SetHosts({ one.Address(), two.Address() });
-    first = requester().Select();
-    second = requester().Select();
+    Requester().service->SetHosts({ one.Address(), two.Address() });
+    Owner().service->SetHosts({ one.Address(), two.Address() });
+    first = Requester().Select();
+    second = Requester().Select();
   }
 
-  Host& requester() { return isOwnerOne ? two : one; }
-  Host& owner() { return isOwnerOne ? one : two; }
+  Host& Requester() { return isOwnerOne ? two : one; }
+  Host& Owner() { return isOwnerOne ? one : two; }
 
   std::uint64_t Ask()
   {
@@ -372,7 +372,7 @@
     request.route = "approve";
     request.latencyObjective = 1s;
     request.remaining = 10s;
-    return requester().service->Select(
+    return Requester().service->Select(
       request,
       [this](const SelectionOutcome& aOutcome) { outcome = aOutcome; });
   }
@@ -393,11 +393,11 @@
   Ask();
   RunFor(400ms);
   BOOST_TEST(!outcome.has_value());
-  requester().service->Finish(first.handle, AttemptResult::Responded);
+  Requester().service->Finish(first.handle, AttemptResult::Responded);
   BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 200ms));
   BOOST_TEST(outcome->source == "owner");
   BOOST_TEST(outcome->result.selection.has_value());
-  BOOST_TEST(owner().service->PendingAttempts() == 2);
+  BOOST_TEST(Owner().service->PendingAttempts() == 2);
 }
 
 // Load: requests of the owner's own callers wait beside those of other hosts.
@@ -408,11 +408,11 @@
   request.service = "permits";
   request.latencyObjective = 1s;
   request.remaining = 10s;
-  owner().service->Select(
+  Owner().service->Select(
     request, [&](const SelectionOutcome& aOutcome) { own = aOutcome; });
   RunFor(1s);
   BOOST_TEST(!own.has_value());
-  requester().service->Finish(first.handle, AttemptResult::Responded);
+  Requester().service->Finish(first.handle, AttemptResult::Responded);
   BOOST_TEST_REQUIRE(WaitUntil([&] { return own.has_value(); }, 200ms));
   BOOST_TEST(own->source == "self");
 }
@@ -422,7 +422,7 @@
 {
   Ask();
   RunFor(100ms);
-  owner().service.reset();
+  Owner().service.reset();
   BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 1'500ms));
   BOOST_TEST(outcome->source == "alone");
 }
@@ -432,27 +432,27 @@
 {
   const std::uint64_t id = Ask();
   RunFor(100ms);
-  requester().service->CancelWaiting(id);
+  Requester().service->CancelWaiting(id);
   RunFor(50ms);
-  requester().service->Finish(first.handle, AttemptResult::Responded);
+  Requester().service->Finish(first.handle, AttemptResult::Responded);
   RunFor(200ms);
   BOOST_TEST(!outcome.has_value());
-  BOOST_TEST(owner().service->PendingAttempts() == 1);
+  BOOST_TEST(Owner().service->PendingAttempts() == 1);
 }
 
 // Failure: the response with the selection of a waiting request is lost.
 BOOST_AUTO_TEST_CASE(ALostSelectionIsMadeAgain)
 {
-  LossyPath path(owner().service->LocalEndpoint());
-  requester().service->SetHosts(
-    { requester().Address(), { owner().name, "piarco", path.NearEnd() } });
+  LossyPath path(Owner().service->LocalEndpoint());
+  Requester().service->SetHosts(
+    { Requester().Address(), { Owner().name, "piarco", path.NearEnd() } });
   Ask();
   RunFor(100ms);
   path.loseNextToRequester = true;
-  requester().service->Finish(first.handle, AttemptResult::Responded);
+  Requester().service->Finish(first.handle, AttemptResult::Responded);
   BOOST_TEST_REQUIRE(WaitUntil([&] { return outcome.has_value(); }, 1s));
   BOOST_TEST(outcome->source == "owner");
-  BOOST_TEST(owner().service->PendingAttempts() == 2);
+  BOOST_TEST(Owner().service->PendingAttempts() == 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
