--- a/src/balancing/BurstDivision.cpp
+++ b/src/balancing/BurstDivision.cpp
@@ -9,10 +9,10 @@
 
 // By rank as owner of a shard. Nearly all extra attempts are asked of the
 // first; the second keeps enough to stand in for it.
-constexpr std::array<double, 2> kSharesByRank{ 0.8, 0.1 };
+constexpr std::array<double, 2> kSharesByRank{ 0.65, 0.15 };
 // Divided equally among all hosts, for those that select alone. A host that
 // restarts may spend its part again, so as much is left to nobody.
-constexpr double kCommonShare = 0.05;
+constexpr double kCommonShare = 0.1;
 
 } // namespace
 
