--- a/src/gateway/tests/TestGatewaySession.cpp
+++ b/src/gateway/tests/TestGatewaySession.cpp
@@ -53,12 +53,12 @@
     Route open = MakeRoute("/open/", true);
     open.isPublic = aHasPublicRoute;
     std::string reason;
-    service->SetRouting(
-      RoutingTable::Create(aVersion,
-                           { MakeRoute("/safe/", true), open },
-                           {},
-                           reason,
-                           ContractTable::Create(aContracts, reason)));
+    service->SetRouting(RoutingTable::Create(
+      aVersion,
+      { MakeRoute("/safe/", true), open },
+      {},
+      reason,
+      ContractTable::Create(std::move(aContracts), reason)));
   }
 
   std::shared_ptr<FakeServerExchange> Ask(const std::string& aTarget,
@@ -211,7 +211,7 @@
   {
     constexpr int kMoreThanTheLimit = 50;
     for (int i = 0; i < kMoreThanTheLimit; ++i) {
-      const auto caller = Ask("/safe/1", { "key-1" });
+      auto caller = Ask("/safe/1", { "key-1" });
       if (caller->isFinished) {
         return caller;
       }
