--- a/src/balancing/WaitingRequests.cpp
+++ b/src/balancing/WaitingRequests.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds kUrgencyStep{ 100 };
 constexpr milliseconds kMinRetryAfter{ 150 };
 constexpr std::chrono::seconds kMaxRetryAfter{ 10 };
-// Weight of one start in the measured pace, and its bounds.
+// Weight of one start in the pace of the shard, and the bounds of the pace.
 constexpr double kPaceWeight = 0.05;
 constexpr double kMinSlowdown = 0.5;
 constexpr double kMaxSlowdown = 4;
