--- a/review/6/run.py
+++ b/review/6/run.py
@@ -95,6 +95,10 @@
 
     late = [(at - acknowledged_at, request) for at, request in leaving.runs
             if at - acknowledged_at > DRAIN_S]
+    lost = [request for _, request in late
+            if lab.statuses.get(request) != 200]
+    lab.record.write(f"late: {len(late)}, of which {len(lost)} were begun and "
+                     "not answered with success")
     return [f"DRAIN: {request} reached {leaving.id} {delay:.2f} s after the "
             "acknowledgement" for delay, request in late]
 
--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -473,6 +473,8 @@
         self.hosts = []
         self.store = Store(self)
         self.ids = itertools.count(1)
+        # The statuses of answers, None without one, by request.
+        self.statuses = {}
 
     def address(self, number):
         return f"{self.network}.{number}.1"
@@ -509,6 +511,7 @@
                                        timeout_ms / 1000 + 0.5)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             answer = None
+        self.statuses[request] = answer and answer["status"]
         if answer is None:
             self.record.write(f"answer: {request} none")
         else:
