Catalog: Notice lost responses to watches before the next change counts

Cause: a watch waits 25 s. When the store is silent for a moment, the responses that are due are lost, and their connections return nothing further. The probe of the store, a call on another connection each 3 s, only fails if it falls into the silence, and its success says nothing about the watches. Evidence: in a log of the case each watcher counts three watches of servers, the third of which began before the silence and never ended, while six probes got a response; the watches of the configuration, in which nothing had changed, were lost as well and failed after 26 s. So comparing revisions would not do: a watch can be dead though it misses nothing yet. Change: the watches of the first watcher of each failure domain wait for a time that follows from the bounds (calmTime plus the smaller of drainTime and configurationTime, less 1 s until a lost response fails the call and 1 s to spread the news; 3 s here). What it reads, the others get with its heartbeats. A host that becomes first starts its watches again. Why it works: each watch that was begun before the end of a silence has failed 4 s after it, so by then the first watcher has read all changes, and its next watch was begun while the store was calm. Calls: two per 3 s in place of two per 25 s for one host of each domain.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -11,10 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// A watch costs one call however long it waits, so it waits as long as is
-// allowed. A broken connection is detected by the keep-alive probes of the
-// catalog's client.
-constexpr milliseconds kWatchWait{ 25'000 };
 // The first watch after a failure or a stale list returns almost at once: if
 // that call is lost as well, it would otherwise hide changes for the whole
 // wait.
@@ -153,6 +149,17 @@
   }
 }
 
+void
+CatalogFollower::SetWatchWait(milliseconds aWait)
+{
+  const bool isShorter = aWait < std::exchange(watchWait_, aWait);
+  const bool isWaiting =
+    IsWatching() && !isCopyStale_ && !callTimer_.isActive();
+  if (isShorter && isWaiting) {
+    Watch();
+  }
+}
+
 void
 CatalogFollower::ApplyPeerChanges(const CatalogChanges& aChanges)
 {
@@ -404,7 +411,7 @@
 {
   catalog_.Watch(settings_.collection,
                  version_,
-                 failures_ == 0 && !isCopyStale_ ? kWatchWait : kShortWatchWait,
+                 failures_ == 0 && !isCopyStale_ ? watchWait_ : kShortWatchWait,
                  [this, call = ++latestCall_](const CatalogChanges& aChanges) {
                    if (call == latestCall_) {
                      OnChanges(aChanges);
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -13,6 +13,10 @@
 
 namespace filbertbeam {
 
+// A watch costs one call however long it waits, so it waits as long as is
+// allowed, unless its host has to notice sooner that its response was lost.
+inline constexpr std::chrono::milliseconds kLongestWatchWait{ 25'000 };
+
 struct CatalogFollowerSettings
 {
   Collection collection = Collection::Configuration;
@@ -90,6 +94,9 @@
   void OnCatalogUnresponsive(const CatalogFailure& aFailure);
   // The catalog responds to a peer, as the peer has reported.
   void OnCatalogResponds() { missing_.OnCatalogResponds(); }
+  // From now on, watches wait no longer than aWait for a change. One that has
+  // been started with a longer wait is started again.
+  void SetWatchWait(std::chrono::milliseconds aWait);
   // While a peer is followed, no watch is started: the caller passes what the
   // peer has read to ApplyPeerChanges. Otherwise a watch starts at once.
   void SetFollowsPeer(bool aFollowsPeer);
@@ -188,6 +195,7 @@
   Objects listing_;
   ChangeHistory history_;
   bool followsPeer_ = false;
+  std::chrono::milliseconds watchWait_ = kLongestWatchWait;
   // The newest version that was received from a peer.
   CatalogVersion peerVersion_;
   CatalogVersion listingVersion_;
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -263,6 +263,27 @@
   BOOST_TEST(names == "a b ");
 }
 
+// Guards against a host that has to notice lost responses from now on, and
+// whose watch goes on waiting as long as before.
+BOOST_AUTO_TEST_CASE(StartsItsWatchAgainWhenItMayWaitLess)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  BOOST_TEST(catalog.wait.count() == kLongestWatchWait.count());
+  follower.SetWatchWait(3s);
+  BOOST_TEST(catalog.watches.size() == 2U);
+  BOOST_TEST((catalog.wait == 3s));
+  // The response to the first watch comes late.
+  catalog.RespondToWatch(Changes({ { Object("x", 9), false } }, 9));
+  BOOST_TEST(names == "a ");
+  follower.SetWatchWait(3s);
+  follower.SetWatchWait(kLongestWatchWait);
+  BOOST_TEST(catalog.watches.size() == 1U);
+  catalog.RespondToWatch(Changes({ { Object("b", 4), false } }, 4));
+  BOOST_TEST(names == "a b ");
+  BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.wait.count() == kLongestWatchWait.count());
+}
+
 // Guards against a failure that is counted by hosts that wait for no response.
 BOOST_AUTO_TEST_CASE(IgnoresAnUnresponsiveCatalogWhileItFollowsAPeer)
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,10 +38,6 @@
 // leave the host.
 constexpr milliseconds kLastResponseTime{ 100 };
 
-// The catalog is probed several times within the time for which keys are
-// trusted, so that a late response does not end it.
-constexpr int kProbesPerTrustTime = 3;
-constexpr milliseconds kMinProbeInterval{ 200 };
 constexpr milliseconds kKeysCheckInterval{ 100 };
 
 constexpr milliseconds kCatalogLogInterval{ 10'000 };
@@ -116,7 +112,7 @@
     [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
   configurationFollower_->Start();
   serverFollower_->Start();
-  watchSharing_->Start(ProbeInterval());
+  watchSharing_->Start(MakeWatchTimes(settings_));
   hostRegistry_->Start();
   snapshotClient_->Start();
   knowledgeClient_->Start();
@@ -299,18 +295,6 @@
                                                   kCoalescingDelayDivisor);
 }
 
-milliseconds
-Gateway::ProbeInterval() const
-{
-  if (!settings_.keyTrustTime) {
-    return kCatalogProbeInterval;
-  }
-  return std::clamp(std::chrono::duration_cast<milliseconds>(
-                      *settings_.keyTrustTime / kProbesPerTrustTime),
-                    kMinProbeInterval,
-                    kCatalogProbeInterval);
-}
-
 bool
 Gateway::IsReady() const
 {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -92,7 +92,6 @@
   // How long changes of backend servers are collected before they are read
   // together.
   std::chrono::milliseconds CoalescingDelay() const;
-  std::chrono::milliseconds ProbeInterval() const;
   void OnConfiguration(const CatalogFollower::Objects& aObjects);
   void OnBackendServers(const CatalogFollower::Objects& aObjects);
   void PublishKnownVersions();
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -47,6 +47,11 @@
   // A leaving backend server receives no request later than this after the
   // catalog shows that it leaves.
   Duration drainTime = std::chrono::seconds(2);
+  // A configuration takes effect within this time after the catalog shows it.
+  Duration configurationTime = std::chrono::seconds(2);
+  // The times above hold once the catalog and the host have been undisturbed
+  // for this long.
+  Duration calmTime = std::chrono::seconds(3);
   // A host that is out of touch for longer than this, without the catalog and
   // without a peer that reads it, refuses requests that need a key. Empty: it
   // goes on with the keys that it knows.
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -95,10 +95,11 @@
 }
 
 void
-WatchSharing::Start(milliseconds aProbeInterval)
+WatchSharing::Start(const WatchTimes& aTimes)
 {
+  times_ = aTimes;
   tickTimer_.start(kTick);
-  probe_.Start(aProbeInterval);
+  probe_.Start(times_.probeInterval);
 }
 
 void
@@ -153,8 +154,12 @@
              { { "host", self_.name }, { "domain", self_.domain } });
   }
   role_ = role;
-  configuration_.SetFollowsPeer(!role.watchesCatalog);
-  servers_.SetFollowsPeer(!role.watchesCatalog);
+  const milliseconds wait =
+    role.isFirstWatcher ? times_.firstWatcherWait : kLongestWatchWait;
+  for (CatalogFollower* follower : { &configuration_, &servers_ }) {
+    follower->SetWatchWait(wait);
+    follower->SetFollowsPeer(!role.watchesCatalog);
+  }
   if (now - lastHeartbeatAt_ >= kWatcherHeartbeatInterval) {
     OnNewerCopy();
   }
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -5,6 +5,7 @@
 #include "catalog/CatalogProbe.h"
 #include "gateway/KeyKnowledge.h"
 #include "gateway/PeerSnapshot.h"
+#include "gateway/WatchTimes.h"
 #include "gateway/WatcherElection.h"
 #include "store/PlatformClient.h"
 
@@ -18,9 +19,12 @@
 // Keeps the number of catalog watches small. A few hosts of each failure domain
 // watch the catalog and send heartbeats; the others follow them and fetch
 // changes from the watcher that reported them. A host that receives no
-// heartbeats watches the catalog itself. A host that is so far behind that its
-// watcher no longer has all changes fetches the watcher's whole copy, so that a
-// wave of changes does not make all hosts list the catalog.
+// heartbeats watches the catalog itself. The watches of the first watcher of a
+// domain wait for a short time only: a response that the catalog loses without
+// an error is then noticed by one host that the others hear. A host that is so
+// far behind that its watcher no longer has all changes fetches the watcher's
+// whole copy, so that a wave of changes does not make all hosts list the
+// catalog.
 class WatchSharing
 {
 public:
@@ -36,8 +40,7 @@
                Random& aRandom,
                HeartbeatSender aSendHeartbeat);
 
-  // The catalog is probed at aProbeInterval while this host watches it.
-  void Start(std::chrono::milliseconds aProbeInterval = kCatalogProbeInterval);
+  void Start(const WatchTimes& aTimes);
   // Sends no heartbeats from now on, so that other hosts take over.
   void StopHeartbeats() { maySendHeartbeats_ = false; }
   void SetHosts(std::span<const PeerHost> aHosts);
@@ -96,6 +99,7 @@
   const HeartbeatSender sendHeartbeat_;
   WatcherElection election_;
   WatcherRole role_;
+  WatchTimes times_;
   bool maySendHeartbeats_ = true;
   PlatformClient client_;
   bool isFetching_ = false;
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -105,6 +105,7 @@
     aNow - *watcherShortageSince_ >= kTakeoverStagger * *precedingPeers_;
   role.watchesCatalog = role.sendsHeartbeats ||
                         (lastHeartbeatAt_.empty() && !isFirstHeartbeatPending);
+  role.isFirstWatcher = role.watchesCatalog && before == 0;
   role.sendsHeartbeatsInOutage =
     role.sendsHeartbeats && *precedingPeers_ < kOutageWatchers;
   return role;
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -17,6 +17,8 @@
 {
   // The host watches the catalog itself; otherwise it follows a watcher.
   bool watchesCatalog = false;
+  // The host watches the catalog and hears of no watcher that ranks before it.
+  bool isFirstWatcher = false;
   // The host reports to the others that it watches the catalog.
   bool sendsHeartbeats = false;
   // The host sends heartbeats also while it cannot read the catalog. Only a few
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -77,6 +77,17 @@
     return hosts;
   }
 
+  std::vector<std::string> FirstWatchers() const
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [name, role] : roles) {
+      if (role.isFirstWatcher && !dead.contains(name)) {
+        hosts.push_back(name);
+      }
+    }
+    return hosts;
+  }
+
   int CountWatchingHosts() const
   {
     int count = 0;
@@ -107,6 +118,20 @@
   BOOST_TEST(CountWatchingHosts() == 2);
 }
 
+// Guards against a domain without a host that notices lost responses in time,
+// and against frequent calls of more than one.
+BOOST_AUTO_TEST_CASE(HaveOneFirst)
+{
+  Run(4s);
+  BOOST_TEST(FirstWatchers().size() == 1U);
+  const std::string first = FirstWatchers().front();
+  BOOST_TEST(first == "host-8");
+  dead.insert(first);
+  Run(kWatcherHeartbeatTimeout + 2 * kStep);
+  BOOST_TEST(FirstWatchers().size() == 1U);
+  BOOST_TEST(FirstWatchers().front() != first);
+}
+
 // Guards against catalog watches by all hosts of a fleet that starts at once:
 // each waits for the heartbeats of those that rank before it.
 BOOST_AUTO_TEST_CASE(AreNotPrecededByWatchesOfAllHosts)
