Gateway: Trust keys by responses to the watch of the configuration

Callers saw: a key that had been taken away was admitted after keyTrustTime, since the store had lost the response that took it away. Cause: a response to a probe, a call on another connection, counted as proof that the waiting watch of the configuration would report a change. Change: only responses to lists and watches of the configuration count. The first watcher's watches respond at least three times within keyTrustTime, so probes have one interval, and the computation of the wait is a function. What a watcher's heartbeat covers may still be up to one wait and 1 s old.

--- a/src/catalog/CatalogProbe.cpp
+++ b/src/catalog/CatalogProbe.cpp
@@ -4,20 +4,18 @@
 
 CatalogProbe::CatalogProbe(ObjectCatalog& aCatalog,
                            Predicate aIsNeeded,
-                           FailureHandler aOnFailure,
-                           ResponseHandler aOnResponse)
+                           FailureHandler aOnFailure)
   : catalog_(aCatalog)
   , isNeeded_(std::move(aIsNeeded))
   , onFailure_(std::move(aOnFailure))
-  , onResponse_(std::move(aOnResponse))
 {
   timer_.callOnTimeout([this] { Check(); });
 }
 
 void
-CatalogProbe::Start(std::chrono::milliseconds aInterval)
+CatalogProbe::Start()
 {
-  timer_.start(aInterval);
+  timer_.start(kCatalogProbeInterval);
 }
 
 void
@@ -31,8 +29,6 @@
     isChecking_ = false;
     if (aFailure.error == CatalogError::Unavailable && isNeeded_()) {
       onFailure_(aFailure);
-    } else if (aFailure.error == CatalogError::None && onResponse_) {
-      onResponse_();
     }
   });
 }
--- a/src/catalog/CatalogProbe.h
+++ b/src/catalog/CatalogProbe.h
@@ -19,16 +19,14 @@
 public:
   using Predicate = std::function<bool()>;
   using FailureHandler = std::function<void(const CatalogFailure&)>;
-  using ResponseHandler = std::function<void()>;
 
   // aCatalog has to outlive the object. aIsNeeded tells whether this host has a
   // watch that waits; without one, no check is made.
   CatalogProbe(ObjectCatalog& aCatalog,
                Predicate aIsNeeded,
-               FailureHandler aOnFailure,
-               ResponseHandler aOnResponse = {});
+               FailureHandler aOnFailure);
 
-  void Start(std::chrono::milliseconds aInterval = kCatalogProbeInterval);
+  void Start();
 
 private:
   void Check();
@@ -36,7 +34,6 @@
   ObjectCatalog& catalog_;
   const Predicate isNeeded_;
   const FailureHandler onFailure_;
-  const ResponseHandler onResponse_;
   bool isChecking_ = false;
   QTimer timer_;
 };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "base/MetricText.h"
+#include "gateway/WatchWait.h"
 
 #include <algorithm>
 #include <utility>
@@ -112,7 +113,7 @@
     [this](const CatalogRestore& aRestore) { OnCatalogRestored(aRestore); });
   configurationFollower_->Start();
   serverFollower_->Start();
-  watchSharing_->Start(MakeWatchTimes(settings_));
+  watchSharing_->Start(FirstWatcherWait(settings_));
   hostRegistry_->Start();
   snapshotClient_->Start();
   knowledgeClient_->Start();
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -83,8 +83,7 @@
       [this](const CatalogFailure& aFailure) {
         configuration_.OnCatalogUnresponsive(aFailure);
         servers_.OnCatalogUnresponsive(aFailure);
-      },
-      [this] { probedAt_ = clock_.Now(); })
+      })
   , clock_(aClock)
   , random_(aRandom)
   , sendHeartbeat_(std::move(aSendHeartbeat))
@@ -95,11 +94,11 @@
 }
 
 void
-WatchSharing::Start(const WatchTimes& aTimes)
+WatchSharing::Start(milliseconds aFirstWatcherWait)
 {
-  times_ = aTimes;
+  firstWatcherWait_ = aFirstWatcherWait;
   tickTimer_.start(kTick);
-  probe_.Start(times_.probeInterval);
+  probe_.Start();
 }
 
 void
@@ -134,10 +133,8 @@
   ConfigurationContact contact;
   contact.isComplete =
     configuration_.IsComplete() && configuration_.Version().IsKnown();
-  // A probe shows that the watch beside it would report a change.
-  contact.catalogRespondedAt =
-    std::max(configuration_.RespondedAt(),
-             configuration_.IsWatching() ? probedAt_ : std::nullopt);
+  // A probe would not show that the response to a waiting watch was lost.
+  contact.catalogRespondedAt = configuration_.RespondedAt();
   contact.coveredAt = configurationCoveredAt_;
   return contact;
 }
@@ -155,7 +152,7 @@
   }
   role_ = role;
   const milliseconds wait =
-    role.isFirstWatcher ? times_.firstWatcherWait : kLongestWatchWait;
+    role.isFirstWatcher ? firstWatcherWait_ : kLongestWatchWait;
   for (CatalogFollower* follower : { &configuration_, &servers_ }) {
     follower->SetWatchWait(wait);
     follower->SetFollowsPeer(!role.watchesCatalog);
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -5,7 +5,6 @@
 #include "catalog/CatalogProbe.h"
 #include "gateway/KeyKnowledge.h"
 #include "gateway/PeerSnapshot.h"
-#include "gateway/WatchTimes.h"
 #include "gateway/WatcherElection.h"
 #include "store/PlatformClient.h"
 
@@ -40,7 +39,9 @@
                Random& aRandom,
                HeartbeatSender aSendHeartbeat);
 
-  void Start(const WatchTimes& aTimes);
+  // While this host is the first watcher, its watches wait for
+  // aFirstWatcherWait.
+  void Start(std::chrono::milliseconds aFirstWatcherWait);
   // Sends no heartbeats from now on, so that other hosts take over.
   void StopHeartbeats() { maySendHeartbeats_ = false; }
   void SetHosts(std::span<const PeerHost> aHosts);
@@ -99,7 +100,7 @@
   const HeartbeatSender sendHeartbeat_;
   WatcherElection election_;
   WatcherRole role_;
-  WatchTimes times_;
+  std::chrono::milliseconds firstWatcherWait_ = kLongestWatchWait;
   bool maySendHeartbeats_ = true;
   PlatformClient client_;
   bool isFetching_ = false;
@@ -110,8 +111,6 @@
   std::optional<Instant> coveredAt_;
   // When a watcher last showed that this host has read its whole configuration.
   std::optional<Instant> configurationCoveredAt_;
-  // When the catalog last responded to a probe.
-  std::optional<Instant> probedAt_;
 };
 
 // Returns the target of a request to a watcher for the changes after the given
--- a/src/gateway/WatchTimes.cpp
+++ b/src/gateway/WatchWait.cpp
@@ -1,4 +1,6 @@
-#include "gateway/WatchTimes.h"
+#include "gateway/WatchWait.h"
+
+#include "catalog/CatalogFollower.h"
 
 #include <algorithm>
 
@@ -14,24 +16,13 @@
 // watcher lacked: it watches again and sends a heartbeat, of which one may be
 // lost, and the others fetch the changes.
 constexpr milliseconds kSpreadTime{ 1'000 };
-constexpr milliseconds kMinWatchWait{ 500 };
+constexpr milliseconds kMinWatchWait{ 200 };
 
-// The catalog is probed several times within the time for which keys are
-// trusted, so that a late response does not end it.
-constexpr int kProbesPerTrustTime = 3;
-constexpr milliseconds kMinProbeInterval{ 200 };
+// The watch of the configuration responds several times within the time for
+// which keys are trusted, so that a late response does not end it.
+constexpr int kResponsesPerTrustTime = 3;
 
-milliseconds
-ProbeInterval(const std::optional<Duration>& aKeyTrustTime)
-{
-  if (!aKeyTrustTime) {
-    return kCatalogProbeInterval;
-  }
-  return std::clamp(std::chrono::duration_cast<milliseconds>(
-                      *aKeyTrustTime / kProbesPerTrustTime),
-                    kMinProbeInterval,
-                    kCatalogProbeInterval);
-}
+} // namespace
 
 // A disturbance of the catalog may have taken the response to a watch. The next
 // change for which a bound holds may come once the catalog has been calm for
@@ -42,18 +33,13 @@
   const Duration bound =
     aSettings.calmTime +
     std::min(aSettings.drainTime, aSettings.configurationTime);
-  return std::clamp(std::chrono::duration_cast<milliseconds>(
-                      bound - kLostResponseTime - kSpreadTime),
+  Duration wait = bound - kLostResponseTime - kSpreadTime;
+  if (aSettings.keyTrustTime) {
+    wait = std::min(wait, *aSettings.keyTrustTime / kResponsesPerTrustTime);
+  }
+  return std::clamp(std::chrono::duration_cast<milliseconds>(wait),
                     kMinWatchWait,
                     kLongestWatchWait);
 }
 
-} // namespace
-
-WatchTimes
-MakeWatchTimes(const GatewaySettings& aSettings)
-{
-  return { ProbeInterval(aSettings.keyTrustTime), FirstWatcherWait(aSettings) };
-}
-
 } // namespace filbertbeam
