Configuration: Notice a lost response within the propagation budget

Change: the watch waits 10 s. Each watcher of a domain makes three times as many calls at rest (one watch in 10 s); other hosts make none.

--- a/src/configuration/ConfigurationFollower.h
+++ b/src/configuration/ConfigurationFollower.h
@@ -28,7 +28,10 @@
   static constexpr Duration kAttemptTimeout = std::chrono::seconds(6);
   // Time after its last report at which a host is no longer used as a source.
   static constexpr Duration kCandidateLifetime = std::chrono::seconds(10);
-  static constexpr std::chrono::milliseconds kWatchTimeout{ 30'000 };
+  // A response to a watch that was lost is noticed a few seconds later than
+  // this, which leaves time to pass the change on within the propagation budget
+  // of 19 s.
+  static constexpr std::chrono::milliseconds kWatchTimeout{ 10'000 };
   // Time that a host without a configuration waits for other hosts before it
   // reads from the store; a random time of up to as much again is added.
   static constexpr Duration kStoreFallbackDelay = std::chrono::seconds(1);
--- a/src/configuration/tests/TestConfigurationFollower.cpp
+++ b/src/configuration/tests/TestConfigurationFollower.cpp
@@ -245,6 +245,22 @@
   BOOST_TEST(watcher.follower->Revision() == 2U);
 }
 
+// Guards against a change that the fleet gets after the 19 s that the propagation
+// of a configuration may take: the response to the watch was lost.
+BOOST_AUTO_TEST_CASE(AChangeBehindALostResponseIsInForceInTime)
+{
+  Host& watcher = AddHost(true);
+  Publish(0);
+  Run(std::chrono::seconds(1));
+  StoreFaults lost;
+  lost.delay = std::chrono::hours(1);
+  watcher.store.SetFaults(lost);
+  Publish(1);
+  watcher.store.SetFaults({});
+  Run(std::chrono::seconds(19));
+  BOOST_TEST(watcher.follower->Revision() == 2U);
+}
+
 // Guards against a watch that polls the store in a tight loop, and against a
 // return to an earlier revision after the store was restored from an earlier
 // state.
