Watchers: Say that the catalog responds only once it has

Cause: a host that takes over as a watcher says in its heartbeats that it reaches the catalog from the start on, and believes so until its first watch or a probe fails, up to 4 s later. Then the next host that is turned away does the same. Hosts that hear such heartbeats do not ask the store. Evidence: in a test of eight hosts, six of them turned away by silence, the log shows hosts 0 and 1 taking over and 3.4 s later hosts 2 and 5. Change: when a host begins to watch, its first watch returns almost at once, and it counts as served once that has a response (HasResponded); its heartbeats say so. Until then it also takes changes from others.

--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -76,7 +76,8 @@
 struct WatcherHeartbeat
 {
   std::string host;
-  // False while the catalog does not respond to the host. Its snapshot may then
+  // False while the catalog does not respond to the host, or has not yet
+  // responded since the host began to watch it. Its snapshot may then
   // initialize a host that has read nothing yet, but others must not rely on
   // its updates.
   bool isCatalogReachable = true;
--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -11,9 +11,10 @@
 
 using std::chrono::milliseconds;
 
-// The first watch after a failure or a stale list returns almost at once: if
-// that call is lost as well, it would otherwise hide changes for the whole
-// wait.
+// A watch returns almost at once as long as it is not known whether the catalog
+// responds, as after a failure or when a peer has been followed, and after a
+// stale list. If that call is lost, it would otherwise hide changes for the
+// whole wait.
 constexpr milliseconds kShortWatchWait{ 10 };
 // The delay after the first failure. It doubles with each further one and is
 // randomised, so that hosts that failed together do not retry together.
@@ -142,7 +143,10 @@
   if (followsPeer_) {
     // The peer can reach the catalog.
     OnRecovered();
-  } else if (version_.IsKnown()) {
+    return;
+  }
+  hasResponded_ = false;
+  if (version_.IsKnown()) {
     // An earlier watch may be waiting on a connection that has broken in the
     // meantime.
     Watch();
@@ -411,7 +415,7 @@
 {
   catalog_.Watch(settings_.collection,
                  version_,
-                 failures_ == 0 && !isCopyStale_ ? watchWait_ : kShortWatchWait,
+                 HasResponded() && !isCopyStale_ ? watchWait_ : kShortWatchWait,
                  [this, call = ++latestCall_](const CatalogChanges& aChanges) {
                    if (call == latestCall_) {
                      OnChanges(aChanges);
@@ -525,6 +529,7 @@
 {
   if (aFailure.error == CatalogError::None) {
     OnRecovered();
+    hasResponded_ = true;
     lastResponseAt_ = clock_.Now();
     respondedAt_ = lastResponseAt_;
     return true;
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -138,6 +138,9 @@
   // True once the whole collection has been read.
   bool IsComplete() const { return isComplete_; }
   bool IsReachable() const { return failures_ == 0; }
+  // True when the catalog has responded since this host last began to watch it
+  // itself, and to its latest call.
+  bool HasResponded() const { return IsReachable() && hasResponded_; }
   // All changes up to this version have been read; unknown before the first
   // list, and from a restore of the catalog until the next one.
   const CatalogVersion& Version() const { return version_; }
@@ -217,6 +220,7 @@
   std::uint64_t latestCall_ = 0;
   bool isComplete_ = false;
   int failures_ = 0;
+  bool hasResponded_ = false;
   Instant lastResponseAt_;
   std::optional<Instant> respondedAt_;
   // These objects are also part of the copy.
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -643,6 +643,24 @@
   BOOST_TEST(names == "a b c ");
 }
 
+// Guards against a host that tells others that it reaches the catalog, which
+// leaves the watch that it has just begun without a response.
+BOOST_AUTO_TEST_CASE(HasNoResponseBeforeThatToItsOwnWatch)
+{
+  catalog.RespondToList(Page({ Object("a", 3) }, 3));
+  BOOST_TEST(follower.HasResponded());
+  follower.SetFollowsPeer(true);
+  follower.SetFollowsPeer(false);
+  BOOST_TEST(follower.IsReachable());
+  BOOST_TEST(!follower.HasResponded());
+  BOOST_TEST(catalog.wait.count() < 100);
+  catalog.watches.pop_front();
+  catalog.RespondToWatch(Changes({}, 3));
+  BOOST_TEST(follower.HasResponded());
+  BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST(catalog.wait.count() == kLongestWatchWait.count());
+}
+
 // Guards against a server that left and is used again for good: this host's own
 // watch returns an older state after a peer's changes have removed the server.
 BOOST_AUTO_TEST_CASE(IgnoresAnOlderResponseToItsOwnWatch)
--- a/src/configuration/tests/TestConfigurationFollower.cpp
+++ b/src/configuration/tests/TestConfigurationFollower.cpp
@@ -245,8 +245,8 @@
   BOOST_TEST(watcher.follower->Revision() == 2U);
 }
 
-// Guards against a change that the fleet gets after the 19 s that the propagation
-// of a configuration may take: the response to the watch was lost.
+// Guards against a change that the fleet gets after the 19 s that the
+// propagation of a configuration may take: the response to the watch was lost.
 BOOST_AUTO_TEST_CASE(AChangeBehindALostResponseIsInForceInTime)
 {
   Host& watcher = AddHost(true);
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -127,6 +127,12 @@
   return configuration_.IsReachable() && servers_.IsReachable();
 }
 
+bool
+WatchSharing::HasCatalogResponded() const
+{
+  return configuration_.HasResponded() && servers_.HasResponded();
+}
+
 ConfigurationContact
 WatchSharing::Contact() const
 {
@@ -157,7 +163,10 @@
     follower->SetWatchWait(wait);
     follower->SetFollowsPeer(!role.watchesCatalog);
   }
-  if (now - lastHeartbeatAt_ >= kWatcherHeartbeatInterval) {
+  const bool hasResponded = HasCatalogResponded();
+  const bool isNews = hasResponded && !hadCatalogResponded_;
+  hadCatalogResponded_ = hasResponded;
+  if (isNews || now - lastHeartbeatAt_ >= kWatcherHeartbeatInterval) {
     OnNewerCopy();
   }
 }
@@ -166,14 +175,14 @@
 WatchSharing::OnNewerCopy()
 {
   if (!IsWatcher() ||
-      (!IsCatalogReachable() && !role_.sendsHeartbeatsInOutage)) {
+      (!HasCatalogResponded() && !role_.sendsHeartbeatsInOutage)) {
     return;
   }
   lastHeartbeatAt_ = clock_.Now();
   const CatalogProgress configuration = configuration_.Progress();
   const CatalogProgress servers = servers_.Progress();
   sendHeartbeat_({ self_.name,
-                   IsCatalogReachable(),
+                   HasCatalogResponded(),
                    { configuration.newestChange, servers.newestChange },
                    { configuration.version, servers.version },
                    { configuration.historyBegin, servers.historyBegin },
@@ -238,7 +247,7 @@
   // A watcher that can read the catalog receives the change from it, unless it
   // waits to list it.
   const bool needsWatcher =
-    !role_.watchesCatalog || !IsCatalogReachable() || !IsListed();
+    !role_.watchesCatalog || !HasCatalogResponded() || !IsListed();
   if (needsWatcher && IsBehind(aHeartbeat) && !IsListing() && !isFetching_) {
     FetchFrom(aHeartbeat, aSender);
   }
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -72,6 +72,9 @@
   // that no other watcher reports.
   bool IsBehind(const WatcherHeartbeat& aHeartbeat) const;
   bool IsCatalogReachable() const;
+  // True when the catalog has responded since this host began to watch it, and
+  // to its latest calls.
+  bool HasCatalogResponded() const;
   // True while this host reads a whole collection from the catalog.
   bool IsListing() const;
   // False until both collections have been read, also from a restore of the
@@ -102,6 +105,8 @@
   WatcherRole role_;
   std::chrono::milliseconds firstWatcherWait_ = kLongestWatchWait;
   bool maySendHeartbeats_ = true;
+  // What HasCatalogResponded() returned at the last tick.
+  bool hadCatalogResponded_ = false;
   PlatformClient client_;
   bool isFetching_ = false;
   QTimer tickTimer_;
