Http: Hold each request to the limits in force when it begins

Cause: a connection's parser took the limits of head and body sizes when the connection was accepted. Change: the parser takes them at the first byte of each request. A request that has begun keeps its limits, so that a lower limit cuts none.

--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -57,6 +57,7 @@
                                      std::uint64_t aBodyLimit)
   : headLimit_(aHeadLimit)
   , bodyLimit_(aBodyLimit)
+  , requestBodyLimit_(aBodyLimit)
   , scanner_(aHeadLimit)
   , parser_(std::make_unique<BeastParser<true>>())
 {
@@ -65,9 +66,24 @@
 HttpRequestParser::~HttpRequestParser() = default;
 
 void
-HttpRequestParser::Reset()
+HttpRequestParser::SetLimits(std::size_t aHeadLimit, std::uint64_t aBodyLimit)
+{
+  headLimit_ = aHeadLimit;
+  bodyLimit_ = aBodyLimit;
+}
+
+void
+HttpRequestParser::BeginRequest()
 {
+  hasBegun_ = true;
   scanner_ = HttpHeadScanner(headLimit_);
+  requestBodyLimit_ = bodyLimit_;
+}
+
+void
+HttpRequestParser::Reset()
+{
+  hasBegun_ = false;
   parser_ = std::make_unique<BeastParser<true>>();
   head_ = {};
   isHeadDone_ = false;
@@ -93,6 +109,12 @@
 HttpParseStep
 HttpRequestParser::ParseHead(ByteView aInput, std::size_t& aConsumed)
 {
+  if (aInput.empty()) {
+    return HttpParseStep::NeedMore;
+  }
+  if (!hasBegun_) {
+    BeginRequest();
+  }
   switch (scanner_.Scan(aInput)) {
     case HttpHeadScanner::Result::NeedMore:
       return HttpParseStep::NeedMore;
@@ -142,7 +164,7 @@
     body_ = parser_->body;
     if (!body_.empty()) {
       bodyBytes_ += body_.size();
-      if (bodyBytes_ > bodyLimit_) {
+      if (bodyBytes_ > requestBodyLimit_) {
         return Fail(413, "the body is too large");
       }
       return HttpParseStep::Body;
@@ -257,7 +279,7 @@
   head_.framing = framing->framing;
   head_.contentLength = framing->contentLength;
   if (head_.framing == BodyFraming::Length &&
-      head_.contentLength > bodyLimit_) {
+      head_.contentLength > requestBodyLimit_) {
     Fail(413, "the body is too large");
     return false;
   }
--- a/src/http/HttpRequestParser.h
+++ b/src/http/HttpRequestParser.h
@@ -20,6 +20,9 @@
   HttpRequestParser(const HttpRequestParser&) = delete;
   HttpRequestParser& operator=(const HttpRequestParser&) = delete;
 
+  // Applies to requests of which no byte has been passed yet.
+  void SetLimits(std::size_t aHeadLimit, std::uint64_t aBodyLimit);
+
   // Prepares for the next request of the connection.
   void Reset();
 
@@ -40,6 +43,9 @@
   const std::string& LastReason() const { return lastReason_; }
 
 private:
+  // Fixes the limits of a request at its first byte, so that a request which
+  // has begun is not held to later ones.
+  void BeginRequest();
   HttpParseStep ParseHead(ByteView aInput, std::size_t& aConsumed);
   HttpParseStep ParseBody(ByteView aInput, std::size_t& aConsumed);
   HttpParseStep Fail(int aStatus, std::string_view aReason);
@@ -51,6 +57,8 @@
 
   std::size_t headLimit_;
   std::uint64_t bodyLimit_;
+  bool hasBegun_ = false;
+  std::uint64_t requestBodyLimit_;
   HttpHeadScanner scanner_;
   std::unique_ptr<BeastParser<true>> parser_;
   HttpRequestHead head_;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -73,8 +73,8 @@
 
   virtual std::uint16_t Port() const = 0;
 
-  // Limits of head and body sizes apply to connections accepted from now on,
-  // time limits to all connections.
+  // Limits of head and body sizes apply to requests that begin from now on,
+  // also on open connections; time limits to all connections.
   virtual void SetLimits(const HttpServerLimits& aLimits) = 0;
 
   // Closes each connection after its next response, so that callers move to
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -207,6 +207,7 @@
     return HandleHead();
   }
   std::size_t consumed = 0;
+  parser_.SetLimits(limits_.headBytes, limits_.bodyBytes);
   const HttpParseStep step = parser_.Parse(input_.Bytes(), consumed);
   switch (step) {
     case HttpParseStep::NeedMore:
