Gateway: Follow the store to a changed address in the settings

Cause: the client of the store kept the address with which the process had started; the change was only logged with needs_restart. Change: a changed address takes effect with the other settings that do: later calls go there, and waiting watches are started again there, the first one for a moment, so that a wrong address shows within a second. A host that becomes the first watcher makes the same short watch first.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -156,14 +156,20 @@
 void
 CatalogFollower::SetWatchWait(milliseconds aWait)
 {
-  const bool isShorter = aWait < std::exchange(watchWait_, aWait);
-  const bool isWaiting =
-    IsWatching() && !isCopyStale_ && !callTimer_.isActive();
-  if (isShorter && isWaiting) {
-    Watch();
+  if (aWait < std::exchange(watchWait_, aWait)) {
+    WatchAgain();
   }
 }
 
+void
+CatalogFollower::WatchAgain()
+{
+  if (!IsWatching() || isCopyStale_ || callTimer_.isActive()) {
+    return;
+  }
+  Watch(kShortWatchWait);
+}
+
 void
 CatalogFollower::ApplyPeerChanges(const CatalogChanges& aChanges)
 {
@@ -412,10 +418,16 @@
 
 void
 CatalogFollower::Watch()
+{
+  Watch(HasResponded() && !isCopyStale_ ? watchWait_ : kShortWatchWait);
+}
+
+void
+CatalogFollower::Watch(milliseconds aWait)
 {
   catalog_.Watch(settings_.collection,
                  version_,
-                 HasResponded() && !isCopyStale_ ? watchWait_ : kShortWatchWait,
+                 aWait,
                  [this, call = ++latestCall_](const CatalogChanges& aChanges) {
                    if (call == latestCall_) {
                      OnChanges(aChanges);
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -97,6 +97,9 @@
   // From now on, watches wait no longer than aWait for a change. One that has
   // been started with a longer wait is started again.
   void SetWatchWait(std::chrono::milliseconds aWait);
+  // Starts a waiting watch again, as its response may never come; the first one
+  // returns almost at once.
+  void WatchAgain();
   // While a peer is followed, no watch is started: the caller passes what the
   // peer has read to ApplyPeerChanges. Otherwise a watch starts at once.
   void SetFollowsPeer(bool aFollowsPeer);
@@ -173,6 +176,7 @@
   // Watches the catalog, unless a peer is followed and the copy is not stale.
   void WatchIfNeeded();
   void Watch();
+  void Watch(std::chrono::milliseconds aWait);
   // Completes a copy that was read by a stale list.
   void OnRecentChangesRead();
   void OnChanges(const CatalogChanges& aChanges);
--- a/src/catalog/CountingCatalog.cpp
+++ b/src/catalog/CountingCatalog.cpp
@@ -171,6 +171,12 @@
   catalog_.SetRestoreHandler(std::move(aHandler));
 }
 
+void
+CountingCatalog::SetEndpoint(const Endpoint& aEndpoint)
+{
+  catalog_.SetEndpoint(aEndpoint);
+}
+
 bool
 CountingCatalog::OnPeerGeneration(std::uint64_t aGeneration)
 {
--- a/src/catalog/ObjectCatalog.h
+++ b/src/catalog/ObjectCatalog.h
@@ -2,6 +2,7 @@
 
 #include "catalog/CatalogVersion.h"
 #include "catalog/GenerationTracker.h"
+#include "http/HttpMessage.h"
 
 #include <QJsonObject>
 
@@ -175,6 +176,9 @@
   // that reports no object is no failure.
   virtual void Probe(ProbeCallback aCallback) = 0;
 
+  // Later calls go to aEndpoint, where the same catalog is served.
+  virtual void SetEndpoint(const Endpoint& aEndpoint) = 0;
+
   // aHandler is called when a response to any call, or a peer, shows that the
   // catalog was restored from an older copy: before the callback of that call,
   // whose response is still of use only to callers that do not depend on
--- a/src/catalog/tests/TestCatalogFollower.cpp
+++ b/src/catalog/tests/TestCatalogFollower.cpp
@@ -271,15 +271,20 @@
   BOOST_TEST(catalog.wait.count() == kLongestWatchWait.count());
   follower.SetWatchWait(3s);
   BOOST_TEST(catalog.watches.size() == 2U);
-  BOOST_TEST((catalog.wait == 3s));
+  BOOST_TEST(catalog.wait.count() < 100);
+  // It still counts as served.
+  BOOST_TEST(follower.HasResponded());
   // The response to the first watch comes late.
   catalog.RespondToWatch(Changes({ { Object("x", 9), false } }, 9));
   BOOST_TEST(names == "a ");
+  catalog.RespondToWatch(Changes({ { Object("b", 4), false } }, 4));
+  BOOST_TEST(names == "a b ");
+  BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
+  BOOST_TEST((catalog.wait == 3s));
   follower.SetWatchWait(3s);
   follower.SetWatchWait(kLongestWatchWait);
   BOOST_TEST(catalog.watches.size() == 1U);
-  catalog.RespondToWatch(Changes({ { Object("b", 4), false } }, 4));
-  BOOST_TEST(names == "a b ");
+  catalog.RespondToWatch(Changes({}, 4));
   BOOST_REQUIRE(WaitUntil([&] { return !catalog.watches.empty(); }));
   BOOST_TEST(catalog.wait.count() == kLongestWatchWait.count());
 }
--- a/src/catalog/tests/support/CatalogStub.h
+++ b/src/catalog/tests/support/CatalogStub.h
@@ -39,6 +39,7 @@
   }
   void Remove(Collection, std::string_view, WriteCallback) override {}
   void Probe(ProbeCallback) override {}
+  void SetEndpoint(const Endpoint&) override {}
   void SetRestoreHandler(GenerationTracker::Handler aHandler) override
   {
     generations.SetHandler(std::move(aHandler));
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -549,11 +549,17 @@
   applied.extraAttemptRatio = aSettings.extraAttemptRatio;
   applied.extraAttemptBurst = aSettings.extraAttemptBurst;
   applied.extraAttemptWindow = aSettings.extraAttemptWindow;
+  applied.catalog = aSettings.catalog;
+  const bool hasCatalogMoved = applied.catalog != settings_.catalog;
   LogEvent(LogLevel::Info,
            "settings_applied",
            { { "changed", applied != settings_ },
              { "needs_restart", applied != aSettings } });
   settings_ = applied;
+  if (hasCatalogMoved) {
+    catalog_.SetEndpoint(settings_.catalog);
+    watchSharing_->OnCatalogMoved();
+  }
   trafficThread_.Post(
     [this, applied] { traffic_->SetExtraAttemptLimits(applied); });
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -41,8 +41,8 @@
   // called.
   bool IsReady() const;
 
-  // Applies changes of stopTime and the extra attempt limits at once. Other
-  // changes need a restart.
+  // Applies changes of stopTime, the extra attempt limits and the address of
+  // the catalog at once. Other changes need a restart.
   void ApplySettings(const GatewaySettings& aSettings);
 
   // Stops accepting callers, completes the running requests and then calls
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -101,6 +101,13 @@
   probe_.Start();
 }
 
+void
+WatchSharing::OnCatalogMoved()
+{
+  configuration_.WatchAgain();
+  servers_.WatchAgain();
+}
+
 void
 WatchSharing::SetHosts(std::span<const PeerHost> aHosts)
 {
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -42,6 +42,8 @@
   // While this host is the first watcher, its watches wait for
   // aFirstWatcherWait.
   void Start(std::chrono::milliseconds aFirstWatcherWait);
+  // The catalog is served at another address.
+  void OnCatalogMoved();
   // Sends no heartbeats from now on, so that other hosts take over.
   void StopHeartbeats() { maySendHeartbeats_ = false; }
   void SetHosts(std::span<const PeerHost> aHosts);
