--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -551,10 +551,11 @@
   applied.extraAttemptWindow = aSettings.extraAttemptWindow;
   applied.catalog = aSettings.catalog;
   const bool hasCatalogMoved = applied.catalog != settings_.catalog;
-  LogEvent(LogLevel::Info,
+  needsRestart_ = applied != aSettings;
+  LogEvent(needsRestart_ ? LogLevel::Warning : LogLevel::Info,
            "settings_applied",
            { { "changed", applied != settings_ },
-             { "needs_restart", applied != aSettings } });
+             { "needs_restart", needsRestart_ } });
   settings_ = applied;
   if (hasCatalogMoved) {
     catalog_.SetEndpoint(settings_.catalog);
@@ -618,6 +619,7 @@
     AppendMetric(text, "gauge", aName, aValue);
   };
   gauge("filbertbeam_ready", IsReady() ? 1 : 0);
+  gauge("filbertbeam_settings_need_restart", needsRestart_ ? 1 : 0);
   gauge("filbertbeam_configuration_version", ConfigurationVersion());
   gauge("filbertbeam_catalog_watcher", IsWatcher() ? 1 : 0);
   gauge("filbertbeam_directory_catalog_revision",
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -140,6 +140,8 @@
   std::unique_ptr<RestoredKnowledgeClient> knowledgeClient_;
   std::uint64_t catalogRestores_ = 0;
   bool wasReady_ = false;
+  // The settings file has changes that hold at the next start.
+  bool needsRestart_ = false;
   ReportedVersions peerVersions_;
   QTimer catchUpTimer_;
   QTimer catalogLogTimer_;
