--- a/src/slots/OutlierDetector.cpp
+++ b/src/slots/OutlierDetector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace filbertbeam {
 
@@ -349,6 +350,41 @@
                   std::min(aStatistics.ownFailureRate, kMaxOwnFailureRate));
 }
 
+template<typename Ring, typename Transform>
+OutlierDetector::SampleTotals
+OutlierDetector::TotalsSince(ServerId aServer,
+                             Instant aSince,
+                             Instant aNow,
+                             Ring ServerStatistics::*aRing,
+                             const Transform& aTransform) const
+{
+  SampleTotals totals;
+  // The peers' samples count from the server's first one on.
+  Instant since = aNow;
+  const Ring& own = statistics_.at(aServer).*aRing;
+  for (std::size_t i = 0; i < own.Size(); ++i) {
+    const auto& sample = own.Newest(i);
+    if (sample.at < aSince) {
+      break;
+    }
+    since = sample.at;
+    totals.ownCount += 1;
+    totals.ownSum += aTransform(sample.value);
+  }
+  for (const auto& [id, peer] : statistics_) {
+    const Ring& samples = peer.*aRing;
+    for (std::size_t i = 0; id != aServer && i < samples.Size(); ++i) {
+      const auto& sample = samples.Newest(i);
+      if (sample.at < since) {
+        break;
+      }
+      totals.peerCount += 1;
+      totals.peerSum += aTransform(sample.value);
+    }
+  }
+  return totals;
+}
+
 std::optional<OutlierDetector::Finding>
 OutlierDetector::EvaluateLatency(ServerId aServer, Instant aNow)
 {
@@ -365,34 +401,12 @@
             baseline.mean) /
            baseline.deviation;
   };
-  Instant since = aNow;
-  double ownCount = 0;
-  double ownSum = 0;
-  for (std::size_t i = 0; i < statistics.latencies.Size(); ++i) {
-    const auto& sample = statistics.latencies.Newest(i);
-    if (sample.at < statistics.latency.since) {
-      break;
-    }
-    since = sample.at;
-    ownCount += 1;
-    ownSum += excess(sample.value);
-  }
-  double peerCount = 0;
-  double peerSum = 0;
-  for (const auto& [id, peer] : statistics_) {
-    if (id == aServer) {
-      continue;
-    }
-    for (std::size_t i = 0; i < peer.latencies.Size(); ++i) {
-      const auto& sample = peer.latencies.Newest(i);
-      if (sample.at < since) {
-        break;
-      }
-      peerCount += 1;
-      peerSum += excess(sample.value);
-    }
-  }
-  if (ownCount == 0 || peerCount == 0) {
+  const SampleTotals totals = TotalsSince(aServer,
+                                          statistics.latency.since,
+                                          aNow,
+                                          &ServerStatistics::latencies,
+                                          excess);
+  if (totals.ownCount == 0 || totals.peerCount == 0) {
     return std::nullopt;
   }
   const double ownAllowance =
@@ -401,10 +415,11 @@
       : 0;
   const double allowed =
     std::max(kAllowedExcess, kAllowedLogRatio / baseline.spread);
-  const double difference =
-    ownSum / ownCount - std::max(peerSum / peerCount, 0.0);
+  const double difference = totals.ownSum / totals.ownCount -
+                            std::max(totals.peerSum / totals.peerCount, 0.0);
   // The fewer samples the peers have, the less certain the difference is.
-  const double effectiveCount = ownCount * peerCount / (ownCount + peerCount);
+  const double effectiveCount =
+    totals.ownCount * totals.peerCount / (totals.ownCount + totals.peerCount);
   if (effectiveCount * (difference - ownAllowance - allowed) < bound_) {
     return std::nullopt;
   }
@@ -412,7 +427,7 @@
                   fmt::format("latency {:.1f} spreads above its peers over "
                               "{:.0f} samples",
                               difference,
-                              ownCount) };
+                              totals.ownCount) };
 }
 
 std::optional<OutlierDetector::Finding>
@@ -423,52 +438,31 @@
   if (statistics.failure.score < bound_ || baseline.peers == 0) {
     return std::nullopt;
   }
-  Instant since = aNow;
-  double ownCount = 0;
-  double ownFailures = 0;
-  for (std::size_t i = 0; i < statistics.outcomes.Size(); ++i) {
-    const auto& sample = statistics.outcomes.Newest(i);
-    if (sample.at < statistics.failure.since) {
-      break;
-    }
-    since = sample.at;
-    ownCount += 1;
-    ownFailures += sample.value;
-  }
-  double peerCount = 0;
-  double peerFailures = 0;
-  for (const auto& [id, peer] : statistics_) {
-    if (id == aServer) {
-      continue;
-    }
-    for (std::size_t i = 0; i < peer.outcomes.Size(); ++i) {
-      const auto& sample = peer.outcomes.Newest(i);
-      if (sample.at < since) {
-        break;
-      }
-      peerCount += 1;
-      peerFailures += sample.value;
-    }
-  }
+  const SampleTotals totals = TotalsSince(aServer,
+                                          statistics.failure.since,
+                                          aNow,
+                                          &ServerStatistics::outcomes,
+                                          std::identity());
   // As for latency: failures that begin on all servers at once show up in the
   // peers' samples of the same period before they show up in the peers'
   // long-term rate.
-  const double base = std::min(std::max(BaseFailureRate(statistics, baseline),
-                                        (peerFailures + 0.5) / (peerCount + 1)),
-                               kMaximumFailureRate);
+  const double base =
+    std::min(std::max(BaseFailureRate(statistics, baseline),
+                      (totals.peerSum + 0.5) / (totals.peerCount + 1)),
+             kMaximumFailureRate);
   const double alternative = AlternativeFailureRate(base);
-  const double evidence =
-    ownFailures * std::log(alternative / base) +
-    (ownCount - ownFailures) * std::log((1 - alternative) / (1 - base));
-  if (ownCount == 0 || evidence < bound_) {
+  const double evidence = totals.ownSum * std::log(alternative / base) +
+                          (totals.ownCount - totals.ownSum) *
+                            std::log((1 - alternative) / (1 - base));
+  if (totals.ownCount == 0 || evidence < bound_) {
     return std::nullopt;
   }
-  const double share = ownFailures / ownCount;
+  const double share = totals.ownSum / totals.ownCount;
   return Finding{ kClipSpreads * share,
                   fmt::format("{:.0f} of {:.0f} requests failed, {:.1f}% "
                               "expected from its peers",
-                              ownFailures,
-                              ownCount,
+                              totals.ownSum,
+                              totals.ownCount,
                               100 * base) };
 }
 
--- a/src/slots/OutlierDetector.h
+++ b/src/slots/OutlierDetector.h
@@ -97,6 +97,15 @@
     void Add(double aStep, double aCap, Instant aNow);
   };
 
+  // Samples of one server and of the others in the same period.
+  struct SampleTotals
+  {
+    double ownCount = 0;
+    double ownSum = 0;
+    double peerCount = 0;
+    double peerSum = 0;
+  };
+
   struct ServerStatistics
   {
     SampleRing<kLatencySamples> latencies;
@@ -114,6 +123,14 @@
   void AddLatency(ServerId aServer, double aLogLatency, Instant aNow);
   double BaseFailureRate(const ServerStatistics& aStatistics,
                          const PeerBaseline& aBaseline) const;
+  // Sums the transformed samples in aRing: those of aServer from aSince on, and
+  // those of the other servers of the same period.
+  template<typename Ring, typename Transform>
+  SampleTotals TotalsSince(ServerId aServer,
+                           Instant aSince,
+                           Instant aNow,
+                           Ring ServerStatistics::*aRing,
+                           const Transform& aTransform) const;
   std::optional<Finding> EvaluateLatency(ServerId aServer, Instant aNow);
   std::optional<Finding> EvaluateFailures(ServerId aServer, Instant aNow);
 
