Watchers: State how old their knowledge of the configuration is

Cause: in a strict deployment, a host trusted keys for keyTrustTime after a watcher's heartbeat that covered its configuration, though the watcher itself might know nothing newer for its wait and one second, or 26 s for the second watcher. Two watchers even confirmed each other. Change: a heartbeat carries the age of what its sender knows, which the receiver subtracts. Heartbeats have a new kind of message; hosts of earlier releases ignore it and follow watchers of their own release.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -19,11 +19,12 @@
 constexpr std::uint64_t kResponse = 2;
 constexpr std::uint64_t kReport = 3;
 constexpr std::uint64_t kAnnouncement = 4;
-constexpr std::uint64_t kHeartbeat = 5;
 constexpr std::uint64_t kCancellation = 6;
 constexpr std::uint64_t kQuotaQuery = 7;
 constexpr std::uint64_t kQuotaResponse = 8;
-constexpr std::uint64_t kMaxKind = kQuotaResponse;
+// 5 is in use by earlier releases, whose heartbeats have another form.
+constexpr std::uint64_t kHeartbeat = 9;
+constexpr std::uint64_t kMaxKind = kHeartbeat;
 
 constexpr std::size_t kMaxNameBytes = 256;
 // Maximum number of servers that a request may exclude or avoid, the last ones
@@ -175,7 +176,7 @@
 void
 Append(QCborStreamWriter& aWriter, const WatcherHeartbeat& aHeartbeat)
 {
-  aWriter.startArray(17);
+  aWriter.startArray(18);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHeartbeat));
   AppendText(aWriter, aHeartbeat.host);
@@ -183,6 +184,9 @@
   AppendVersions(aWriter, aHeartbeat.known);
   AppendVersions(aWriter, aHeartbeat.readUpTo);
   AppendVersions(aWriter, aHeartbeat.historyBegin);
+  AppendDuration(aWriter,
+                 std::min<Duration>(aHeartbeat.configurationAge,
+                                    milliseconds(kMaxMilliseconds)));
   aWriter.append(static_cast<quint64>(aHeartbeat.snapshotPort));
   aWriter.endArray();
 }
@@ -356,6 +360,7 @@
   heartbeat.known = ReadVersions(aInput);
   heartbeat.readUpTo = ReadVersions(aInput);
   heartbeat.historyBegin = ReadVersions(aInput);
+  heartbeat.configurationAge = ReadDuration(aInput);
   heartbeat.snapshotPort =
     static_cast<std::uint16_t>(aInput.ReadUnsigned(0xFFFF));
   return heartbeat;
--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -86,6 +86,9 @@
   KnownVersions readUpTo;
   // The host knows each change after these versions.
   KnownVersions historyBegin;
+  // How long ago a response of the catalog last showed, to the host or to one
+  // that it heard, that its configuration was the newest.
+  Duration configurationAge = Duration::max();
   // Port at the sender's address that serves snapshots of what the host has
   // read.
   std::uint16_t snapshotPort = 0;
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -152,6 +152,14 @@
   return contact;
 }
 
+Duration
+WatchSharing::ConfigurationAge() const
+{
+  const auto confirmedAt =
+    std::max(configuration_.RespondedAt(), configurationCoveredAt_);
+  return confirmedAt ? clock_.Now() - *confirmedAt : Duration::max();
+}
+
 void
 WatchSharing::Tick()
 {
@@ -193,6 +201,7 @@
                    { configuration.newestChange, servers.newestChange },
                    { configuration.version, servers.version },
                    { configuration.historyBegin, servers.historyBegin },
+                   ConfigurationAge(),
                    self_.snapshot.port });
 }
 
@@ -249,7 +258,9 @@
   }
   if (configuration_.HasRead(aHeartbeat.known.configuration) &&
       configuration_.IsCoveredBy(ConfigurationProgress(aHeartbeat))) {
-    configurationCoveredAt_ = clock_.Now();
+    configurationCoveredAt_ =
+      std::max(configurationCoveredAt_,
+               std::optional(clock_.Now() - aHeartbeat.configurationAge));
   }
   // A watcher that can read the catalog receives the change from it, unless it
   // waits to list it.
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -77,6 +77,9 @@
   // True when the catalog has responded since this host began to watch it, and
   // to its latest calls.
   bool HasCatalogResponded() const;
+  // The time since the catalog last confirmed this host's configuration, also
+  // by the word of a watcher.
+  Duration ConfigurationAge() const;
   // True while this host reads a whole collection from the catalog.
   bool IsListing() const;
   // False until both collections have been read, also from a restore of the
@@ -116,7 +119,8 @@
   // When a watcher that knows all changes which this host lacks last sent a
   // heartbeat; empty before the first one.
   std::optional<Instant> coveredAt_;
-  // When a watcher last showed that this host has read its whole configuration.
+  // When the catalog last confirmed, to a watcher that has no newer one, the
+  // configuration of this host.
   std::optional<Instant> configurationCoveredAt_;
 };
 
