Review: Show hosts that follow watchers which the store has silenced

A watcher whose calls the store leaves unanswered notices it by a call that times out. Until then the hosts of its zone follow its heartbeats and read nothing themselves.

The stand-in store has listeners for single machines now.

--- a/review/13/Case.cpp
+++ b/review/13/Case.cpp
@@ -173,7 +173,10 @@
                servers_.back()->Spec(),
                Status("ready", 1));
   }
-  const Fleet fleet(aCommand, store->Address(), kMachines, aScratch);
+  const Fleet fleet(aCommand,
+                    std::vector<std::string>(kMachines, store->Address()),
+                    2,
+                    aScratch);
   if (!fleet.WaitUntilReady()) {
     std::cerr << "the machines did not become ready\n";
     return 2;
--- a/review/lib-3/World.cpp
+++ b/review/lib-3/World.cpp
@@ -300,13 +300,57 @@
 
 Store::Store()
 {
-  AcceptAll(Listen(kLoopback, port_), [this](int aSocket) { Serve(aSocket); });
+  AddListener();
 }
 
 std::string
 Store::Address() const
 {
-  return std::string(kLoopback) + ":" + std::to_string(port_);
+  return AddressOf(0);
+}
+
+std::size_t
+Store::AddListener()
+{
+  int port = 0;
+  const int listener = Listen(kLoopback, port);
+  const std::size_t number = ports_.size();
+  ports_.push_back(port);
+  AcceptAll(listener, [this, number](int aSocket) { Serve(aSocket, number); });
+  return number;
+}
+
+std::string
+Store::AddressOf(std::size_t aListener) const
+{
+  return std::string(kLoopback) + ":" + std::to_string(ports_.at(aListener));
+}
+
+void
+Store::Silence(std::set<std::size_t> aListeners)
+{
+  const std::scoped_lock lock(mutex_);
+  silent_ = std::move(aListeners);
+}
+
+bool
+Store::IsSilent(std::size_t aListener)
+{
+  const std::scoped_lock lock(mutex_);
+  return silent_.contains(aListener);
+}
+
+std::set<std::size_t>
+Store::Watchers(const std::string& aKind)
+{
+  const std::scoped_lock lock(mutex_);
+  std::set<std::size_t> watchers;
+  for (const auto& [key, count] : waiting_) {
+    if (key.first == aKind && count > 0) {
+      watchers.insert(key.second);
+    }
+  }
+  return watchers;
 }
 
 void
@@ -369,19 +413,27 @@
 }
 
 void
-Store::Serve(int aSocket)
+Store::Serve(int aSocket, std::size_t aListener)
 {
   Stream stream(aSocket);
   Message request;
+  bool isLost = false;
   while (stream.Read(request)) {
-    if (!stream.Write(Respond(request))) {
+    // A connection on which a response is lost returns nothing further.
+    isLost = isLost || IsSilent(aListener);
+    if (isLost) {
+      continue;
+    }
+    const std::string response = Respond(request, aListener);
+    isLost = IsSilent(aListener);
+    if (!isLost && !stream.Write(response)) {
       return;
     }
   }
 }
 
 std::string
-Store::Respond(const Message& aRequest)
+Store::Respond(const Message& aRequest, std::size_t aListener)
 {
   const std::string target = aRequest.SecondWord();
   if (!target.starts_with(kObjects)) {
@@ -407,7 +459,8 @@
            ? List(kind)
            : Watch(kind,
                    watch,
-                   std::chrono::milliseconds(QueryNumber(target, "waitMs", 0)));
+                   std::chrono::milliseconds(QueryNumber(target, "waitMs", 0)),
+                   aListener);
 }
 
 std::string
@@ -462,9 +515,11 @@
 std::string
 Store::Watch(const std::string& aKind,
              std::uint64_t aRevision,
-             std::chrono::milliseconds aWait)
+             std::chrono::milliseconds aWait,
+             std::size_t aListener)
 {
   std::unique_lock lock(mutex_);
+  ++waiting_[{ aKind, aListener }];
   std::string events;
   changed_.wait_for(lock, aWait, [&] {
     events.clear();
@@ -477,6 +532,7 @@
     }
     return !events.empty();
   });
+  --waiting_[{ aKind, aListener }];
   return Response(200,
                   R"({"events":[)" + events + R"(],"asOf":)" +
                     std::to_string(revision_) + "}");
@@ -596,13 +652,14 @@
 }
 
 Fleet::Fleet(const std::string& aCommand,
-             const std::string& aStore,
-             int aCount,
+             std::vector<std::string> aStores,
+             std::size_t aPerZone,
              const std::string& aFolder)
   : command_(aCommand)
-  , store_(aStore)
+  , stores_(std::move(aStores))
+  , perZone_(aPerZone)
   , folder_(aFolder)
-  , count_(static_cast<std::size_t>(aCount))
+  , count_(stores_.size())
   , front_(20'000 + getpid() % 400 * 20)
   , processes_(count_, -1)
 {
@@ -625,7 +682,7 @@
   std::ostringstream text;
   text << "nodeName=edge-" << aMachine << "\nrole=gateway\nmachineClass=edge"
        << "\nserves=edge,control\nip=" << AddressOf(aMachine) << "\nzone=zone-"
-       << aMachine / 2 << "\nregion=region"
+       << aMachine / perZone_ << "\nregion=region"
        << "\nlisten.front=" << at(aMachine, 0)
        << "\nlisten.ready=" << at(aMachine, 1)
        << "\nlisten.control=" << at(aMachine, 2)
@@ -638,7 +695,8 @@
        << "\nbounds.configApplyS=2\nbounds.rollbackSlackS=0.25"
        << "\nbounds.maxStretchS=5\nbounds.retryBudgetRatio=0.2"
        << "\nbounds.budgetWindowS=10\nbounds.budgetSlack=64"
-       << "\nplatform.address=" << store_ << "\nplatform.form=objects\n";
+       << "\nplatform.address=" << stores_.at(aMachine)
+       << "\nplatform.form=objects\n";
   return text.str();
 }
 
--- a/review/lib-3/World.h
+++ b/review/lib-3/World.h
@@ -10,12 +10,14 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include <sys/types.h>
+#include <unistd.h>
 
 namespace review {
 
@@ -95,6 +97,14 @@
 public:
   Store();
   std::string Address() const;
+  // Adds an address at which the store is served too, and returns its number.
+  std::size_t AddListener();
+  std::string AddressOf(std::size_t aListener) const;
+  // From now on, these listeners read calls and answer none, those that wait
+  // included; the others are served.
+  void Silence(std::set<std::size_t> aListeners);
+  // The listeners at which a watch of a kind waits.
+  std::set<std::size_t> Watchers(const std::string& aKind);
   // Writes an object whole. Nothing changes if only the sequence differs, and
   // the revision then stays.
   void Put(const std::string& aKind,
@@ -119,22 +129,27 @@
     bool isDeleted = false;
   };
 
-  void Serve(int aSocket);
-  std::string Respond(const Message& aRequest);
+  void Serve(int aSocket, std::size_t aListener);
+  bool IsSilent(std::size_t aListener);
+  std::string Respond(const Message& aRequest, std::size_t aListener);
   std::string Write(const Message& aRequest,
                     const std::string& aKind,
                     std::string aName);
   std::string List(const std::string& aKind);
   std::string Watch(const std::string& aKind,
                     std::uint64_t aRevision,
-                    std::chrono::milliseconds aWait);
+                    std::chrono::milliseconds aWait,
+                    std::size_t aListener);
   static std::string Format(const Object& aObject);
   void AddChange(const std::string& aKind,
                  const Object& aObject,
                  bool aIsDeleted);
 
-  int port_ = 0;
+  std::vector<int> ports_;
   std::mutex mutex_;
+  std::set<std::size_t> silent_;
+  // Waiting watches by kind and listener.
+  std::map<std::pair<std::string, std::size_t>, int> waiting_;
   std::condition_variable changed_;
   std::map<std::string, std::map<std::string, Object>> kinds_;
   std::vector<Change> history_;
@@ -185,15 +200,15 @@
               const std::vector<std::string>& aRules,
               const std::vector<std::string>& aServices);
 
-// The gateway's processes, one for each of aCount machines with an address of
-// its own, in zones of two.
+// The gateway's processes, one for each machine with an address of its own.
 class Fleet
 {
 public:
-  // aCommand is the command of the deploy file.
+  // aCommand is the command of the deploy file. Each of aStores is the address
+  // of the store for one machine; each zone has aPerZone machines.
   Fleet(const std::string& aCommand,
-        const std::string& aStore,
-        int aCount,
+        std::vector<std::string> aStores,
+        std::size_t aPerZone,
         const std::string& aFolder);
   // Ends the processes.
   ~Fleet();
@@ -219,7 +234,8 @@
   bool IsFree(int aFirst) const;
 
   std::string command_;
-  std::string store_;
+  std::vector<std::string> stores_;
+  std::size_t perZone_;
   std::string folder_;
   std::size_t count_;
   int front_ = 0;
