--- a/review/13/Case.cpp
+++ b/review/13/Case.cpp
@@ -80,6 +80,7 @@
                   " s after the acknowledgement" + (isLate ? ": late" : ""));
     }
   }
+  record_.Add("server i-" + std::to_string(aServer) + " runs " + request);
   SleepUntil(arrivedAt + kWork);
   return aStream.Write(Success(request, "done"));
 }
@@ -101,6 +102,8 @@
       next += kInterval;
       const std::string request = "r-" + std::to_string(++requests_);
       Message answer;
+      record_.Add("machine " + std::to_string(aMachine) + " is sent " +
+                  request);
       isOpen = stream.Write("POST /permits/1 HTTP/1.1\r\nHost: h.example\r\n"
                             "Request-Id: " +
                             request +
--- a/review/14/Case.cpp
+++ b/review/14/Case.cpp
@@ -98,6 +98,7 @@
       }
     }
   }
+  record_.Add("service " + std::to_string(aService) + " runs " + request);
   SleepUntil(Now() + kWork);
   return aStream.Write(Success(request, "done"));
 }
@@ -118,10 +119,15 @@
       SleepUntil(next);
       next += kInterval;
       const std::string request = RequestId(aMachine, ++requests_);
+      record_.Add("machine " + std::to_string(aMachine) + " is sent " +
+                  request);
       isOpen = stream.Write("GET /lookups/1 HTTP/1.1\r\nHost: h.example\r\n"
                             "Request-Id: " +
                             request + "\r\nRequest-Timeout-Ms: 2000\r\n\r\n") &&
-               stream.Read(answer) && answer.Field("connection") != "close";
+               stream.Read(answer);
+      record_.Add("answer to " + request + ": " +
+                  (isOpen ? answer.SecondWord() : std::string("none")));
+      isOpen = isOpen && answer.Field("connection") != "close";
     }
   }
 }
