Watchers: Count a watcher from the catalog's last response to it

Cause: a heartbeat said that its sender reaches the store until a call of the sender had failed: its watch, up to 4 s, or a probe each 3 s, which fails after 1 s. The hosts that heard it asked nobody else. Logs of the case: the watchers logged catalog_lost 2.0 to 3.0 s after the silence began, and their hosts watched the store within 0.5 s of the loss of the second watcher.

Change: a heartbeat states how long ago the store last responded to its sender. A host counts that age on, and 1.1 s after the response the sender is no watcher any more, whatever it sends. Watchers probe the store each 0.4 s and send their heartbeat with the response. The bound no longer depends on when a silenced watcher notices anything. Outages that a host noticed itself are ended only by heartbeats of senders that count.

--- a/src/balancing/SelectionMessages.cpp
+++ b/src/balancing/SelectionMessages.cpp
@@ -173,10 +173,17 @@
   aWriter.endArray();
 }
 
+void
+AppendAge(QCborStreamWriter& aWriter, Duration aAge)
+{
+  AppendDuration(aWriter,
+                 std::min<Duration>(aAge, milliseconds(kMaxMilliseconds)));
+}
+
 void
 Append(QCborStreamWriter& aWriter, const WatcherHeartbeat& aHeartbeat)
 {
-  aWriter.startArray(18);
+  aWriter.startArray(19);
   aWriter.append(static_cast<quint64>(kVersion));
   aWriter.append(static_cast<quint64>(kHeartbeat));
   AppendText(aWriter, aHeartbeat.host);
@@ -184,9 +191,8 @@
   AppendVersions(aWriter, aHeartbeat.known);
   AppendVersions(aWriter, aHeartbeat.readUpTo);
   AppendVersions(aWriter, aHeartbeat.historyBegin);
-  AppendDuration(aWriter,
-                 std::min<Duration>(aHeartbeat.configurationAge,
-                                    milliseconds(kMaxMilliseconds)));
+  AppendAge(aWriter, aHeartbeat.catalogAge);
+  AppendAge(aWriter, aHeartbeat.configurationAge);
   aWriter.append(static_cast<quint64>(aHeartbeat.snapshotPort));
   aWriter.endArray();
 }
@@ -360,6 +366,7 @@
   heartbeat.known = ReadVersions(aInput);
   heartbeat.readUpTo = ReadVersions(aInput);
   heartbeat.historyBegin = ReadVersions(aInput);
+  heartbeat.catalogAge = ReadDuration(aInput);
   heartbeat.configurationAge = ReadDuration(aInput);
   heartbeat.snapshotPort =
     static_cast<std::uint16_t>(aInput.ReadUnsigned(0xFFFF));
--- a/src/balancing/tests/TestSelectionService.cpp
+++ b/src/balancing/tests/TestSelectionService.cpp
@@ -490,6 +490,7 @@
                                     { { 1, 3 }, { 2, 4 } },
                                     { { 3, 5 }, { kMaxCatalogGeneration, 6 } },
                                     { { 5, 1 }, { 6, 2 } },
+                                    250ms,
                                     1500ms,
                                     8382 };
   const auto message =
@@ -501,12 +502,14 @@
   BOOST_TEST((read.known == heartbeat.known));
   BOOST_TEST((read.readUpTo == heartbeat.readUpTo));
   BOOST_TEST((read.historyBegin == heartbeat.historyBegin));
+  BOOST_TEST((read.catalogAge == 250ms));
   BOOST_TEST((read.configurationAge == 1500ms));
   BOOST_TEST(read.snapshotPort == 8382);
-  // The age of a configuration that nothing has confirmed.
+  // The ages of what nothing has confirmed.
   const auto unknown =
     DecodeSelectionMessage(EncodeSelectionMessage(WatcherHeartbeat()));
   BOOST_TEST_REQUIRE(unknown.has_value());
+  BOOST_TEST((std::get<WatcherHeartbeat>(*unknown).catalogAge >= 1h));
   BOOST_TEST((std::get<WatcherHeartbeat>(*unknown).configurationAge >= 1h));
 }
 
--- a/src/catalog/tests/TestCatalogProbe.cpp
+++ b/src/catalog/tests/TestCatalogProbe.cpp
@@ -1,4 +1,6 @@
 #include "catalog/CatalogProbe.h"
+
+#include "base/SystemClock.h"
 #include "catalog/tests/support/CatalogStub.h"
 #include "http/tests/support/EventLoop.h"
 
@@ -37,11 +39,15 @@
 BOOST_AUTO_TEST_CASE(ReportsThatTheCatalogDoesNotRespond)
 {
   ProbedCatalog catalog;
+  const SystemClock clock;
   bool isNeeded = false;
+  int responses = 0;
   int failures = 0;
   CatalogProbe probe(
     catalog,
+    clock,
     [&] { return isNeeded; },
+    [&] { ++responses; },
     [&](const CatalogFailure&) { ++failures; });
   probe.Start();
   RunFor(kCatalogProbeInterval + 100ms);
@@ -49,8 +55,13 @@
   isNeeded = true;
   BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.probes.empty(); },
                                kCatalogProbeInterval + 100ms));
-  catalog.Respond(CatalogError::None);
+  BOOST_TEST(!probe.RespondedAt().has_value());
   catalog.Respond(CatalogError::Refused);
+  BOOST_TEST(!probe.RespondedAt().has_value());
+  BOOST_TEST(responses == 0);
+  catalog.Respond(CatalogError::None);
+  BOOST_TEST(probe.RespondedAt().has_value());
+  BOOST_TEST(responses == 1);
   BOOST_TEST(failures == 0);
   catalog.Respond(CatalogError::Unavailable);
   BOOST_TEST(failures == 1);
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -16,9 +16,16 @@
 using std::chrono::milliseconds;
 
 // Half of the heartbeat interval, so that a lost watcher is detected soon after
-// its heartbeats time out.
+// it times out.
 constexpr milliseconds kTick = kWatcherHeartbeatInterval / 2;
 
+// A watcher sends a heartbeat with each response to a probe, so that its
+// statement about the catalog is new. Without such a response it sends one
+// after this time.
+constexpr milliseconds kLongestHeartbeatPause =
+  3 * kWatcherHeartbeatInterval / 2;
+static_assert(kCatalogProbeInterval == kWatcherHeartbeatInterval);
+
 // After a restore of the catalog, a watcher's copy usually arrives before this
 // delay ends. The spread keeps hosts that get none from listing together; both
 // keep the hosts within one second of each other.
@@ -79,7 +86,9 @@
   , servers_(aServers)
   , probe_(
       aCatalog,
+      aClock,
       [this] { return configuration_.IsWatching() || servers_.IsWatching(); },
+      [this] { SendHeartbeat(); },
       [this](const CatalogFailure& aFailure) {
         configuration_.OnCatalogUnresponsive(aFailure);
         servers_.OnCatalogUnresponsive(aFailure);
@@ -140,6 +149,15 @@
   return configuration_.HasResponded() && servers_.HasResponded();
 }
 
+Duration
+WatchSharing::CatalogAge() const
+{
+  const auto respondedAt = std::max({ configuration_.RespondedAt(),
+                                      servers_.RespondedAt(),
+                                      probe_.RespondedAt() });
+  return respondedAt ? clock_.Now() - *respondedAt : Duration::max();
+}
+
 ConfigurationContact
 WatchSharing::Contact() const
 {
@@ -181,13 +199,13 @@
   const bool hasResponded = HasCatalogResponded();
   const bool isNews = hasResponded && !hadCatalogResponded_;
   hadCatalogResponded_ = hasResponded;
-  if (isNews || now - lastHeartbeatAt_ >= kWatcherHeartbeatInterval) {
-    OnNewerCopy();
+  if (isNews || now - lastHeartbeatAt_ >= kLongestHeartbeatPause) {
+    SendHeartbeat();
   }
 }
 
 void
-WatchSharing::OnNewerCopy()
+WatchSharing::SendHeartbeat()
 {
   if (!IsWatcher() ||
       (!HasCatalogResponded() && !role_.sendsHeartbeatsInOutage)) {
@@ -201,6 +219,7 @@
                    { configuration.newestChange, servers.newestChange },
                    { configuration.version, servers.version },
                    { configuration.historyBegin, servers.historyBegin },
+                   CatalogAge(),
                    ConfigurationAge(),
                    self_.snapshot.port });
 }
@@ -235,7 +254,7 @@
     return true;
   }
   const bool isCovered =
-    coveredAt_ && clock_.Now() - *coveredAt_ <= kWatcherHeartbeatTimeout;
+    coveredAt_ && clock_.Now() - *coveredAt_ <= kWatcherTimeout;
   return !isCovered && !IsCoveredBy(aHeartbeat);
 }
 
@@ -248,9 +267,11 @@
     election_.OnUnreachable(aHeartbeat.host);
     return;
   }
-  election_.OnHeartbeat(aHeartbeat.host, clock_.Now());
-  configuration_.OnCatalogResponds();
-  servers_.OnCatalogResponds();
+  election_.OnHeartbeat(aHeartbeat.host, clock_.Now() - aHeartbeat.catalogAge);
+  if (aHeartbeat.catalogAge <= kWatcherTimeout) {
+    configuration_.OnCatalogResponds();
+    servers_.OnCatalogResponds();
+  }
   configuration_.OnPeerProgress(ConfigurationProgress(aHeartbeat));
   servers_.OnPeerProgress(ServerProgress(aHeartbeat));
   if (IsCoveredBy(aHeartbeat)) {
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -17,13 +17,13 @@
 
 // Keeps the number of catalog watches small. A few hosts of each failure domain
 // watch the catalog and send heartbeats; the others follow them and fetch
-// changes from the watcher that reported them. A host that receives no
-// heartbeats watches the catalog itself. The watches of the first watcher of a
-// domain wait for a short time only: a response that the catalog loses without
-// an error is then noticed by one host that the others hear. A host that is so
-// far behind that its watcher no longer has all changes fetches the watcher's
-// whole copy, so that a wave of changes does not make all hosts list the
-// catalog.
+// changes from the watcher that reported them. A host that hears of no watcher
+// to which the catalog has just responded watches the catalog itself. The
+// watches of the first watcher of a domain wait for a short time only: a
+// response that the catalog loses without an error is then noticed by one host
+// that the others hear. A host that is so far behind that its watcher no longer
+// has all changes fetches the watcher's whole copy, so that a wave of changes
+// does not make all hosts list the catalog.
 class WatchSharing
 {
 public:
@@ -61,7 +61,7 @@
   bool IsWatcher() const { return role_.sendsHeartbeats && maySendHeartbeats_; }
   // Called when a follower has a newer copy. Sends a heartbeat at once, so that
   // the hosts that follow this one fetch the changes.
-  void OnNewerCopy();
+  void OnNewerCopy() { SendHeartbeat(); }
 
 private:
   // A heartbeat's report of one collection.
@@ -77,6 +77,8 @@
   // True when the catalog has responded since this host began to watch it, and
   // to its latest calls.
   bool HasCatalogResponded() const;
+  // The time since the last response of the catalog to any call of this host.
+  Duration CatalogAge() const;
   // The time since the catalog last confirmed this host's configuration, also
   // by the word of a watcher.
   Duration ConfigurationAge() const;
@@ -86,6 +88,7 @@
   // catalog on.
   bool IsListed() const;
   void Tick();
+  void SendHeartbeat();
   void FetchFrom(const WatcherHeartbeat& aHeartbeat, const Endpoint& aSender);
   void OnFetched(const WatcherHeartbeat& aHeartbeat,
                  const PlatformReply& aReply);
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -59,16 +59,19 @@
 }
 
 void
-WatcherElection::OnHeartbeat(const std::string& aHost, Instant aNow)
+WatcherElection::OnHeartbeat(const std::string& aHost,
+                             Instant aCatalogRespondedAt)
 {
-  lastHeartbeatAt_.insert_or_assign(aHost, aNow);
+  Instant& known =
+    catalogRespondedAt_.try_emplace(aHost, aCatalogRespondedAt).first->second;
+  known = std::max(known, aCatalogRespondedAt);
   hasReceivedHeartbeat_ = true;
 }
 
 void
 WatcherElection::OnUnreachable(const std::string& aHost)
 {
-  lastHeartbeatAt_.erase(aHost);
+  catalogRespondedAt_.erase(aHost);
 }
 
 bool
@@ -78,18 +81,18 @@
     peersKnownSince_ = aNow;
   }
   return !hasReceivedHeartbeat_ && peersKnownSince_ &&
-         aNow - *peersKnownSince_ < kWatcherHeartbeatTimeout;
+         aNow - *peersKnownSince_ < kWatcherTimeout;
 }
 
 WatcherRole
 WatcherElection::Decide(Instant aNow)
 {
   const bool isFirstHeartbeatPending = IsFirstHeartbeatPending(aNow);
-  std::erase_if(lastHeartbeatAt_, [aNow](const auto& aItem) {
-    return aNow - aItem.second > kWatcherHeartbeatTimeout;
+  std::erase_if(catalogRespondedAt_, [aNow](const auto& aItem) {
+    return aNow - aItem.second > kWatcherTimeout;
   });
   const auto before =
-    std::ranges::count_if(lastHeartbeatAt_, [this](const auto& aItem) {
+    std::ranges::count_if(catalogRespondedAt_, [this](const auto& aItem) {
       return RankOf(aItem.first) < rank_;
     });
   if (before >= kWatchers) {
@@ -103,8 +106,8 @@
   role.sendsHeartbeats =
     precedingPeers_ &&
     aNow - *watcherShortageSince_ >= kTakeoverStagger * *precedingPeers_;
-  role.watchesCatalog = role.sendsHeartbeats ||
-                        (lastHeartbeatAt_.empty() && !isFirstHeartbeatPending);
+  role.watchesCatalog = role.sendsHeartbeats || (catalogRespondedAt_.empty() &&
+                                                 !isFirstHeartbeatPending);
   role.isFirstWatcher = role.watchesCatalog && before == 0;
   role.sendsHeartbeatsInOutage =
     role.sendsHeartbeats && *precedingPeers_ < kOutageWatchers;
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -38,7 +38,8 @@
 
   // The other hosts of the failure domain.
   void SetPeers(std::span<const PeerHost> aPeers);
-  void OnHeartbeat(const std::string& aHost, Instant aNow);
+  // aHost sent a heartbeat that says when the catalog last responded to it.
+  void OnHeartbeat(const std::string& aHost, Instant aCatalogRespondedAt);
   // aHost sent heartbeats but does not respond to requests or cannot read the
   // catalog. It does not count as a watcher until its next heartbeat.
   void OnUnreachable(const std::string& aHost);
@@ -60,8 +61,8 @@
   std::map<std::string, Rank, std::less<>> ranks_;
   // Number of peers that rank before this host; empty before the first list.
   std::optional<int> precedingPeers_;
-  // Time of the last heartbeat received from each watcher, by name.
-  std::map<std::string, Instant, std::less<>> lastHeartbeatAt_;
+  // When the catalog last responded to each watcher, by name.
+  std::map<std::string, Instant, std::less<>> catalogRespondedAt_;
   std::optional<Instant> watcherShortageSince_;
   // The time of the first decision with a host list.
   std::optional<Instant> peersKnownSince_;
@@ -70,9 +71,9 @@
 
 // Time between heartbeats while nothing changes.
 inline constexpr std::chrono::milliseconds kWatcherHeartbeatInterval{ 400 };
-// A single lost datagram must not count as the loss of a watcher. Changes that
-// a host reads only after this time still take effect within the bounds of a
-// deployment.
-inline constexpr std::chrono::milliseconds kWatcherHeartbeatTimeout{ 1'100 };
+// A watcher counts for this long after the catalog last responded to it. A
+// single lost datagram must not count as its loss. Changes that a host reads
+// only after this time still take effect within the bounds of a deployment.
+inline constexpr std::chrono::milliseconds kWatcherTimeout{ 1'100 };
 
 } // namespace filbertbeam
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -61,7 +61,8 @@
   {
     for (auto& [name, election] : elections) {
       if (name != aWatcher && !isolated.contains(name)) {
-        election.OnHeartbeat(aWatcher, now);
+        election.OnHeartbeat(aWatcher,
+                             silenced.contains(aWatcher) ? silentSince : now);
       }
     }
   }
@@ -104,6 +105,9 @@
   std::set<std::string> dead;
   // Hosts that receive no heartbeats.
   std::set<std::string> isolated;
+  // Hosts to which the catalog has not responded since silentSince.
+  std::set<std::string> silenced;
+  Instant silentSince;
 };
 
 } // namespace
@@ -127,7 +131,7 @@
   const std::string first = FirstWatchers().front();
   BOOST_TEST(first == "host-8");
   dead.insert(first);
-  Run(kWatcherHeartbeatTimeout + 2 * kStep);
+  Run(kWatcherTimeout + 2 * kStep);
   BOOST_TEST(FirstWatchers().size() == 1U);
   BOOST_TEST(FirstWatchers().front() != first);
 }
@@ -200,6 +204,23 @@
   BOOST_TEST(!roles.at(host).watchesCatalog);
 }
 
+// Guards against following watchers that go on sending heartbeats although the
+// catalog no longer responds to them.
+BOOST_AUTO_TEST_CASE(AreNotCountedOnceTheCatalogHasLongBeenSilentToThem)
+{
+  Run(4s);
+  const std::vector<std::string> watchers = HeartbeatSenders();
+  silentSince = now;
+  silenced.insert(watchers.begin(), watchers.end());
+  Run(kWatcherTimeout + kStep);
+  for (const auto& [name, role] : roles) {
+    BOOST_TEST(role.watchesCatalog, name);
+  }
+  Run(3s);
+  BOOST_TEST(HeartbeatSenders().size() == 4U);
+  BOOST_TEST(CountWatchingHosts() == 4);
+}
+
 // Guards against following a watcher that sends heartbeats and does not respond
 // to requests.
 BOOST_AUTO_TEST_CASE(AreNotCountedWhenTheyCannotBeReached)
