Watchers: Probe the catalog at the first watcher of a domain only

The first watcher of a domain now probes when its last response is older than 0.7 s, which is each 0.8 s. The second passes on what it hears of watchers before it in rank, and probes when that is older than 1 s. A watcher counts for 1.4 s after the response, and as before for 1.1 s after its heartbeat; a single lost datagram still changes nothing.

--- a/src/balancing/SelectionMessages.h
+++ b/src/balancing/SelectionMessages.h
@@ -86,7 +86,8 @@
   KnownVersions readUpTo;
   // The host knows each change after these versions.
   KnownVersions historyBegin;
-  // How long ago the catalog last responded to a call of the host.
+  // How long ago the catalog last responded to the host, or to a watcher that
+  // ranks before it, as that one has reported.
   Duration catalogAge = Duration::max();
   // How long ago a response of the catalog last showed, to the host or to one
   // that it heard, that its configuration was the newest.
--- a/src/catalog/CatalogProbe.cpp
+++ b/src/catalog/CatalogProbe.cpp
@@ -12,25 +12,20 @@
   , isNeeded_(std::move(aIsNeeded))
   , onResponse_(std::move(aOnResponse))
   , onFailure_(std::move(aOnFailure))
+  , checkedAt_(aClock.Now())
 {
-  timer_.callOnTimeout([this] { Check(); });
 }
 
-void
-CatalogProbe::Start()
-{
-  timer_.start(kCatalogProbeInterval);
-}
-
-// A check does not wait for the response to the one before, so that a slow
-// catalog does not make them rare.
-void
+bool
 CatalogProbe::Check()
 {
-  if (isNeeded_()) {
-    catalog_.Probe(
-      [this](const CatalogFailure& aFailure) { OnResult(aFailure); });
+  if (!isNeeded_() || Age() < kShortestProbePause) {
+    return false;
   }
+  checkedAt_ = clock_.Now();
+  catalog_.Probe(
+    [this](const CatalogFailure& aFailure) { OnResult(aFailure); });
+  return true;
 }
 
 void
--- a/src/catalog/CatalogProbe.h
+++ b/src/catalog/CatalogProbe.h
@@ -3,18 +3,17 @@
 #include "base/Clock.h"
 #include "catalog/ObjectCatalog.h"
 
-#include <QTimer>
-
 #include <functional>
 #include <optional>
 
 namespace filbertbeam {
 
-inline constexpr std::chrono::milliseconds kCatalogProbeInterval{ 400 };
+// No check follows another within this time.
+inline constexpr std::chrono::milliseconds kShortestProbePause{ 700 };
 
-// Checks regularly whether the catalog still responds to this host. A watch
-// waits for its response so long that nothing else shows in time that it has
-// been lost. A check costs the least of all calls.
+// Checks whether the catalog still responds to this host. A watch waits for its
+// response so long that nothing else shows in time that it has been lost. A
+// check costs the least of all calls.
 class CatalogProbe
 {
 public:
@@ -30,12 +29,16 @@
                ResponseHandler aOnResponse,
                FailureHandler aOnFailure);
 
-  void Start();
+  // Sends a check, also while an earlier one waits for its response, so that a
+  // slow catalog does not make checks rare. Returns false when none is needed
+  // or the last one was sent too short a time ago.
+  bool Check();
+  // The time since the last check, or since the start.
+  Duration Age() const { return clock_.Now() - checkedAt_; }
   // When the catalog last responded to a check; empty before the first time.
   const std::optional<Instant>& RespondedAt() const { return respondedAt_; }
 
 private:
-  void Check();
   void OnResult(const CatalogFailure& aFailure);
 
   ObjectCatalog& catalog_;
@@ -43,8 +46,8 @@
   const Predicate isNeeded_;
   const ResponseHandler onResponse_;
   const FailureHandler onFailure_;
+  Instant checkedAt_;
   std::optional<Instant> respondedAt_;
-  QTimer timer_;
 };
 
 } // namespace filbertbeam
--- a/src/catalog/tests/TestCatalogProbe.cpp
+++ b/src/catalog/tests/TestCatalogProbe.cpp
@@ -1,8 +1,7 @@
 #include "catalog/CatalogProbe.h"
 
-#include "base/SystemClock.h"
+#include "base/ManualClock.h"
 #include "catalog/tests/support/CatalogStub.h"
-#include "http/tests/support/EventLoop.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -39,7 +38,7 @@
 BOOST_AUTO_TEST_CASE(ReportsThatTheCatalogDoesNotRespond)
 {
   ProbedCatalog catalog;
-  const SystemClock clock;
+  ManualClock clock;
   bool isNeeded = false;
   int responses = 0;
   int failures = 0;
@@ -49,12 +48,13 @@
     [&] { return isNeeded; },
     [&] { ++responses; },
     [&](const CatalogFailure&) { ++failures; });
-  probe.Start();
-  RunFor(kCatalogProbeInterval + 100ms);
+  clock.Advance(kShortestProbePause);
+  BOOST_TEST(!probe.Check());
   BOOST_TEST(catalog.probes.empty());
   isNeeded = true;
-  BOOST_TEST_REQUIRE(WaitUntil([&] { return !catalog.probes.empty(); },
-                               kCatalogProbeInterval + 100ms));
+  BOOST_TEST(probe.Check());
+  BOOST_TEST(!probe.Check());
+  BOOST_TEST_REQUIRE(catalog.probes.size() == 1U);
   BOOST_TEST(!probe.RespondedAt().has_value());
   catalog.Respond(CatalogError::Refused);
   BOOST_TEST(!probe.RespondedAt().has_value());
@@ -65,6 +65,10 @@
   BOOST_TEST(failures == 0);
   catalog.Respond(CatalogError::Unavailable);
   BOOST_TEST(failures == 1);
+  // One that waits does not delay the next.
+  clock.Advance(kShortestProbePause);
+  BOOST_TEST(probe.Check());
+  BOOST_TEST(catalog.probes.size() == 2U);
   isNeeded = false;
   catalog.Respond(CatalogError::Unavailable);
   BOOST_TEST(failures == 1);
--- a/src/gateway/WatchSharing.cpp
+++ b/src/gateway/WatchSharing.cpp
@@ -18,13 +18,19 @@
 // Half of the heartbeat interval, so that a lost watcher is detected soon after
 // it times out.
 constexpr milliseconds kTick = kWatcherHeartbeatInterval / 2;
-
-// A watcher sends a heartbeat with each response to a probe, so that its
-// statement about the catalog is new. Without such a response it sends one
-// after this time.
-constexpr milliseconds kLongestHeartbeatPause =
-  3 * kWatcherHeartbeatInterval / 2;
-static_assert(kCatalogProbeInterval == kWatcherHeartbeatInterval);
+// A heartbeat is due at each second tick, also if the last one was sent shortly
+// after a tick.
+constexpr milliseconds kShortestHeartbeatPause =
+  kWatcherHeartbeatInterval - kTick / 2;
+
+// The first watcher asks the catalog when its last response is older than this:
+// at each fourth tick. Its hosts stop following it a while after that.
+constexpr milliseconds kFirstWatcherProbeAge{ 700 };
+// The others ask when the first watcher seems to get no response, early enough
+// for the hosts that follow both.
+constexpr milliseconds kProbeAge{ 1'000 };
+// Without another reason, a host with a watch that waits asks after this time.
+constexpr milliseconds kLongestProbePause{ 3'000 };
 
 // After a restore of the catalog, a watcher's copy usually arrives before this
 // delay ends. The spread keeps hosts that get none from listing together; both
@@ -107,7 +113,6 @@
 {
   firstWatcherWait_ = aFirstWatcherWait;
   tickTimer_.start(kTick);
-  probe_.Start();
 }
 
 void
@@ -154,10 +159,21 @@
 {
   const auto respondedAt = std::max({ configuration_.RespondedAt(),
                                       servers_.RespondedAt(),
-                                      probe_.RespondedAt() });
+                                      probe_.RespondedAt(),
+                                      election_.CatalogRespondedAt() });
   return respondedAt ? clock_.Now() - *respondedAt : Duration::max();
 }
 
+bool
+WatchSharing::ProbeIfNeeded()
+{
+  const milliseconds longestAge =
+    role_.isFirstWatcher ? kFirstWatcherProbeAge : kProbeAge;
+  const bool isNeeded =
+    CatalogAge() >= longestAge || probe_.Age() >= kLongestProbePause;
+  return isNeeded && probe_.Check();
+}
+
 ConfigurationContact
 WatchSharing::Contact() const
 {
@@ -199,7 +215,10 @@
   const bool hasResponded = HasCatalogResponded();
   const bool isNews = hasResponded && !hadCatalogResponded_;
   hadCatalogResponded_ = hasResponded;
-  if (isNews || now - lastHeartbeatAt_ >= kLongestHeartbeatPause) {
+  // A heartbeat follows with the response to a probe.
+  const bool isProbing = ProbeIfNeeded();
+  const bool isDue = now - lastHeartbeatAt_ >= kShortestHeartbeatPause;
+  if (isNews || (isDue && !isProbing)) {
     SendHeartbeat();
   }
 }
@@ -254,7 +273,7 @@
     return true;
   }
   const bool isCovered =
-    coveredAt_ && clock_.Now() - *coveredAt_ <= kWatcherTimeout;
+    coveredAt_ && clock_.Now() - *coveredAt_ <= kWatcherHeartbeatTimeout;
   return !isCovered && !IsCoveredBy(aHeartbeat);
 }
 
@@ -267,8 +286,9 @@
     election_.OnUnreachable(aHeartbeat.host);
     return;
   }
-  election_.OnHeartbeat(aHeartbeat.host, clock_.Now() - aHeartbeat.catalogAge);
-  if (aHeartbeat.catalogAge <= kWatcherTimeout) {
+  election_.OnHeartbeat(
+    aHeartbeat.host, clock_.Now(), clock_.Now() - aHeartbeat.catalogAge);
+  if (aHeartbeat.catalogAge <= kCatalogResponseTimeout) {
     configuration_.OnCatalogResponds();
     servers_.OnCatalogResponds();
   }
--- a/src/gateway/WatchSharing.h
+++ b/src/gateway/WatchSharing.h
@@ -77,8 +77,12 @@
   // True when the catalog has responded since this host began to watch it, and
   // to its latest calls.
   bool HasCatalogResponded() const;
-  // The time since the last response of the catalog to any call of this host.
+  // The time since the last response of the catalog to any call of this host,
+  // or of a watcher that ranks before it.
   Duration CatalogAge() const;
+  // Checks whether the catalog responds if that is not known well enough.
+  // Returns true when a check was sent.
+  bool ProbeIfNeeded();
   // The time since the catalog last confirmed this host's configuration, also
   // by the word of a watcher.
   Duration ConfigurationAge() const;
--- a/src/gateway/WatcherElection.cpp
+++ b/src/gateway/WatcherElection.cpp
@@ -60,18 +60,34 @@
 
 void
 WatcherElection::OnHeartbeat(const std::string& aHost,
+                             Instant aNow,
                              Instant aCatalogRespondedAt)
 {
-  Instant& known =
-    catalogRespondedAt_.try_emplace(aHost, aCatalogRespondedAt).first->second;
-  known = std::max(known, aCatalogRespondedAt);
+  Watcher& watcher = watchers_[aHost];
+  watcher.heartbeatAt = aNow;
+  // Heartbeats may arrive in another order than they were sent.
+  watcher.catalogRespondedAt =
+    std::max(watcher.catalogRespondedAt, aCatalogRespondedAt);
   hasReceivedHeartbeat_ = true;
 }
 
 void
 WatcherElection::OnUnreachable(const std::string& aHost)
 {
-  catalogRespondedAt_.erase(aHost);
+  watchers_.erase(aHost);
+}
+
+std::optional<Instant>
+WatcherElection::CatalogRespondedAt() const
+{
+  std::optional<Instant> respondedAt;
+  for (const auto& [host, watcher] : watchers_) {
+    if (RankOf(host) < rank_) {
+      respondedAt =
+        std::max(respondedAt, std::optional(watcher.catalogRespondedAt));
+    }
+  }
+  return respondedAt;
 }
 
 bool
@@ -81,18 +97,20 @@
     peersKnownSince_ = aNow;
   }
   return !hasReceivedHeartbeat_ && peersKnownSince_ &&
-         aNow - *peersKnownSince_ < kWatcherTimeout;
+         aNow - *peersKnownSince_ < kWatcherHeartbeatTimeout;
 }
 
 WatcherRole
 WatcherElection::Decide(Instant aNow)
 {
   const bool isFirstHeartbeatPending = IsFirstHeartbeatPending(aNow);
-  std::erase_if(catalogRespondedAt_, [aNow](const auto& aItem) {
-    return aNow - aItem.second > kWatcherTimeout;
+  std::erase_if(watchers_, [aNow](const auto& aItem) {
+    const Watcher& watcher = aItem.second;
+    return aNow - watcher.heartbeatAt > kWatcherHeartbeatTimeout ||
+           aNow - watcher.catalogRespondedAt > kCatalogResponseTimeout;
   });
   const auto before =
-    std::ranges::count_if(catalogRespondedAt_, [this](const auto& aItem) {
+    std::ranges::count_if(watchers_, [this](const auto& aItem) {
       return RankOf(aItem.first) < rank_;
     });
   if (before >= kWatchers) {
@@ -106,8 +124,8 @@
   role.sendsHeartbeats =
     precedingPeers_ &&
     aNow - *watcherShortageSince_ >= kTakeoverStagger * *precedingPeers_;
-  role.watchesCatalog = role.sendsHeartbeats || (catalogRespondedAt_.empty() &&
-                                                 !isFirstHeartbeatPending);
+  role.watchesCatalog =
+    role.sendsHeartbeats || (watchers_.empty() && !isFirstHeartbeatPending);
   role.isFirstWatcher = role.watchesCatalog && before == 0;
   role.sendsHeartbeatsInOutage =
     role.sendsHeartbeats && *precedingPeers_ < kOutageWatchers;
--- a/src/gateway/WatcherElection.h
+++ b/src/gateway/WatcherElection.h
@@ -39,14 +39,25 @@
   // The other hosts of the failure domain.
   void SetPeers(std::span<const PeerHost> aPeers);
   // aHost sent a heartbeat that says when the catalog last responded to it.
-  void OnHeartbeat(const std::string& aHost, Instant aCatalogRespondedAt);
+  void OnHeartbeat(const std::string& aHost,
+                   Instant aNow,
+                   Instant aCatalogRespondedAt);
   // aHost sent heartbeats but does not respond to requests or cannot read the
   // catalog. It does not count as a watcher until its next heartbeat.
   void OnUnreachable(const std::string& aHost);
 
   WatcherRole Decide(Instant aNow);
+  // When the catalog last responded to a watcher that ranks before this host;
+  // empty if there is none.
+  std::optional<Instant> CatalogRespondedAt() const;
 
 private:
+  struct Watcher
+  {
+    Instant heartbeatAt;
+    Instant catalogRespondedAt;
+  };
+
   // Hosts with more processor cores rank first, hosts that no list has shown
   // rank last.
   using Rank = std::pair<double, std::uint64_t>;
@@ -61,8 +72,8 @@
   std::map<std::string, Rank, std::less<>> ranks_;
   // Number of peers that rank before this host; empty before the first list.
   std::optional<int> precedingPeers_;
-  // When the catalog last responded to each watcher, by name.
-  std::map<std::string, Instant, std::less<>> catalogRespondedAt_;
+  // The watchers that this host hears, by name.
+  std::map<std::string, Watcher, std::less<>> watchers_;
   std::optional<Instant> watcherShortageSince_;
   // The time of the first decision with a host list.
   std::optional<Instant> peersKnownSince_;
@@ -71,9 +82,13 @@
 
 // Time between heartbeats while nothing changes.
 inline constexpr std::chrono::milliseconds kWatcherHeartbeatInterval{ 400 };
-// A watcher counts for this long after the catalog last responded to it. A
-// single lost datagram must not count as its loss. Changes that a host reads
-// only after this time still take effect within the bounds of a deployment.
-inline constexpr std::chrono::milliseconds kWatcherTimeout{ 1'100 };
+// A single lost datagram must not count as the loss of a watcher. Changes that
+// a host reads only after this time still take effect within the bounds of a
+// deployment.
+inline constexpr std::chrono::milliseconds kWatcherHeartbeatTimeout{ 1'100 };
+// Whatever a watcher sends, it counts no longer than this after the catalog
+// last responded to it. A watcher makes a probe before, and a single lost
+// datagram may hide the response to it; the same bounds hold.
+inline constexpr std::chrono::milliseconds kCatalogResponseTimeout{ 1'400 };
 
 } // namespace filbertbeam
--- a/src/gateway/tests/TestWatcherElection.cpp
+++ b/src/gateway/tests/TestWatcherElection.cpp
@@ -61,8 +61,8 @@
   {
     for (auto& [name, election] : elections) {
       if (name != aWatcher && !isolated.contains(name)) {
-        election.OnHeartbeat(aWatcher,
-                             silenced.contains(aWatcher) ? silentSince : now);
+        election.OnHeartbeat(
+          aWatcher, now, silenced.contains(aWatcher) ? silentSince : now);
       }
     }
   }
@@ -131,7 +131,7 @@
   const std::string first = FirstWatchers().front();
   BOOST_TEST(first == "host-8");
   dead.insert(first);
-  Run(kWatcherTimeout + 2 * kStep);
+  Run(kWatcherHeartbeatTimeout + 2 * kStep);
   BOOST_TEST(FirstWatchers().size() == 1U);
   BOOST_TEST(FirstWatchers().front() != first);
 }
@@ -212,7 +212,7 @@
   const std::vector<std::string> watchers = HeartbeatSenders();
   silentSince = now;
   silenced.insert(watchers.begin(), watchers.end());
-  Run(kWatcherTimeout + kStep);
+  Run(kCatalogResponseTimeout + kStep);
   for (const auto& [name, role] : roles) {
     BOOST_TEST(role.watchesCatalog, name);
   }
