Catalog: Keep what a server wrote last when an earlier write is done late

Cause: the store executed an earlier heartbeat of the server late, which gave its entry a newer revision and the state "ready". Hosts took the newest revision of an entry for the newest statement of its server, and compared the number of the write and the start of the server only after a restore of the store.

Change: each version of an entry that a host reads is compared with the latest write that it knows; the parts that were written later stay (OutdatedWrites). It is done where each change is applied, since a batch may hold both the report and the late heartbeat.

--- a/src/catalog/CatalogFollower.cpp
+++ b/src/catalog/CatalogFollower.cpp
@@ -42,6 +42,9 @@
                aSettings.shortestOutage },
              aClock,
              [this] { DropMissingObjects(); })
+  , outdatedWrites_(aSettings.name, aSettings.writeOrder, aClock, [this] {
+    ApplyExpiredWrites();
+  })
 {
   callTimer_.setSingleShot(true);
   callTimer_.setTimerType(Qt::PreciseTimer);
@@ -348,10 +351,16 @@
       }
     }
   }
-  objects_ = std::move(aObjects);
-  for (const auto& [name, object] : objects_) {
+  for (auto& [name, object] : aObjects) {
+    object = Resolve(object);
     missing_.Forget(name);
   }
+  for (const auto& [name, object] : objects_) {
+    if (!aObjects.contains(name)) {
+      outdatedWrites_.Forget(name);
+    }
+  }
+  objects_ = std::move(aObjects);
   for (const auto& [name, missing] : missing_.Kept()) {
     objects_.emplace(name, missing.object);
   }
@@ -495,11 +504,28 @@
     Remove(aEvent.object);
   } else {
     missing_.Forget(name);
-    objects_.insert_or_assign(name, aEvent.object);
+    objects_.insert_or_assign(name, Resolve(aEvent.object));
   }
   return true;
 }
 
+CatalogObject
+CatalogFollower::Resolve(const CatalogObject& aRead)
+{
+  const auto known = objects_.find(aRead.name);
+  return outdatedWrites_.Resolve(
+    known == objects_.end() ? nullptr : &known->second, aRead);
+}
+
+void
+CatalogFollower::ApplyExpiredWrites()
+{
+  for (const auto& [name, object] : outdatedWrites_.TakeExpired()) {
+    objects_.insert_or_assign(name, object);
+  }
+  Notify();
+}
+
 void
 CatalogFollower::Remove(const CatalogObject& aRemoved)
 {
@@ -517,6 +543,7 @@
     return;
   }
   missing_.Forget(aRemoved.name);
+  outdatedWrites_.Forget(aRemoved.name);
   objects_.erase(existing);
 }
 
@@ -569,6 +596,7 @@
 CatalogFollower::DropMissingObjects()
 {
   for (const auto& [name, missing] : missing_.TakeExpired()) {
+    outdatedWrites_.Forget(name);
     objects_.erase(name);
   }
   Notify();
--- a/src/catalog/CatalogFollower.h
+++ b/src/catalog/CatalogFollower.h
@@ -5,6 +5,7 @@
 #include "catalog/ChangeHistory.h"
 #include "catalog/MissingObjects.h"
 #include "catalog/ObjectCatalog.h"
+#include "catalog/OutdatedWrites.h"
 
 #include <QTimer>
 
@@ -31,6 +32,9 @@
   // Objects of live writers do not expire in outages that are noticed for a
   // shorter time than this.
   std::chrono::milliseconds shortestOutage{ 0 };
+  // Orders the writes of each object; null if the catalog's order counts. Has
+  // to outlive the follower.
+  const WriteOrder* writeOrder = nullptr;
 };
 
 // The copy that a host has of a collection.
@@ -135,6 +139,8 @@
   // The version of the newest change that was read.
   const CatalogVersion& NewestChange() const { return newestChange_; }
   CatalogProgress Progress() const;
+  // Number of objects of which the catalog shows an outdated write.
+  std::size_t OutdatedObjects() const { return outdatedWrites_.KeptCount(); }
   // True when the copy contains the change of aVersion.
   bool HasRead(const CatalogVersion& aVersion) const;
 
@@ -191,6 +197,9 @@
   bool CheckResponse(const CatalogFailure& aFailure);
   void OnRecovered();
   void DropMissingObjects();
+  // Returns aRead as it applies, given the object as it applied before.
+  CatalogObject Resolve(const CatalogObject& aRead);
+  void ApplyExpiredWrites();
   void Notify();
 
   ObjectCatalog& catalog_;
@@ -229,6 +238,7 @@
   std::optional<Instant> respondedAt_;
   // These objects are also part of the copy.
   MissingObjects missing_;
+  OutdatedWrites outdatedWrites_;
   QTimer callTimer_;
 };
 
--- a/src/gateway/CatalogCodec.h
+++ b/src/gateway/CatalogCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catalog/ObjectCatalog.h"
+#include "catalog/WriteOrder.h"
 #include "directory/BackendServerRecord.h"
 #include "routing/RoutingTable.h"
 
@@ -10,12 +10,10 @@
 namespace filbertbeam {
 
 // Decodes the catalog objects that a deployment's operator and backend servers
-// write.
-class CatalogCodec
+// write. Orders the writes of backend servers.
+class CatalogCodec : public WriteOrder
 {
 public:
-  virtual ~CatalogCodec() = default;
-
   // Returns null and sets aReason when any part of the document is invalid.
   virtual std::shared_ptr<const RoutingTable> ReadConfiguration(
     const CatalogObject& aObject,
@@ -27,10 +25,6 @@
     const CatalogObject& aObject,
     Instant aNow,
     std::string& aReason) const = 0;
-
-  // Returns the number of the write of a backend server that created the
-  // object; 0 if it has none. Numbers increase within a run of the server.
-  virtual std::uint64_t ReadWriteNumber(const CatalogObject& aObject) const = 0;
 };
 
 } // namespace filbertbeam
--- a/src/gateway/DirectoryBuilder.cpp
+++ b/src/gateway/DirectoryBuilder.cpp
@@ -84,7 +84,7 @@
   const std::optional<ServerWrite> last =
     decoded.record ? std::optional(WriteOf(decoded)) : std::nullopt;
   decoded.objectVersion = aObject.version;
-  decoded.writeNumber = codec_.ReadWriteNumber(aObject);
+  decoded.writeNumber = codec_.ReadStamp(aObject).number;
   std::string reason;
   decoded.record = codec_.ReadBackendServer(aObject, clock_.Now(), reason);
   if (last && decoded.record && decoded.record->startedAt > last->startedAt) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -54,6 +54,7 @@
                  const ExchangeHeaderCodec& aHeaderCodec)
   : settings_(aSettings)
   , catalog_(aCatalog)
+  , codec_(aCodec)
   , headerCodec_(aHeaderCodec)
   , configuration_(aCodec)
   , directoryBuilder_(aCodec, clock_)
@@ -185,7 +186,8 @@
                              "backend-servers",
                              CoalescingDelay(),
                              kMissingServerRetention,
-                             kShortestOutage },
+                             kShortestOutage,
+                             &codec_ },
     clock_,
     random_,
     [this](const CatalogFollower::Objects& aObjects) {
@@ -626,6 +628,7 @@
         serverFollower_->Version().revision);
   gauge("filbertbeam_catalog_generation", catalog_.Generation());
   gauge("filbertbeam_departures_kept", directoryBuilder_.KeptDepartures());
+  gauge("filbertbeam_outdated_writes_kept", serverFollower_->OutdatedObjects());
   AppendMetric(
     text, "counter", "filbertbeam_catalog_restores_total", catalogRestores_);
   gauge("filbertbeam_catalog_reachable",
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -122,6 +122,7 @@
 
   GatewaySettings settings_;
   CountingCatalog catalog_;
+  const CatalogCodec& codec_;
   const ExchangeHeaderCodec& headerCodec_;
   SystemClock clock_;
   SeededRandom random_;
--- a/src/gateway/tests/TestRestoreModel.cpp
+++ b/src/gateway/tests/TestRestoreModel.cpp
@@ -46,9 +46,10 @@
     record.isDraining = aObject.content[kDraining].toBool();
     return record;
   }
-  std::uint64_t ReadWriteNumber(const CatalogObject& aObject) const override
+  WriteStamp ReadStamp(const CatalogObject& aObject) const override
   {
-    return static_cast<std::uint64_t>(aObject.content[kNumber].toInteger());
+    return { aObject.content[kRun].toInteger(),
+             static_cast<std::uint64_t>(aObject.content[kNumber].toInteger()) };
   }
 };
 
