Gateway: Take no server back whose entry a late write creates again

What callers would see: requests to a server that has left, while a late write of it creates its entry once more.

Cause: KnownDepartures took each newer revision of the same store for a newer write of the server.

Change: an earlier write, by the number within a run or by the start of the run, is not newer.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -370,6 +370,9 @@
 Gateway::OnBackendServers(const CatalogFollower::Objects& aObjects)
 {
   const auto directory = directoryBuilder_.Build(aObjects);
+  if (directoryBuilder_.KeptDepartures() > 0 && !departuresTimer_.isActive()) {
+    departuresTimer_.start(kDepartureRetention);
+  }
   LogEvent(
     LogLevel::Info,
     "directory_in_force",
--- a/src/gateway/KnownDepartures.cpp
+++ b/src/gateway/KnownDepartures.cpp
@@ -59,9 +59,26 @@
   restoredAt_ = aNow;
 }
 
+bool
+KnownDepartures::IsOutdated(const ServerWrite& aWrite,
+                            const ServerWrite& aKnown)
+{
+  if (aWrite.version.generation != aKnown.version.generation) {
+    return false;
+  }
+  if (aWrite.startedAt != aKnown.startedAt) {
+    return aWrite.startedAt != 0 && aWrite.startedAt < aKnown.startedAt;
+  }
+  return aWrite.startedAt != 0 && aWrite.number != 0 &&
+         aWrite.number < aKnown.number;
+}
+
 bool
 KnownDepartures::IsLater(const ServerWrite& aWrite, const ServerWrite& aKnown)
 {
+  if (IsOutdated(aWrite, aKnown)) {
+    return false;
+  }
   if (aWrite.startedAt != aKnown.startedAt) {
     return aWrite.startedAt > aKnown.startedAt;
   }
@@ -93,7 +110,9 @@
     Forget(aServer, "written again");
     return false;
   }
-  if (!IsRestoring(aNow)) {
+  const bool mayBeLate = IsOutdated(aWrite, known->second.write) &&
+                         aNow - known->second.at < kDepartureRetention;
+  if (!mayBeLate && !IsRestoring(aNow)) {
     Forget(aServer, "time passed");
     return false;
   }
--- a/src/gateway/KnownDepartures.h
+++ b/src/gateway/KnownDepartures.h
@@ -31,8 +31,9 @@
 };
 
 // Remembers which backend servers have left or stated that they leave. When the
-// catalog is restored from an older copy, which may show them as ready, they
-// count as leaving until they write again, and for kDepartureRetention at most.
+// catalog is restored from an older copy, or executes an earlier write of them
+// late, it may show them as ready. They count as leaving until they write
+// again, and for kDepartureRetention at most.
 class KnownDepartures
 {
 public:
@@ -80,6 +81,8 @@
 
   bool IsRestoring(Instant aNow) const;
   static bool IsLater(const ServerWrite& aWrite, const ServerWrite& aKnown);
+  // True for an earlier write that the catalog shows later, without a restore.
+  static bool IsOutdated(const ServerWrite& aWrite, const ServerWrite& aKnown);
   static void EndKept(const std::string& aServer,
                       Departure& aDeparture,
                       std::string_view aReason);
--- a/src/gateway/tests/TestKnownDepartures.cpp
+++ b/src/gateway/tests/TestKnownDepartures.cpp
@@ -98,6 +98,21 @@
   BOOST_TEST(!HasDeparted(Write(51, { 1, 97 })));
 }
 
+// Guards against a server that is used again since the catalog has executed an
+// earlier write of it late.
+BOOST_AUTO_TEST_CASE(CountAgainstALateWriteUntilTheServerWritesAgain)
+{
+  departures.OnRemoved(kServer, Write(51, { 1, 95 }), kStart);
+  BOOST_TEST(HasDeparted(Write(50, { 1, 97 })));
+  BOOST_TEST(HasDeparted(Write(50, { 1, 97 }), kDepartureRetention - 1ms));
+  BOOST_TEST(!HasDeparted(Write(52, { 1, 98 })));
+  departures.OnRemoved(kServer, Write(52, { 1, 98 }), kStart);
+  ServerWrite earlier = Write(60, { 1, 99 });
+  earlier.startedAt = kStartedAt - 1;
+  BOOST_TEST(HasDeparted(earlier));
+  BOOST_TEST(!HasDeparted(earlier, kDepartureRetention));
+}
+
 // Guards against a server that returned before the restore.
 BOOST_AUTO_TEST_CASE(AreForgottenWhenTheServerReturns)
 {
